Build the whole path as separate processes

Cause: there was nothing; every later measurement needs a path to measure on. What it has: chervilspurd, and stand-ins for object API, instance list, engine and plain service, each a process of its own; the pure decision crate with a first scheduler (strict tier order, fewest outstanding).

--- /dev/null
+++ b/components/decision/src/lib.rs
@@ -0,0 +1,8 @@
+//! Every decision of the router, without sockets, threads, clocks, files or a random source.
+//!
+//! The present time is an argument, events go in and typed effects come back.
+
+pub mod load;
+mod time;
+
+pub use time::Millis;
--- /dev/null
+++ b/components/decision/src/time.rs
@@ -0,0 +1,32 @@
+use serde::{Deserialize, Serialize};
+use std::ops::{Add, Sub};
+
+/// A time on the daemon's own clock, or a length of time, in milliseconds.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// Returns the time from `earlier` to `self`, or zero when `earlier` is later.
+    pub fn since(self, earlier: Millis) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add for Millis {
+    type Output = Millis;
+
+    fn add(self, other: Millis) -> Millis {
+        Millis(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Millis {
+    type Output = Millis;
+
+    fn sub(self, other: Millis) -> Millis {
+        self.since(other)
+    }
+}
--- /dev/null
+++ b/components/utils/src/lib.rs
@@ -0,0 +1,13 @@
+//! Small helpers for HTTP, identities and digests.
+
+mod digest;
+mod http;
+mod id;
+mod pool;
+
+pub use digest::sha256_hex;
+pub use http::{
+    ChunkWriter, HttpError, body_text, client, get_json, listen, post_json, put_json, respond_json,
+};
+pub use id::random_id;
+pub use pool::Pool;
