--- /dev/null
+++ b/components/schema/src/message.rs
@@ -0,0 +1,37 @@
+use schemars::schema::RootSchema;
+use snafu::{ResultExt, Snafu};
+use typify::{TypeSpace, TypeSpaceSettings};
+
+/// A schema from which no code can be generated.
+#[derive(Debug, Snafu)]
+pub enum GenerateError {
+    /// The file is not a JSON Schema.
+    #[snafu(display("the schema cannot be read: {source}"))]
+    Parse {
+        /// The failure.
+        source: serde_json::Error,
+    },
+    /// The schema holds a type that has no Rust form.
+    #[snafu(display("the schema cannot be turned into types: {source}"))]
+    Convert {
+        /// The failure.
+        source: typify::Error,
+    },
+    /// The generated code is not Rust.
+    #[snafu(display("the generated code cannot be formatted: {source}"))]
+    Format {
+        /// The failure.
+        source: syn::Error,
+    },
+}
+
+/// Returns Rust code for the definitions of a JSON Schema.
+pub fn message_types(schema: &str) -> Result<String, GenerateError> {
+    let schema: RootSchema = serde_json::from_str(schema).context(ParseSnafu)?;
+    let mut settings = TypeSpaceSettings::default();
+    settings.with_struct_builder(false).with_map_type("::std::collections::BTreeMap");
+    let mut types = TypeSpace::new(&settings);
+    types.add_ref_types(schema.definitions).context(ConvertSnafu)?;
+    let file = syn::parse2(types.to_stream()).context(FormatSnafu)?;
+    Ok(format!("// Generated from schema/messages.json.\n\n{}", prettyplease::unparse(&file)))
+}
