--- a/components/messages/src/generated.rs
+++ b/components/messages/src/forward.rs
@@ -1,7 +1,5 @@
-// Generated from schema/messages.json.
-
 ///A request that a daemon hands to a daemon of another data centre.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ForwardRequest {
     ///The client account.
     pub account: ::std::string::String,
--- a/components/messages/src/lib.rs
+++ b/components/messages/src/lib.rs
@@ -1,10 +1,14 @@
 //! Messages between the daemons and between daemon and command-line tool.
 //!
-//! The types are generated from `schema/messages.json`; run
+//! Each module is generated from the file of the same name in `schema/`; run
 //! `cargo run -p schema --bin generate` after a change.
 
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
-mod generated;
-
-pub use generated::*;
+pub mod cluster;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+pub mod forward;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+pub mod status;
--- a/components/schema/src/lib.rs
+++ b/components/schema/src/lib.rs
@@ -2,4 +2,4 @@
 
 mod message;
 
-pub use message::{GenerateError, message_types};
+pub use message::{GenerateError, MESSAGE_SCHEMAS, message_types};
--- a/components/schema/src/message.rs
+++ b/components/schema/src/message.rs
@@ -25,13 +25,19 @@
     },
 }
 
+/// The schemas of the messages; each gives the module of the same name in the `messages` crate.
+pub const MESSAGE_SCHEMAS: [&str; 3] = ["cluster", "forward", "status"];
+
 /// Returns Rust code for the definitions of a JSON Schema.
 pub fn message_types(schema: &str) -> Result<String, GenerateError> {
     let schema: RootSchema = serde_json::from_str(schema).context(ParseSnafu)?;
     let mut settings = TypeSpaceSettings::default();
-    settings.with_struct_builder(false).with_map_type("::std::collections::BTreeMap");
+    settings
+        .with_struct_builder(false)
+        .with_map_type("::std::collections::BTreeMap")
+        .with_derive("PartialEq".to_string());
     let mut types = TypeSpace::new(&settings);
     types.add_ref_types(schema.definitions).context(ConvertSnafu)?;
     let file = syn::parse2(types.to_stream()).context(FormatSnafu)?;
-    Ok(format!("// Generated from schema/messages.json.\n\n{}", prettyplease::unparse(&file)))
+    Ok(prettyplease::unparse(&file))
 }
