Define the settings once in a schema and generate the code from it

Cause: flags, variables, checks and the page of settings must say the same, and a bad value has to be refused at start by name. Ruled out: argh's own value parsing (its errors name no variable and no allowed range, and a default hides whether the flag was given); a regex crate for names (a label check of ten lines does); one struct for both programs (the tool's flags hold a subcommand, so that struct is generic over it). Before: 7 flags, no variables. After: 20 settings of the daemon and 4 of the tool. 25 tests in components/config, 2 in components/schema pass; with the variable put before the flag 4 of the 25 fail, with the secret shown 1 fails. Conclusion: Settings::read(&flags, process_variable) is the way in; peer_key is required from now on.

--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -1,8 +1,10 @@
-//! The two lists of the operators and the settings of the daemon.
+//! The two lists of the operators and the settings of both programs.
 
 mod lists;
-
-pub use lists::{Account, Class, Grant, Grants, Lists, Plan, Plans, Target};
 mod settings;
 
-pub use settings::Settings;
+pub use lists::{Account, Class, Grant, Grants, Lists, Plan, Plans, Target};
+pub use settings::{
+    LogLevel, Output, Secret, SettingError, Settings, SettingsFlags, ToolFlags, ToolSettings,
+    process_variable,
+};
--- /dev/null
+++ b/components/config/src/settings/generated.rs
@@ -0,0 +1,508 @@
+use super::check;
+use super::{Secret, SettingError};
+use super::setting::Setting;
+use argh::FromArgs;
+use std::net::SocketAddr;
+const BODY_LIMIT_BYTES: Setting = Setting {
+    flag: "body-limit-bytes",
+    variable: "CHERVILSPUR_BODY_LIMIT_BYTES",
+    allowed: "1024 to 16777216",
+    secret: false,
+};
+const CALLERS: Setting = Setting {
+    flag: "callers",
+    variable: "CHERVILSPUR_CALLERS",
+    allowed: "1 to 4096",
+    secret: false,
+};
+const CHECK_INVARIANTS: Setting = Setting {
+    flag: "check-invariants",
+    variable: "CHERVILSPUR_CHECK_INVARIANTS",
+    allowed: "true, false",
+    secret: false,
+};
+const DATA_CENTRE: Setting = Setting {
+    flag: "data-centre",
+    variable: "CHERVILSPUR_DATA_CENTRE",
+    allowed: "1 to 63 lower-case letters, digits and inner hyphens",
+    secret: false,
+};
+const INSTANCES: Setting = Setting {
+    flag: "instances",
+    variable: "CHERVILSPUR_INSTANCES",
+    allowed: "an IP number and a port",
+    secret: false,
+};
+const LINK_BYTES_PER_SECOND: Setting = Setting {
+    flag: "link-bytes-per-second",
+    variable: "CHERVILSPUR_LINK_BYTES_PER_SECOND",
+    allowed: "0 to 1000000000",
+    secret: false,
+};
+const LISTEN: Setting = Setting {
+    flag: "listen",
+    variable: "CHERVILSPUR_LISTEN",
+    allowed: "an IP number and a port",
+    secret: false,
+};
+/// Least severe level that is logged.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum LogLevel {
+    /// The value `error`.
+    Error,
+    /// The value `warn`.
+    Warn,
+    /// The value `info`.
+    Info,
+    /// The value `debug`.
+    Debug,
+    /// The value `trace`.
+    Trace,
+}
+impl LogLevel {
+    /// Reads the value from its name.
+    pub fn parse(text: &str) -> Option<LogLevel> {
+        match text {
+            "error" => Some(LogLevel::Error),
+            "warn" => Some(LogLevel::Warn),
+            "info" => Some(LogLevel::Info),
+            "debug" => Some(LogLevel::Debug),
+            "trace" => Some(LogLevel::Trace),
+            _ => None,
+        }
+    }
+}
+const LOG_LEVEL: Setting = Setting {
+    flag: "log-level",
+    variable: "CHERVILSPUR_LOG_LEVEL",
+    allowed: "error, warn, info, debug, trace",
+    secret: false,
+};
+const METRICS: Setting = Setting {
+    flag: "metrics",
+    variable: "CHERVILSPUR_METRICS",
+    allowed: "an IP number and a port",
+    secret: false,
+};
+const NAME: Setting = Setting {
+    flag: "name",
+    variable: "CHERVILSPUR_NAME",
+    allowed: "1 to 63 lower-case letters, digits and inner hyphens",
+    secret: false,
+};
+/// Form of the output.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Output {
+    /// The value `text`.
+    Text,
+    /// The value `json`.
+    Json,
+}
+impl Output {
+    /// Reads the value from its name.
+    pub fn parse(text: &str) -> Option<Output> {
+        match text {
+            "text" => Some(Output::Text),
+            "json" => Some(Output::Json),
+            _ => None,
+        }
+    }
+}
+const OUTPUT: Setting = Setting {
+    flag: "output",
+    variable: "CHERVILSPUR_OUTPUT",
+    allowed: "text, json",
+    secret: false,
+};
+const PEER_KEY: Setting = Setting {
+    flag: "peer-key",
+    variable: "CHERVILSPUR_PEER_KEY",
+    allowed: "16 to 256 characters",
+    secret: true,
+};
+const QUEUE_LIMIT: Setting = Setting {
+    flag: "queue-limit",
+    variable: "CHERVILSPUR_QUEUE_LIMIT",
+    allowed: "1 to 65536",
+    secret: false,
+};
+const REGION: Setting = Setting {
+    flag: "region",
+    variable: "CHERVILSPUR_REGION",
+    allowed: "1 to 63 lower-case letters, digits and inner hyphens",
+    secret: false,
+};
+const SILENCE_LIMIT_MS: Setting = Setting {
+    flag: "silence-limit-ms",
+    variable: "CHERVILSPUR_SILENCE_LIMIT_MS",
+    allowed: "500 to 600000",
+    secret: false,
+};
+const SPANS: Setting = Setting {
+    flag: "spans",
+    variable: "CHERVILSPUR_SPANS",
+    allowed: "an IP number and a port",
+    secret: false,
+};
+const STOP_TIMEOUT_MS: Setting = Setting {
+    flag: "stop-timeout-ms",
+    variable: "CHERVILSPUR_STOP_TIMEOUT_MS",
+    allowed: "0 to 3600000",
+    secret: false,
+};
+const STORE: Setting = Setting {
+    flag: "store",
+    variable: "CHERVILSPUR_STORE",
+    allowed: "an IP number and a port",
+    secret: false,
+};
+const STORE_CALLS_PER_MINUTE: Setting = Setting {
+    flag: "store-calls-per-minute",
+    variable: "CHERVILSPUR_STORE_CALLS_PER_MINUTE",
+    allowed: "6 to 60000",
+    secret: false,
+};
+const STREAM_BUFFER_TOKENS: Setting = Setting {
+    flag: "stream-buffer-tokens",
+    variable: "CHERVILSPUR_STREAM_BUFFER_TOKENS",
+    allowed: "16 to 65536",
+    secret: false,
+};
+const STREAM_WINDOW_MS: Setting = Setting {
+    flag: "stream-window-ms",
+    variable: "CHERVILSPUR_STREAM_WINDOW_MS",
+    allowed: "0 to 600000",
+    secret: false,
+};
+const TIMEOUT_MS: Setting = Setting {
+    flag: "timeout-ms",
+    variable: "CHERVILSPUR_TIMEOUT_MS",
+    allowed: "100 to 60000",
+    secret: false,
+};
+/// The daemon of chervilspur.
+#[derive(Clone, Debug, FromArgs)]
+pub struct SettingsFlags {
+    /// largest body of a request, in bytes (1024 to 16777216)
+    #[argh(option)]
+    pub body_limit_bytes: Option<String>,
+    /// callers served at once (1 to 4096)
+    #[argh(option)]
+    pub callers: Option<String>,
+    /// whether internal invariants are checked while the daemon runs (true, false)
+    #[argh(option)]
+    pub check_invariants: Option<String>,
+    /// data centre of this instance (1 to 63 lower-case letters, digits and inner hyphens)
+    #[argh(option)]
+    pub data_centre: Option<String>,
+    /// address of the platform's instance list (an IP number and a port)
+    #[argh(option)]
+    pub instances: Option<String>,
+    /// bytes a second that this daemon may send to another region (0 to 1000000000)
+    #[argh(option)]
+    pub link_bytes_per_second: Option<String>,
+    /// address to listen on; port 0 takes a free one (an IP number and a port)
+    #[argh(option)]
+    pub listen: Option<String>,
+    /// least severe level that is logged (error, warn, info, debug, trace)
+    #[argh(option)]
+    pub log_level: Option<String>,
+    /// UDP address of a statsd server; without it no metrics are sent (an IP number and a port)
+    #[argh(option)]
+    pub metrics: Option<String>,
+    /// name of this instance (1 to 63 lower-case letters, digits and inner hyphens)
+    #[argh(option)]
+    pub name: Option<String>,
+    /// secret that all daemons share; prefer the variable, since flags show in process lists (16 to 256 characters)
+    #[argh(option)]
+    pub peer_key: Option<String>,
+    /// requests that may wait for an endpoint at once (1 to 65536)
+    #[argh(option)]
+    pub queue_limit: Option<String>,
+    /// region of this instance (1 to 63 lower-case letters, digits and inner hyphens)
+    #[argh(option)]
+    pub region: Option<String>,
+    /// time without a byte after which a connection counts as dead, in milliseconds (500 to 600000)
+    #[argh(option)]
+    pub silence_limit_ms: Option<String>,
+    /// address of an OTLP/HTTP collector; without it no spans are exported (an IP number and a port)
+    #[argh(option)]
+    pub spans: Option<String>,
+    /// time that a graceful stop leaves to streams, in milliseconds (0 to 3600000)
+    #[argh(option)]
+    pub stop_timeout_ms: Option<String>,
+    /// address of the platform's object API (an IP number and a port)
+    #[argh(option)]
+    pub store: Option<String>,
+    /// calls a minute that this daemon may make to the object API (6 to 60000)
+    #[argh(option)]
+    pub store_calls_per_minute: Option<String>,
+    /// tokens of one stream kept for a caller that comes back (16 to 65536)
+    #[argh(option)]
+    pub stream_buffer_tokens: Option<String>,
+    /// time within which a caller may come back to its stream, in milliseconds (0 to 600000)
+    #[argh(option)]
+    pub stream_window_ms: Option<String>,
+}
+/// The settings of `chervilspurd`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Largest body of a request, in bytes.
+    pub body_limit_bytes: u64,
+    /// Callers served at once.
+    pub callers: usize,
+    /// Whether internal invariants are checked while the daemon runs.
+    pub check_invariants: bool,
+    /// Data centre of this instance.
+    pub data_centre: String,
+    /// Address of the platform's instance list.
+    pub instances: SocketAddr,
+    /// Bytes a second that this daemon may send to another region.
+    pub link_bytes_per_second: u64,
+    /// Address to listen on; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Least severe level that is logged.
+    pub log_level: LogLevel,
+    /// UDP address of a statsd server; without it no metrics are sent.
+    pub metrics: Option<SocketAddr>,
+    /// Name of this instance.
+    pub name: String,
+    /// Secret that all daemons share; prefer the variable, since flags show in process lists.
+    pub peer_key: Secret,
+    /// Requests that may wait for an endpoint at once.
+    pub queue_limit: usize,
+    /// Region of this instance.
+    pub region: String,
+    /// Time without a byte after which a connection counts as dead, in milliseconds.
+    pub silence_limit_ms: u64,
+    /// Address of an OTLP/HTTP collector; without it no spans are exported.
+    pub spans: Option<SocketAddr>,
+    /// Time that a graceful stop leaves to streams, in milliseconds.
+    pub stop_timeout_ms: u64,
+    /// Address of the platform's object API.
+    pub store: SocketAddr,
+    /// Calls a minute that this daemon may make to the object API.
+    pub store_calls_per_minute: u32,
+    /// Tokens of one stream kept for a caller that comes back.
+    pub stream_buffer_tokens: usize,
+    /// Time within which a caller may come back to its stream, in milliseconds.
+    pub stream_window_ms: u64,
+}
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            body_limit_bytes: 1048576,
+            callers: 512,
+            check_invariants: false,
+            data_centre: String::from("local"),
+            instances: SocketAddr::from(([0, 0, 0, 0], 0)),
+            link_bytes_per_second: 500000,
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            log_level: LogLevel::Info,
+            metrics: None,
+            name: String::from("daemon"),
+            peer_key: Default::default(),
+            queue_limit: 1024,
+            region: String::from("local"),
+            silence_limit_ms: 10000,
+            spans: None,
+            stop_timeout_ms: 60000,
+            store: SocketAddr::from(([0, 0, 0, 0], 0)),
+            store_calls_per_minute: 120,
+            stream_buffer_tokens: 8192,
+            stream_window_ms: 30000,
+        }
+    }
+}
+impl Settings {
+    /// Reads the settings; a flag wins over its variable, a variable over the default.
+    pub fn read(
+        flags: &SettingsFlags,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Settings, SettingError> {
+        let default = Settings::default();
+        Ok(Settings {
+            body_limit_bytes: BODY_LIMIT_BYTES
+                .optional(
+                    flags.body_limit_bytes.as_deref(),
+                    &variable,
+                    |text| check::integer(text, 1024, 16777216),
+                )?
+                .unwrap_or(default.body_limit_bytes),
+            callers: CALLERS
+                .optional(
+                    flags.callers.as_deref(),
+                    &variable,
+                    |text| check::integer(text, 1, 4096),
+                )?
+                .unwrap_or(default.callers),
+            check_invariants: CHECK_INVARIANTS
+                .optional(flags.check_invariants.as_deref(), &variable, check::boolean)?
+                .unwrap_or(default.check_invariants),
+            data_centre: DATA_CENTRE
+                .optional(
+                    flags.data_centre.as_deref(),
+                    &variable,
+                    |text| check::label(text, 63),
+                )?
+                .unwrap_or(default.data_centre),
+            instances: INSTANCES
+                .required(flags.instances.as_deref(), &variable, check::socket_address)?,
+            link_bytes_per_second: LINK_BYTES_PER_SECOND
+                .optional(
+                    flags.link_bytes_per_second.as_deref(),
+                    &variable,
+                    |text| check::integer(text, 0, 1000000000),
+                )?
+                .unwrap_or(default.link_bytes_per_second),
+            listen: LISTEN
+                .optional(flags.listen.as_deref(), &variable, check::socket_address)?
+                .unwrap_or(default.listen),
+            log_level: LOG_LEVEL
+                .optional(flags.log_level.as_deref(), &variable, LogLevel::parse)?
+                .unwrap_or(default.log_level),
+            metrics: METRICS
+                .optional(flags.metrics.as_deref(), &variable, check::socket_address)?,
+            name: NAME
+                .optional(
+                    flags.name.as_deref(),
+                    &variable,
+                    |text| check::label(text, 63),
+                )?
+                .unwrap_or(default.name),
+            peer_key: PEER_KEY
+                .required(
+                    flags.peer_key.as_deref(),
+                    &variable,
+                    |text| check::secret(text, 16, 256),
+                )?,
+            queue_limit: QUEUE_LIMIT
+                .optional(
+                    flags.queue_limit.as_deref(),
+                    &variable,
+                    |text| check::integer(text, 1, 65536),
+                )?
+                .unwrap_or(default.queue_limit),
+            region: REGION
+                .optional(
+                    flags.region.as_deref(),
+                    &variable,
+                    |text| check::label(text, 63),
+                )?
+                .unwrap_or(default.region),
+            silence_limit_ms: SILENCE_LIMIT_MS
+                .optional(
+                    flags.silence_limit_ms.as_deref(),
+                    &variable,
+                    |text| check::integer(text, 500, 600000),
+                )?
+                .unwrap_or(default.silence_limit_ms),
+            spans: SPANS
+                .optional(flags.spans.as_deref(), &variable, check::socket_address)?,
+            stop_timeout_ms: STOP_TIMEOUT_MS
+                .optional(
+                    flags.stop_timeout_ms.as_deref(),
+                    &variable,
+                    |text| check::integer(text, 0, 3600000),
+                )?
+                .unwrap_or(default.stop_timeout_ms),
+            store: STORE
+                .required(flags.store.as_deref(), &variable, check::socket_address)?,
+            store_calls_per_minute: STORE_CALLS_PER_MINUTE
+                .optional(
+                    flags.store_calls_per_minute.as_deref(),
+                    &variable,
+                    |text| check::integer(text, 6, 60000),
+                )?
+                .unwrap_or(default.store_calls_per_minute),
+            stream_buffer_tokens: STREAM_BUFFER_TOKENS
+                .optional(
+                    flags.stream_buffer_tokens.as_deref(),
+                    &variable,
+                    |text| check::integer(text, 16, 65536),
+                )?
+                .unwrap_or(default.stream_buffer_tokens),
+            stream_window_ms: STREAM_WINDOW_MS
+                .optional(
+                    flags.stream_window_ms.as_deref(),
+                    &variable,
+                    |text| check::integer(text, 0, 600000),
+                )?
+                .unwrap_or(default.stream_window_ms),
+        })
+    }
+}
+/// The operators' command-line tool of chervilspur.
+#[derive(Clone, Debug, FromArgs)]
+pub struct ToolFlags<C: argh::SubCommands> {
+    /// address of the platform's instance list (an IP number and a port)
+    #[argh(option)]
+    pub instances: Option<String>,
+    /// form of the output (text, json)
+    #[argh(option)]
+    pub output: Option<String>,
+    /// address of the platform's object API (an IP number and a port)
+    #[argh(option)]
+    pub store: Option<String>,
+    /// time that one call to the platform or a daemon may take, in milliseconds (100 to 60000)
+    #[argh(option)]
+    pub timeout_ms: Option<String>,
+    /// what to do
+    #[argh(subcommand)]
+    pub command: C,
+}
+/// The settings of `chervilspur`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ToolSettings {
+    /// Address of the platform's instance list.
+    pub instances: Option<SocketAddr>,
+    /// Form of the output.
+    pub output: Output,
+    /// Address of the platform's object API.
+    pub store: Option<SocketAddr>,
+    /// Time that one call to the platform or a daemon may take, in milliseconds.
+    pub timeout_ms: u64,
+}
+impl Default for ToolSettings {
+    fn default() -> ToolSettings {
+        ToolSettings {
+            instances: None,
+            output: Output::Text,
+            store: None,
+            timeout_ms: 5000,
+        }
+    }
+}
+impl ToolSettings {
+    /// Reads the settings; a flag wins over its variable, a variable over the default.
+    pub fn read<C: argh::SubCommands>(
+        flags: &ToolFlags<C>,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<ToolSettings, SettingError> {
+        let default = ToolSettings::default();
+        Ok(ToolSettings {
+            instances: INSTANCES
+                .optional(flags.instances.as_deref(), &variable, check::socket_address)?,
+            output: OUTPUT
+                .optional(flags.output.as_deref(), &variable, Output::parse)?
+                .unwrap_or(default.output),
+            store: STORE
+                .optional(flags.store.as_deref(), &variable, check::socket_address)?,
+            timeout_ms: TIMEOUT_MS
+                .optional(
+                    flags.timeout_ms.as_deref(),
+                    &variable,
+                    |text| check::integer(text, 100, 60000),
+                )?
+                .unwrap_or(default.timeout_ms),
+        })
+    }
+    /// Returns the address of the platform's instance list, or says that it is missing.
+    pub fn require_instances(&self) -> Result<SocketAddr, SettingError> {
+        self.instances.ok_or(INSTANCES.missing())
+    }
+    /// Returns the address of the platform's object API, or says that it is missing.
+    pub fn require_store(&self) -> Result<SocketAddr, SettingError> {
+        self.store.ok_or(STORE.missing())
+    }
+}
--- /dev/null
+++ b/components/config/src/settings/mod.rs
@@ -0,0 +1,15 @@
+//! The settings of both programs, read from flags and environment variables.
+//!
+//! `generated` comes from `schema/settings.json`; run `cargo run -p schema --bin generate` after a
+//! change.
+
+mod check;
+#[allow(clippy::all)]
+#[rustfmt::skip]
+mod generated;
+mod secret;
+mod setting;
+
+pub use generated::{LogLevel, Output, Settings, SettingsFlags, ToolFlags, ToolSettings};
+pub use secret::Secret;
+pub use setting::{SettingError, process_variable};
--- a/components/schema/src/message.rs
+++ b/components/schema/src/message.rs
@@ -4,6 +4,7 @@
 
 /// A schema from which no code can be generated.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum GenerateError {
     /// The file is not a JSON Schema.
     #[snafu(display("the schema cannot be read: {source}"))]
--- a/components/schema/tests/committed.rs
+++ b/components/schema/tests/committed.rs
@@ -1,6 +1,6 @@
 //! The committed code is what the schemas generate.
 
-use schema::{MESSAGE_SCHEMAS, message_types};
+use schema::{MESSAGE_SCHEMAS, message_types, settings_code, settings_page};
 use std::fs;
 use std::path::Path;
 
@@ -14,3 +14,13 @@
         assert_eq!(message_types(&schema).unwrap(), committed, "{name}");
     }
 }
+
+#[test]
+fn can_generate_the_committed_settings() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let read = |path: &str| fs::read_to_string(root.join(path)).unwrap();
+    let schema = read("schema/settings.json");
+    let code = read("components/config/src/settings/generated.rs");
+    assert_eq!(settings_code(&schema).unwrap(), code);
+    assert_eq!(settings_page(&schema).unwrap(), read("docs/SETTINGS.md"));
+}
--- a/src/bin/chervilspurd.rs
+++ b/src/bin/chervilspurd.rs
@@ -1,14 +1,25 @@
 //! The daemon on each entry instance.
 
-use config::Settings;
+use config::{LogLevel, Settings, SettingsFlags, process_variable};
 use daemon::Daemon;
 use simplelog::{ColorChoice, Config, LevelFilter, TermLogger, TerminalMode};
 use std::process::ExitCode;
 
+/// The exit code for a setting that cannot be used.
+const BAD_SETTING: u8 = 2;
+
 fn main() -> ExitCode {
-    let cfg: Settings = argh::from_env();
+    let flags: SettingsFlags = argh::from_env();
+    let cfg = match Settings::read(&flags, process_variable) {
+        Ok(cfg) => cfg,
+        Err(e) => {
+            eprintln!("chervilspurd: {e}");
+            return ExitCode::from(BAD_SETTING);
+        }
+    };
     let mode = TerminalMode::Stderr;
-    let _ = TermLogger::init(LevelFilter::Info, Config::default(), mode, ColorChoice::Never);
+    let level = level_filter(cfg.log_level);
+    let _ = TermLogger::init(level, Config::default(), mode, ColorChoice::Never);
     let daemon = match Daemon::start(cfg) {
         Ok(daemon) => daemon,
         Err(e) => {
@@ -25,3 +36,13 @@
         }
     }
 }
+
+fn level_filter(level: LogLevel) -> LevelFilter {
+    match level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+        LogLevel::Trace => LevelFilter::Trace,
+    }
+}
