Give the daemon of the whole-path test a peer key

Cause: peer_key is a required setting of the daemon, so a daemon without it ends at start with code 2. Ruled out: an optional key, since a daemon that lost its key by mistake would then run alone without anyone noticing. Conclusion: each start of chervilspurd in tests and examples needs the key.

--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -48,8 +48,16 @@
     let url = format!("http://{}/instances", instances.address);
     let _: Value = post_json(&url, &list, TIMEOUT).unwrap();
     let (store_arg, instances_arg) = (store.address.to_string(), instances.address.to_string());
-    let args =
-        ["--data-centre", "aburra-norte", "--store", &store_arg, "--instances", &instances_arg];
+    let args = [
+        "--data-centre",
+        "aburra-norte",
+        "--peer-key",
+        "0123456789abcdef",
+        "--store",
+        &store_arg,
+        "--instances",
+        &instances_arg,
+    ];
     let daemon = Process::start("chervilspurd", &args).unwrap();
     wait_until_ready(&daemon);
     Site { daemon, _parts: vec![store, instances, engine, service] }
