Check the two lists and name file, line and key of each error

Cause: an error in a list must be found before it reaches a daemon, and an operator needs the place. Ruled out: the first error only (a parser stops at syntax, but all problems of both files are collected after it); floors against utilisation (the check has limits only, so limits are what the rule adds up). Rule: for a floor of a class whose lowest tier is T, the larger of floor and limits above T, added up over the classes of the pool, fits into the pool. Conclusion: pools.NAME gives what a model or plain service can do a minute; it is optional as long as no class of it has a floor.

--- a/components/config/src/lists.rs
+++ b/components/config/src/lists.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use utils::sha256_hex;
 
 /// The first list: the plan that each client account holds.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -27,6 +28,19 @@
     pub classes: BTreeMap<String, Class>,
     /// Plans by name.
     pub plans: BTreeMap<String, Plan>,
+    /// What models and plain services can do, by name; a class with a floor needs it.
+    #[serde(default)]
+    pub pools: BTreeMap<String, Pool>,
+}
+
+/// What all endpoints of one model or plain service can do together.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Pool {
+    /// Tokens a minute, asked and generated, of a model.
+    pub tokens_per_minute: u64,
+    /// Requests a minute of a plain service.
+    pub requests_per_minute: u64,
 }
 
 /// A request class.
@@ -45,12 +59,20 @@
     #[serde(default)]
     pub floor: f64,
     /// The times within which it is answered.
+    #[serde(default)]
     pub target: Target,
 }
 
+impl Class {
+    /// Returns the model or the plain service that answers it.
+    pub fn serves(&self) -> &str {
+        if self.service.is_empty() { &self.model } else { &self.service }
+    }
+}
+
 /// The target of a class, in milliseconds.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[serde(default, deny_unknown_fields)]
 pub struct Target {
     /// From arrival to the first token.
     pub first_token_ms: u64,
@@ -76,7 +98,8 @@
     pub tier: u8,
     /// Requests a minute.
     pub requests_per_minute: u32,
-    /// Tokens a minute, asked and generated.
+    /// Tokens a minute, asked and generated; unused for a plain service.
+    #[serde(default)]
     pub tokens_per_minute: u32,
     /// Streams at once.
     pub streams: u32,
@@ -91,3 +114,19 @@
     /// The second list.
     pub grants: Grants,
 }
+
+impl Lists {
+    /// Returns the one text that equal lists have, as JSON.
+    ///
+    /// # Panics
+    ///
+    /// Never: the lists hold only text keys, numbers and text.
+    pub fn canonical(&self) -> String {
+        serde_json::to_string(self).expect("lists have a JSON form")
+    }
+
+    /// Returns the SHA-256 of the canonical text, in hexadecimal digits.
+    pub fn digest(&self) -> String {
+        sha256_hex(&self.canonical())
+    }
+}
--- a/components/config/src/settings/mod.rs
+++ b/components/config/src/settings/mod.rs
@@ -10,6 +10,7 @@
 mod secret;
 mod setting;
 
+pub use check::label;
 pub use generated::{LogLevel, Output, Settings, SettingsFlags, ToolFlags, ToolSettings};
 pub use secret::Secret;
 pub use setting::{SettingError, process_variable};
--- /dev/null
+++ b/components/config/tests/lists.rs
@@ -0,0 +1,132 @@
+//! The two files of the operators and the errors in them.
+
+use config::{ListError, Lists, Source, check_lists};
+use rstest::rstest;
+
+const PLANS: &str = include_str!("data/plans.toml");
+const GRANTS: &str = include_str!("data/grants.toml");
+
+fn check(plans: &str, grants: &str) -> Result<Lists, Vec<ListError>> {
+    let plans = Source { file: "plans.toml", text: plans };
+    check_lists(plans, Source { file: "grants.toml", text: grants })
+}
+
+fn texts(errors: Vec<ListError>) -> String {
+    let lines: Vec<String> = errors.iter().map(ListError::to_string).collect();
+    lines.join("\n")
+}
+
+#[test]
+fn can_read_both_files() {
+    let lists = check(PLANS, GRANTS).map_err(texts).unwrap();
+    assert_eq!(lists.plans.accounts["sur"].plan, "gold");
+    assert_eq!(lists.grants.plans["silver"].classes["digest"].tier, 4);
+    assert_eq!(lists.grants.classes["digest"].floor, 0.1);
+}
+
+#[rstest]
+#[case("plan = \"gold\"", "plan = \"golden\"", "2: accounts.sur.plan: unknown plan \"golden\"")]
+#[case("[accounts.sur]", "[accounts.Sur]", "1: accounts.Sur: the name \"Sur\" is not made of")]
+#[case("2222", "22G2", "7: accounts.keepers.key_sha256: not a SHA-256 of 64 lower-case")]
+#[case("22222222", "22", "7: accounts.keepers.key_sha256: not a SHA-256 of 64 lower-case")]
+#[case("2222", "1111", "3: accounts.sur.key_sha256: client account \"keepers\" has the same key")]
+#[case("\"gold\"", "7", "2: accounts.sur.plan: invalid type")]
+#[case(
+    "plan = \"gold\"",
+    "plan = \"gold\"\nplan = \"gold\"",
+    "3: accounts.sur.plan: duplicate key"
+)]
+#[case("plan = \"gold\"\n", "", "1: accounts.sur: missing field `plan`")]
+#[case("plan = \"silver\"", "plam = \"silver\"", "6: accounts.keepers.plam: unknown field")]
+#[case("[accounts.sur]", "[accounts.sur", "1: ")]
+fn errors_when_the_first_list_is_wrong(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] expected: &str,
+) {
+    let plans = if from == "2222" {
+        PLANS.replace(&from.repeat(16), &to.repeat(16))
+    } else {
+        PLANS.replacen(from, to, 1)
+    };
+    let found = texts(check(&plans, GRANTS).unwrap_err());
+    let expected = format!("plans.toml:{expected}");
+    assert!(found.lines().any(|line| line.starts_with(&expected)), "{found}");
+}
+
+#[rstest]
+#[case("tier = 4", "tier = 5", "36: plans.silver.classes.digest.tier: tier 5 is not between 1")]
+#[case("tier = 1", "tier = 0", "25: plans.gold.classes.plan.tier: tier 0 is not between 1 and 4")]
+#[case("tier = 1", "tier = -1", "25: plans.gold.classes.plan.tier: invalid value")]
+#[case(
+    "[plans.silver.classes.digest]",
+    "[plans.silver.classes.digests]",
+    "35: plans.silver.classes.digests: unknown class \"digests\""
+)]
+#[case(
+    "first_token_ms = 580, ",
+    "",
+    "7: classes.plan.target.first_token_ms: the target is missing"
+)]
+#[case("finish_ms = 600000", "", "14: classes.digest.target.finish_ms: the target is missing")]
+#[case(
+    "target = { finish_ms = 5000 }",
+    "",
+    "19: classes.booking.target.finish_ms: the target is missing"
+)]
+#[case("20000 }", "500 }", "7: classes.plan.target.finish_ms: finish_ms = 500 is below first")]
+#[case("service = \"booking\"", "", "19: classes.booking: either model or service must be set")]
+#[case(
+    "service = \"booking\"",
+    "service = \"booking\"\nmodel = \"campo-8b\"",
+    "19: classes.booking: either model or service must be set"
+)]
+#[case("floor = 0.1", "floor = 1.1", "12: classes.digest.floor: floor 1.1 is not between 0 and 1")]
+#[case("floor = 0.1", "floor = 0.0001", "12: classes.digest.floor: floor 0.0001 is not between")]
+#[case("floor = 0.1", "floor = nan", "12: classes.digest.floor: floor NaN is not between 0 and 1")]
+#[case(
+    "floor = 0.1",
+    "floor = 0.101",
+    "12: classes.digest.floor: no room for the floor: the limits of the tiers above 4 and the \
+     floors need 100100 of campo-8b a minute, which has 100000"
+)]
+#[case(
+    "[pools.campo-8b]\ntokens_per_minute = 100000",
+    "",
+    "11: classes.digest.floor: the floor needs tokens_per_minute in pools.campo-8b"
+)]
+#[case("[pools.campo-8b]", "[pools.campo-9b]", "1: pools.campo-9b: no class is answered by")]
+#[case("streams = 1", "streams = 0", "39: plans.silver.classes.digest.streams: the limit must")]
+#[case(
+    "tokens_per_minute = 20000",
+    "",
+    "35: plans.silver.classes.digest.tokens_per_minute: the limit must be at least 1"
+)]
+#[case("[classes.booking]", "[classes.plan]", "19: classes.plan: duplicate key")]
+fn errors_when_the_second_list_is_wrong(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] expected: &str,
+) {
+    let grants = GRANTS.replacen(from, to, 1);
+    assert_ne!(grants, GRANTS);
+    let found = texts(check(PLANS, &grants).unwrap_err());
+    let expected = format!("grants.toml:{expected}");
+    assert!(found.lines().any(|line| line.starts_with(&expected)), "{found}");
+}
+
+#[test]
+fn errors_when_more_accounts_leave_no_room_for_a_floor() {
+    let key = "3".repeat(64);
+    let plans = format!("{PLANS}\n[accounts.norte]\nplan = \"gold\"\nkey_sha256 = \"{key}\"\n");
+    let found = texts(check(&plans, GRANTS).unwrap_err());
+    assert!(found.contains("need 190000 of campo-8b a minute, which has 100000"), "{found}");
+}
+
+#[test]
+fn errors_when_both_files_are_wrong_at_once() {
+    let plans = PLANS.replace("gold", "golden");
+    let grants = GRANTS.replace("tier = 4", "tier = 9").replace("streams = 8", "streams = 0");
+    let found = check(&plans, &grants).unwrap_err();
+    assert_eq!(found.len(), 4, "{}", texts(found));
+}
