Publish both lists as one revision and read them back by digest

Cause: two lists must never be seen half-changed, an apply that lost its answer must be found to have landed, and a full-size list exceeds one value. Ruled out: two objects with two writes; the store's version as revision (a restored store would give it out again); parts cut at byte offsets (one new account would change every part after it), so accounts go to parts by hash. Conclusion: Reader::read/assemble is what the daemon calls; Edit::publish is the one way to write. Unreferenced parts stay, since the client has no delete.

--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -1,15 +1,25 @@
 //! The two lists of the operators and the settings of both programs.
 
 mod check;
+mod difference;
 mod floors;
 mod lists;
+mod manifest;
+mod objects;
 mod problem;
+mod publish;
+mod reader;
 mod settings;
 mod source;
 
 pub use check::check_lists;
+pub use difference::{Difference, differences};
 pub use lists::{Account, Class, Grant, Grants, Lists, Plan, Plans, Pool, Target};
+pub use manifest::{Bundle, INLINE_LIMIT, LISTS_KIND, LISTS_NAME, Manifest, PART_KIND};
+pub use objects::Objects;
 pub use problem::{ListError, Problem};
+pub use publish::{Accepted, Edit, PublishError};
+pub use reader::{Published, ReadError, Reader};
 pub use settings::{
     LogLevel, Output, Secret, SettingError, Settings, SettingsFlags, ToolFlags, ToolSettings,
     process_variable,
