--- a/components/config/src/settings/generated.rs
+++ b/components/config/src/settings/generated.rs
@@ -237,7 +237,7 @@
     /// calls a minute that this daemon may make to the object API (6 to 60000)
     #[argh(option)]
     pub store_calls_per_minute: Option<String>,
-    /// tokens of one stream kept for a caller that comes back (16 to 65536)
+    /// tokens that may wait for a slow caller before its endpoint is paused (16 to 65536)
     #[argh(option)]
     pub stream_buffer_tokens: Option<String>,
     /// time within which a caller may come back to its stream, in milliseconds (0 to 600000)
@@ -283,7 +283,7 @@
     pub store: SocketAddr,
     /// Calls a minute that this daemon may make to the object API.
     pub store_calls_per_minute: u32,
-    /// Tokens of one stream kept for a caller that comes back.
+    /// Tokens that may wait for a slow caller before its endpoint is paused.
     pub stream_buffer_tokens: usize,
     /// Time within which a caller may come back to its stream, in milliseconds.
     pub stream_window_ms: u64,
@@ -309,7 +309,7 @@
             stop_timeout_ms: 60000,
             store: SocketAddr::from(([0, 0, 0, 0], 0)),
             store_calls_per_minute: 120,
-            stream_buffer_tokens: 8192,
+            stream_buffer_tokens: 256,
             stream_window_ms: 30000,
         }
     }
--- /dev/null
+++ b/components/daemon/src/admin.rs
@@ -0,0 +1,113 @@
+use crate::measures::ClassMeasure;
+use crate::spans::Span;
+use crate::tables::{Tables, lock, lock_read};
+use messages::status::{
+    ClassStatus, DaemonStatus, EndpointStatus, Explanation, MemberStatus, StoreStatus,
+};
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::time::UNIX_EPOCH;
+
+/// Describes the daemon to its operators.
+pub fn status(tables: &Tables) -> DaemonStatus {
+    let in_force = tables.lists();
+    let reachable = tables.store_reachable.load(Ordering::Relaxed);
+    let mut notes = Vec::new();
+    if !reachable {
+        notes.push("the store does not answer".to_string());
+    }
+    let unexported = tables.spans.unexported();
+    if tables.cfg.spans.is_some() && unexported > 0 {
+        notes.push(format!("{unexported} spans were not exported"));
+    }
+    DaemonStatus {
+        instance: instance_text(tables.instance),
+        name: tables.cfg.name.clone(),
+        data_centre: tables.cfg.data_centre.clone(),
+        region: tables.cfg.region.clone(),
+        revision: in_force.revision,
+        digest: in_force.digest.clone(),
+        ready: tables.is_ready(),
+        stopping: tables.is_stopping(),
+        store: StoreStatus { reachable, answered_ms_ago: None, revision: None },
+        members: members(tables),
+        endpoints: endpoints(tables),
+        classes: classes(tables),
+        admission: BTreeMap::new(),
+        notes,
+    }
+}
+
+/// Describes the way of a request by its spans.
+pub fn explain(tables: &Tables, request: &str) -> Option<Explanation> {
+    let mut spans = tables.spans.of_request(request);
+    if spans.is_empty() {
+        return None;
+    }
+    spans.sort_by_key(|span| span.start);
+    Some(Explanation {
+        request: request.to_string(),
+        instance: instance_text(tables.instance),
+        daemon: tables.cfg.name.clone(),
+        spans: spans.iter().map(span_status).collect(),
+    })
+}
+
+/// Returns the identity of a process as 32 hexadecimal digits.
+pub fn instance_text(instance: u128) -> String {
+    format!("{instance:032x}")
+}
+
+fn members(tables: &Tables) -> Vec<MemberStatus> {
+    let peers = lock_read(&tables.peers);
+    let members = peers.iter().map(|(instance, peer)| MemberStatus {
+        instance: instance_text(*instance),
+        name: peer.name.clone(),
+        data_centre: peer.data_centre.clone(),
+        state: "live".to_string(),
+        revision: 0,
+    });
+    members.collect()
+}
+
+fn endpoints(tables: &Tables) -> Vec<EndpointStatus> {
+    let scheduler = lock(&tables.scheduler);
+    let endpoints = scheduler.endpoints().values().map(|e| EndpointStatus {
+        name: e.info.name.clone(),
+        data_centre: e.info.data_centre.clone(),
+        serves: e.info.serves.iter().cloned().collect(),
+        state: format!("{:?}", e.state).to_lowercase(),
+        outstanding: u64::from(e.outstanding),
+        failures: u64::from(e.failures),
+    });
+    endpoints.collect()
+}
+
+fn classes(tables: &Tables) -> BTreeMap<String, ClassStatus> {
+    let measures = tables.measures.classes().into_iter();
+    measures.map(|(class, measure)| (class, class_status(&measure))).collect()
+}
+
+fn class_status(measure: &ClassMeasure) -> ClassStatus {
+    let refused = measure.refused_not_run;
+    ClassStatus {
+        requests: measure.requests,
+        attained: measure.attained,
+        refused,
+        failed: measure.requests.saturating_sub(measure.whole + refused),
+    }
+}
+
+fn span_status(span: &Span) -> messages::status::Span {
+    let start = span.start.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let attributes = span.attributes.iter().map(|(name, value)| (name.to_string(), value.clone()));
+    messages::status::Span {
+        trace: format!("{:032x}", span.trace_id),
+        span: format!("{:016x}", span.id),
+        parent: (span.parent != 0).then(|| format!("{:016x}", span.parent)),
+        name: span.name.to_string(),
+        start_unix_us: start.as_micros() as u64,
+        duration_us: Some(span.duration.as_micros() as u64),
+        attributes: attributes.collect(),
+    }
+}
--- a/components/daemon/src/attempt.rs
+++ b/components/daemon/src/attempt.rs
@@ -1,28 +1,48 @@
+use crate::control::{Order, OrderKind};
 use crate::engine::run_attempt;
+use crate::forward::run_forward;
+use crate::job::{Job, Place};
+use crate::outcome::end_job;
+use crate::spans::Span;
 use crate::stream::End;
-use crate::tables::{Tables, lock, lock_read};
+use crate::tables::{Tables, lock};
+use crossbeam::channel::Sender;
 use decision::load::{Effect, Outcome};
-use errors::{Reason, Refusal, Verdict};
+use errors::{Refusal, Verdict};
 use std::sync::Arc;
 
+/// Where an attempt runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Target {
+    /// At an endpoint of this data centre, by name.
+    Endpoint(String),
+    /// Over a daemon of the named data centre.
+    DataCentre(String),
+}
+
 /// One attempt at a request, for a worker.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Attempt {
     /// The number of the request.
     pub request: u64,
     /// The number of the attempt, from 1.
     pub attempt: u32,
-    /// The name of the endpoint.
-    pub endpoint: String,
+    /// Where it runs.
+    pub target: Target,
 }
 
-/// The shared tables and the way to start attempts.
+/// The number of the attempt by which a stopping daemon hands over a waiting request.
+pub const HANDOVER_ATTEMPT: u32 = u32::MAX;
+
+/// The shared tables and the ways to start attempts and orders.
 #[derive(Clone)]
 pub struct Shell {
     /// The shared tables.
     pub tables: Arc<Tables>,
     /// Starts attempts.
-    pub attempts: crossbeam::channel::Sender<Attempt>,
+    pub attempts: Sender<Attempt>,
+    /// Starts orders to running attempts.
+    pub orders: Sender<Order>,
 }
 
 /// Does what the scheduler decided.
@@ -30,47 +50,98 @@
     for effect in effects {
         match effect {
             Effect::Dispatch { request, attempt, endpoint } => {
-                // The receiver lives as long as the daemon.
-                let _ = shell.attempts.send(Attempt { request, attempt, endpoint });
+                start(shell, Attempt { request, attempt, target: Target::Endpoint(endpoint) });
+            }
+            Effect::Forward { request, attempt, data_centre } => {
+                start(shell, Attempt { request, attempt, target: Target::DataCentre(data_centre) });
             }
             Effect::Refuse { request, refusal } => refuse(&shell.tables, request, refusal),
-            Effect::Forward { .. }
-            | Effect::Pause { .. }
-            | Effect::Resume { .. }
-            | Effect::Cancel { .. } => {}
+            Effect::Pause { request } => order(shell, request, OrderKind::Pause),
+            Effect::Resume { request } => order(shell, request, OrderKind::Resume),
+            Effect::Cancel { request } => order(shell, request, OrderKind::Cancel),
         }
     }
 }
 
+/// Makes an attempt the live one and hands it to a worker.
+pub fn start(shell: &Shell, attempt: Attempt) {
+    let Some(job) = shell.tables.job(attempt.request) else { return };
+    job.stream.begin(attempt.attempt);
+    let place = Place { attempt: attempt.attempt, target: attempt.target.clone() };
+    *lock(&job.place) = Some(place);
+    // The receiver lives as long as the daemon.
+    let _ = shell.attempts.send(attempt);
+}
+
+/// Sends an order to the running attempt; a cancelled one is no longer live from now on.
+pub fn order(shell: &Shell, request: u64, kind: OrderKind) {
+    let Some(job) = shell.tables.job(request) else { return };
+    let place = lock(&job.place).clone();
+    let Some(place) = place else { return };
+    if kind == OrderKind::Cancel && !job.stream.release(place.attempt) {
+        return;
+    }
+    // The receiver lives as long as the daemon.
+    let _ = shell.orders.send(Order { id: job.id.clone(), kind, target: place.target });
+}
+
 fn refuse(tables: &Tables, request: u64, refusal: Refusal) {
-    let job = lock(&tables.jobs).remove(&request);
-    let Some(job) = job else { return };
+    let Some(job) = tables.job(request) else { return };
     log::info!("request={} refused {refusal}", job.id);
-    job.stream.end(End::Refused(refusal));
+    end_job(tables, &job, End::Refused(refusal));
 }
 
 /// Runs one attempt and tells the scheduler how it ended.
 pub fn work(shell: &Shell, attempt: &Attempt) {
-    let tables = &shell.tables;
-    let Some(job) = tables.job(attempt.request) else { return };
-    let address = lock_read(&tables.addresses).get(&attempt.endpoint).copied();
-    log::info!("request={} attempt={} to={}", job.id, attempt.attempt, attempt.endpoint);
-    let result = match address {
-        Some(address) => run_attempt(&job, attempt, address),
-        None => Err(Refusal::not_run(Reason::NoEndpoint, attempt.endpoint.clone())),
+    let Some(job) = shell.tables.job(attempt.request) else { return };
+    if !job.stream.is_live(attempt.attempt) {
+        return;
+    }
+    log::info!("request={} attempt={} to={:?}", job.id, attempt.attempt, attempt.target);
+    let mut span = Span::start("attempt", &job.trace);
+    span.set("attempt", attempt.attempt);
+    span.set("offset", job.stream.offset());
+    let result = match &attempt.target {
+        Target::Endpoint(name) => {
+            span.set("endpoint", name);
+            run_attempt(shell, &job, attempt, name, span.id)
+        }
+        Target::DataCentre(name) => {
+            span.set("data_centre", name);
+            run_forward(shell, &job, attempt, name, span.id)
+        }
     };
-    let outcome = match result {
+    match &result {
+        Ok(()) => span.set("outcome", "whole"),
+        Err(refusal) => span.set("outcome", refusal),
+    }
+    span.close(&shell.tables.spans, &job.id);
+    finish(shell, &job, attempt, result);
+}
+
+/// Tells the scheduler how an attempt ended, unless the attempt is no longer the live one.
+pub fn finish(shell: &Shell, job: &Arc<Job>, attempt: &Attempt, result: Result<(), Refusal>) {
+    let tables = &shell.tables;
+    if !job.stream.release(attempt.attempt) {
+        log::info!("request={} attempt={} came late", job.id, attempt.attempt);
+        return;
+    }
+    *lock(&job.place) = None;
+    if let Err(refusal) = &result {
+        log::warn!("request={} attempt={} {refusal}", job.id, attempt.attempt);
+    }
+    if attempt.attempt == HANDOVER_ATTEMPT {
+        end_job(tables, job, result.map_or_else(End::Refused, |()| End::Whole));
+        return;
+    }
+    let outcome = match &result {
         Ok(()) => Outcome::Done,
-        Err(refusal) => {
-            log::warn!("request={} attempt={} {refusal}", job.id, attempt.attempt);
-            Outcome::Failed(refusal.verdict)
-        }
+        Err(refusal) => Outcome::Failed(refusal.verdict),
     };
+    debug_assert!(outcome != Outcome::Failed(Verdict::Ran), "a failed attempt did not run");
     let effects = lock(&tables.scheduler).finish(attempt.request, outcome, tables.now());
     if outcome == Outcome::Done {
-        lock(&tables.jobs).remove(&attempt.request);
-        job.stream.end(End::Whole);
+        end_job(tables, job, End::Whole);
     }
     carry_out(shell, effects);
-    debug_assert!(outcome != Outcome::Failed(Verdict::Ran), "a failed attempt did not run");
 }
--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -1,12 +1,19 @@
-use crate::tables::{InForce, Tables};
+use crate::lists::InForce;
+use crate::tables::Tables;
 use config::{Class, Grant};
 use decision::Millis;
 use decision::load::Arrival;
 use errors::{Reason, Refusal};
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
 use tiny_http::Request;
+use utils::body_text;
 
-/// The body size that the daemon takes, in bytes.
-pub const BODY_LIMIT: u64 = 1 << 20;
+/// Bytes of a prompt that make one token, for estimates.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Bytes at the start of a prompt that choose the endpoint whose prefix cache may hold it.
+const PREFIX_BYTES: usize = 512;
 
 /// A caller's request, checked against the lists in force.
 #[derive(Debug)]
@@ -23,7 +30,7 @@
 
 impl Permit<'_> {
     /// Describes the request to the scheduler.
-    pub fn arrival(&self, request: u64) -> Arrival {
+    pub fn arrival(&self, request: u64, prompt: &str) -> Arrival {
         let class = self.class;
         let serves = if class.service.is_empty() { &class.model } else { &class.service };
         Arrival {
@@ -33,9 +40,10 @@
             tier: self.grant.tier,
             serves: serves.clone(),
             repeatable: class.repeatable,
+            prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u32,
+            prefix: prefix_hash(prompt),
             first_token: Millis(class.target.first_token_ms),
             finish: Millis(class.target.finish_ms),
-            ..Arrival::default()
         }
     }
 }
@@ -46,6 +54,14 @@
     found.map(|h| h.value.as_str())
 }
 
+/// Finds the client account of a caller's request.
+pub fn account_of<'a>(in_force: &'a InForce, req: &Request) -> Result<&'a str, Refusal> {
+    let key = header(req, "authorization").and_then(|v| v.strip_prefix("Bearer "));
+    let account = key.and_then(|key| in_force.account(key));
+    account
+        .ok_or_else(|| Refusal::not_run(Reason::UnknownAccount, "no client account has this key"))
+}
+
 /// Finds the account, the class and the grant of a caller's request.
 pub fn permit<'a>(
     tables: &Tables,
@@ -56,20 +72,49 @@
         let refusal = Refusal::not_run(Reason::NotReady, "the daemon takes no new work");
         return Err(refusal.retry_after(1_000));
     }
-    let key = header(req, "authorization").and_then(|v| v.strip_prefix("Bearer "));
-    let Some(account) = key.and_then(|key| in_force.account(key)) else {
-        return Err(Refusal::not_run(Reason::UnknownAccount, "no client account has this key"));
+    let account = account_of(in_force, req)?;
+    grant_for(in_force, account, header(req, "x-request-class").unwrap_or_default())
+}
+
+/// Finds what the lists grant an account of a class.
+pub fn grant_for<'a>(
+    in_force: &'a InForce,
+    account: &str,
+    class: &str,
+) -> Result<Permit<'a>, Refusal> {
+    let grants = &in_force.lists.grants;
+    let accounts = &in_force.lists.plans.accounts;
+    let Some((account, held)) = accounts.get_key_value(account) else {
+        let text = format!("unknown client account {account:?}");
+        return Err(Refusal::not_run(Reason::UnknownAccount, text));
     };
-    let class = header(req, "x-request-class").unwrap_or_default();
-    let Some((class_name, class)) = in_force.lists.grants.classes.get_key_value(class) else {
+    let Some((class_name, class)) = grants.classes.get_key_value(class) else {
         return Err(Refusal::not_run(Reason::UnknownClass, format!("unknown class {class:?}")));
     };
-    let plan = in_force.lists.plans.accounts.get(account).map(|a| a.plan.as_str());
-    let plan = plan.unwrap_or_default();
-    let grants = in_force.lists.grants.plans.get(plan);
-    let Some(grant) = grants.and_then(|p| p.classes.get(class_name)) else {
-        let text = format!("plan {plan:?} does not grant class {class_name:?}");
+    let plan = grants.plans.get(&held.plan);
+    let Some(grant) = plan.and_then(|p| p.classes.get(class_name)) else {
+        let text = format!("plan {:?} does not grant class {class_name:?}", held.plan);
         return Err(Refusal::not_run(Reason::ClassNotInPlan, text));
     };
     Ok(Permit { account, class_name, class, grant })
 }
+
+/// Reads the body of a caller's request.
+pub fn read_body(tables: &Tables, req: &mut Request) -> Result<String, Refusal> {
+    let limit = tables.cfg.body_limit_bytes;
+    match body_text(req, limit) {
+        Ok(Some(text)) => Ok(text),
+        Ok(None) => {
+            let text = format!("the body is larger than {limit} bytes");
+            Err(Refusal::not_run(Reason::BodyTooLarge, text))
+        }
+        Err(e) => Err(Refusal::not_run(Reason::MalformedRequest, e.to_string())),
+    }
+}
+
+fn prefix_hash(prompt: &str) -> u64 {
+    let bytes = prompt.as_bytes();
+    let mut hasher = DefaultHasher::new();
+    bytes[..bytes.len().min(PREFIX_BYTES)].hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/components/daemon/src/control.rs
@@ -0,0 +1,52 @@
+use crate::attempt::{Shell, Target};
+use crate::tables::lock_read;
+use std::time::Duration;
+use utils::client;
+
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What an order asks of an endpoint that runs an attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderKind {
+    /// Hold the stream back.
+    Pause,
+    /// Go on with a paused stream.
+    Resume,
+    /// End the stream.
+    Cancel,
+}
+
+impl OrderKind {
+    fn as_str(self) -> &'static str {
+        match self {
+            OrderKind::Pause => "pause",
+            OrderKind::Resume => "resume",
+            OrderKind::Cancel => "cancel",
+        }
+    }
+}
+
+/// An order to the endpoint that runs an attempt.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// The request's id.
+    pub id: String,
+    /// What is asked.
+    pub kind: OrderKind,
+    /// Where the attempt runs.
+    pub target: Target,
+}
+
+/// Sends an order; one that fails is only logged, since timeouts on progress cover for it.
+pub fn send_order(shell: &Shell, order: &Order) {
+    let address = match &order.target {
+        Target::Endpoint(name) => lock_read(&shell.tables.addresses).get(name).copied(),
+        // The other daemon sees that the connection is closed or no longer read.
+        Target::DataCentre(_) => return,
+    };
+    let Some(address) = address else { return };
+    let url = format!("http://{address}/v1/requests/{}/{}", order.id, order.kind.as_str());
+    if let Err(e) = client(attohttpc::post(&url), ORDER_TIMEOUT).send() {
+        log::warn!("request={} {url}: {e}", order.id);
+    }
+}
--- a/components/daemon/src/engine.rs
+++ b/components/daemon/src/engine.rs
@@ -1,14 +1,16 @@
-use crate::attempt::Attempt;
-use crate::tables::Job;
-use errors::{Reason, Refusal};
+use crate::attempt::{Attempt, Shell, Target};
+use crate::control::{Order, OrderKind, send_order};
+use crate::job::Job;
+use crate::tables::{lock, lock_read};
+use errors::{Reason, Refusal, Verdict};
 use serde::Deserialize;
+use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
 use std::time::Duration;
-use utils::client;
+use utils::{HttpError, client};
 
-/// The time after which an endpoint that sends nothing is given up.
-const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+/// Tokens that a paused stream's reader still lacks when the endpoint goes on.
+const RESUME_BELOW: usize = 16;
 
 /// One event of an engine's stream.
 #[derive(Debug, Deserialize)]
@@ -20,48 +22,140 @@
 }
 
 /// Sends the request to an engine and reads the answer into the stream.
-pub fn run_attempt(job: &Job, attempt: &Attempt, address: SocketAddr) -> Result<(), Refusal> {
+pub fn run_attempt(
+    shell: &Shell,
+    job: &Job,
+    attempt: &Attempt,
+    endpoint: &str,
+    span: u64,
+) -> Result<(), Refusal> {
+    let address = lock_read(&shell.tables.addresses).get(endpoint).copied();
+    let Some(address) = address else {
+        return Err(Refusal::not_run(Reason::NoEndpoint, format!("{endpoint} has no address")));
+    };
     let url = format!("http://{address}/v1/chat/completions");
-    let failed = |text: String| Refusal::may_have_run(Reason::EndpointFailed, text);
-    let offset = job.stream.offset();
-    let sent = client(attohttpc::post(&url), SILENCE_LIMIT)
+    let res = send(shell, job, attempt, &url, span)?;
+    let reader = EngineReader { shell, job, attempt, url: &url };
+    reader.read(BufReader::new(res))
+}
+
+fn send(
+    shell: &Shell,
+    job: &Job,
+    attempt: &Attempt,
+    url: &str,
+    span: u64,
+) -> Result<attohttpc::Response, Refusal> {
+    let silence_limit = Duration::from_millis(shell.tables.cfg.silence_limit_ms);
+    let sent = client(attohttpc::post(url), silence_limit)
         .header("content-type", "application/json")
         .header("x-request-id", &job.id)
         .header("x-attempt", attempt.attempt.to_string())
         .header("x-priority", job.arrival.tier.to_string())
-        .header("x-offset", offset.to_string())
-        .text(job.body.to_string())
+        .header("x-offset", job.stream.offset().to_string())
+        .header("traceparent", job.trace.header(span))
+        .text(engine_body(job).to_string())
         .send();
     let res = match sent {
         Ok(res) => res,
         Err(source) => {
-            let e = utils::HttpError::Exchange { url, source };
-            let refusal = failed(e.to_string());
-            return Err(if e.is_unsent() { refusal_not_run(refusal) } else { refusal });
+            let e = HttpError::Exchange { url: url.to_string(), source };
+            let verdict = if e.is_unsent() { Verdict::NotRun } else { Verdict::MayHaveRun };
+            return Err(Refusal { verdict, ..failed(e.to_string()) });
         }
     };
-    if !res.is_success() {
-        let refusal = failed(format!("{url}: status {}", res.status()));
-        let not_started = res.headers().get("x-verdict").is_some_and(|v| v == "not_run");
-        return Err(if not_started { refusal_not_run(refusal) } else { refusal });
+    if res.is_success() {
+        return Ok(res);
+    }
+    let not_started = res.headers().get("x-verdict").is_some_and(|v| v == "not_run");
+    let verdict = if not_started { Verdict::NotRun } else { Verdict::MayHaveRun };
+    Err(Refusal { verdict, ..failed(format!("{url}: status {}", res.status())) })
+}
+
+/// Returns the body for an engine; a resumed answer goes on from the tokens already there.
+fn engine_body(job: &Job) -> Value {
+    let mut body = job.body.clone();
+    body["stream"] = json!(true);
+    let text = job.stream.text();
+    if text.is_empty() {
+        return body;
     }
-    for line in BufReader::new(res).lines() {
-        let line = line.map_err(|e| failed(format!("{url}: {e}")))?;
-        let Some(data) = line.strip_prefix("data: ") else { continue };
-        if data == "[DONE]" {
-            return Ok(());
+    if let Some(messages) = body["messages"].as_array_mut() {
+        messages.push(json!({"role": "assistant", "content": text}));
+    }
+    body["continue_final_message"] = json!(true);
+    body["add_generation_prompt"] = json!(false);
+    body
+}
+
+fn failed(text: String) -> Refusal {
+    Refusal::may_have_run(Reason::EndpointFailed, text).retry_after(1_000)
+}
+
+/// Reads an engine's events into the stream of a request.
+struct EngineReader<'a> {
+    shell: &'a Shell,
+    job: &'a Job,
+    attempt: &'a Attempt,
+    url: &'a str,
+}
+
+impl EngineReader<'_> {
+    fn read<R: BufRead>(&self, lines: R) -> Result<(), Refusal> {
+        for line in lines.lines() {
+            let line = line.map_err(|e| failed(format!("{}: {e}", self.url)))?;
+            let Some(data) = line.strip_prefix("data: ") else { continue };
+            if data == "[DONE]" {
+                return Ok(());
+            }
+            let event: EngineEvent =
+                serde_json::from_str(data).map_err(|e| failed(format!("{}: {e}", self.url)))?;
+            self.take(&event);
+            if !self.job.stream.is_live(self.attempt.attempt) {
+                return Err(failed("the attempt was ended".to_string()));
+            }
+            self.hold_back();
         }
-        let event: EngineEvent =
-            serde_json::from_str(data).map_err(|e| failed(format!("{url}: {e}")))?;
-        if event.request != job.id || event.attempt != attempt.attempt {
-            log::warn!("request={} dropped an event of {}", job.id, event.request);
-            continue;
+        Err(failed(format!("{}: the stream stopped before its end", self.url)))
+    }
+
+    fn take(&self, event: &EngineEvent) {
+        let tables = &self.shell.tables;
+        let (job, attempt) = (self.job, self.attempt);
+        let own = event.request == job.id && event.attempt == attempt.attempt;
+        if !own || !job.stream.push(attempt.attempt, event.offset, &event.token) {
+            tables.measures.count("dropped_events");
+            log::warn!(
+                "request={} attempt={} dropped an event of request={} attempt={} offset={}",
+                job.id,
+                attempt.attempt,
+                event.request,
+                event.attempt,
+                event.offset
+            );
+            return;
         }
-        job.stream.push(event.offset, event.token);
+        job.counters.add_token(tables.now());
+        let effects = lock(&tables.scheduler).progress(job.number, 1, tables.now());
+        crate::attempt::carry_out(self.shell, effects);
     }
-    Err(failed(format!("{url}: the stream stopped before its end")))
-}
 
-fn refusal_not_run(refusal: Refusal) -> Refusal {
-    Refusal { verdict: errors::Verdict::NotRun, ..refusal }
+    /// Pauses the endpoint while the caller is too far behind.
+    fn hold_back(&self) {
+        let cfg = &self.shell.tables.cfg;
+        if self.job.stream.unread() < cfg.stream_buffer_tokens {
+            return;
+        }
+        self.order(OrderKind::Pause);
+        let window = Duration::from_millis(cfg.stream_window_ms);
+        if !self.job.stream.wait_until_read(RESUME_BELOW, window) {
+            log::info!("request={} is not read", self.job.id);
+        }
+        self.order(OrderKind::Resume);
+    }
+
+    fn order(&self, kind: OrderKind) {
+        let target = Target::clone(&self.attempt.target);
+        send_order(self.shell, &Order { id: self.job.id.clone(), kind, target });
+    }
 }
--- /dev/null
+++ b/components/daemon/src/forward.rs
@@ -0,0 +1,104 @@
+use crate::attempt::{Attempt, Shell};
+use crate::auth::{CODE_HEADER, code};
+use crate::frame::read_frame;
+use crate::job::Job;
+use crate::peer::{FORWARD_PATH, Peer, peer_in};
+use crate::stream::End;
+use errors::{Reason, Refusal, Verdict};
+use messages::forward::ForwardRequest;
+use std::io::Read;
+use std::time::Duration;
+use utils::{HttpError, client};
+
+/// Hands the request to a daemon of another data centre and reads the answer into the stream.
+pub fn run_forward(
+    shell: &Shell,
+    job: &Job,
+    attempt: &Attempt,
+    data_centre: &str,
+    span: u64,
+) -> Result<(), Refusal> {
+    let Some(peer) = peer_in(shell, data_centre, job.number as usize) else {
+        let text = format!("no daemon of {data_centre} is known");
+        return Err(Refusal::not_run(Reason::NoEndpoint, text).retry_after(1_000));
+    };
+    let over_link = peer.region != shell.tables.cfg.region;
+    let mut res = send(shell, job, &peer, span, over_link)?;
+    loop {
+        let (piece, bytes) = read_frame(&mut res).map_err(|e| lost(&peer, &e.to_string()))?;
+        if over_link {
+            job.counters.add_link_bytes(bytes);
+        }
+        for token in &piece.tokens {
+            job.stream.push(attempt.attempt, job.stream.offset(), token);
+            job.counters.add_token(shell.tables.now());
+        }
+        if !job.stream.is_live(attempt.attempt) {
+            return Err(lost(&peer, "the attempt was ended"));
+        }
+        match piece.end {
+            Some(End::Whole) => return Ok(()),
+            Some(End::Refused(refusal)) => return Err(refusal),
+            None => hold_back(shell, job),
+        }
+    }
+}
+
+fn send(
+    shell: &Shell,
+    job: &Job,
+    peer: &Peer,
+    span: u64,
+    over_link: bool,
+) -> Result<impl Read, Refusal> {
+    let cfg = &shell.tables.cfg;
+    let forwarded = ForwardRequest {
+        id: job.id.clone(),
+        account: job.arrival.account.clone(),
+        class: job.arrival.class.clone(),
+        body: job.body.to_string(),
+        offset: job.stream.offset() as u64,
+        text: job.stream.text(),
+        region: cfg.region.clone(),
+        revision: shell.tables.lists().revision,
+        traceparent: job.trace.header(span),
+    };
+    let body = rmp_serde::to_vec(&forwarded)
+        .map_err(|e| Refusal::not_run(Reason::MalformedRequest, format!("{}: {e}", peer.name)))?;
+    if over_link {
+        job.counters.add_link_bytes(body.len() as u64);
+    }
+    let url = format!("http://{}{FORWARD_PATH}", peer.address);
+    let sent = client(attohttpc::post(&url), Duration::from_millis(cfg.silence_limit_ms))
+        .header(CODE_HEADER, code(cfg.peer_key.reveal(), FORWARD_PATH, &body))
+        .bytes(body)
+        .send();
+    let res = match sent {
+        Ok(res) => res,
+        Err(source) => {
+            let e = HttpError::Exchange { url, source };
+            let verdict = if e.is_unsent() { Verdict::NotRun } else { Verdict::MayHaveRun };
+            return Err(Refusal { verdict, ..lost(peer, &e.to_string()) });
+        }
+    };
+    if res.is_success() {
+        return Ok(res);
+    }
+    let not_run = res.headers().get("x-verdict").is_some_and(|v| v == "not_run");
+    let verdict = if not_run { Verdict::NotRun } else { Verdict::MayHaveRun };
+    Err(Refusal { verdict, ..lost(peer, &format!("status {}", res.status())) })
+}
+
+fn lost(peer: &Peer, text: &str) -> Refusal {
+    let text = format!("{} in {}: {text}", peer.name, peer.data_centre);
+    Refusal::may_have_run(Reason::EndpointFailed, text).retry_after(1_000)
+}
+
+/// Stops reading while the caller is too far behind, so that the other daemon pauses.
+fn hold_back(shell: &Shell, job: &Job) {
+    let cfg = &shell.tables.cfg;
+    if job.stream.unread() >= cfg.stream_buffer_tokens {
+        let window = Duration::from_millis(cfg.stream_window_ms);
+        job.stream.wait_until_read(cfg.stream_buffer_tokens / 2, window);
+    }
+}
--- /dev/null
+++ b/components/daemon/src/frame.rs
@@ -0,0 +1,69 @@
+use crate::stream::{End, Piece};
+use errors::Refusal;
+use messages::forward::ForwardFrame;
+use std::io::{self, Read};
+use tiny_http::Request;
+use utils::ChunkWriter;
+
+/// The longest frame that is read, in bytes.
+const FRAME_LIMIT: u32 = 4 << 20;
+
+/// Writes the answer to a forwarded request as frames.
+pub struct FrameWriter {
+    inner: ChunkWriter,
+}
+
+impl FrameWriter {
+    /// Starts the answer.
+    pub fn start(req: Request) -> io::Result<FrameWriter> {
+        let headers = [("Content-Type", "application/msgpack")];
+        Ok(FrameWriter { inner: ChunkWriter::start(req, "200 OK", &headers)? })
+    }
+
+    /// Sends a piece of the answer; an empty one tells that the daemon lives.
+    pub fn send(&mut self, piece: &Piece) -> io::Result<()> {
+        let refusal = match &piece.end {
+            Some(End::Refused(refusal)) => {
+                serde_json::to_string(refusal).map_err(io::Error::other)?
+            }
+            _ => String::new(),
+        };
+        let frame =
+            ForwardFrame { tokens: piece.tokens.clone(), ended: piece.end.is_some(), refusal };
+        let body = rmp_serde::to_vec(&frame).map_err(io::Error::other)?;
+        let mut buf = (body.len() as u32).to_be_bytes().to_vec();
+        buf.extend_from_slice(&body);
+        self.inner.send(&buf)
+    }
+
+    /// Ends the answer.
+    pub fn close(self) -> io::Result<()> {
+        self.inner.close()
+    }
+}
+
+/// Reads one frame and its length in bytes.
+pub fn read_frame<R: Read>(reader: &mut R) -> io::Result<(Piece, u64)> {
+    let mut length = [0u8; 4];
+    reader.read_exact(&mut length)?;
+    let length = u32::from_be_bytes(length);
+    if length > FRAME_LIMIT {
+        return Err(io::Error::other(format!("a frame of {length} bytes")));
+    }
+    let mut body = vec![0u8; length as usize];
+    reader.read_exact(&mut body)?;
+    let frame: ForwardFrame = rmp_serde::from_slice(&body).map_err(io::Error::other)?;
+    let end = end_of(&frame)?;
+    Ok((Piece { tokens: frame.tokens, end }, u64::from(length) + 4))
+}
+
+fn end_of(frame: &ForwardFrame) -> io::Result<Option<End>> {
+    if !frame.ended {
+        return Ok(None);
+    }
+    if frame.refusal.is_empty() {
+        return Ok(Some(End::Whole));
+    }
+    let refusal: Refusal = serde_json::from_str(&frame.refusal).map_err(io::Error::other)?;
+    Ok(Some(End::Refused(refusal)))
+}
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,13 +1,28 @@
 //! The daemon on each entry instance: worker pools, shared tables and I/O around the decisions.
 
+mod admin;
 mod attempt;
+mod auth;
 mod callers;
 mod chat;
+mod completion;
+mod control;
 mod engine;
+mod events;
+mod forward;
+mod frame;
+mod job;
+mod lists;
+mod measures;
+mod outcome;
+mod peer;
 mod platform;
 mod reply;
+mod resume;
 mod server;
 mod service;
+mod spans;
+mod stop;
 mod stream;
 mod tables;
 
--- /dev/null
+++ b/components/daemon/src/measures.rs
@@ -0,0 +1,161 @@
+use crate::tables::lock;
+use cadence::{
+    BufferedUdpMetricSink, Counted, CountedExt, NopMetricSink, QueuingMetricSink, StatsdClient,
+    Timed,
+};
+use errors::{Refusal, Verdict};
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Mutex;
+
+const METRIC_PREFIX: &str = "chervilspur";
+
+/// Significant digits of the first-token histograms.
+const HISTOGRAM_DIGITS: u8 = 2;
+
+/// How a request ended, for the measures of its class.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Ending {
+    /// From arrival to the first token, in milliseconds, when there was one.
+    pub first_token_ms: Option<u64>,
+    /// Whether the answer was whole.
+    pub whole: bool,
+    /// Whether the answer was whole and met the target of its class.
+    pub attained: bool,
+    /// Tokens that the caller got.
+    pub tokens: u64,
+    /// Tokens that were generated and that no caller got.
+    pub wasted_tokens: u64,
+    /// Bytes that crossed the link between regions.
+    pub link_bytes: u64,
+}
+
+/// The measures of one class since the start of the process.
+#[derive(Clone, Debug)]
+pub struct ClassMeasure {
+    /// Requests that ended, but for those beyond their account's limits.
+    pub requests: u64,
+    /// Requests answered whole.
+    pub whole: u64,
+    /// Requests answered whole within the target.
+    pub attained: u64,
+    /// Tokens of answers that met their target.
+    pub attained_tokens: u64,
+    /// Tokens of all answers.
+    pub tokens: u64,
+    /// Tokens that no caller got.
+    pub wasted_tokens: u64,
+    /// Bytes that crossed the link between regions.
+    pub link_bytes: u64,
+    /// Requests refused as not run.
+    pub refused_not_run: u64,
+    /// Refusals by reason.
+    pub refusals: BTreeMap<String, u64>,
+    /// Times from arrival to the first token, in milliseconds.
+    pub first_token_ms: Histogram<u64>,
+}
+
+impl ClassMeasure {
+    fn new() -> ClassMeasure {
+        // The digits are a constant that the library takes.
+        let first_token_ms = Histogram::new(HISTOGRAM_DIGITS).expect("digits from 0 to 5");
+        ClassMeasure {
+            requests: 0,
+            whole: 0,
+            attained: 0,
+            attained_tokens: 0,
+            tokens: 0,
+            wasted_tokens: 0,
+            link_bytes: 0,
+            refused_not_run: 0,
+            refusals: BTreeMap::new(),
+            first_token_ms,
+        }
+    }
+}
+
+/// The measures of a daemon, by class, and the way to the operators' collector.
+#[derive(Debug)]
+pub struct Measures {
+    classes: Mutex<BTreeMap<String, ClassMeasure>>,
+    statsd: StatsdClient,
+}
+
+impl Measures {
+    /// Creates measures that are also sent to a statsd collector, if there is one.
+    pub fn new(collector: Option<SocketAddr>) -> io::Result<Measures> {
+        let statsd = match collector {
+            None => StatsdClient::from_sink(METRIC_PREFIX, NopMetricSink),
+            Some(collector) => {
+                let socket = UdpSocket::bind(("0.0.0.0", 0))?;
+                let sink = BufferedUdpMetricSink::from(collector, socket);
+                let sink = QueuingMetricSink::from(sink.map_err(io::Error::other)?);
+                StatsdClient::from_sink(METRIC_PREFIX, sink)
+            }
+        };
+        Ok(Measures { classes: Mutex::default(), statsd })
+    }
+
+    /// Adds a request that was answered, whole or not.
+    pub fn add_answer(&self, class: &str, ending: &Ending) {
+        let mut classes = lock(&self.classes);
+        let measure = classes.entry(class.to_string()).or_insert_with(ClassMeasure::new);
+        measure.requests += 1;
+        measure.whole += u64::from(ending.whole);
+        measure.attained += u64::from(ending.attained);
+        measure.tokens += ending.tokens;
+        measure.wasted_tokens += ending.wasted_tokens;
+        measure.link_bytes += ending.link_bytes;
+        if ending.attained {
+            measure.attained_tokens += ending.tokens;
+        }
+        if let Some(ms) = ending.first_token_ms {
+            measure.first_token_ms.saturating_record(ms);
+        }
+        drop(classes);
+        self.send_answer(class, ending);
+    }
+
+    /// Adds a refusal.
+    pub fn add_refusal(&self, class: &str, refusal: &Refusal) {
+        let reason = refusal.reason.as_str();
+        self.statsd
+            .incr_with_tags("refused")
+            .with_tag("class", class)
+            .with_tag("reason", reason)
+            .send();
+        let mut classes = lock(&self.classes);
+        let measure = classes.entry(class.to_string()).or_insert_with(ClassMeasure::new);
+        measure.refused_not_run += u64::from(refusal.verdict == Verdict::NotRun);
+        *measure.refusals.entry(reason.to_string()).or_default() += 1;
+    }
+
+    /// Counts an event of the daemon that belongs to no class.
+    pub fn count(&self, name: &str) {
+        self.statsd.incr_with_tags(name).send();
+    }
+
+    /// Returns the measures by class.
+    pub fn classes(&self) -> BTreeMap<String, ClassMeasure> {
+        lock(&self.classes).clone()
+    }
+
+    fn send_answer(&self, class: &str, ending: &Ending) {
+        let counts = [
+            ("requests", 1),
+            ("whole", u64::from(ending.whole)),
+            ("attained", u64::from(ending.attained)),
+            ("tokens", ending.tokens),
+            ("wasted_tokens", ending.wasted_tokens),
+            ("link_bytes", ending.link_bytes),
+        ];
+        for (name, count) in counts {
+            self.statsd.count_with_tags(name, count).with_tag("class", class).send();
+        }
+        if let Some(ms) = ending.first_token_ms {
+            self.statsd.time_with_tags("first_token", ms).with_tag("class", class).send();
+        }
+    }
+}
--- /dev/null
+++ b/components/daemon/src/outcome.rs
@@ -0,0 +1,51 @@
+use crate::job::{Job, Origin};
+use crate::measures::Ending;
+use crate::spans::Span;
+use crate::stream::End;
+use crate::tables::{Tables, lock};
+use errors::Reason;
+
+/// Ends a request: its readers get the end, and its measures and span are kept.
+pub fn end_job(tables: &Tables, job: &Job, end: End) {
+    if lock(&tables.jobs).open.remove(&job.number).is_none() {
+        return;
+    }
+    let mut span = Span { start: job.arrived_at, ..Span::root(&job.trace) };
+    span.set("class", &job.arrival.class);
+    span.set("account", &job.arrival.account);
+    span.set("tier", job.arrival.tier);
+    span.set("tokens", job.stream.offset());
+    match &end {
+        End::Whole => span.set("outcome", "whole"),
+        End::Refused(refusal) => span.set("outcome", refusal),
+    }
+    span.close(&tables.spans, &job.id);
+    if job.origin == Origin::Caller {
+        measure(tables, job, &end);
+    }
+    job.stream.end(end);
+}
+
+fn measure(tables: &Tables, job: &Job, end: &End) {
+    let class = &job.arrival.class;
+    let whole = *end == End::Whole;
+    let first_token = job.counters.first_token().map(|at| at.since(job.arrived));
+    let in_time = first_token.is_some_and(|t| t <= job.arrival.first_token)
+        && tables.now().since(job.arrived) <= job.arrival.finish;
+    let tokens = if whole { job.stream.offset() as u64 } else { 0 };
+    let ending = Ending {
+        first_token_ms: first_token.map(|t| t.0),
+        whole,
+        attained: whole && in_time,
+        tokens,
+        wasted_tokens: job.counters.generated().saturating_sub(tokens),
+        link_bytes: job.counters.link_bytes(),
+    };
+    if let End::Refused(refusal) = end {
+        tables.measures.add_refusal(class, refusal);
+        if refusal.reason == Reason::LimitReached {
+            return;
+        }
+    }
+    tables.measures.add_answer(class, &ending);
+}
--- /dev/null
+++ b/components/daemon/src/resume.rs
@@ -0,0 +1,139 @@
+use crate::attempt::{Shell, carry_out, order};
+use crate::callers::{account_of, header};
+use crate::control::OrderKind;
+use crate::events::stream_answer;
+use crate::job::Job;
+use crate::outcome::end_job;
+use crate::reply::respond_refusal;
+use crate::stream::End;
+use crate::tables::{Tables, lock, lock_read};
+use errors::{Reason, Refusal};
+use std::io::{self, Read};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tiny_http::Request;
+use utils::{ChunkWriter, client, respond_json};
+
+/// Bytes that are passed on at once from the daemon that holds a stream.
+const RELAY_BUFFER: usize = 4096;
+
+/// Serves `/v1/requests/{id}/stream?offset=N` and `/v1/requests/{id}/cancel`.
+pub fn serve_request_path(shell: &Shell, req: Request, path: &str) -> io::Result<()> {
+    let rest = path.strip_prefix("/v1/requests/").unwrap_or_default();
+    let (id, action) = rest.split_once('/').unwrap_or((rest, ""));
+    let id = id.to_string();
+    match find(shell, &req, &id) {
+        Ok(Holder::Here(job)) if action == "stream" => {
+            let offset = offset_of(req.url());
+            stream_answer(&shell.tables, req, &job, offset)
+        }
+        Ok(Holder::Here(job)) if action == "cancel" => {
+            cancel(shell, &job);
+            respond_json(req, 200, &"cancelled")
+        }
+        Ok(Holder::Peer(address)) if header(&req, "x-relayed").is_none() => {
+            relay(shell, req, &id, &format!("http://{address}"))
+        }
+        Ok(_) => {
+            let text = format!("no path {path}");
+            respond_refusal(req, &id, &Refusal::not_run(Reason::UnknownRequest, text))
+        }
+        Err(refusal) => respond_refusal(req, &id, &refusal),
+    }
+}
+
+enum Holder {
+    Here(Arc<Job>),
+    Peer(std::net::SocketAddr),
+}
+
+/// Finds the daemon that holds the stream; the id starts with its identity.
+fn find(shell: &Shell, req: &Request, id: &str) -> Result<Holder, Refusal> {
+    let tables = &shell.tables;
+    let in_force = tables.lists();
+    let account = account_of(&in_force, req)?;
+    let unknown = |text: &str| Refusal::may_have_run(Reason::UnknownRequest, text);
+    let instance = id.split('-').next().and_then(|hex| u128::from_str_radix(hex, 16).ok());
+    let Some(instance) = instance else {
+        return Err(Refusal::not_run(Reason::UnknownRequest, format!("{id:?} is no request id")));
+    };
+    if instance != tables.instance {
+        let peer = lock_read(&tables.peers).get(&instance).map(|p| p.address);
+        return peer.map(Holder::Peer).ok_or_else(|| unknown("the daemon of the request is gone"));
+    }
+    let job = tables.job_by_id(id).filter(|job| job.arrival.account == account);
+    job.map(Holder::Here).ok_or_else(|| unknown("the stream is no longer kept"))
+}
+
+fn offset_of(url: &str) -> usize {
+    let query = url.split_once('?').map_or("", |(_, query)| query);
+    let offset = query.split('&').find_map(|pair| pair.strip_prefix("offset="));
+    offset.and_then(|v| v.parse().ok()).unwrap_or(0)
+}
+
+/// Ends a request whose caller no longer wants it.
+pub fn cancel(shell: &Shell, job: &Job) {
+    let tables = &shell.tables;
+    order(shell, job.number, OrderKind::Cancel);
+    let effects = lock(&tables.scheduler).abandon(job.number, tables.now());
+    let refusal = Refusal::may_have_run(Reason::Cancelled, "the caller left");
+    end_job(tables, job, End::Refused(refusal));
+    carry_out(shell, effects);
+}
+
+/// Cancels requests that nobody reads and forgets those that nobody comes back for.
+pub fn expire(shell: &Shell) {
+    let tables = &shell.tables;
+    let now = tables.now();
+    let window = decision::Millis(tables.cfg.stream_window_ms);
+    let jobs: Vec<Arc<Job>> = lock(&tables.jobs).by_id.values().cloned().collect();
+    for job in jobs {
+        let Some(left) = job.stream.unread_since() else { continue };
+        if now.since(left.max(job.arrived)) <= window {
+            continue;
+        }
+        cancel(shell, &job);
+        lock(&tables.jobs).by_id.remove(&job.id);
+    }
+}
+
+/// Returns whether an answer still has to reach its caller.
+pub fn is_owed(tables: &Tables) -> bool {
+    if tables.serving.load(Ordering::Relaxed) > 0 {
+        return true;
+    }
+    let jobs = lock(&tables.jobs);
+    jobs.by_id.values().any(|job| job.stream.ended().is_none() || job.stream.unread() > 0)
+}
+
+fn relay(shell: &Shell, req: Request, id: &str, base: &str) -> io::Result<()> {
+    let url = format!("{base}{}", req.url());
+    let key = header(&req, "authorization").unwrap_or_default();
+    let silence_limit = Duration::from_millis(shell.tables.cfg.silence_limit_ms);
+    let builder = if *req.method() == tiny_http::Method::Post {
+        client(attohttpc::post(&url), silence_limit)
+    } else {
+        client(attohttpc::get(&url), silence_limit)
+    };
+    let mut res = match builder.header("authorization", key).header("x-relayed", "1").send() {
+        Ok(res) => res,
+        Err(e) => {
+            let refusal = Refusal::may_have_run(Reason::UnknownRequest, format!("{url}: {e}"));
+            return respond_refusal(req, id, &refusal.retry_after(1_000));
+        }
+    };
+    let content_type = res.headers().get("content-type").and_then(|v| v.to_str().ok());
+    let content_type = content_type.unwrap_or("application/json").to_string();
+    let status = res.status().to_string();
+    let headers = [("Content-Type", content_type.as_str()), ("X-Request-Id", id)];
+    let mut writer = ChunkWriter::start(req, &status, &headers)?;
+    let mut buf = [0u8; RELAY_BUFFER];
+    loop {
+        let read = res.read(&mut buf)?;
+        if read == 0 {
+            return writer.close();
+        }
+        writer.send(&buf[..read])?;
+    }
+}
--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -1,22 +1,39 @@
-use crate::attempt::{Shell, work};
+use crate::admin::{explain, instance_text, status};
+use crate::attempt::{Attempt, Shell, carry_out, finish, work};
 use crate::chat::serve_chat;
-use crate::platform::follow;
+use crate::control::send_order;
+use crate::peer::{FORWARD_PATH, serve_forward};
+use crate::platform::{DaemonDescription, follow};
 use crate::reply::respond_refusal;
+use crate::resume::{expire, serve_request_path};
 use crate::service::serve_call;
-use crate::tables::Tables;
+use crate::spans::start_export;
+use crate::stop::stop_gracefully;
+use crate::tables::{Tables, lock};
 use config::Settings;
-use crossbeam::channel::unbounded;
+use crossbeam::channel::{Receiver, unbounded};
 use errors::{Reason, Refusal};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use snafu::{ResultExt, Snafu};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use tiny_http::{Request, Response, Server};
-use utils::{Pool, listen};
+use utils::{Pool, listen, respond_json};
 
 const CALLER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+const EXPIRE_INTERVAL_TICKS: u64 = 10;
+
+/// Requests of operators and probes that are served at once.
+const CONTROL_WORKERS: usize = 16;
+
+/// Orders to endpoints that are sent at once.
+const ORDER_WORKERS: usize = 16;
 
 /// A daemon that cannot start.
 #[derive(Debug, Snafu)]
@@ -29,9 +46,17 @@
         /// The failure.
         source: io::Error,
     },
-    /// A thread cannot be started.
-    #[snafu(display("cannot start a thread: {source}"))]
+    /// The collector of metrics cannot be used.
+    #[snafu(display("cannot send metrics: {source}"))]
+    Metrics {
+        /// The failure.
+        source: io::Error,
+    },
+    /// A thread or a signal handler cannot be started.
+    #[snafu(display("cannot start {name}: {source}"))]
     Thread {
+        /// The name of the thread.
+        name: String,
         /// The failure.
         source: io::Error,
     },
@@ -39,7 +64,7 @@
 
 /// A daemon that listens.
 pub struct Daemon {
-    server: Server,
+    server: Arc<Server>,
     address: SocketAddr,
     shell: Shell,
 }
@@ -48,25 +73,37 @@
     /// Listens and starts the workers.
     pub fn start(cfg: Settings) -> Result<Daemon, StartError> {
         let address = cfg.listen;
-        let limit = cfg.callers;
         let server = listen(address, Some(CALLER_READ_TIMEOUT)).context(ListenSnafu { address })?;
         let address = server.server_addr().to_ip().unwrap_or(address);
-        let (tx, rx) = unbounded();
-        let shell = Shell { tables: Arc::new(Tables::new(cfg)), attempts: tx };
-        let attempt_shell = shell.clone();
-        let attempts = Pool::new("attempt", limit, move |a| work(&attempt_shell, &a));
-        let start_attempts = move || {
-            for attempt in rx {
-                // A full pool cannot happen: each attempt belongs to a caller that is served.
-                if attempts.run(attempt).is_err() {
-                    log::error!("no worker for an attempt");
+        let (attempt_tx, attempt_rx) = unbounded();
+        let (order_tx, order_rx) = unbounded();
+        let tables = Arc::new(Tables::new(cfg).context(MetricsSnafu)?);
+        let shell = Shell { tables, attempts: attempt_tx, orders: order_tx };
+        start_attempts(&shell, attempt_rx)?;
+        let orders_shell = shell.clone();
+        let orders = Pool::new("order", ORDER_WORKERS, move |order| {
+            send_order(&orders_shell, &order);
+        });
+        spawn("orders", move || {
+            for order in order_rx {
+                if let Err(order) = orders.run(order) {
+                    log::warn!("request={} {:?} is not sent", order.id, order.kind);
                 }
             }
-        };
-        spawn("attempts", start_attempts)?;
+        })?;
         let follow_shell = shell.clone();
         spawn("platform", move || follow(&follow_shell))?;
-        Ok(Daemon { server, address, shell })
+        let tick_shell = shell.clone();
+        spawn("tick", move || tick(&tick_shell))?;
+        if let Some(collector) = shell.tables.cfg.spans {
+            let queue = shell.tables.spans.queue();
+            spawn("spans", move || {
+                if let Err(e) = start_export(queue, collector) {
+                    log::error!("spans to {collector}: {e}");
+                }
+            })?;
+        }
+        Ok(Daemon { server: Arc::new(server), address, shell })
     }
 
     /// Returns the address that the daemon listens on.
@@ -74,44 +111,111 @@
         self.address
     }
 
-    /// Serves until the listener fails.
-    pub fn serve(&self) -> io::Result<()> {
-        let shell = self.shell.clone();
-        let callers =
-            Pool::new("caller", shell.tables.cfg.callers, move |req| serve_request(&shell, req));
-        loop {
-            let req = self.server.recv()?;
-            if let Err(req) = callers.run(req) {
+    /// Serves until a signal has stopped the daemon.
+    pub fn serve(self) -> Result<(), StartError> {
+        let mut signals =
+            Signals::new([SIGTERM, SIGINT]).context(ThreadSnafu { name: "signals" })?;
+        let stop_shell = self.shell.clone();
+        let server = Arc::clone(&self.server);
+        spawn("signals", move || {
+            if signals.forever().next().is_some() {
+                stop_gracefully(&stop_shell);
+                server.unblock();
+            }
+        })?;
+        let (caller_shell, control_shell) = (self.shell.clone(), self.shell.clone());
+        let limit = self.shell.tables.cfg.callers;
+        let callers = Pool::new("caller", limit, move |req| {
+            caller_shell.tables.serving.fetch_add(1, Ordering::Relaxed);
+            serve_request(&caller_shell, req);
+            caller_shell.tables.serving.fetch_sub(1, Ordering::Relaxed);
+        });
+        let control =
+            Pool::new("control", CONTROL_WORKERS, move |req| serve_request(&control_shell, req));
+        // The iterator ends when the listener is unblocked.
+        for req in self.server.incoming_requests() {
+            let refused = if is_control(req.url()) { control.run(req) } else { callers.run(req) };
+            if let Err(req) = refused {
                 let refusal = Refusal::not_run(Reason::Overloaded, "every worker is busy");
                 log_failure(respond_refusal(req, "", &refusal.retry_after(1_000)));
             }
         }
+        Ok(())
+    }
+}
+
+fn start_attempts(shell: &Shell, rx: Receiver<Attempt>) -> Result<(), StartError> {
+    let (work_shell, shell) = (shell.clone(), shell.clone());
+    // Abandoned requests may still hold a worker while new ones start.
+    let limit = 2 * shell.tables.cfg.callers;
+    let pool = Pool::new("attempt", limit, move |a: Attempt| work(&work_shell, &a));
+    spawn("attempts", move || {
+        for attempt in rx {
+            if let Err(attempt) = pool.run(attempt) {
+                let Some(job) = shell.tables.job(attempt.request) else { continue };
+                let refusal = Refusal::not_run(Reason::Overloaded, "every worker is busy");
+                finish(&shell, &job, &attempt, Err(refusal.retry_after(1_000)));
+            }
+        }
+    })
+}
+
+fn tick(shell: &Shell) {
+    let mut ticks = 0u64;
+    loop {
+        thread::sleep(TICK_INTERVAL);
+        let effects = lock(&shell.tables.scheduler).tick(shell.tables.now());
+        carry_out(shell, effects);
+        ticks += 1;
+        if ticks.is_multiple_of(EXPIRE_INTERVAL_TICKS) {
+            expire(shell);
+        }
     }
 }
 
 fn spawn<F: FnOnce() + Send + 'static>(name: &str, f: F) -> Result<(), StartError> {
-    thread::Builder::new().name(name.to_string()).spawn(f).context(ThreadSnafu)?;
+    thread::Builder::new().name(name.to_string()).spawn(f).context(ThreadSnafu { name })?;
     Ok(())
 }
 
+fn is_control(url: &str) -> bool {
+    ["/healthz", "/readyz", "/admin/", "/peer/description"].iter().any(|p| url.starts_with(p))
+}
+
 fn serve_request(shell: &Shell, req: Request) {
     let path = req.url().split('?').next().unwrap_or_default().to_string();
+    let tables = &shell.tables;
     let result = match path.as_str() {
         "/v1/chat/completions" => serve_chat(shell, req),
         "/v1/call" => serve_call(shell, req),
+        FORWARD_PATH => serve_forward(shell, req),
+        "/peer/description" => {
+            let instance = instance_text(tables.instance);
+            respond_json(req, 200, &DaemonDescription { instance, ready: tables.is_ready() })
+        }
+        "/admin/status" => respond_json(req, 200, &status(tables)),
         "/healthz" => req.respond(Response::from_string("ok")),
         "/readyz" => {
-            let status = if shell.tables.is_ready() { 200 } else { 503 };
+            let status = if tables.is_ready() { 200 } else { 503 };
             req.respond(Response::from_string("").with_status_code(status))
         }
-        _ => {
-            let refusal = Refusal::not_run(Reason::UnknownRequest, format!("no path {path}"));
-            respond_refusal(req, "", &refusal)
-        }
+        _ => serve_by_id(shell, req, &path),
     };
     log_failure(result);
 }
 
+fn serve_by_id(shell: &Shell, req: Request, path: &str) -> io::Result<()> {
+    if path.starts_with("/v1/requests/") {
+        return serve_request_path(shell, req, path);
+    }
+    let id = path.strip_prefix("/admin/explain/").unwrap_or_default();
+    if let Some(explanation) = explain(&shell.tables, id) {
+        return respond_json(req, 200, &explanation);
+    }
+    let refusal = Refusal::not_run(Reason::UnknownRequest, format!("nothing is known at {path}"));
+    respond_refusal(req, id, &refusal)
+}
+
 fn log_failure(result: io::Result<()>) {
     if let Err(e) = result {
         log::info!("a caller's connection broke: {e}");
--- a/components/daemon/src/service.rs
+++ b/components/daemon/src/service.rs
@@ -1,5 +1,5 @@
 use crate::attempt::Shell;
-use crate::callers::{BODY_LIMIT, permit};
+use crate::callers::{permit, read_body};
 use crate::reply::respond_refusal;
 use crate::tables::{lock, lock_read};
 use decision::load::EndpointState;
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tiny_http::{Request, Response};
-use utils::{HttpError, body_text, client};
+use utils::{HttpError, client};
 
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -23,12 +23,8 @@
 
 fn call(shell: &Shell, req: &mut Request, number: u64, id: &str) -> Result<(u16, String), Refusal> {
     let in_force = shell.tables.lists();
-    let arrival = permit(&shell.tables, &in_force, req)?.arrival(number);
-    let malformed = |text: String| Refusal::not_run(Reason::MalformedRequest, text);
-    let body = body_text(req, BODY_LIMIT).map_err(|e| malformed(e.to_string()))?;
-    let Some(body) = body else {
-        return Err(Refusal::not_run(Reason::BodyTooLarge, "the body is too large"));
-    };
+    let arrival = permit(&shell.tables, &in_force, req)?.arrival(number, "");
+    let body = read_body(&shell.tables, req)?;
     let Some(address) = service_address(shell, &arrival.serves) else {
         let text = format!("no endpoint serves {}", arrival.serves);
         return Err(Refusal::not_run(Reason::NoEndpoint, text).retry_after(1_000));
--- /dev/null
+++ b/components/daemon/src/spans/export.rs
@@ -0,0 +1,84 @@
+use super::Span;
+use async_trait::async_trait;
+use bytes::Bytes;
+use crossbeam::channel::Receiver;
+use futures_executor::block_on;
+use http::{Request, Response};
+use opentelemetry::trace::{
+    SpanContext, SpanId, SpanKind, Status, TraceFlags, TraceId, TraceState,
+};
+use opentelemetry::{InstrumentationScope, KeyValue};
+use opentelemetry_http::{HttpClient, HttpError};
+use opentelemetry_otlp::{ExporterBuildError, SpanExporter, WithExportConfig, WithHttpConfig};
+use opentelemetry_sdk::trace::{SpanData, SpanEvents, SpanExporter as Export, SpanLinks};
+use std::net::SocketAddr;
+use std::time::Duration;
+use utils::client;
+
+const EXPORT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Spans in one export.
+const BATCH_LIMIT: usize = 512;
+
+/// The exporter's HTTP client.
+#[derive(Debug)]
+struct Client;
+
+#[async_trait]
+impl HttpClient for Client {
+    async fn send_bytes(&self, req: Request<Bytes>) -> Result<Response<Bytes>, HttpError> {
+        let (parts, body) = req.into_parts();
+        let mut sent = client(attohttpc::post(parts.uri.to_string()), EXPORT_TIMEOUT);
+        for (name, value) in &parts.headers {
+            sent = sent.header(name, value);
+        }
+        let res = sent.bytes(body).send()?;
+        let status = res.status();
+        Ok(Response::builder().status(status).body(Bytes::from(res.bytes()?))?)
+    }
+}
+
+/// Exports the spans of the queue to a collector until the queue is closed.
+pub fn start_export(
+    queue: Receiver<Span>,
+    collector: SocketAddr,
+) -> Result<(), ExporterBuildError> {
+    let exporter = SpanExporter::builder()
+        .with_http()
+        .with_http_client(Client)
+        .with_endpoint(format!("http://{collector}/v1/traces"))
+        .build()?;
+    while let Ok(span) = queue.recv() {
+        let mut batch = vec![span_data(span)];
+        batch.extend(queue.try_iter().take(BATCH_LIMIT - 1).map(span_data));
+        if let Err(e) = block_on(exporter.export(batch)) {
+            log::warn!("spans to {collector}: {e}");
+        }
+    }
+    Ok(())
+}
+
+fn span_data(span: Span) -> SpanData {
+    let attributes = span.attributes.into_iter().map(|(name, value)| KeyValue::new(name, value));
+    SpanData {
+        span_context: SpanContext::new(
+            TraceId::from(span.trace_id),
+            SpanId::from(span.id),
+            TraceFlags::SAMPLED,
+            false,
+            TraceState::default(),
+        ),
+        parent_span_id: SpanId::from(span.parent),
+        parent_span_is_remote: span.name == "request",
+        span_kind: if span.name == "request" { SpanKind::Server } else { SpanKind::Client },
+        name: span.name.into(),
+        start_time: span.start,
+        end_time: span.start + span.duration,
+        attributes: attributes.collect(),
+        dropped_attributes_count: 0,
+        events: SpanEvents::default(),
+        links: SpanLinks::default(),
+        status: Status::Unset,
+        instrumentation_scope: InstrumentationScope::builder("chervilspur").build(),
+    }
+}
--- /dev/null
+++ b/components/daemon/src/spans/mod.rs
@@ -0,0 +1,9 @@
+//! A span for each hop of a request, kept for `explain` and exported by OTLP.
+
+mod export;
+mod table;
+mod trace;
+
+pub use export::start_export;
+pub use table::{Span, SpanTable};
+pub use trace::Trace;
--- /dev/null
+++ b/components/daemon/src/spans/trace.rs
@@ -0,0 +1,43 @@
+use utils::random_id;
+
+/// The place of a request in a W3C trace.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Trace {
+    /// The trace.
+    pub trace_id: u128,
+    /// The span of the caller, or 0 when the trace starts here.
+    pub parent: u64,
+    /// The span of the request in this daemon.
+    pub root: u64,
+}
+
+impl Trace {
+    /// Goes on with a caller's `traceparent`, or starts a trace.
+    pub fn from_header(traceparent: Option<&str>) -> Trace {
+        let (trace_id, parent) = traceparent.and_then(parse).unwrap_or((random_id(), 0));
+        Trace { trace_id, parent, root: random_span() }
+    }
+
+    /// Returns the `traceparent` for the next hop, whose parent is `span`.
+    pub fn header(&self, span: u64) -> String {
+        format!("00-{:032x}-{span:016x}-01", self.trace_id)
+    }
+}
+
+/// Draws the id of a span; it is never 0.
+pub fn random_span() -> u64 {
+    (random_id() as u64).max(1)
+}
+
+fn parse(traceparent: &str) -> Option<(u128, u64)> {
+    let mut parts = traceparent.split('-');
+    let version = parts.next()?;
+    let (trace_id, parent) = (parts.next()?, parts.next()?);
+    let lengths = [version.len(), trace_id.len(), parent.len()];
+    if lengths != [2, 32, 16] || version == "ff" {
+        return None;
+    }
+    let trace_id = u128::from_str_radix(trace_id, 16).ok()?;
+    let parent = u64::from_str_radix(parent, 16).ok()?;
+    if trace_id == 0 || parent == 0 { None } else { Some((trace_id, parent)) }
+}
--- a/components/daemon/src/stream.rs
+++ b/components/daemon/src/stream.rs
@@ -1,4 +1,5 @@
 use crate::tables::lock;
+use decision::Millis;
 use errors::Refusal;
 use std::sync::{Condvar, Mutex};
 use std::time::Duration;
@@ -23,11 +24,32 @@
 
 #[derive(Debug, Default)]
 struct State {
-    tokens: Vec<String>,
+    text: String,
+    /// The end of each token within `text`, in bytes.
+    ends: Vec<usize>,
     end: Option<End>,
+    /// The attempt whose events are taken; 0 when there is none.
+    attempt: u32,
+    /// The offset up to which readers have taken tokens.
+    read: usize,
+    readers: usize,
+    last_read: Millis,
 }
 
-/// The answer to one request: one writer, and readers that may come back.
+impl State {
+    fn tokens_from(&self, offset: usize) -> Vec<String> {
+        let mut start =
+            if offset == 0 { 0 } else { self.ends.get(offset - 1).copied().unwrap_or(0) };
+        let mut tokens = Vec::new();
+        for end in self.ends.iter().skip(offset) {
+            tokens.push(self.text[start..*end].to_string());
+            start = *end;
+        }
+        tokens
+    }
+}
+
+/// The answer to one request: one live attempt writes, and readers may leave and come back.
 #[derive(Debug, Default)]
 pub struct Stream {
     state: Mutex<State>,
@@ -35,23 +57,71 @@
 }
 
 impl Stream {
+    /// Creates a stream whose first `offset` tokens are held elsewhere and make up `text`.
+    pub fn starting_with(text: &str, offset: usize) -> Stream {
+        let ends = vec![text.len(); offset];
+        let state = State { text: text.to_string(), ends, read: offset, ..State::default() };
+        Stream { state: Mutex::new(state), changed: Condvar::new() }
+    }
+
+    /// Makes `attempt` the only one whose events are taken; returns the offset to start from.
+    pub fn begin(&self, attempt: u32) -> usize {
+        let mut state = lock(&self.state);
+        state.attempt = attempt;
+        state.ends.len()
+    }
+
+    /// Returns whether `attempt` is the live one and the answer has not ended.
+    pub fn is_live(&self, attempt: u32) -> bool {
+        let state = lock(&self.state);
+        state.attempt == attempt && state.end.is_none()
+    }
+
+    /// Ends `attempt` if it is the live one; returns whether it was.
+    pub fn release(&self, attempt: u32) -> bool {
+        let mut state = lock(&self.state);
+        let live = state.attempt == attempt && attempt != 0;
+        if live {
+            state.attempt = 0;
+        }
+        live
+    }
+
+    /// Returns whether an attempt is live.
+    pub fn is_running(&self) -> bool {
+        lock(&self.state).attempt != 0
+    }
+
     /// Returns the offset of the next token.
     pub fn offset(&self) -> usize {
-        lock(&self.state).tokens.len()
+        lock(&self.state).ends.len()
+    }
+
+    /// Returns how many tokens no reader has taken yet.
+    pub fn unread(&self) -> usize {
+        let state = lock(&self.state);
+        state.ends.len().saturating_sub(state.read)
     }
 
     /// Returns the answer so far.
     pub fn text(&self) -> String {
-        lock(&self.state).tokens.concat()
+        lock(&self.state).text.clone()
+    }
+
+    /// Returns the end of the answer, if it is known.
+    pub fn ended(&self) -> Option<End> {
+        lock(&self.state).end.clone()
     }
 
-    /// Adds the token at `offset`; returns whether it was the next one.
-    pub fn push(&self, offset: usize, token: String) -> bool {
+    /// Adds the token at `offset`; returns whether it was the next one of the live attempt.
+    pub fn push(&self, attempt: u32, offset: usize, token: &str) -> bool {
         let mut state = lock(&self.state);
-        if state.end.is_some() || offset != state.tokens.len() {
+        if state.end.is_some() || attempt != state.attempt || offset != state.ends.len() {
             return false;
         }
-        state.tokens.push(token);
+        state.text.push_str(token);
+        let end = state.text.len();
+        state.ends.push(end);
         self.changed.notify_all();
         true
     }
@@ -59,6 +129,7 @@
     /// Ends the answer; the first end stands.
     pub fn end(&self, end: End) {
         let mut state = lock(&self.state);
+        state.attempt = 0;
         state.end.get_or_insert(end);
         self.changed.notify_all();
     }
@@ -66,12 +137,53 @@
     /// Waits for tokens from `offset` on, or for the end.
     pub fn wait(&self, offset: usize, timeout: Duration) -> Piece {
         let state = lock(&self.state);
-        let waits = |s: &mut State| s.tokens.len() <= offset && s.end.is_none();
-        let (state, _) = self
+        let waits = |s: &mut State| s.ends.len() <= offset && s.end.is_none();
+        let (mut state, _) = self
             .changed
             .wait_timeout_while(state, timeout, waits)
             .unwrap_or_else(|e| e.into_inner());
-        let tokens = state.tokens.get(offset..).unwrap_or_default().to_vec();
+        let tokens = state.tokens_from(offset);
+        state.read = state.read.max(offset.min(state.ends.len()));
+        self.changed.notify_all();
         Piece { tokens, end: state.end.clone() }
     }
+
+    /// Waits for the end of the answer.
+    pub fn wait_for_end(&self) -> End {
+        let mut state = lock(&self.state);
+        state.read = usize::MAX;
+        loop {
+            if let Some(end) = &state.end {
+                return end.clone();
+            }
+            state = self.changed.wait(state).unwrap_or_else(|e| e.into_inner());
+        }
+    }
+
+    /// Waits until readers have taken all but `left` tokens; returns whether they have.
+    pub fn wait_until_read(&self, left: usize, timeout: Duration) -> bool {
+        let state = lock(&self.state);
+        let waits = |s: &mut State| s.ends.len().saturating_sub(s.read) > left && s.end.is_none();
+        let waited = self.changed.wait_timeout_while(state, timeout, waits);
+        let (_state, result) = waited.unwrap_or_else(|e| e.into_inner());
+        !result.timed_out()
+    }
+
+    /// Counts a reader in until `leave`.
+    pub fn join(&self) {
+        lock(&self.state).readers += 1;
+    }
+
+    /// Counts a reader out.
+    pub fn leave(&self, now: Millis) {
+        let mut state = lock(&self.state);
+        state.readers = state.readers.saturating_sub(1);
+        state.last_read = now;
+    }
+
+    /// Returns since when nobody reads the answer.
+    pub fn unread_since(&self) -> Option<Millis> {
+        let state = lock(&self.state);
+        if state.readers == 0 { Some(state.last_read) } else { None }
+    }
 }
--- a/components/daemon/src/tables.rs
+++ b/components/daemon/src/tables.rs
@@ -1,55 +1,32 @@
-use crate::stream::Stream;
-use config::{Lists, Settings};
+use crate::job::Job;
+use crate::lists::InForce;
+use crate::measures::Measures;
+use crate::peer::Peer;
+use crate::spans::SpanTable;
+use config::Settings;
 use decision::Millis;
-use decision::load::{Arrival, Scheduler, SchedulerConfig};
+use decision::load::{Scheduler, SchedulerConfig};
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, RwLock};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock, RwLockReadGuard, RwLockWriteGuard};
 use std::time::Instant;
-use utils::{random_id, sha256_hex};
+use utils::random_id;
 
-/// The lists in force, with an index of the client accounts by key.
+/// Requests of this daemon by number and by id.
 #[derive(Debug, Default)]
-pub struct InForce {
-    /// The version of the lists in the store; 0 before the first.
-    pub version: u64,
-    /// Both lists.
-    pub lists: Lists,
-    by_key: BTreeMap<String, String>,
-}
-
-impl InForce {
-    /// Indexes the lists of a version.
-    pub fn new(version: u64, lists: Lists) -> InForce {
-        let accounts = lists.plans.accounts.iter();
-        let by_key = accounts.map(|(name, a)| (a.key_sha256.clone(), name.clone())).collect();
-        InForce { version, lists, by_key }
-    }
-
-    /// Returns the client account that holds a key.
-    pub fn account(&self, key: &str) -> Option<&str> {
-        self.by_key.get(&sha256_hex(key)).map(String::as_str)
-    }
-}
-
-/// A request that this daemon answers for.
-#[derive(Debug)]
-pub struct Job {
-    /// The request's id towards callers and endpoints.
-    pub id: String,
-    /// What the scheduler knows of it.
-    pub arrival: Arrival,
-    /// The body for the endpoint.
-    pub body: serde_json::Value,
-    /// The answer as far as it has come.
-    pub stream: Stream,
+pub struct Jobs {
+    /// Requests that have not ended.
+    pub open: BTreeMap<u64, Arc<Job>>,
+    /// Requests whose answer a caller may still come back for.
+    pub by_id: BTreeMap<String, Arc<Job>>,
 }
 
 /// The tables that all workers share.
 ///
-/// Locks are taken in this order: `in_force`, `addresses`, `scheduler`, `jobs`, then the lock
-/// inside a stream. None is held during I/O.
+/// Locks are taken in this order: `in_force`, `addresses`, `peers`, `scheduler`, `jobs`, then
+/// the locks inside a job. None is held during I/O.
 pub struct Tables {
     /// The settings.
     pub cfg: Settings,
@@ -59,32 +36,50 @@
     pub in_force: RwLock<Arc<InForce>>,
     /// The addresses of endpoints by name.
     pub addresses: RwLock<BTreeMap<String, SocketAddr>>,
+    /// The other daemons by identity.
+    pub peers: RwLock<BTreeMap<u128, Peer>>,
     /// The decisions under load.
     pub scheduler: Mutex<Scheduler>,
-    /// Requests that have not ended, by number.
-    pub jobs: Mutex<BTreeMap<u64, Arc<Job>>>,
+    /// The requests.
+    pub jobs: Mutex<Jobs>,
+    /// The spans of the newest requests.
+    pub spans: SpanTable,
+    /// The measures by class.
+    pub measures: Measures,
     /// Whether new work is refused because the daemon stops.
     pub stopping: AtomicBool,
+    /// Whether the last call to the store went well.
+    pub store_reachable: AtomicBool,
+    /// Requests of callers and peers that are being served.
+    pub serving: AtomicUsize,
     next_request: AtomicU64,
     started: Instant,
 }
 
 impl Tables {
     /// Creates empty tables.
-    pub fn new(cfg: Settings) -> Tables {
-        let scheduler_cfg =
-            SchedulerConfig { data_centre: cfg.data_centre.clone(), ..SchedulerConfig::default() };
-        Tables {
-            cfg,
+    pub fn new(cfg: Settings) -> io::Result<Tables> {
+        let scheduler_cfg = SchedulerConfig {
+            data_centre: cfg.data_centre.clone(),
+            queue_limit: cfg.queue_limit,
+            ..SchedulerConfig::default()
+        };
+        Ok(Tables {
             instance: random_id(),
             in_force: RwLock::default(),
             addresses: RwLock::default(),
+            peers: RwLock::default(),
             scheduler: Mutex::new(Scheduler::new(scheduler_cfg)),
             jobs: Mutex::default(),
+            spans: SpanTable::default(),
+            measures: Measures::new(cfg.metrics)?,
             stopping: AtomicBool::new(false),
+            store_reachable: AtomicBool::new(false),
+            serving: AtomicUsize::new(0),
             next_request: AtomicU64::new(1),
             started: Instant::now(),
-        }
+            cfg,
+        })
     }
 
     /// Returns the time since the start of this process.
@@ -103,28 +98,45 @@
         Arc::clone(&lock_read(&self.in_force))
     }
 
+    /// Returns whether the daemon stops.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
     /// Returns whether callers can be served.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.load(Ordering::Relaxed) && self.lists().version > 0
+        !self.is_stopping() && self.lists().revision > 0
     }
 
     /// Returns a request that has not ended.
-    pub fn job(&self, request: u64) -> Option<Arc<Job>> {
-        lock(&self.jobs).get(&request).cloned()
+    pub fn job(&self, number: u64) -> Option<Arc<Job>> {
+        lock(&self.jobs).open.get(&number).cloned()
+    }
+
+    /// Returns a request whose answer is still kept.
+    pub fn job_by_id(&self, id: &str) -> Option<Arc<Job>> {
+        lock(&self.jobs).by_id.get(id).cloned()
+    }
+
+    /// Adds a request.
+    pub fn add_job(&self, job: &Arc<Job>) {
+        let mut jobs = lock(&self.jobs);
+        jobs.open.insert(job.number, Arc::clone(job));
+        jobs.by_id.insert(job.id.clone(), Arc::clone(job));
     }
 }
 
 /// Locks a table; one that a panic left is used as it stands.
-pub fn lock<T>(table: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+pub fn lock<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
     table.lock().unwrap_or_else(|e| e.into_inner())
 }
 
 /// Locks a table for reading.
-pub fn lock_read<T>(table: &RwLock<T>) -> std::sync::RwLockReadGuard<'_, T> {
+pub fn lock_read<T>(table: &RwLock<T>) -> RwLockReadGuard<'_, T> {
     table.read().unwrap_or_else(|e| e.into_inner())
 }
 
 /// Locks a table for writing.
-pub fn lock_write<T>(table: &RwLock<T>) -> std::sync::RwLockWriteGuard<'_, T> {
+pub fn lock_write<T>(table: &RwLock<T>) -> RwLockWriteGuard<'_, T> {
     table.write().unwrap_or_else(|e| e.into_inner())
 }
--- a/components/errors/src/refusal.rs
+++ b/components/errors/src/refusal.rs
@@ -34,9 +34,32 @@
     NotReady,
     /// No request or stream has this id here.
     UnknownRequest,
+    /// The caller ended the request or did not come back for it.
+    Cancelled,
 }
 
 impl Reason {
+    /// Returns the name used on the wire.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Reason::MalformedRequest => "malformed_request",
+            Reason::BodyTooLarge => "body_too_large",
+            Reason::UnknownAccount => "unknown_account",
+            Reason::UnknownClass => "unknown_class",
+            Reason::ClassNotInPlan => "class_not_in_plan",
+            Reason::LimitReached => "limit_reached",
+            Reason::Overloaded => "overloaded",
+            Reason::NoEndpoint => "no_endpoint",
+            Reason::EndpointFailed => "endpoint_failed",
+            Reason::BadIdempotencyKey => "bad_idempotency_key",
+            Reason::RunInProgress => "run_in_progress",
+            Reason::StoreUnavailable => "store_unavailable",
+            Reason::NotReady => "not_ready",
+            Reason::UnknownRequest => "unknown_request",
+            Reason::Cancelled => "cancelled",
+        }
+    }
+
     /// Returns the HTTP status that carries the reason.
     pub fn status(self) -> u16 {
         match self {
@@ -44,7 +67,7 @@
             Reason::UnknownAccount => 401,
             Reason::ClassNotInPlan => 403,
             Reason::UnknownRequest => 404,
-            Reason::RunInProgress => 409,
+            Reason::RunInProgress | Reason::Cancelled => 409,
             Reason::BodyTooLarge => 413,
             Reason::LimitReached => 429,
             Reason::EndpointFailed => 502,
--- a/components/messages/src/forward.rs
+++ b/components/messages/src/forward.rs
@@ -1,4 +1,14 @@
-///A request that a daemon hands to a daemon of another data centre.
+///A piece of the answer to a forwarded request.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ForwardFrame {
+    ///Whether the answer ends here.
+    pub ended: bool,
+    ///The refusal that ends the answer, as JSON text; empty when the answer is whole.
+    pub refusal: ::std::string::String,
+    ///The next tokens.
+    pub tokens: ::std::vec::Vec<::std::string::String>,
+}
+///A request that a daemon hands to another daemon.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ForwardRequest {
     ///The client account.
@@ -9,10 +19,16 @@
     pub class: ::std::string::String,
     ///The request's id towards callers and endpoints.
     pub id: ::std::string::String,
-    ///The version of the lists that admitted the request.
-    pub list_version: u64,
-    ///The offset of the first token that the sender lacks.
+    ///The number of tokens that the sender has.
     pub offset: u64,
+    ///The region of the sender.
+    pub region: ::std::string::String,
+    ///The revision of the lists that admitted the request.
+    pub revision: u64,
+    ///The text of the tokens that the sender has.
+    pub text: ::std::string::String,
+    ///The W3C trace context of the hop.
+    pub traceparent: ::std::string::String,
 }
 /// Error types.
 pub mod error {
