Complete the stand-ins and test their contracts

Cause: the stand-ins answered one call at a time and had no faults, so no failure of the object API, the instance list, an engine or a service could be brought about in a test. Ruled out: a stand-in that sleeps in its accept loop (a waiting watch would block each other call); dropping a tiny_http request to lose an answer (it answers status 500 by itself, so the writer is taken and dropped). Before: no contract test. Seen: tests/whole_path.rs failed in 1 of 4 runs with `no endpoint serves campo-8b`: the daemon says that it is ready once it has the lists, before it has read the instance list the first time. It is left as it is here. Conclusion: each stand-in is a process with a thread per call and faults that a POST to /faults sets as a whole; `{}` clears them.

--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -1,13 +1,19 @@
 //! Small stand-ins for the systems that the router meets, and a way to start processes in tests.
 
+mod answer;
 mod engine;
 mod instances;
+mod lagged;
 mod object_api;
 mod process;
+mod server;
 mod service;
 
+pub use answer::{answer_length, token_text, whole_answer};
 pub use engine::{EngineConfig, run_engine};
-pub use instances::run_instances;
-pub use object_api::run_object_api;
+pub use instances::{
+    Instance, InstanceKind, InstanceList, InstanceState, InstancesConfig, run_instances,
+};
+pub use object_api::{ObjectApiConfig, run_object_api};
 pub use process::{Process, binary, build_programs};
 pub use service::{ServiceConfig, run_service};
--- a/fakes/src/main.rs
+++ b/fakes/src/main.rs
@@ -1,9 +1,10 @@
 //! Starts one stand-in as a process of its own.
 
 use argh::FromArgs;
-use fakes::{EngineConfig, ServiceConfig};
+use fakes::{EngineConfig, InstancesConfig, ObjectApiConfig, ServiceConfig};
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Stand-ins for the platform and the endpoints.
 #[derive(FromArgs)]
@@ -28,6 +29,9 @@
     /// address to listen on
     #[argh(option, default = "any_port()")]
     listen: SocketAddr,
+    /// writes that a watch can start from, counted back from the last
+    #[argh(option, default = "ObjectApiConfig::default().history")]
+    history: usize,
 }
 
 /// The instance list.
@@ -37,6 +41,9 @@
     /// address to listen on
     #[argh(option, default = "any_port()")]
     listen: SocketAddr,
+    /// time after which readers see a change, in milliseconds
+    #[argh(option, default = "0")]
+    lag_ms: u64,
 }
 
 /// A model engine.
@@ -46,15 +53,36 @@
     /// address to listen on
     #[argh(option, default = "any_port()")]
     listen: SocketAddr,
-    /// model that it serves
-    #[argh(option, default = "String::from(\"campo-8b\")")]
+    /// model that it serves at first
+    #[argh(option, default = "EngineConfig::default().model")]
     model: String,
-    /// time between two tokens of an idle engine, in milliseconds
-    #[argh(option, default = "10")]
+    /// time between two tokens of a stream that runs alone, in milliseconds
+    #[argh(option, default = "EngineConfig::default().token_ms")]
     token_ms: u64,
-    /// streams at once
-    #[argh(option, default = "64")]
+    /// what each further stream adds to the time between two tokens, in percent
+    #[argh(option, default = "EngineConfig::default().batch_percent")]
+    batch_percent: u64,
+    /// time to read one prompt token that is not cached, in microseconds
+    #[argh(option, default = "EngineConfig::default().prefill_us")]
+    prefill_us: u64,
+    /// streams that run at once
+    #[argh(option, default = "EngineConfig::default().slots")]
     slots: u32,
+    /// requests that wait for a slot at most
+    #[argh(option, default = "EngineConfig::default().queue")]
+    queue: usize,
+    /// blocks of prompt tokens that the prefix cache holds
+    #[argh(option, default = "EngineConfig::default().cache_blocks")]
+    cache_blocks: usize,
+    /// time after which the load is reported, in milliseconds
+    #[argh(option, default = "0")]
+    report_lag_ms: u64,
+    /// lets streams be paused
+    #[argh(switch)]
+    pauses: bool,
+    /// refuses orders with an older fencing number
+    #[argh(switch)]
+    checks_fence: bool,
 }
 
 /// A plain service.
@@ -65,8 +93,14 @@
     #[argh(option, default = "any_port()")]
     listen: SocketAddr,
     /// name of the service
-    #[argh(option, default = "String::from(\"booking\")")]
+    #[argh(option, default = "ServiceConfig::default().name")]
     name: String,
+    /// time that a call takes, in milliseconds
+    #[argh(option, default = "0")]
+    call_ms: u64,
+    /// runs a call only once for each idempotency key
+    #[argh(switch)]
+    checks_key: bool,
 }
 
 fn any_port() -> SocketAddr {
@@ -76,12 +110,32 @@
 fn main() -> io::Result<()> {
     let args: Args = argh::from_env();
     match args.kind {
-        Kind::ObjectApi(a) => fakes::run_object_api(a.listen),
-        Kind::Instances(a) => fakes::run_instances(a.listen),
-        Kind::Engine(a) => {
-            let cfg = EngineConfig { model: a.model, token_ms: a.token_ms, slots: a.slots };
-            fakes::run_engine(a.listen, cfg)
+        Kind::ObjectApi(a) => {
+            fakes::run_object_api(a.listen, ObjectApiConfig { history: a.history })
         }
-        Kind::Service(a) => fakes::run_service(a.listen, ServiceConfig { name: a.name }),
+        Kind::Instances(a) => {
+            let cfg = InstancesConfig { lag: Duration::from_millis(a.lag_ms) };
+            fakes::run_instances(a.listen, cfg)
+        }
+        Kind::Engine(a) => fakes::run_engine(a.listen, engine_config(a)),
+        Kind::Service(a) => {
+            let cfg = ServiceConfig { name: a.name, call_ms: a.call_ms, checks_key: a.checks_key };
+            fakes::run_service(a.listen, cfg)
+        }
+    }
+}
+
+fn engine_config(args: Engine) -> EngineConfig {
+    EngineConfig {
+        model: args.model,
+        token_ms: args.token_ms,
+        batch_percent: args.batch_percent,
+        prefill_us: args.prefill_us,
+        slots: args.slots,
+        queue: args.queue,
+        cache_blocks: args.cache_blocks,
+        report_lag: Duration::from_millis(args.report_lag_ms),
+        pauses: args.pauses,
+        checks_fence: args.checks_fence,
     }
 }
--- a/fakes/src/service.rs
+++ b/fakes/src/service.rs
@@ -1,34 +1,149 @@
-use serde_json::json;
+//! A plain service whose calls may not all be repeated.
+
+use crate::server::{be_slow, drop_connection, header, lock, read_json, refuse_not_run, serve};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use utils::{listen, respond_json};
+use std::sync::Mutex;
+use tiny_http::Request;
+use utils::{random_id, respond_json};
 
 /// Settings of a plain service.
 #[derive(Clone, Debug)]
 pub struct ServiceConfig {
     /// The name of the service.
     pub name: String,
+    /// The time that a call takes, in milliseconds.
+    pub call_ms: u64,
+    /// Whether it runs a call only once for each idempotency key.
+    pub checks_key: bool,
+}
+
+impl Default for ServiceConfig {
+    fn default() -> ServiceConfig {
+        ServiceConfig { name: String::from("booking"), call_ms: 0, checks_key: false }
+    }
 }
 
+/// The faults that the service has from now on.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+struct Faults {
+    /// Drops each connection before the call runs.
+    down: bool,
+    /// Refuses each call and says that it was not started.
+    refuse_not_started: bool,
+    /// The delay before each call, in milliseconds.
+    slow_ms: u64,
+    /// How many calls run without an answer.
+    lose_answers: u64,
+}
+
+#[derive(Serialize)]
+struct Description<'a> {
+    serves: [&'a str; 1],
+    slots: u32,
+    pauses: bool,
+    checks_fence: bool,
+    checks_key: bool,
+    incarnation: &'a str,
+    leaving: bool,
+}
+
+#[derive(Serialize)]
+struct Receipt<'a> {
+    ran: &'a str,
+    run: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    runs: BTreeMap<String, u64>,
+    faults: Faults,
+    leaving: bool,
+}
+
+struct Service {
+    cfg: ServiceConfig,
+    incarnation: String,
+    state: Mutex<State>,
+}
+
+const SLOTS: u32 = 64;
+
 /// Serves calls and counts how often each ran.
 pub fn run_service(address: SocketAddr, cfg: ServiceConfig) -> io::Result<()> {
-    let server = listen(address, None)?;
-    println!("listening {}", server.server_addr());
-    let mut runs: BTreeMap<String, u64> = BTreeMap::new();
-    for req in server.incoming_requests() {
-        if req.url() == "/v1/description" {
-            respond_json(req, 200, &json!({"serves": [cfg.name], "slots": 64}))?;
-            continue;
+    let incarnation = format!("{:032x}", random_id());
+    let service = Service { cfg, incarnation, state: Mutex::default() };
+    serve(address, move |req| service.serve(req))
+}
+
+impl Service {
+    fn serve(&self, mut req: Request) -> io::Result<()> {
+        match req.url() {
+            "/call" => self.call(req),
+            "/counts" => {
+                let runs = lock(&self.state).runs.clone();
+                respond_json(req, 200, &runs)
+            }
+            "/v1/description" => self.describe(req),
+            "/v1/leave" => {
+                lock(&self.state).leaving = true;
+                self.describe(req)
+            }
+            "/faults" => {
+                let Some(faults) = read_json::<Faults>(&mut req)? else {
+                    return respond_json(req, 400, &Value::Null);
+                };
+                lock(&self.state).faults = faults.clone();
+                respond_json(req, 200, &faults)
+            }
+            _ => respond_json(req, 404, &Value::Null),
+        }
+    }
+
+    fn describe(&self, req: Request) -> io::Result<()> {
+        let description = Description {
+            serves: [&self.cfg.name],
+            slots: SLOTS,
+            pauses: false,
+            checks_fence: false,
+            checks_key: self.cfg.checks_key,
+            incarnation: &self.incarnation,
+            leaving: lock(&self.state).leaving,
+        };
+        respond_json(req, 200, &description)
+    }
+
+    fn call(&self, req: Request) -> io::Result<()> {
+        let key = header(&req, "idempotency-key");
+        let faults = lock(&self.state).faults.clone();
+        be_slow(self.cfg.call_ms + faults.slow_ms);
+        if faults.down {
+            drop_connection(req);
+            return Ok(());
+        }
+        let mut state = lock(&self.state);
+        if state.leaving || faults.refuse_not_started {
+            drop(state);
+            return refuse_not_run(req, "the call was not started");
+        }
+        let runs = state.runs.entry(key.clone()).or_default();
+        if *runs == 0 || !self.cfg.checks_key {
+            *runs += 1;
+        }
+        let run = *runs;
+        let lost = state.faults.lose_answers > 0;
+        if lost {
+            state.faults.lose_answers -= 1;
         }
-        if req.url() == "/counts" {
-            respond_json(req, 200, &runs)?;
-            continue;
+        drop(state);
+        if lost {
+            drop_connection(req);
+            return Ok(());
         }
-        let key = req.headers().iter().find(|h| h.field.equiv("idempotency-key"));
-        let key = key.map(|h| h.value.as_str().to_string()).unwrap_or_default();
-        *runs.entry(key.clone()).or_default() += 1;
-        respond_json(req, 200, &json!({"ran": key}))?;
+        respond_json(req, 200, &Receipt { ran: &key, run })
     }
-    Ok(())
 }
