--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -2,7 +2,7 @@
 use crate::tables::Tables;
 use config::{Class, Grant};
 use decision::Millis;
-use decision::load::Arrival;
+use decision::load::{AccountLimits, Arrival};
 use errors::{Reason, Refusal};
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
@@ -43,7 +43,15 @@
             prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u32,
             prefix: prefix_hash(prompt),
             first_token: Millis(class.target.first_token_ms),
+            between_tokens: Millis(class.target.between_tokens_ms),
             finish: Millis(class.target.finish_ms),
+            floor: class.floor,
+            limits: AccountLimits {
+                requests_per_minute: self.grant.requests_per_minute,
+                tokens_per_minute: self.grant.tokens_per_minute,
+                streams: self.grant.streams,
+            },
+            forwarded: false,
         }
     }
 }
--- a/components/daemon/src/peer.rs
+++ b/components/daemon/src/peer.rs
@@ -7,6 +7,7 @@
 use crate::spans::Trace;
 use crate::stream::Stream;
 use crate::tables::{lock, lock_read};
+use decision::load::Arrival;
 use errors::{Reason, Refusal};
 use messages::forward::ForwardRequest;
 use std::io::{self, Read};
@@ -77,7 +78,7 @@
         number,
         id: forwarded.id.clone(),
         origin: Origin::Peer,
-        arrival: permit.arrival(number, &forwarded.body),
+        arrival: Arrival { forwarded: true, ..permit.arrival(number, &forwarded.body) },
         body,
         stream: Stream::starting_with(&forwarded.text, forwarded.offset as usize),
         trace: Trace::from_header(Some(&forwarded.traceparent)),
