Add the operators' command-line tool: check, diff, apply, status, explain

Cause: operators drive the system by two files and must see what each daemon has in force and why a request went where it went. Conclusion: exit codes 0 to 8, one meaning each; flags and settings give 2.

--- a/components/config/src/problem.rs
+++ b/components/config/src/problem.rs
@@ -2,7 +2,7 @@
 
 /// An error in one of the two files.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
-#[snafu(display("{file}:{line}: {key}: {problem}"))]
+#[snafu(display("{file}:{line}: {}{problem}", prefix(key)))]
 pub struct ListError {
     /// The file.
     pub file: String,
@@ -114,3 +114,8 @@
         capacity: u64,
     },
 }
+
+/// A problem of a whole file has no key.
+fn prefix(key: &str) -> String {
+    if key.is_empty() { String::new() } else { format!("{key}: ") }
+}
--- /dev/null
+++ b/components/config/src/settings/flags.rs
@@ -0,0 +1,23 @@
+use argh::FromArgs;
+use std::env;
+use std::process::ExitCode;
+
+/// The exit code of both programs for a flag or a setting that cannot be used.
+pub const BAD_SETTING: u8 = 2;
+
+/// Parses the flags of this process, or prints the help or the error and returns the exit code.
+pub fn process_flags<T: FromArgs>(program: &str) -> Result<T, ExitCode> {
+    let args: Vec<String> =
+        env::args_os().skip(1).map(|arg| arg.to_string_lossy().into_owned()).collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    T::from_args(&[program], &args).map_err(|early| match early.status {
+        Ok(()) => {
+            println!("{}", early.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}\nRun {program} --help for more information.", early.output);
+            ExitCode::from(BAD_SETTING)
+        }
+    })
+}
--- a/components/config/src/settings/mod.rs
+++ b/components/config/src/settings/mod.rs
@@ -4,6 +4,7 @@
 //! change.
 
 mod check;
+mod flags;
 #[allow(clippy::all)]
 #[rustfmt::skip]
 mod generated;
@@ -11,6 +12,7 @@
 mod setting;
 
 pub use check::label;
+pub use flags::{BAD_SETTING, process_flags};
 pub use generated::{LogLevel, Output, Settings, SettingsFlags, ToolFlags, ToolSettings};
 pub use secret::Secret;
 pub use setting::{SettingError, process_variable};
--- a/components/config/tests/lists.rs
+++ b/components/config/tests/lists.rs
@@ -38,7 +38,8 @@
 )]
 #[case("plan = \"gold\"\n", "", "1: accounts.sur: missing field `plan`")]
 #[case("plan = \"silver\"", "plam = \"silver\"", "6: accounts.keepers.plam: unknown field")]
-#[case("[accounts.sur]", "[accounts.sur", "1: ")]
+#[case("[accounts.sur]", "[accounts.sur", "1: unclosed table, expected")]
+#[case("[accounts.sur]", "", "3: key_sha256: unknown field")]
 fn errors_when_the_first_list_is_wrong(
     #[case] from: &str,
     #[case] to: &str,
--- a/src/bin/chervilspurd.rs
+++ b/src/bin/chervilspurd.rs
@@ -1,15 +1,15 @@
 //! The daemon on each entry instance.
 
-use config::{LogLevel, Settings, SettingsFlags, process_variable};
+use config::{BAD_SETTING, LogLevel, Settings, SettingsFlags, process_flags, process_variable};
 use daemon::Daemon;
 use simplelog::{ColorChoice, Config, LevelFilter, TermLogger, TerminalMode};
 use std::process::ExitCode;
 
-/// The exit code for a setting that cannot be used.
-const BAD_SETTING: u8 = 2;
-
 fn main() -> ExitCode {
-    let flags: SettingsFlags = argh::from_env();
+    let flags: SettingsFlags = match process_flags("chervilspurd") {
+        Ok(flags) => flags,
+        Err(code) => return code,
+    };
     let cfg = match Settings::read(&flags, process_variable) {
         Ok(cfg) => cfg,
         Err(e) => {
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,78 @@
+//! Parses the flags, runs the command and prints its result.
+
+use crate::cmd::{Apply, Check, Diff, Explain, Status};
+use crate::exit::Exit;
+use crate::failure::Failure;
+use argh::FromArgs;
+use config::{Output, ToolFlags, ToolSettings, process_flags, process_variable};
+use serde::Serialize;
+use serde_json::json;
+use std::io::{self, Write};
+use std::process::ExitCode;
+
+/// The commands.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(Check),
+    Diff(Diff),
+    Apply(Apply),
+    Status(Status),
+    Explain(Explain),
+}
+
+/// The result of a command.
+pub trait Report: Serialize {
+    /// Describes the result to people.
+    fn text(&self) -> String;
+
+    /// Returns how the command ended.
+    fn exit(&self) -> Exit {
+        Exit::Done
+    }
+}
+
+/// Runs the command that the flags of this process name.
+pub fn run() -> ExitCode {
+    let flags: ToolFlags<Command> = match process_flags("chervilspur") {
+        Ok(flags) => flags,
+        Err(code) => return code,
+    };
+    let cfg = match ToolSettings::read(&flags, process_variable) {
+        Ok(cfg) => cfg,
+        Err(e) => return fail(Output::Text, &e.into()),
+    };
+    let output = cfg.output;
+    match flags.command {
+        Command::Check(cmd) => finish(output, cmd.run()),
+        Command::Diff(cmd) => finish(output, cmd.run(&cfg)),
+        Command::Apply(cmd) => finish(output, cmd.run(&cfg)),
+        Command::Status(cmd) => finish(output, cmd.run(&cfg)),
+        Command::Explain(cmd) => finish(output, cmd.run(&cfg)),
+    }
+}
+
+fn finish<R: Report>(output: Output, result: Result<R, Failure>) -> ExitCode {
+    let report = match result {
+        Ok(report) => report,
+        Err(e) => return fail(output, &e),
+    };
+    match output {
+        Output::Text => print(report.text().trim_end()),
+        Output::Json => print(&json!(report).to_string()),
+    }
+    report.exit().into()
+}
+
+fn fail(output: Output, failure: &Failure) -> ExitCode {
+    match output {
+        Output::Text => eprintln!("{failure}"),
+        Output::Json => print(&json!({"error": failure.report()}).to_string()),
+    }
+    failure.exit().0.into()
+}
+
+fn print(text: &str) {
+    // A reader that closed the pipe has read all that it wanted.
+    let _ = writeln!(io::stdout(), "{text}");
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,22 @@
+//! One file per command.
+
+mod apply;
+mod check;
+mod diff;
+mod explain;
+mod status;
+
+pub use apply::{Apply, ApplyReport, Lacking, Waited};
+pub use check::{Check, CheckReport};
+pub use diff::{Diff, DiffReport};
+pub use explain::{Explain, ExplainReport, Step};
+pub use status::{ClassReport, DaemonReport, Status, StatusReport, StoreReport};
+
+use config::{SettingError, ToolSettings};
+use std::time::Duration;
+use store::Store;
+
+/// Creates the client of the object API.
+fn store(cfg: &ToolSettings) -> Result<Store, SettingError> {
+    Ok(Store::new(cfg.require_store()?, Duration::from_millis(cfg.timeout_ms)))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,15 @@
-//! cli
-fn main() {}
+//! The operators' command-line tool.
+
+mod cli;
+mod cmd;
+mod exit;
+mod failure;
+mod files;
+mod fleet;
+mod messages;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run()
+}
