Probe endpoints in parallel and be ready only when they are known

Cause: one thread read the descriptions of all endpoints in turn, so a silent endpoint delayed what is known of the others by its timeout, and a leaving one could get work for longer than it should.

--- a/components/daemon/src/control.rs
+++ b/components/daemon/src/control.rs
@@ -1,5 +1,5 @@
 use crate::attempt::{Shell, Target};
-use crate::tables::lock_read;
+use crate::endpoints::address_of;
 use std::time::Duration;
 use utils::client;
 
@@ -40,7 +40,7 @@
 /// Sends an order; one that fails is only logged, since timeouts on progress cover for it.
 pub fn send_order(shell: &Shell, order: &Order) {
     let address = match &order.target {
-        Target::Endpoint(name) => lock_read(&shell.tables.addresses).get(name).copied(),
+        Target::Endpoint(name) => address_of(shell, name),
         // The other daemon sees that the connection is closed or no longer read.
         Target::DataCentre(_) => return,
     };
--- a/components/daemon/src/engine.rs
+++ b/components/daemon/src/engine.rs
@@ -1,7 +1,8 @@
 use crate::attempt::{Attempt, Shell, Target};
 use crate::control::{Order, OrderKind, send_order};
+use crate::endpoints::address_of;
 use crate::job::Job;
-use crate::tables::{lock, lock_read};
+use crate::tables::lock;
 use errors::{Reason, Refusal, Verdict};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -29,8 +30,7 @@
     endpoint: &str,
     span: u64,
 ) -> Result<(), Refusal> {
-    let address = lock_read(&shell.tables.addresses).get(endpoint).copied();
-    let Some(address) = address else {
+    let Some(address) = address_of(shell, endpoint) else {
         return Err(Refusal::not_run(Reason::NoEndpoint, format!("{endpoint} has no address")));
     };
     let url = format!("http://{address}/v1/chat/completions");
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod chat;
 mod completion;
 mod control;
+mod endpoints;
 mod engine;
 mod events;
 mod forward;
--- a/components/daemon/src/platform.rs
+++ b/components/daemon/src/platform.rs
@@ -1,11 +1,12 @@
-use crate::attempt::{Shell, carry_out};
+use crate::attempt::Shell;
+use crate::endpoints::{ListedEndpoint, set_listed};
 use crate::lists::InForce;
 use crate::peer::Peer;
-use crate::tables::{Tables, lock, lock_read, lock_write};
+use crate::tables::{Tables, lock_write};
 use config::Lists;
-use decision::load::{EndpointInfo, EndpointState};
+use decision::load::EndpointState;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -35,17 +36,6 @@
     state: EndpointState,
 }
 
-/// What an endpoint says of itself.
-#[derive(Debug, Deserialize)]
-struct EndpointDescription {
-    serves: BTreeSet<String>,
-    slots: u32,
-    #[serde(default)]
-    pauses: bool,
-    #[serde(default)]
-    leaving: bool,
-}
-
 /// What a daemon says of itself to another.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct DaemonDescription {
@@ -86,17 +76,22 @@
     let url = format!("http://{}/instances", tables.cfg.instances);
     let list: InstanceList = get_json(&url, PLATFORM_TIMEOUT)?;
     let mut peers = BTreeMap::new();
-    let mut endpoints = BTreeSet::new();
+    let mut endpoints = BTreeMap::new();
     for instance in list.instances {
         if instance.kind == "daemon" {
             read_daemon(tables, &instance, &mut peers);
         } else if instance.data_centre == tables.cfg.data_centre {
-            endpoints.insert(instance.name.clone());
-            read_endpoint(shell, &instance);
+            let endpoint = ListedEndpoint {
+                name: instance.name.clone(),
+                address: instance.address,
+                data_centre: instance.data_centre,
+                state: instance.state,
+            };
+            endpoints.insert(instance.name, endpoint);
         }
     }
     *lock_write(&tables.peers) = peers;
-    forget_endpoints(shell, &endpoints);
+    set_listed(shell, endpoints);
     Ok(())
 }
 
@@ -121,36 +116,3 @@
     };
     peers.insert(id, peer);
 }
-
-fn read_endpoint(shell: &Shell, instance: &Instance) {
-    let tables = &shell.tables;
-    let url = format!("http://{}/v1/description", instance.address);
-    let description: EndpointDescription = match get_json(&url, PLATFORM_TIMEOUT) {
-        Ok(description) => description,
-        Err(e) => {
-            log::warn!("endpoint={} {e}", instance.name);
-            return;
-        }
-    };
-    lock_write(&tables.addresses).insert(instance.name.clone(), instance.address);
-    let info = EndpointInfo {
-        name: instance.name.clone(),
-        data_centre: instance.data_centre.clone(),
-        serves: description.serves,
-        slots: description.slots,
-        pauses: description.pauses,
-    };
-    let state = if description.leaving { EndpointState::Leaving } else { instance.state };
-    let effects = lock(&tables.scheduler).set_endpoint(info, state, tables.now());
-    carry_out(shell, effects);
-}
-
-fn forget_endpoints(shell: &Shell, listed: &BTreeSet<String>) {
-    let tables = &shell.tables;
-    let known: Vec<String> = lock_read(&tables.addresses).keys().cloned().collect();
-    for name in known.iter().filter(|name| !listed.contains(*name)) {
-        let effects = lock(&tables.scheduler).remove_endpoint(name, tables.now());
-        carry_out(shell, effects);
-        lock_write(&tables.addresses).remove(name);
-    }
-}
--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -2,6 +2,7 @@
 use crate::attempt::{Attempt, Shell, carry_out, finish, work};
 use crate::chat::serve_chat;
 use crate::control::send_order;
+use crate::endpoints::probe_endpoints;
 use crate::peer::{FORWARD_PATH, serve_forward};
 use crate::platform::{DaemonDescription, follow};
 use crate::reply::respond_refusal;
@@ -93,6 +94,8 @@
         })?;
         let follow_shell = shell.clone();
         spawn("platform", move || follow(&follow_shell))?;
+        let probe_shell = shell.clone();
+        spawn("probes", move || probe_endpoints(&probe_shell))?;
         let tick_shell = shell.clone();
         spawn("tick", move || tick(&tick_shell))?;
         if let Some(collector) = shell.tables.cfg.spans {
--- a/components/daemon/src/tables.rs
+++ b/components/daemon/src/tables.rs
@@ -1,3 +1,4 @@
+use crate::endpoints::EndpointTable;
 use crate::job::Job;
 use crate::lists::InForce;
 use crate::measures::Measures;
@@ -25,7 +26,7 @@
 
 /// The tables that all workers share.
 ///
-/// Locks are taken in this order: `in_force`, `addresses`, `peers`, `scheduler`, `jobs`, then
+/// Locks are taken in this order: `in_force`, `endpoints`, `addresses`, `peers`, `scheduler`, `jobs`, then
 /// the locks inside a job. None is held during I/O.
 pub struct Tables {
     /// The settings.
@@ -34,6 +35,8 @@
     pub instance: u128,
     /// The lists in force.
     pub in_force: RwLock<Arc<InForce>>,
+    /// The endpoints of the instance list.
+    pub endpoints: Mutex<EndpointTable>,
     /// The addresses of endpoints by name.
     pub addresses: RwLock<BTreeMap<String, SocketAddr>>,
     /// The other daemons by identity.
@@ -67,6 +70,7 @@
         Ok(Tables {
             instance: random_id(),
             in_force: RwLock::default(),
+            endpoints: Mutex::default(),
             addresses: RwLock::default(),
             peers: RwLock::default(),
             scheduler: Mutex::new(Scheduler::new(scheduler_cfg)),
@@ -103,9 +107,10 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Returns whether callers can be served.
+    /// Returns whether callers can be served: lists are in force and endpoints have been probed.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.lists().revision > 0
+        let has_lists = self.lists().revision > 0;
+        !self.is_stopping() && has_lists && lock(&self.endpoints).is_known()
     }
 
     /// Returns a request that has not ended.
