--- /dev/null
+++ b/fakes/src/site.rs
@@ -0,0 +1,211 @@
+use crate::{Instance, InstanceKind, InstanceList, InstanceState, Process};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+use utils::{HttpError, client, get_json, post_json, put_json};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const START_LIMIT: Duration = Duration::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The key that the daemons of a site share.
+const PEER_KEY: &str = "key-of-the-local-daemons";
+
+/// One instance of a site, and the flags that its process gets besides.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// What the instance list says of it, but for the address.
+    pub name: String,
+    /// What runs on it.
+    pub kind: InstanceKind,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its region.
+    pub region: String,
+    /// Further flags.
+    pub args: Vec<String>,
+}
+
+impl Member {
+    /// Describes an instance; `place` is `region/data-centre`.
+    pub fn new(name: &str, kind: InstanceKind, place: &str, args: &[&str]) -> Member {
+        let (region, data_centre) = place.split_once('/').unwrap_or((place, place));
+        Member {
+            name: name.to_string(),
+            kind,
+            data_centre: data_centre.to_string(),
+            region: region.to_string(),
+            args: args.iter().map(|arg| arg.to_string()).collect(),
+        }
+    }
+}
+
+/// The platform, daemons and endpoints as processes on loopback.
+#[derive(Debug)]
+pub struct Site {
+    /// The object API.
+    pub store: Process,
+    /// The instance list.
+    pub instances: Process,
+    members: BTreeMap<String, (Member, Process)>,
+}
+
+impl Site {
+    /// Starts the platform with the lists, the endpoints, then the daemons, and waits for these.
+    pub fn start(lists: &Value, members: &[Member]) -> io::Result<Site> {
+        let store = Process::start("chervilspur-fake", &["object-api"])?;
+        let instances = Process::start("chervilspur-fake", &["instances"])?;
+        let mut site = Site { store, instances, members: BTreeMap::new() };
+        site.put_lists(lists).map_err(io::Error::other)?;
+        let is_daemon = |member: &&Member| member.kind == InstanceKind::Daemon;
+        for member in members.iter().filter(|m| !is_daemon(m)) {
+            site.add(member, "127.0.0.1:0")?;
+        }
+        site.publish().map_err(io::Error::other)?;
+        for member in members.iter().filter(is_daemon) {
+            site.add(member, "127.0.0.1:0")?;
+        }
+        site.publish().map_err(io::Error::other)?;
+        for member in members.iter().filter(is_daemon) {
+            site.wait_until_ready(&member.name)?;
+        }
+        Ok(site)
+    }
+
+    /// Returns the address of an instance.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no instance has this name.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        self.process(name).address
+    }
+
+    /// Returns the process of an instance.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no instance has this name.
+    pub fn process(&self, name: &str) -> &Process {
+        &self.members.get(name).unwrap_or_else(|| panic!("no instance {name}")).1
+    }
+
+    /// Returns the names of all instances of a kind.
+    pub fn names(&self, kind: InstanceKind) -> Vec<&str> {
+        let members = self.members.values().filter(|(member, _)| member.kind == kind);
+        members.map(|(member, _)| member.name.as_str()).collect()
+    }
+
+    /// Reads JSON from an instance.
+    pub fn get(&self, name: &str, path: &str) -> Result<Value, HttpError> {
+        get_json(&format!("http://{}{path}", self.address(name)), TIMEOUT)
+    }
+
+    /// Posts JSON to an instance.
+    pub fn post(&self, name: &str, path: &str, body: &Value) -> Result<Value, HttpError> {
+        post_json(&format!("http://{}{path}", self.address(name)), body, TIMEOUT)
+    }
+
+    /// Kills an instance without notice; the instance list still names it.
+    pub fn kill(&mut self, name: &str) -> io::Result<()> {
+        match self.members.get_mut(name) {
+            Some((_, process)) => process.kill(),
+            None => Ok(()),
+        }
+    }
+
+    /// Starts a killed instance again at its address, with a new identity.
+    pub fn restart(&mut self, name: &str) -> io::Result<()> {
+        let Some((member, process)) = self.members.remove(name) else { return Ok(()) };
+        let address = process.address.to_string();
+        drop(process);
+        self.add(&member, &address)
+    }
+
+    /// Writes the lists into the object API.
+    pub fn put_lists(&self, lists: &Value) -> Result<Value, HttpError> {
+        let url = format!("http://{}/objects/lists/current", self.store.address);
+        put_json(&url, lists, TIMEOUT)
+    }
+
+    /// Puts all instances into the instance list as live.
+    pub fn publish(&self) -> Result<(), HttpError> {
+        let instance = |(member, process): &(Member, Process)| Instance {
+            name: member.name.clone(),
+            kind: member.kind,
+            address: process.address,
+            data_centre: member.data_centre.clone(),
+            region: member.region.clone(),
+            state: InstanceState::Live,
+        };
+        let list = InstanceList { instances: self.members.values().map(instance).collect() };
+        let url = format!("http://{}/instances", self.instances.address);
+        post_json::<_, InstanceList>(&url, &list, TIMEOUT).map(|_| ())
+    }
+
+    /// Waits until a daemon serves callers.
+    pub fn wait_until_ready(&self, name: &str) -> io::Result<()> {
+        let url = format!("http://{}/readyz", self.address(name));
+        let started = Instant::now();
+        while started.elapsed() < START_LIMIT {
+            let res = client(attohttpc::get(&url), TIMEOUT).send();
+            if res.is_ok_and(|res| res.is_success()) {
+                return Ok(());
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        Err(io::Error::other(format!("{name} is not ready")))
+    }
+
+    fn add(&mut self, member: &Member, listen: &str) -> io::Result<()> {
+        let platform = (self.store.address.to_string(), self.instances.address.to_string());
+        let (program, mut args) = match member.kind {
+            InstanceKind::Daemon => ("chervilspurd", daemon_args(member, &platform)),
+            InstanceKind::Engine => ("chervilspur-fake", vec!["engine"]),
+            InstanceKind::Service => ("chervilspur-fake", vec!["service"]),
+        };
+        args.extend(["--listen", listen]);
+        args.extend(member.args.iter().map(String::as_str));
+        let process = Process::start(program, &args)?;
+        self.members.insert(member.name.clone(), (member.clone(), process));
+        Ok(())
+    }
+}
+
+fn daemon_args<'a>(member: &'a Member, (store, instances): &'a (String, String)) -> Vec<&'a str> {
+    let pairs = [
+        ["--name", &member.name],
+        ["--data-centre", &member.data_centre],
+        ["--region", &member.region],
+        ["--store", store],
+        ["--instances", instances],
+        ["--peer-key", PEER_KEY],
+    ];
+    pairs.as_flattened().to_vec()
+}
+
+/// Returns lists with one client account and one class for each model or service.
+pub fn simple_lists(key_sha256: &str) -> Value {
+    let target = json!({"first_token_ms": 580, "between_tokens_ms": 64, "finish_ms": 20_000});
+    let grant = json!({
+        "tier": 1, "requests_per_minute": 60_000, "tokens_per_minute": 100_000_000,
+        "streams": 2_000,
+    });
+    json!({
+        "plans": {"accounts": {"campo": {"plan": "gold", "key_sha256": key_sha256}}},
+        "grants": {
+            "classes": {
+                "plan": {"model": "campo-8b", "repeatable": true, "target": target},
+                "digest": {"model": "logbook-4b", "repeatable": true, "target": target},
+                "closure": {"model": "campo-8b", "repeatable": false, "target": target},
+                "booking": {"service": "booking", "repeatable": false, "target": target},
+            },
+            "plans": {"gold": {"classes": {
+                "plan": grant, "digest": grant, "booking": grant,
+            }}},
+        },
+    })
+}
