Decide calls that may not be repeated by a record per key

Cause: serve_call sent every call without a record, so a caller that came back at another daemon got a second run, and nothing said which refusal was provable. Ruled out: taking over a record marked not run. The search finds a paused earlier attempt that reopens it after its caller was told not_run (case NotRunReopened), so the mark is final and a retry needs a new key. Also ruled out: not_run without a record for a repeated key (FirstAssumed).

--- /dev/null
+++ b/components/decision/src/execution/mod.rs
@@ -0,0 +1,17 @@
+//! Calls that may not be repeated: one execution record per idempotency key.
+//!
+//! The record is created by a conditional write before a byte leaves for an endpoint. Only the
+//! attempt whose nonce the record carries may send the call, and no record is ever taken over. So
+//! safety rests on the store's conditional write alone, not on leases or on timing.
+
+mod attempt;
+mod key;
+mod record;
+mod store_watch;
+
+pub use attempt::{
+    Answer, Attempt, AttemptConfig, Call, Effect, EndpointAnswer, Event, ReadAnswer, WriteAnswer,
+};
+pub use key::{IdempotencyKey, KeyError, KeyPolicy};
+pub use record::{Outcome, Record, RunState};
+pub use store_watch::StoreWatch;
--- /dev/null
+++ b/components/decision/src/execution/store_watch.rs
@@ -0,0 +1,34 @@
+use crate::Millis;
+use serde::{Deserialize, Serialize};
+
+/// Notices that the store was restored to an older state, which may lack execution records.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoreWatch {
+    seen: u64,
+    issued_from: Millis,
+}
+
+impl StoreWatch {
+    /// Returns the highest version seen since the store last went back.
+    pub fn seen(&self) -> u64 {
+        self.seen
+    }
+
+    /// Returns the time before which issued keys may have lost their records.
+    pub fn issued_from(&self) -> Millis {
+        self.issued_from
+    }
+
+    /// Takes in the version that a write got; `seen` is what was seen before the write began.
+    ///
+    /// Returns whether the store went on from there.
+    pub fn observe_write(&mut self, version: u64, seen: u64, now: Millis, skew: Millis) -> bool {
+        if version > seen {
+            self.seen = self.seen.max(version);
+            return true;
+        }
+        self.seen = version;
+        self.issued_from = now + skew;
+        false
+    }
+}
--- /dev/null
+++ b/components/decision/tests/execution/keys.rs
@@ -0,0 +1,51 @@
+use decision::Millis;
+use decision::execution::{IdempotencyKey, KeyError, KeyPolicy, StoreWatch};
+use rstest::rstest;
+
+const HOUR: u64 = 3_600_000;
+
+#[rstest]
+#[case("1000-a_b-C9", true)]
+#[case("1000-", false)]
+#[case("-abc", false)]
+#[case("abc", false)]
+#[case("x1-abc", false)]
+#[case("1000-a b", false)]
+fn can_tell_a_key_from_other_text(#[case] text: &str, #[case] good: bool) {
+    assert_eq!(text.parse::<IdempotencyKey>().is_ok(), good);
+}
+
+#[rstest]
+#[case(0, "ok")]
+#[case(HOUR, "ok")]
+#[case(HOUR + 1, "expired")]
+fn errors_when_a_key_is_too_old(#[case] age: u64, #[case] expected: &str) {
+    let key = IdempotencyKey { issued: Millis(20_000), random: "k".to_string() };
+    let policy =
+        KeyPolicy { retention: Millis(HOUR), skew: Millis(10_000), ..KeyPolicy::default() };
+    let result = policy.check(&key, Millis(20_000 + age));
+    assert_eq!(matches!(result, Err(KeyError::Expired { .. })), expected == "expired");
+    assert!(!policy.is_deletable(key.issued, Millis(20_000 + age)));
+    let ahead = policy.check(&key, Millis(9_999));
+    assert!(matches!(ahead, Err(KeyError::Ahead { .. })));
+    assert!(policy.check(&key, Millis(10_000)).is_ok());
+}
+
+#[test]
+fn errors_when_the_store_may_have_lost_the_record_of_a_key() {
+    let mut watch = StoreWatch::default();
+    let skew = KeyPolicy::default().skew;
+    let before = watch.seen();
+    assert!(watch.observe_write(7, before, Millis(50_000), skew));
+    let (first, second) = (watch.seen(), watch.seen());
+    assert!(watch.observe_write(9, first, Millis(50_001), skew));
+    assert!(watch.observe_write(8, second, Millis(50_002), skew), "answers may cross");
+    assert_eq!(watch.issued_from(), Millis(0));
+    let before = watch.seen();
+    assert!(!watch.observe_write(3, before, Millis(60_000), skew));
+    assert_eq!((watch.seen(), watch.issued_from()), (3, Millis(60_000) + skew));
+    let policy = KeyPolicy { issued_from: watch.issued_from(), ..KeyPolicy::default() };
+    let key = IdempotencyKey { issued: Millis(60_000), random: "k".to_string() };
+    let result = policy.check(&key, Millis(60_001));
+    assert_eq!(result, Err(KeyError::Forgotten { random: "k".to_string() }));
+}
