Record a call that may not be repeated before it is sent

Cause: serve_call sent each call at once and kept no outcome, so a caller that came back ran it twice. Ruled out: answering after the outcome is written; a kill between the two would then turn a told outcome into may_have_run and each call would wait for a second write. Conclusion: tables.rs gains the field records, the whole-path test sends the key that a booking now needs (a missing key is refused as not run), refusals without a record are not_run only for a caller's first attempt (header idempotency-attempt: 1).

--- /dev/null
+++ b/components/daemon/src/execution.rs
@@ -0,0 +1,125 @@
+use crate::attempt::Shell;
+use crate::records::RecordName;
+use crate::service::{ServiceCall, send_call};
+use decision::Millis;
+use decision::execution::{
+    Answer, Attempt, AttemptConfig, Call, Effect, EndpointAnswer, Event, IdempotencyKey,
+    ReadAnswer, WriteAnswer,
+};
+use errors::{Reason, Refusal, Verdict};
+use std::collections::VecDeque;
+use std::thread;
+use std::time::Duration;
+use utils::{random_id, sha256_hex, wall_clock};
+
+/// The pause before a call to the store is repeated.
+const STORE_PAUSE: Duration = Duration::from_millis(50);
+
+/// The key of a call and what its caller says of it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallerKey {
+    /// The key.
+    pub key: IdempotencyKey,
+    /// Whether the caller has sent no other attempt with it.
+    pub first: bool,
+}
+
+impl CallerKey {
+    /// Reads a caller's headers.
+    pub fn parse(key: Option<&str>, attempt: Option<&str>) -> Result<CallerKey, Refusal> {
+        let text = key.unwrap_or_default();
+        let malformed = |text: String| Refusal::not_run(Reason::BadIdempotencyKey, text);
+        let key = text.parse::<IdempotencyKey>().map_err(|e| malformed(e.to_string()))?;
+        Ok(CallerKey { key, first: attempt == Some("1") })
+    }
+}
+
+/// Weakens a refusal that only says that this attempt did not run the call.
+pub fn refusal_of_attempt(refusal: Refusal, first: bool) -> Refusal {
+    if first || refusal.verdict != Verdict::NotRun {
+        return refusal;
+    }
+    Refusal { verdict: Verdict::MayHaveRun, ..refusal }
+}
+
+/// Runs a call that may not be repeated; `answer` is called once, before the outcome is recorded.
+pub fn run_once<F: FnOnce(Answer)>(shell: &Shell, call: &ServiceCall, key: CallerKey, answer: F) {
+    let mut run = Run { shell, call, name: RecordName::new(&call.account, &key.key), sends: 0 };
+    let (mut attempt, effects) = run.start(key);
+    let mut answer = Some(answer);
+    let mut open = VecDeque::from(effects);
+    while let Some(effect) = open.pop_front() {
+        if let Effect::Answer(text) = effect {
+            if let Some(answer) = answer.take() {
+                answer(text);
+            }
+            continue;
+        }
+        let event = run.perform(effect);
+        if shell.tables.is_stopping() {
+            open.extend(attempt.on(Event::Stop, now()));
+        }
+        open.extend(attempt.on(event, now()));
+    }
+    debug_assert!(answer.is_none(), "each caller gets one answer");
+}
+
+/// One attempt at a call, with what its effects need.
+struct Run<'a> {
+    shell: &'a Shell,
+    call: &'a ServiceCall,
+    name: RecordName,
+    sends: u64,
+}
+
+impl Run<'_> {
+    fn start(&self, key: CallerKey) -> (Attempt, Vec<Effect>) {
+        let tables = &self.shell.tables;
+        let cfg = AttemptConfig { keys: tables.records.keys(), ..AttemptConfig::default() };
+        let call = Call {
+            key: key.key,
+            first: key.first,
+            nonce: format!("{:032x}", random_id()),
+            instance: format!("{:032x}", tables.instance),
+            digest: sha256_hex(&self.call.body),
+            store_version: tables.records.seen(),
+            deadline: now() + self.call.finish,
+        };
+        Attempt::start(cfg, call, now())
+    }
+
+    fn perform(&mut self, effect: Effect) -> Event {
+        let records = &self.shell.tables.records;
+        let event = match effect {
+            Effect::Create(record) => Event::Write(records.write(&self.name, &record, 0)),
+            Effect::Update(record, version) => {
+                Event::Write(records.write(&self.name, &record, version))
+            }
+            Effect::Read => Event::Read(records.read(&self.name)),
+            Effect::Send => Event::Endpoint(self.send()),
+            Effect::Answer(_) => Event::Stop,
+        };
+        if is_store_failure(&event) {
+            thread::sleep(STORE_PAUSE);
+        }
+        event
+    }
+
+    fn send(&mut self) -> EndpointAnswer {
+        let address = self.call.address(self.shell, self.sends);
+        self.sends += 1;
+        match address {
+            Some(address) => send_call(self.shell, address, self.call),
+            None => EndpointAnswer::NotStarted,
+        }
+    }
+}
+
+fn is_store_failure(event: &Event) -> bool {
+    let write_failed = matches!(event, Event::Write(WriteAnswer::Unsent | WriteAnswer::Lost));
+    write_failed || matches!(event, Event::Read(ReadAnswer::Failed))
+}
+
+fn now() -> Millis {
+    Millis(wall_clock())
+}
--- /dev/null
+++ b/components/daemon/src/records.rs
@@ -0,0 +1,88 @@
+use crate::tables::lock;
+use decision::Millis;
+use decision::execution::{IdempotencyKey, KeyPolicy, ReadAnswer, Record, StoreWatch, WriteAnswer};
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+use store::{Store, StoreError};
+use utils::{sha256_hex, wall_clock};
+
+/// The time after which a call to the store counts as lost.
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The span of issue times whose records share a kind, in milliseconds.
+const KIND_SPAN_MS: u64 = 60_000;
+
+/// Where the record of a key stands in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RecordName {
+    kind: String,
+    name: String,
+}
+
+impl RecordName {
+    /// Names the record of a client account's key.
+    pub fn new(account: &str, key: &IdempotencyKey) -> RecordName {
+        let kind = format!("runs-{}", key.issued.0 / KIND_SPAN_MS);
+        let name = sha256_hex(&format!("{account}\n{}\n{}", key.issued.0, key.random));
+        RecordName { kind, name }
+    }
+}
+
+/// The execution records in the object API.
+#[derive(Debug)]
+pub struct Records {
+    store: Store,
+    watch: Mutex<StoreWatch>,
+    skew: Millis,
+}
+
+impl Records {
+    /// Creates a client for the records.
+    pub fn new(address: SocketAddr) -> Records {
+        let store = Store::new(address, STORE_TIMEOUT);
+        Records { store, watch: Mutex::default(), skew: KeyPolicy::default().skew }
+    }
+
+    /// Returns the highest version seen in the store.
+    pub fn seen(&self) -> u64 {
+        lock(&self.watch).seen()
+    }
+
+    /// Returns how long keys may be used.
+    pub fn keys(&self) -> KeyPolicy {
+        let issued_from = lock(&self.watch).issued_from();
+        KeyPolicy { skew: self.skew, issued_from, ..KeyPolicy::default() }
+    }
+
+    /// Writes a record if the object has the expected version; 0 means that there is none.
+    pub fn write(&self, name: &RecordName, record: &Record, expected: u64) -> WriteAnswer {
+        let seen = self.seen();
+        match self.store.put(&name.kind, &name.name, record, expected) {
+            Ok(version) => {
+                let now = Millis(wall_clock());
+                if !lock(&self.watch).observe_write(version, seen, now, self.skew) {
+                    log::error!("the store went back from version {seen} to {version}");
+                }
+                WriteAnswer::Written(version)
+            }
+            Err(StoreError::Conflict { .. }) => WriteAnswer::Conflict,
+            Err(e) => {
+                log::warn!("record {}: {e}", name.name);
+                if e.may_have_written() { WriteAnswer::Lost } else { WriteAnswer::Unsent }
+            }
+        }
+    }
+
+    /// Reads a record.
+    pub fn read(&self, name: &RecordName) -> ReadAnswer {
+        match self.store.get::<Record>(&name.kind, &name.name) {
+            Ok(Some(object)) => ReadAnswer::Found(object.version, object.value),
+            Ok(None) => ReadAnswer::Missing,
+            Err(e) => {
+                log::warn!("record {}: {e}", name.name);
+                ReadAnswer::Failed
+            }
+        }
+    }
+}
--- a/components/daemon/src/service.rs
+++ b/components/daemon/src/service.rs
@@ -1,62 +1,173 @@
 use crate::attempt::Shell;
-use crate::callers::{permit, read_body};
+use crate::callers::{header, permit, read_body};
+use crate::execution::{CallerKey, refusal_of_attempt, run_once};
 use crate::reply::respond_refusal;
 use crate::tables::{lock, lock_read};
+use decision::Millis;
+use decision::execution::{Answer, EndpointAnswer, Outcome};
 use decision::load::EndpointState;
-use errors::{Reason, Refusal, Verdict};
+use errors::{Reason, Refusal};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tiny_http::{Request, Response};
+use tiny_http::{Header, Request, Response};
 use utils::{HttpError, client};
 
-const SERVICE_TIMEOUT: Duration = Duration::from_secs(10);
+/// The header that names a call that may not be repeated.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// The header by which a caller says which of its attempts with a key this is, from 1.
+const ATTEMPT_HEADER: &str = "idempotency-attempt";
+
+/// The attempts at a call that may be repeated.
+const REPEATABLE_TRIES: u64 = 3;
+
+/// A caller's call to a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall {
+    /// The number of the request.
+    pub number: u64,
+    /// The id of the request.
+    pub id: String,
+    /// The client account.
+    pub account: String,
+    /// The plain service.
+    pub service: String,
+    /// Whether the call may run more than once.
+    pub repeatable: bool,
+    /// The target for the end of the answer, from arrival.
+    pub finish: Millis,
+    /// The text of the caller's key.
+    pub key: String,
+    /// The body.
+    pub body: String,
+}
+
+impl ServiceCall {
+    /// Chooses an endpoint that takes new work for the try of this number, from 0.
+    pub fn address(&self, shell: &Shell, tries: u64) -> Option<SocketAddr> {
+        let addresses = lock_read(&shell.tables.addresses);
+        let scheduler = lock(&shell.tables.scheduler);
+        let live: Vec<SocketAddr> = scheduler
+            .endpoints()
+            .values()
+            .filter(|e| e.state == EndpointState::Live && e.info.serves.contains(&self.service))
+            .filter_map(|e| addresses.get(&e.info.name).copied())
+            .collect();
+        let start = self.number.wrapping_add(tries) as usize;
+        live.get(start.checked_rem(live.len())?).copied()
+    }
+}
 
 /// Serves a call to a plain service.
 pub fn serve_call(shell: &Shell, mut req: Request) -> io::Result<()> {
     let (number, id) = shell.tables.new_request();
-    match call(shell, &mut req, number, &id) {
-        Ok((status, text)) => req.respond(Response::from_string(text).with_status_code(status)),
-        Err(refusal) => respond_refusal(req, &id, &refusal),
+    let first = is_first_attempt(&req);
+    let prepared = prepare(shell, &mut req, number, &id).and_then(|call| {
+        let key = caller_key(&req, &call)?;
+        Ok((call, key))
+    });
+    match prepared {
+        Err(refusal) => respond_refusal(req, &id, &refusal_of_attempt(refusal, first)),
+        Ok((call, None)) => respond(req, &id, run_repeatable(shell, &call)),
+        Ok((call, Some(key))) => {
+            let mut result = Ok(());
+            run_once(shell, &call, key, |answer| result = respond(req, &id, answer));
+            result
+        }
     }
 }
 
-fn call(shell: &Shell, req: &mut Request, number: u64, id: &str) -> Result<(u16, String), Refusal> {
+/// Returns whether no earlier attempt at the call can have run it.
+fn is_first_attempt(req: &Request) -> bool {
+    header(req, KEY_HEADER).is_none() || header(req, ATTEMPT_HEADER) == Some("1")
+}
+
+fn prepare(
+    shell: &Shell,
+    req: &mut Request,
+    number: u64,
+    id: &str,
+) -> Result<ServiceCall, Refusal> {
     let in_force = shell.tables.lists();
     let arrival = permit(&shell.tables, &in_force, req)?.arrival(number, "");
-    let body = read_body(&shell.tables, req)?;
-    let Some(address) = service_address(shell, &arrival.serves) else {
-        let text = format!("no endpoint serves {}", arrival.serves);
-        return Err(Refusal::not_run(Reason::NoEndpoint, text).retry_after(1_000));
+    let call = ServiceCall {
+        number,
+        id: id.to_string(),
+        account: arrival.account,
+        service: arrival.serves,
+        repeatable: arrival.repeatable,
+        finish: arrival.finish,
+        key: header(req, KEY_HEADER).unwrap_or_default().to_string(),
+        body: read_body(&shell.tables, req)?,
     };
-    send_call(address, id, &body)
+    if is_first_attempt(req) && call.address(shell, 0).is_none() {
+        let text = format!("no endpoint serves {}", call.service);
+        return Err(Refusal::not_run(Reason::NoEndpoint, text).retry_after(1_000));
+    }
+    Ok(call)
 }
 
-fn service_address(shell: &Shell, service: &str) -> Option<SocketAddr> {
-    let addresses = lock_read(&shell.tables.addresses);
-    let scheduler = lock(&shell.tables.scheduler);
-    let found = scheduler
-        .endpoints()
-        .values()
-        .find(|e| e.state == EndpointState::Live && e.info.serves.contains(service))?;
-    addresses.get(&found.info.name).copied()
+fn caller_key(req: &Request, call: &ServiceCall) -> Result<Option<CallerKey>, Refusal> {
+    if call.repeatable {
+        return Ok(None);
+    }
+    CallerKey::parse(header(req, KEY_HEADER), header(req, ATTEMPT_HEADER)).map(Some)
+}
+
+fn run_repeatable(shell: &Shell, call: &ServiceCall) -> Answer {
+    let mut unclear = false;
+    for tries in 0..REPEATABLE_TRIES {
+        let Some(address) = call.address(shell, tries) else { break };
+        match send_call(shell, address, call) {
+            EndpointAnswer::Ran(outcome) => return Answer::Outcome(outcome),
+            EndpointAnswer::NotStarted => {}
+            EndpointAnswer::Lost => unclear = true,
+        }
+    }
+    let text = format!("no endpoint of {} answered", call.service);
+    let refusal = Refusal::not_run(Reason::EndpointFailed, text).retry_after(1_000);
+    Answer::Refused(refusal_of_attempt(refusal, !unclear))
 }
 
-fn send_call(address: SocketAddr, id: &str, body: &str) -> Result<(u16, String), Refusal> {
+/// Sends a call once.
+pub fn send_call(shell: &Shell, address: SocketAddr, call: &ServiceCall) -> EndpointAnswer {
     let url = format!("http://{address}/call");
-    let failed = |text: String| Refusal::may_have_run(Reason::EndpointFailed, text);
-    let sent =
-        client(attohttpc::post(&url), SERVICE_TIMEOUT).header("x-request-id", id).text(body).send();
+    let silence_limit = Duration::from_millis(shell.tables.cfg.silence_limit_ms);
+    let sent = client(attohttpc::post(&url), silence_limit)
+        .header("x-request-id", &call.id)
+        .header(KEY_HEADER, &call.key)
+        .text(&call.body)
+        .send();
     let res = match sent {
         Ok(res) => res,
         Err(source) => {
             let e = HttpError::Exchange { url, source };
-            let refusal = failed(e.to_string());
-            let verdict = if e.is_unsent() { Verdict::NotRun } else { Verdict::MayHaveRun };
-            return Err(Refusal { verdict, ..refusal });
+            log::warn!("request={} {e}", call.id);
+            return if e.is_unsent() { EndpointAnswer::NotStarted } else { EndpointAnswer::Lost };
         }
     };
+    if !res.is_success() && res.headers().get("x-verdict").is_some_and(|v| v == "not_run") {
+        return EndpointAnswer::NotStarted;
+    }
     let status = res.status().as_u16();
-    let text = res.text().map_err(|e| failed(e.to_string()))?;
-    Ok((status, text))
+    match res.text() {
+        Ok(body) => EndpointAnswer::Ran(Outcome { status, body }),
+        Err(e) => {
+            log::warn!("request={} {url}: {e}", call.id);
+            EndpointAnswer::Lost
+        }
+    }
+}
+
+fn respond(req: Request, id: &str, answer: Answer) -> io::Result<()> {
+    let outcome = match answer {
+        Answer::Outcome(outcome) => outcome,
+        Answer::Refused(refusal) => return respond_refusal(req, id, &refusal),
+    };
+    let mut res = Response::from_string(outcome.body).with_status_code(outcome.status);
+    if let Ok(header) = Header::from_bytes("x-request-id", id) {
+        res.add_header(header);
+    }
+    req.respond(res)
 }
--- a/components/daemon/src/tables.rs
+++ b/components/daemon/src/tables.rs
@@ -2,6 +2,7 @@
 use crate::lists::InForce;
 use crate::measures::Measures;
 use crate::peer::Peer;
+use crate::records::Records;
 use crate::spans::SpanTable;
 use config::Settings;
 use decision::Millis;
@@ -42,6 +43,8 @@
     pub scheduler: Mutex<Scheduler>,
     /// The requests.
     pub jobs: Mutex<Jobs>,
+    /// The execution records of calls that may not be repeated.
+    pub records: Records,
     /// The spans of the newest requests.
     pub spans: SpanTable,
     /// The measures by class.
@@ -71,6 +74,7 @@
             peers: RwLock::default(),
             scheduler: Mutex::new(Scheduler::new(scheduler_cfg)),
             jobs: Mutex::default(),
+            records: Records::new(cfg.store),
             spans: SpanTable::default(),
             measures: Measures::new(cfg.metrics)?,
             stopping: AtomicBool::new(false),
--- a/components/utils/src/lib.rs
+++ b/components/utils/src/lib.rs
@@ -1,10 +1,12 @@
 //! Small helpers for HTTP, identities and digests.
 
+mod clock;
 mod digest;
 mod http;
 mod id;
 mod pool;
 
+pub use clock::wall_clock;
 pub use digest::sha256_hex;
 pub use http::{
     ChunkWriter, HttpError, body_text, client, get_json, listen, post_json, put_json, respond_json,
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -97,6 +97,7 @@
     let call = attohttpc::post(format!("http://{}/v1/call", site.daemon.address))
         .header("authorization", "Bearer key-1")
         .header("x-request-class", "booking")
+        .header("idempotency-key", format!("{}-whole-path", utils::wall_clock()))
         .text("{}")
         .send()
         .unwrap();
