Add a seeded driver in virtual time for the decisions under load

Cause: the decisions under load had no measure; the issue asks for attainment, goodput, waste and link bytes beside baselines before any mechanism is added.

--- /dev/null
+++ b/components/decision/src/load/pool_load.rs
@@ -0,0 +1,35 @@
+use super::TIERS;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The load that one daemon puts on one pool.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct PoolLoad {
+    /// Waiting requests by tier, the highest first.
+    pub waiting: [u32; TIERS],
+    /// Running requests by tier that could give way.
+    pub running: [u32; TIERS],
+    /// Running requests that the floor of their class protects.
+    pub protected: u32,
+    /// Waiting requests by tier that miss their target unless another gives way.
+    pub pressed: [u32; TIERS],
+    /// Streams that the daemon could start now.
+    pub room: u32,
+    /// The measured delay of the queue, in milliseconds.
+    pub delay_ms: u32,
+}
+
+/// What a daemon spreads to the others a few times a second.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct DaemonLoad {
+    /// The name of the daemon.
+    pub daemon: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its region.
+    pub region: String,
+    /// Its pools by model or plain service.
+    pub pools: BTreeMap<String, PoolLoad>,
+}
--- a/components/decision/src/load/scheduler.rs
+++ b/components/decision/src/load/scheduler.rs
@@ -1,4 +1,6 @@
-use super::{Effect, Endpoint, EndpointInfo, EndpointReport, EndpointState};
+use super::{
+    Arrival, DaemonLoad, Effect, Endpoint, EndpointInfo, EndpointReport, EndpointState, Outcome,
+};
 use crate::Millis;
 use errors::{Reason, Refusal, Verdict};
 use serde::{Deserialize, Serialize};
@@ -8,8 +10,14 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
 pub struct SchedulerConfig {
+    /// The name of this daemon.
+    pub name: String,
     /// The data centre of this daemon.
     pub data_centre: String,
+    /// The region of this daemon.
+    pub region: String,
+    /// The seed of the choices that are drawn.
+    pub seed: u64,
     /// Requests that wait in this daemon at most.
     pub queue_limit: usize,
     /// Attempts for one request at most.
@@ -21,7 +29,10 @@
 impl Default for SchedulerConfig {
     fn default() -> SchedulerConfig {
         SchedulerConfig {
+            name: String::new(),
             data_centre: String::new(),
+            region: String::new(),
+            seed: 0,
             queue_limit: 1024,
             attempt_limit: 3,
             rest_after_failure: Millis(1_000),
@@ -29,44 +40,6 @@
     }
 }
 
-/// A request as it reaches the scheduler, with what the lists grant it.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(default)]
-pub struct Arrival {
-    /// The number of the request within this daemon.
-    pub request: u64,
-    /// The client account.
-    pub account: String,
-    /// The request class.
-    pub class: String,
-    /// The service tier; 1 is the highest.
-    pub tier: u8,
-    /// The model or plain service that answers.
-    pub serves: String,
-    /// Whether the call may run more than once.
-    pub repeatable: bool,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// A hash of the start of the prompt, for the endpoint's prefix cache.
-    pub prefix: u64,
-    /// The target for the first token, from arrival.
-    pub first_token: Millis,
-    /// The target for the end of the answer, from arrival.
-    pub finish: Millis,
-}
-
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Outcome {
-    /// The answer is whole.
-    Done,
-    /// The caller left and the attempt was ended.
-    Abandoned,
-    /// The attempt failed with this verdict.
-    Failed(Verdict),
-}
-
 #[derive(Clone, Debug)]
 struct Entry {
     arrival: Arrival,
@@ -200,6 +173,16 @@
         self.dispatch(now)
     }
 
+    /// Returns what this daemon spreads to the others.
+    pub fn own_load(&mut self, _now: Millis) -> DaemonLoad {
+        DaemonLoad::default()
+    }
+
+    /// Takes in what another daemon spreads.
+    pub fn peer_load(&mut self, _load: &DaemonLoad, now: Millis) -> Vec<Effect> {
+        self.tick(now)
+    }
+
     fn dispatch(&mut self, now: Millis) -> Vec<Effect> {
         let mut effects = Vec::new();
         let waiting: Vec<(u8, u64)> = self.queue.keys().copied().collect();
--- /dev/null
+++ b/components/workload/src/lib.rs
@@ -0,0 +1,21 @@
+//! A seeded driver in virtual time over copies of the scheduler, with a small engine model.
+
+mod baseline;
+mod engine;
+mod fault;
+mod measure;
+mod policy;
+mod scenario;
+mod site;
+mod table;
+mod traffic;
+mod world;
+
+pub use baseline::{Baseline, Choice, Order};
+pub use fault::Fault;
+pub use measure::{ClassMeasure, Measure};
+pub use policy::{Policy, Variant};
+pub use scenario::Scenario;
+pub use site::{ClassSpec, Site};
+pub use table::{Row, print_table};
+pub use world::run;
--- /dev/null
+++ b/components/workload/src/main.rs
@@ -0,0 +1,70 @@
+//! Prints the measures under load.
+
+use argh::FromArgs;
+use decision::load::{Scheduler, SchedulerConfig};
+use workload::{Baseline, Choice, Measure, Order, Row, Scenario, Variant, print_table, run};
+
+/// Measures the decisions under load in virtual time.
+#[derive(Debug, FromArgs)]
+struct Options {
+    /// scenarios, by name, separated by commas; workloads, faults or a name
+    #[argh(option, default = "String::from(\"workloads\")")]
+    scenarios: String,
+    /// policies, by name, separated by commas
+    #[argh(
+        option,
+        default = "String::from(\"chervilspur,random,round_robin,least,fifo,priority\")"
+    )]
+    policies: String,
+    /// seeds for each row
+    #[argh(option, default = "10")]
+    seeds: u64,
+    /// the first seed
+    #[argh(option, default = "1")]
+    first_seed: u64,
+}
+
+fn scheduler(variant: &Variant) -> SchedulerConfig {
+    SchedulerConfig {
+        name: variant.daemon.clone(),
+        data_centre: variant.data_centre.clone(),
+        region: variant.region.clone(),
+        seed: variant.seed,
+        ..SchedulerConfig::default()
+    }
+}
+
+fn run_named(scenario: &Scenario, policy: &str, seed: u64) -> Option<Measure> {
+    let baseline = |order, choice| run(scenario, seed, |v| Baseline::new(order, choice, v));
+    let measure = match policy {
+        "chervilspur" => run(scenario, seed, |v| Scheduler::new(scheduler(v))),
+        "random" => baseline(Order::Fifo, Choice::Random),
+        "round_robin" => baseline(Order::Fifo, Choice::RoundRobin),
+        "least" | "fifo" => baseline(Order::Fifo, Choice::LeastOutstanding),
+        "priority" => baseline(Order::Tier, Choice::LeastOutstanding),
+        _ => return None,
+    };
+    Some(measure)
+}
+
+fn scenarios(names: &str) -> Vec<Scenario> {
+    let of = |name: &str| match name {
+        "workloads" => Scenario::workloads(),
+        "faults" => Scenario::faults(),
+        name => Scenario::by_name(name).into_iter().collect(),
+    };
+    names.split(',').flat_map(of).collect()
+}
+
+fn main() {
+    let options: Options = argh::from_env();
+    let mut rows = Vec::new();
+    for scenario in scenarios(&options.scenarios) {
+        for policy in options.policies.split(',') {
+            let seeds = options.first_seed..options.first_seed + options.seeds;
+            let runs = seeds.filter_map(|seed| run_named(&scenario, policy, seed)).collect();
+            rows.push(Row { scenario: scenario.name, policy: policy.to_string(), runs });
+        }
+    }
+    print_table(&rows);
+}
