Add the cluster state machine

Cause: daemons did not know of each other; each read the lists by itself, which loads the store in proportion to the fleet. Ruled out: deciding the death of members of another data centre, since a cut of an hour would end every identity; one patch for each change, since watchers that skip a revision would each compute another; so the lists go as chunks named by digest.

--- /dev/null
+++ b/components/decision/src/cluster/chunks.rs
@@ -0,0 +1,114 @@
+//! Text cut into chunks that are named by their digest, so that a change moves few of them.
+
+use super::identity::digest;
+use messages::cluster::Chunk;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Bytes of text in a leaf at most, so that it fits a packet.
+const LEAF_LIMIT: usize = 900;
+/// Bytes of text in a leaf at least, but for the last one.
+const LEAF_MINIMUM: usize = 256;
+/// A leaf ends where this many leading bits of the rolling hash are zero.
+const LEAF_BITS: u32 = 9;
+/// Children of a branch at most.
+const BRANCH_LIMIT: usize = 90;
+/// Children of a branch at least, but for the last one.
+const BRANCH_MINIMUM: usize = 8;
+/// A branch ends after a digest with this many leading zero bits.
+const BRANCH_BITS: u32 = 5;
+
+/// Chunks by digest.
+pub type ChunkMap = BTreeMap<u64, Arc<Chunk>>;
+
+/// A text as a tree of chunks.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ChunkTree {
+    /// The digest of the root.
+    pub root: u64,
+    /// All chunks of the tree.
+    pub chunks: ChunkMap,
+}
+
+impl ChunkTree {
+    /// Cuts a text.
+    pub fn split(text: &str) -> ChunkTree {
+        let mut chunks = ChunkMap::new();
+        let leaves = split_text(text).into_iter();
+        let mut level: Vec<u64> = leaves
+            .map(|leaf| insert(&mut chunks, Chunk { text: leaf.to_string(), children: Vec::new() }))
+            .collect();
+        while level.len() > 1 {
+            let branches = split_digests(&level).into_iter();
+            level = branches
+                .map(|b| insert(&mut chunks, Chunk { text: String::new(), children: b.to_vec() }))
+                .collect();
+        }
+        let root = level.first().copied().unwrap_or_default();
+        ChunkTree { root, chunks }
+    }
+
+    /// Joins the text again; a missing chunk gives `None`.
+    pub fn text(&self) -> Option<String> {
+        let mut text = String::new();
+        let mut stack = vec![self.root];
+        while let Some(next) = stack.pop() {
+            let chunk = self.chunks.get(&next)?;
+            text.push_str(&chunk.text);
+            stack.extend(chunk.children.iter().rev());
+        }
+        Some(text)
+    }
+}
+
+/// Returns the digest that names a chunk.
+pub fn chunk_digest(chunk: &Chunk) -> u64 {
+    let mut buf = Vec::with_capacity(chunk.text.len() + chunk.children.len() * 8 + 1);
+    buf.push(u8::from(chunk.children.is_empty()));
+    buf.extend_from_slice(chunk.text.as_bytes());
+    chunk.children.iter().for_each(|child| buf.extend_from_slice(&child.to_be_bytes()));
+    (digest(&buf) >> 64) as u64
+}
+
+fn insert(chunks: &mut ChunkMap, chunk: Chunk) -> u64 {
+    let name = chunk_digest(&chunk);
+    chunks.insert(name, Arc::new(chunk));
+    name
+}
+
+fn split_text(text: &str) -> Vec<&str> {
+    let mut leaves = Vec::new();
+    let mut start = 0;
+    let mut hash = 0u64;
+    for (i, c) in text.char_indices() {
+        let end = i + c.len_utf8();
+        hash = (hash << 1).wrapping_add((u64::from(c) + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let len = end - start;
+        let at_boundary = hash >> (64 - LEAF_BITS) == 0 && len >= LEAF_MINIMUM;
+        if at_boundary || len + 4 > LEAF_LIMIT {
+            leaves.push(&text[start..end]);
+            start = end;
+        }
+    }
+    if start < text.len() || leaves.is_empty() {
+        leaves.push(&text[start..]);
+    }
+    leaves
+}
+
+fn split_digests(level: &[u64]) -> Vec<&[u64]> {
+    let mut branches = Vec::new();
+    let mut start = 0;
+    for (i, name) in level.iter().enumerate() {
+        let len = i + 1 - start;
+        let at_boundary = name >> (64 - BRANCH_BITS) == 0 && len >= BRANCH_MINIMUM;
+        if at_boundary || len == BRANCH_LIMIT {
+            branches.push(&level[start..=i]);
+            start = i + 1;
+        }
+    }
+    if start < level.len() {
+        branches.push(&level[start..]);
+    }
+    branches
+}
--- /dev/null
+++ b/components/decision/src/cluster/following.rs
@@ -0,0 +1,145 @@
+//! Taking lists from the store and from other daemons, and spreading what is new.
+
+use super::state::Cluster;
+use super::{Effect, Offer, Revision, StoreOutcome, packet_size};
+use crate::Millis;
+use messages::cluster::{Packet, PacketKind};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Times that a new revision is announced.
+const ANNOUNCEMENTS: u32 = 4;
+/// The time between two announcements of a revision.
+const ANNOUNCE_INTERVAL: Millis = Millis(100);
+/// Budget below which a packet that only spreads news is not worth sending.
+const SPREAD_MINIMUM: u64 = 200;
+
+impl Cluster {
+    /// Takes in lists that were read from the store.
+    pub(super) fn take_lists(
+        &mut self,
+        version: u64,
+        revision: u64,
+        text: String,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        let limits = self.store_limits();
+        self.store.ended(StoreOutcome::Read { version }, &limits, &mut self.rng, now);
+        let before = self.lists.in_force();
+        match self.lists.offer(revision, &text) {
+            Offer::Taken => {}
+            Offer::Known => self.older_reported = None,
+            Offer::Older => self.report_older(revision, effects),
+            Offer::Conflict => effects.push(Effect::RevisionConflict { revision }),
+        }
+        if self.lists.in_force() > before {
+            self.put_in_force(text, now, effects);
+        }
+    }
+
+    fn report_older(&mut self, store: u64, effects: &mut Vec<Effect>) {
+        if self.older_reported == Some(store) {
+            return;
+        }
+        self.older_reported = Some(store);
+        effects.push(Effect::StoreOlder { store, in_force: self.lists.in_force().number });
+    }
+
+    fn put_in_force(&mut self, text: String, now: Millis, effects: &mut Vec<Effect>) {
+        let revision: Revision = self.lists.in_force();
+        effects.push(Effect::InForce { revision, text });
+        self.announcements = ANNOUNCEMENTS;
+        self.due.announce = now;
+        self.announce_when_due(now, effects);
+        self.become_ready(effects);
+    }
+
+    pub(super) fn take_chunks(&mut self, packet: &Packet, now: Millis, effects: &mut Vec<Effect>) {
+        for chunk in &packet.chunks {
+            if let Some(text) = self.lists.receive(chunk.clone(), now) {
+                self.put_in_force(text, now, effects);
+            }
+        }
+    }
+
+    /// Sends the chunks that another daemon lacks.
+    pub(super) fn serve_wants(&mut self, to: SocketAddr, wants: &[u64], effects: &mut Vec<Effect>) {
+        let found: Vec<_> =
+            wants.iter().filter_map(|name| self.lists.chunk(*name).map(Arc::clone)).collect();
+        let mut packet = self.packet(PacketKind::Push, 0);
+        for chunk in found {
+            packet.chunks.push((*chunk).clone());
+            if packet_size(&packet) <= self.cfg.packet_limit {
+                continue;
+            }
+            packet.chunks.pop();
+            let mut next = self.packet(PacketKind::Push, 0);
+            next.chunks.push((*chunk).clone());
+            effects.push(Effect::Send { to, packet: std::mem::replace(&mut packet, next) });
+        }
+        if !packet.chunks.is_empty() {
+            effects.push(Effect::Send { to, packet });
+        }
+    }
+
+    pub(super) fn follow_lists(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        self.announce_when_due(now, effects);
+        self.fetch(now, effects);
+        if let Some(text) = self.lists.complete() {
+            self.put_in_force(text, now, effects);
+        }
+        if !self.is_watcher || !self.join.joined {
+            return;
+        }
+        let limits = self.store_limits();
+        if let Some(call) = self.store.due(&limits, now) {
+            effects.push(Effect::Store(call));
+        }
+    }
+
+    /// Asks for chunks that are lacking.
+    pub(super) fn fetch(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let window = self.cfg.fetch_window;
+        let Some((to, names)) = self.lists.wants(window, self.cfg.fetch_timeout, now) else {
+            return;
+        };
+        let mut packet = self.packet(PacketKind::Want, 0);
+        packet.wants = names;
+        effects.push(Effect::Send { to, packet });
+    }
+
+    fn announce_when_due(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        if self.announcements == 0 || now < self.due.announce {
+            return;
+        }
+        let is_first = self.announcements == ANNOUNCEMENTS;
+        self.announcements -= 1;
+        self.due.announce = now + ANNOUNCE_INTERVAL;
+        let count = if is_first { self.cfg.fanout } else { self.cfg.fanout / 2 };
+        let mut targets = self.some_local(count);
+        if self.is_bridge && is_first {
+            targets.extend(self.one_of_each_other());
+        }
+        for to in targets {
+            let packet = self.packet(PacketKind::Push, 0);
+            effects.push(Effect::Send { to, packet });
+        }
+    }
+
+    /// Sends a packet that only carries news.
+    pub(super) fn spread_when_due(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        if now < self.due.spread || self.spread.is_empty() {
+            return;
+        }
+        if self.spread.credit() < SPREAD_MINIMUM {
+            return;
+        }
+        self.due.spread = now + self.cfg.spread_interval;
+        let Some(to) = self.some_local(1).pop() else { return };
+        let mut packet = self.packet(PacketKind::Push, 0);
+        let data_centre = self.cfg.data_centre.clone();
+        self.add_news(&mut packet, &data_centre, now);
+        effects.push(Effect::Send { to, packet });
+    }
+}
--- /dev/null
+++ b/components/decision/src/cluster/members.rs
@@ -0,0 +1,150 @@
+use super::{Identity, Member, MemberState};
+use crate::Millis;
+use std::collections::BTreeMap;
+
+/// Ends of members that are remembered at most.
+const TOMBSTONES: usize = 8_192;
+/// Members that share a bucket, on average.
+const BUCKET_MEMBERS: usize = 6;
+
+/// What a record changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Merge {
+    /// Nothing new.
+    Known,
+    /// The record is older than what is known.
+    Stale,
+    /// The record speaks of a member whose end is known.
+    Ended(Member),
+    /// The member is new here or has a new state.
+    Changed(Member),
+}
+
+/// What this daemon knows of the others.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    live: BTreeMap<Identity, Member>,
+    ended: BTreeMap<Identity, (Member, Millis)>,
+    suspected: BTreeMap<Identity, Millis>,
+}
+
+impl Members {
+    /// Returns a live or suspected member.
+    pub fn get(&self, identity: Identity) -> Option<&Member> {
+        self.live.get(&identity)
+    }
+
+    /// Returns the live and suspected members by identity.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.live.values()
+    }
+
+    /// Returns the record of a member that left or died.
+    pub fn ended(&self, identity: Identity) -> Option<&Member> {
+        self.ended.get(&identity).map(|(member, _)| member)
+    }
+
+    /// Returns how many members are live or suspected.
+    pub fn len(&self) -> usize {
+        self.live.len()
+    }
+
+    /// Returns whether no member is known.
+    pub fn is_empty(&self) -> bool {
+        self.live.is_empty()
+    }
+
+    /// Returns how many ends are remembered.
+    pub fn tombstones(&self) -> usize {
+        self.ended.len()
+    }
+
+    /// Takes in a record: an end wins, then the higher sequence, then the suspicion.
+    pub fn merge(&mut self, record: Member, now: Millis) -> Merge {
+        let identity = record.identity;
+        if let Some((ended, _)) = self.ended.get(&identity) {
+            let ended = ended.clone();
+            return if record.state.is_final() { Merge::Known } else { Merge::Ended(ended) };
+        }
+        if record.state.is_final() {
+            self.end(record.clone(), now);
+            return Merge::Changed(record);
+        }
+        if let Some(known) = self.live.get(&identity) {
+            let old = (known.sequence, known.state);
+            let new = (record.sequence, record.state);
+            if new == old {
+                return Merge::Known;
+            }
+            if new < old {
+                return Merge::Stale;
+            }
+        }
+        match record.state {
+            MemberState::Suspected => self.suspected.insert(identity, now),
+            _ => self.suspected.remove(&identity),
+        };
+        self.live.insert(identity, record.clone());
+        Merge::Changed(record)
+    }
+
+    /// Restarts the time that each suspected member has to show that it lives.
+    pub fn restart_suspicions(&mut self, now: Millis) {
+        self.suspected.values_mut().for_each(|since| *since = now);
+    }
+
+    /// Returns the members that have been suspected for `limit`.
+    pub fn overdue(&self, limit: Millis, now: Millis) -> Vec<Identity> {
+        let overdue = self.suspected.iter().filter(|(_, since)| now.since(**since) >= limit);
+        overdue.map(|(identity, _)| *identity).collect()
+    }
+
+    /// Forgets ends that lie further back than `limit`.
+    pub fn expire(&mut self, limit: Millis, now: Millis) {
+        self.ended.retain(|_, (_, at)| now.since(*at) < limit);
+        while self.ended.len() > TOMBSTONES {
+            let oldest = self.ended.iter().min_by_key(|(_, (_, at))| *at);
+            let Some(identity) = oldest.map(|(identity, _)| *identity) else { return };
+            self.ended.remove(&identity);
+        }
+    }
+
+    /// Returns how many leading bits tell the buckets of the members apart.
+    pub fn bucket_bits(&self) -> u32 {
+        (self.live.len() / BUCKET_MEMBERS + 1).next_power_of_two().trailing_zeros()
+    }
+
+    /// Returns the members of a bucket.
+    pub fn bucket(&self, bits: u32, index: u64) -> impl Iterator<Item = &Member> {
+        let (first, last) = bucket_range(bits, index);
+        self.live.range(first..=last).map(|(_, member)| member)
+    }
+
+    /// Checks that no member is live and ended, and that each suspicion has its member.
+    pub fn check(&self) {
+        for identity in self.ended.keys() {
+            assert!(!self.live.contains_key(identity), "ended member {identity} is live");
+        }
+        for identity in self.suspected.keys() {
+            let state = self.live.get(identity).map(|m| m.state);
+            assert_eq!(state, Some(MemberState::Suspected), "suspicion of {identity}");
+        }
+    }
+
+    fn end(&mut self, record: Member, now: Millis) {
+        self.live.remove(&record.identity);
+        self.suspected.remove(&record.identity);
+        self.ended.insert(record.identity, (record, now));
+    }
+}
+
+/// Returns the first and last identity of a bucket.
+pub(super) fn bucket_range(bits: u32, index: u64) -> (Identity, Identity) {
+    let bits = bits.min(32);
+    if bits == 0 {
+        return (Identity(0), Identity(u128::MAX));
+    }
+    let shift = 128 - bits;
+    let first = (u128::from(index) & ((1 << bits) - 1)) << shift;
+    (Identity(first), Identity(first | ((1 << shift) - 1)))
+}
--- /dev/null
+++ b/components/decision/src/cluster/membership.rs
@@ -0,0 +1,375 @@
+//! Joining, learning of members, leaving, and being taken for dead.
+
+use super::identity::mix;
+use super::spread::News;
+use super::state::Cluster;
+use super::{Effect, Identity, Member, MemberChange, MemberState, Merge, Scope, Seed};
+use crate::Millis;
+use messages::cluster::{Bucket, Packet, PacketKind};
+use rand::seq::{IndexedRandom, IteratorRandom};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// Daemons that one attempt to join asks.
+const JOIN_PEERS: usize = 2;
+/// Answers after which a daemon has joined.
+const JOIN_ANSWERS: u32 = 2;
+/// The time between two probes of listed daemons that are no members.
+const SEED_INTERVAL: Millis = Millis(2_000);
+/// The time between two exchanges of a bucket.
+const EXCHANGE_INTERVAL: Millis = Millis(1_000);
+/// The time between two notes of the data centres that a bridge reaches.
+const REACH_INTERVAL: Millis = Millis(10_000);
+/// The time for which such a note holds.
+const REACH_TTL: Millis = Millis(25_000);
+/// The key of such a note.
+const REACH_KEY: &str = "reach";
+
+impl Cluster {
+    pub(super) fn learn_all(
+        &mut self,
+        sender: Identity,
+        packet: &Packet,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut ended = Vec::new();
+        let mut reply_to = self.members.get(sender).map(|member| member.address);
+        for record in &packet.members {
+            let Some(member) = Member::from_record(record) else {
+                self.counters.bad_records += 1;
+                continue;
+            };
+            if member.identity == sender {
+                reply_to = Some(member.address);
+            }
+            if let Some(end) = self.learn(member, now, effects) {
+                ended.push(end.to_record());
+            }
+        }
+        if let (Some(to), false) = (reply_to, ended.is_empty()) {
+            self.send_all(to, ended, Vec::new(), effects);
+        }
+    }
+
+    /// Takes in a record; returns the end of a member that the record takes for live.
+    pub(super) fn learn(
+        &mut self,
+        record: Member,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Member> {
+        if record.identity == self.me.identity {
+            self.learn_of_self(&record, now, effects);
+            return None;
+        }
+        let mut record = record;
+        if record.address == self.me.address && !record.state.is_final() {
+            // This process has the address now, so its former owner is gone.
+            record.state = MemberState::Dead;
+        }
+        let identity = record.identity;
+        let before = self.members.get(identity).map(|member| member.state);
+        match self.members.merge(record, now) {
+            Merge::Changed(member) => {
+                self.note_change(before, member, now, effects);
+                None
+            }
+            Merge::Known => {
+                self.spread.heard(&News::Member(identity));
+                None
+            }
+            Merge::Stale => None,
+            Merge::Ended(end) => Some(end),
+        }
+    }
+
+    fn note_change(
+        &mut self,
+        before: Option<MemberState>,
+        member: Member,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        let change = match (before, member.state) {
+            (_, MemberState::Left) => MemberChange::Left,
+            (_, MemberState::Dead) => MemberChange::Dead,
+            (_, MemberState::Suspected) => MemberChange::Suspected,
+            (None, MemberState::Live) => MemberChange::Joined,
+            (Some(MemberState::Suspected), MemberState::Live) => MemberChange::Recovered,
+            (Some(_), MemberState::Live) => {
+                self.spread.push(News::Member(member.identity));
+                return;
+            }
+        };
+        if before.is_none() && member.state.is_final() {
+            // Whoever knew the member hears of its end from others.
+            return;
+        }
+        self.spread.push(News::Member(member.identity));
+        if change == MemberChange::Joined {
+            self.probe_namesake(&member, now, effects);
+        }
+        effects.push(Effect::Member { member, change });
+    }
+
+    /// Probes a member whose address a new member has, so that the answer shows which one lives.
+    fn probe_namesake(&mut self, new: &Member, now: Millis, effects: &mut Vec<Effect>) {
+        let namesake = self.members.iter().find(|m| m.address == new.address && **m != *new);
+        if let Some(identity) = namesake.map(|member| member.identity) {
+            self.probe(identity, now, effects);
+        }
+    }
+
+    fn learn_of_self(&mut self, record: &Member, now: Millis, effects: &mut Vec<Effect>) {
+        if self.leaving {
+            return;
+        }
+        if record.state.is_final() {
+            return self.replace_identity(now, effects);
+        }
+        if record.state == MemberState::Suspected && record.sequence >= self.me.sequence {
+            self.me.sequence = record.sequence + 1;
+            self.counters.refuted += 1;
+            self.spread.push(News::Member(self.me.identity));
+        }
+    }
+
+    fn replace_identity(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let old = self.me.identity;
+        let ended = Member { state: MemberState::Dead, ..self.me.clone() };
+        self.members.merge(ended, now);
+        self.spread.remove(&News::Member(old));
+        self.me.identity = Identity::random(&mut self.rng);
+        self.me.sequence = 0;
+        self.spread.push(News::Member(self.me.identity));
+        self.due.duties = now;
+        effects.push(Effect::IdentityReplaced { old, new: self.me.identity });
+    }
+
+    /// Notes that a member is gone for good.
+    pub(super) fn bury(&mut self, identity: Identity, now: Millis, effects: &mut Vec<Effect>) {
+        let Some(member) = self.members.get(identity).cloned() else { return };
+        let record = Member { state: MemberState::Dead, ..member };
+        self.learn(record, now, effects);
+    }
+
+    /// Takes in the platform's list of daemons.
+    pub(super) fn take_seeds(&mut self, seeds: Vec<Seed>, now: Millis, effects: &mut Vec<Effect>) {
+        let seeds: Vec<Seed> = seeds.into_iter().filter(|s| s.address != self.me.address).collect();
+        let listed: BTreeSet<SocketAddr> = seeds.iter().map(|seed| seed.address).collect();
+        self.seeds = Some(seeds);
+        let gone: Vec<Identity> = self
+            .members
+            .iter()
+            .filter(|m| self.reachable.get(&m.data_centre) == Some(&false))
+            .filter(|m| !listed.contains(&m.address))
+            .map(|m| m.identity)
+            .collect();
+        self.unlisted.retain(|identity, _| gone.contains(identity));
+        for identity in gone {
+            let since = *self.unlisted.entry(identity).or_insert(now);
+            if now.since(since) >= self.cfg.unlisted_limit {
+                self.bury(identity, now, effects);
+            }
+        }
+    }
+
+    pub(super) fn join_when_due(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        if self.join.joined {
+            return self.probe_seed_when_due(now, effects);
+        }
+        if now < self.join.next_at {
+            return;
+        }
+        let Some(seeds) = &self.seeds else { return };
+        self.join.next_at = now + self.cfg.join_interval;
+        let enough = self.join.answers >= JOIN_ANSWERS;
+        let late = self.join.attempts >= 2 && self.join.answers > 0;
+        let alone = self.join.attempts >= self.cfg.join_attempts && self.join.answers == 0;
+        if enough || late || alone {
+            self.join.joined = true;
+            return;
+        }
+        self.join.attempts += 1;
+        let own = |seed: &&Seed| seed.data_centre == self.cfg.data_centre;
+        let prefer_own = self.join.attempts <= 2 && seeds.iter().any(|seed| own(&seed));
+        let candidates = seeds.iter().filter(|seed| !prefer_own || own(seed));
+        let chosen = candidates.map(|seed| seed.address).sample(&mut self.rng, JOIN_PEERS);
+        for to in chosen {
+            let number = self.prober.number();
+            let mut packet = self.packet(PacketKind::Join, number);
+            packet.members.push(self.me.to_record());
+            effects.push(Effect::Send { to, packet });
+        }
+    }
+
+    fn probe_seed_when_due(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        if now < self.due.seeds {
+            return;
+        }
+        self.due.seeds = now + SEED_INTERVAL;
+        let Some(seeds) = &self.seeds else { return };
+        let known: BTreeSet<SocketAddr> = self.members.iter().map(|m| m.address).collect();
+        let unknown: Vec<&Seed> = seeds.iter().filter(|s| !known.contains(&s.address)).collect();
+        let Some(to) = unknown.choose(&mut self.rng).map(|seed| seed.address) else { return };
+        let number = self.prober.number();
+        let mut packet = self.packet(PacketKind::Probe, number);
+        packet.members.push(self.me.to_record());
+        effects.push(Effect::Send { to, packet });
+    }
+
+    /// Tells a daemon that joins all members and all values that reach it.
+    pub(super) fn introduce(
+        &mut self,
+        joiner: Identity,
+        to: SocketAddr,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        let is_local = self
+            .members
+            .get(joiner)
+            .is_some_and(|member| member.data_centre == self.cfg.data_centre);
+        let others = self.members.iter().filter(|member| member.identity != joiner);
+        let records = others.map(Member::to_record).collect();
+        let visible = self.table.iter(now).filter(|e| is_local || e.scope == Scope::Fleet);
+        let entries = visible.map(|entry| entry.to_wire(now)).collect();
+        self.send_all(to, records, entries, effects);
+    }
+
+    /// Sends the records of a bucket whose digest differs from the other daemon's.
+    pub(super) fn compare_bucket(
+        &mut self,
+        to: SocketAddr,
+        bucket: &Bucket,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Bucket { bits, index, digest } = *bucket;
+        if bits > 16 || self.bucket_digest(bits, index) == digest || now < self.due.exchange {
+            return;
+        }
+        self.due.exchange = now + EXCHANGE_INTERVAL;
+        let mut packet = self.packet(PacketKind::Exchange, 0);
+        packet.bucket = Bucket { bits, index, digest: self.bucket_digest(bits, index) };
+        let records: Vec<_> = self.bucket(bits, index).into_iter().map(Member::to_record).collect();
+        let count = records.len();
+        for record in records.into_iter().sample(&mut self.rng, count) {
+            packet.members.push(record);
+            if super::packet_size(&packet) > self.cfg.packet_limit {
+                packet.members.pop();
+                break;
+            }
+        }
+        effects.push(Effect::Send { to, packet });
+    }
+
+    /// Answers an exchange with the records that the other daemon lacks.
+    pub(super) fn complete_exchange(
+        &mut self,
+        to: SocketAddr,
+        packet: &Packet,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Bucket { bits, index, .. } = packet.bucket;
+        if bits > 16 {
+            return;
+        }
+        let has = |member: &Member| {
+            let same = packet.members.iter().find(|r| Identity::from(&r.id) == member.identity);
+            same.is_some_and(|record| record.sequence >= member.sequence)
+        };
+        let lacking: Vec<_> = self
+            .bucket(bits, index)
+            .into_iter()
+            .filter(|member| !has(member))
+            .map(Member::to_record)
+            .collect();
+        if !lacking.is_empty() {
+            self.send_all(to, lacking, Vec::new(), effects);
+        }
+    }
+
+    /// Notes which data centres can be reached, by this daemon or by the bridges of its own.
+    pub(super) fn update_reach(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let others = self.members.iter().filter(|m| m.data_centre != self.cfg.data_centre);
+        let names: BTreeSet<String> = others.map(|m| m.data_centre.clone()).collect();
+        self.reachable.retain(|name, _| names.contains(name));
+        let noted: BTreeSet<u64> = self
+            .table
+            .iter(now)
+            .filter(|entry| entry.key == REACH_KEY && entry.origin != self.me.identity)
+            .flat_map(|entry| entry.values.iter().copied())
+            .collect();
+        let mut heard = Vec::new();
+        for name in names {
+            let at = self.heard.get(&name).copied();
+            let hears = at.is_some_and(|at| now.since(at) < self.cfg.unreachable_after);
+            if hears {
+                heard.push(data_centre_number(&name));
+            }
+            let reachable = hears || noted.contains(&data_centre_number(&name));
+            if self.reachable.insert(name.clone(), reachable) != Some(reachable) {
+                effects.push(Effect::DataCentre { name, reachable });
+            }
+        }
+        self.note_reach(heard, now);
+    }
+
+    fn note_reach(&mut self, heard: Vec<u64>, now: Millis) {
+        let noted = self.table.get(self.me.identity, REACH_KEY).map(|entry| &entry.values);
+        let is_new = noted.map_or(!heard.is_empty(), |noted| *noted != heard);
+        // A member that stops being a bridge lets its note lapse unless it changes.
+        if !self.is_bridge || (!is_new && now < self.due.reach) {
+            return;
+        }
+        self.due.reach = now + REACH_INTERVAL;
+        self.publish(String::from(REACH_KEY), Scope::DataCentre, REACH_TTL, heard, now);
+    }
+
+    /// Leaves the cluster.
+    pub(super) fn leave(&mut self, _now: Millis, effects: &mut Vec<Effect>) {
+        self.leaving = true;
+        self.me.state = MemberState::Left;
+        self.announcements = 3;
+        self.repeat_leave(effects);
+    }
+
+    pub(super) fn repeat_leave(&mut self, effects: &mut Vec<Effect>) {
+        if self.announcements == 0 {
+            return;
+        }
+        self.announcements -= 1;
+        let mut targets = self.some_local(self.cfg.fanout);
+        targets.extend(self.one_of_each_other());
+        for to in targets {
+            let mut packet = self.packet(PacketKind::Push, 0);
+            packet.members.push(self.me.to_record());
+            effects.push(Effect::Send { to, packet });
+        }
+    }
+
+    /// Returns the addresses of up to `count` random members of the own data centre.
+    pub(super) fn some_local(&mut self, count: usize) -> Vec<SocketAddr> {
+        let local = self.members.iter().filter(|m| m.data_centre == self.cfg.data_centre);
+        local.map(|member| member.address).sample(&mut self.rng, count)
+    }
+
+    /// Returns the address of a random member of each other data centre.
+    pub(super) fn one_of_each_other(&mut self) -> Vec<SocketAddr> {
+        let others = self.members.iter().filter(|m| m.data_centre != self.cfg.data_centre);
+        let names: BTreeSet<&str> = others.map(|m| m.data_centre.as_str()).collect();
+        let mut addresses = Vec::new();
+        for name in names {
+            let members = self.members.iter().filter(|m| m.data_centre == name);
+            addresses.extend(members.map(|m| m.address).choose(&mut self.rng));
+        }
+        addresses
+    }
+}
+
+/// Returns the number that stands for a data centre in a note.
+fn data_centre_number(name: &str) -> u64 {
+    name.bytes().fold(0, |hash, byte| mix(hash, u64::from(byte) + 1))
+}
--- /dev/null
+++ b/components/decision/src/cluster/mod.rs
@@ -0,0 +1,32 @@
+//! Decisions among the daemons: membership, the lists in force and small shared values.
+
+mod chunks;
+mod event;
+mod following;
+mod identity;
+mod lists;
+mod member;
+mod members;
+mod membership;
+mod packets;
+mod prober;
+mod probing;
+mod rendezvous;
+mod settings;
+mod spread;
+mod state;
+mod store_watch;
+mod table;
+
+pub use chunks::{ChunkMap, ChunkTree, chunk_digest};
+pub use event::{Effect, Event, MemberChange, Seed};
+pub use identity::Identity;
+pub use lists::{ListState, Offer, Revision};
+pub use member::{Member, MemberState};
+pub use members::{Members, Merge};
+pub use packets::packet_size;
+pub use rendezvous::holders;
+pub use settings::ClusterConfig;
+pub use state::{Cluster, Counters};
+pub use store_watch::{StoreCall, StoreLimits, StoreOutcome, StoreWatch};
+pub use table::{Entry, Scope, Table};
--- /dev/null
+++ b/components/decision/src/cluster/probing.rs
@@ -0,0 +1,166 @@
+//! Probes: direct, then through others, then a suspicion that the member can refute.
+
+use super::prober::{Outstanding, Relay};
+use super::state::Cluster;
+use super::{Effect, Identity, Member, MemberState};
+use crate::Millis;
+use messages::cluster::{Packet, PacketKind};
+use rand::seq::IteratorRandom;
+use std::net::SocketAddr;
+
+impl Cluster {
+    pub(super) fn probe_when_due(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        if now >= self.prober.next_at {
+            self.prober.next_at = now + self.cfg.probe_interval;
+            let local: Vec<Identity> = self.local().map(|member| member.identity).collect();
+            let target = self.prober.next_target(local, &mut self.rng);
+            if let Some(target) = target {
+                self.probe(target, now, effects);
+            }
+        }
+        if self.is_bridge && now >= self.due.bridge {
+            self.due.bridge = now + self.cfg.probe_interval;
+            self.probe_across(now, effects);
+        }
+    }
+
+    /// Probes a member of the next other data centre; only its own data centre judges it.
+    fn probe_across(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let addresses = self.one_of_each_other();
+        if addresses.is_empty() {
+            return;
+        }
+        self.bridge_turn = self.bridge_turn.wrapping_add(1);
+        let to = addresses[self.bridge_turn % addresses.len()];
+        let number = self.prober.number();
+        let packet = self.probe_packet(number, to, now);
+        effects.push(Effect::Send { to, packet });
+    }
+
+    /// Probes a member and expects its answer.
+    pub(super) fn probe(&mut self, target: Identity, now: Millis, effects: &mut Vec<Effect>) {
+        let Some(member) = self.members.get(target).cloned() else { return };
+        let address = member.address;
+        let number = self.prober.number();
+        let mut packet = self.probe_packet(number, address, now);
+        if member.state == MemberState::Suspected {
+            packet.members.insert(0, member.to_record());
+        }
+        let outstanding = Outstanding { target, address, sent: now, indirect: false };
+        self.prober.outstanding.insert(number, outstanding);
+        effects.push(Effect::Send { to: address, packet });
+    }
+
+    fn probe_packet(&mut self, number: u64, to: SocketAddr, now: Millis) -> Packet {
+        let mut packet = self.packet(PacketKind::Probe, number);
+        packet.members.push(self.me.to_record());
+        let data_centre = self.data_centre_of(to);
+        self.add_news(&mut packet, &data_centre, now);
+        packet
+    }
+
+    pub(super) fn acknowledge(
+        &mut self,
+        to: SocketAddr,
+        number: u64,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut packet = self.packet(PacketKind::Ack, number);
+        packet.subject = self.me.identity.into();
+        packet.members.push(self.me.to_record());
+        let data_centre = self.data_centre_of(to);
+        self.add_news(&mut packet, &data_centre, now);
+        effects.push(Effect::Send { to, packet });
+    }
+
+    pub(super) fn take_ack(&mut self, packet: &Packet, now: Millis, effects: &mut Vec<Effect>) {
+        if !self.join.joined {
+            self.join.answers += 1;
+        }
+        let subject = Identity::from(&packet.subject);
+        if let Some(relay) = self.prober.relays.remove(&packet.number) {
+            let mut answer = self.packet(PacketKind::Ack, relay.number);
+            answer.subject = packet.subject.clone();
+            effects.push(Effect::Send { to: relay.requester, packet: answer });
+        }
+        let Some(probe) = self.prober.outstanding.remove(&packet.number) else { return };
+        if probe.target != subject {
+            // Another incarnation answers at the address.
+            self.bury(probe.target, now, effects);
+        }
+    }
+
+    /// Probes a member for another daemon that got no answer from it.
+    pub(super) fn probe_for(
+        &mut self,
+        requester: SocketAddr,
+        packet: &Packet,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Ok(to) = packet.subject_address.parse() else {
+            self.counters.bad_records += 1;
+            return;
+        };
+        let number = self.prober.number();
+        let expires = now + self.cfg.probe_interval;
+        self.prober.relays.insert(number, Relay { requester, number: packet.number, expires });
+        let probe = self.probe_packet(number, to, now);
+        effects.push(Effect::Send { to, packet: probe });
+    }
+
+    pub(super) fn judge_probes(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        self.probe_through_others(now, effects);
+        for probe in self.prober.failed(self.cfg.probe_interval, now) {
+            self.suspect(probe.target, now, effects);
+        }
+        for identity in self.members.overdue(self.cfg.suspicion, now) {
+            let member = self.members.get(identity);
+            if member.is_some_and(|m| m.data_centre == self.cfg.data_centre) {
+                self.bury(identity, now, effects);
+            }
+        }
+    }
+
+    fn probe_through_others(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let timeout = self.cfg.probe_timeout;
+        let mut late = Vec::new();
+        for (number, probe) in &mut self.prober.outstanding {
+            if !probe.indirect && now.since(probe.sent) >= timeout {
+                probe.indirect = true;
+                late.push((*number, probe.target, probe.address));
+            }
+        }
+        for (number, target, address) in late {
+            let helpers = self
+                .members
+                .iter()
+                .filter(|m| m.data_centre == self.cfg.data_centre)
+                .filter(|m| m.identity != target && m.state == MemberState::Live)
+                .map(|m| m.address)
+                .sample(&mut self.rng, self.cfg.indirect_peers);
+            for to in helpers {
+                let mut packet = self.packet(PacketKind::Indirect, number);
+                packet.subject = target.into();
+                packet.subject_address = address.to_string();
+                effects.push(Effect::Send { to, packet });
+            }
+        }
+    }
+
+    fn suspect(&mut self, target: Identity, now: Millis, effects: &mut Vec<Effect>) {
+        let Some(member) = self.members.get(target).cloned() else { return };
+        if member.state == MemberState::Suspected {
+            return;
+        }
+        self.counters.suspected += 1;
+        let record = Member { state: MemberState::Suspected, ..member };
+        self.learn(record, now, effects);
+    }
+
+    pub(super) fn data_centre_of(&self, address: SocketAddr) -> String {
+        let member = self.members.iter().find(|member| member.address == address);
+        member.map(|member| member.data_centre.clone()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/components/decision/src/cluster/state.rs
@@ -0,0 +1,278 @@
+use super::prober::Prober;
+use super::spread::{News, Spread};
+use super::{
+    ClusterConfig, Effect, Entry, Event, Identity, ListState, Member, MemberState, Members,
+    Revision, Scope, Seed, StoreLimits, StoreWatch, Table, holders,
+};
+use crate::Millis;
+use rand_pcg::Pcg64;
+use std::collections::BTreeMap;
+
+/// A tick that comes this late shows that the process did not run.
+const LATE_TICK: Millis = Millis(500);
+/// The time between two assignments of duties.
+const DUTY_INTERVAL: Millis = Millis(1_000);
+
+/// Counts of what was dropped.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counters {
+    /// Packets from members that left or died.
+    pub from_ended: u64,
+    /// Records of members that could not be read.
+    pub bad_records: u64,
+    /// Suspicions of this daemon that it refuted.
+    pub refuted: u64,
+    /// Suspicions that this daemon raised.
+    pub suspected: u64,
+}
+
+/// How far the daemon has come in joining.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Join {
+    pub joined: bool,
+    pub attempts: u32,
+    pub answers: u32,
+    pub next_at: Millis,
+}
+
+/// When this daemon's recurring tasks are due.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Due {
+    pub last_tick: Millis,
+    pub spread: Millis,
+    pub bridge: Millis,
+    pub duties: Millis,
+    pub seeds: Millis,
+    pub exchange: Millis,
+    pub reach: Millis,
+    pub announce: Millis,
+}
+
+/// One daemon's view of the cluster.
+///
+/// The shell feeds it events and carries out the effects; it never blocks and keeps no clock.
+#[derive(Clone, Debug)]
+pub struct Cluster {
+    pub(super) cfg: ClusterConfig,
+    pub(super) rng: Pcg64,
+    pub(super) me: Member,
+    pub(super) members: Members,
+    pub(super) prober: Prober,
+    pub(super) spread: Spread,
+    pub(super) lists: ListState,
+    pub(super) table: Table,
+    pub(super) store: StoreWatch,
+    pub(super) seeds: Option<Vec<Seed>>,
+    pub(super) join: Join,
+    pub(super) due: Due,
+    pub(super) heard: BTreeMap<String, Millis>,
+    pub(super) reachable: BTreeMap<String, bool>,
+    pub(super) unlisted: BTreeMap<Identity, Millis>,
+    pub(super) entry_sequence: u64,
+    pub(super) announcements: u32,
+    pub(super) bucket_turn: u64,
+    pub(super) bridge_turn: usize,
+    pub(super) is_watcher: bool,
+    pub(super) is_bridge: bool,
+    pub(super) ready: bool,
+    pub(super) leaving: bool,
+    pub(super) older_reported: Option<u64>,
+    pub(super) counters: Counters,
+}
+
+impl Cluster {
+    /// Creates a daemon that knows nobody and draws its identity.
+    pub fn new(cfg: ClusterConfig, mut rng: Pcg64, now: Millis) -> Cluster {
+        let me = Member {
+            identity: Identity::random(&mut rng),
+            address: cfg.address,
+            data_centre: cfg.data_centre.clone(),
+            sequence: 0,
+            state: MemberState::Live,
+        };
+        let due = Due { last_tick: now, ..Due::default() };
+        Cluster {
+            cfg,
+            rng,
+            me,
+            due,
+            members: Members::default(),
+            prober: Prober::default(),
+            spread: Spread::default(),
+            lists: ListState::default(),
+            table: Table::default(),
+            store: StoreWatch::default(),
+            seeds: None,
+            join: Join::default(),
+            heard: BTreeMap::new(),
+            reachable: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
+            entry_sequence: 0,
+            announcements: 0,
+            bucket_turn: 0,
+            bridge_turn: 0,
+            is_watcher: false,
+            is_bridge: false,
+            ready: false,
+            leaving: false,
+            older_reported: None,
+            counters: Counters::default(),
+        }
+    }
+
+    /// Takes in an event and returns what has to be done.
+    pub fn handle(&mut self, event: Event, now: Millis) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Packet { from, packet } => self.receive(from, packet, now, &mut effects),
+            Event::Tick => self.tick(now, &mut effects),
+            Event::Instances(seeds) => self.take_seeds(seeds, now, &mut effects),
+            Event::Lists { version, revision, text } => {
+                self.take_lists(version, revision, text, now, &mut effects);
+            }
+            Event::Store(outcome) => {
+                let limits = self.store_limits();
+                self.store.ended(outcome, &limits, &mut self.rng, now);
+            }
+            Event::Publish { key, scope, ttl, values } => {
+                self.publish(key, scope, ttl, values, now);
+            }
+            Event::Leave => self.leave(now, &mut effects),
+        }
+        if self.cfg.check_invariants {
+            self.check();
+        }
+        effects
+    }
+
+    /// Returns this daemon's own record.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Returns the other daemons that are live or suspected.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Returns the revision in force.
+    pub fn in_force(&self) -> Revision {
+        self.lists.in_force()
+    }
+
+    /// Returns the shared values that still hold.
+    pub fn entries(&self, now: Millis) -> impl Iterator<Item = &Entry> {
+        self.table.iter(now)
+    }
+
+    /// Returns whether lists and members are there.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Returns whether this daemon watches the store for its data centre.
+    pub fn is_watcher(&self) -> bool {
+        self.is_watcher
+    }
+
+    /// Returns whether the last calls to the store failed.
+    pub fn store_failures(&self) -> u32 {
+        self.store.failures()
+    }
+
+    /// Returns the other data centres and whether a packet came from them lately.
+    pub fn data_centres(&self) -> &BTreeMap<String, bool> {
+        &self.reachable
+    }
+
+    /// Returns counts of what was dropped.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Returns the live members of this data centre, with this daemon, that hold a duty.
+    pub fn holders(&self, duty: &str, count: usize) -> Vec<Identity> {
+        let live = self.local().filter(|m| m.state == MemberState::Live).map(|m| m.identity);
+        holders(live.chain([self.me.identity]), duty, count)
+    }
+
+    pub(super) fn local(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(|m| m.data_centre == self.cfg.data_centre)
+    }
+
+    pub(super) fn store_limits(&self) -> StoreLimits {
+        StoreLimits {
+            rate: self.cfg.store_rate,
+            backoff_base: self.cfg.backoff_base,
+            backoff_limit: self.cfg.backoff_limit,
+        }
+    }
+
+    fn tick(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        if now.since(self.due.last_tick) > LATE_TICK {
+            self.prober.forgive();
+            self.members.restart_suspicions(now);
+        }
+        self.due.last_tick = now;
+        if self.leaving {
+            return self.repeat_leave(effects);
+        }
+        self.spread.refill(self.cfg.spread_rate, now);
+        self.join_when_due(now, effects);
+        if now >= self.due.duties {
+            self.due.duties = now + DUTY_INTERVAL;
+            self.assign_duties();
+            self.members.expire(self.cfg.tombstone_limit, now);
+            self.table.expire(now);
+            self.prober.expire(now);
+            self.update_reach(now, effects);
+        }
+        self.probe_when_due(now, effects);
+        self.judge_probes(now, effects);
+        self.spread_when_due(now, effects);
+        self.follow_lists(now, effects);
+        self.become_ready(effects);
+    }
+
+    fn assign_duties(&mut self) {
+        let me = self.me.identity;
+        self.is_bridge = self.holders("bridge", self.cfg.bridges).contains(&me);
+        let was_watcher = self.is_watcher;
+        self.is_watcher = self.holders("store-watch", self.cfg.watchers).contains(&me);
+        if self.is_watcher && !was_watcher {
+            self.store.reset();
+        }
+    }
+
+    pub(super) fn publish(
+        &mut self,
+        key: String,
+        scope: Scope,
+        ttl: Millis,
+        values: Vec<u64>,
+        now: Millis,
+    ) {
+        self.entry_sequence += 1;
+        let origin = self.me.identity;
+        let news = News::Entry(origin, key.clone());
+        let expires = now + ttl;
+        let entry = Entry { origin, key, sequence: self.entry_sequence, expires, scope, values };
+        if self.table.merge(entry, self.cfg.table_limit, now) {
+            self.spread.push(news);
+        }
+    }
+
+    pub(super) fn become_ready(&mut self, effects: &mut Vec<Effect>) {
+        if self.ready || !self.join.joined || self.lists.in_force().number == 0 {
+            return;
+        }
+        self.ready = true;
+        effects.push(Effect::Ready);
+    }
+
+    fn check(&self) {
+        self.members.check();
+        assert!(self.members.get(self.me.identity).is_none(), "a daemon is its own peer");
+        assert!(self.members.ended(self.me.identity).is_none() || self.leaving, "ended itself");
+    }
+}
--- a/components/decision/src/lib.rs
+++ b/components/decision/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The present time is an argument, events go in and typed effects come back.
 
+pub mod cluster;
 pub mod load;
 mod time;
 
