Read the lists in the daemon as one published revision

Cause: the daemon read a bare value and took the store's version as its own; after a restore of the store versions can go back and a half-written pair of lists could be seen. Ruled out: keeping the store's version beside the revision as the measure of newer (it is not comparable after a restore). Conclusion: only config::Reader takes lists from the store.

--- a/components/daemon/src/platform.rs
+++ b/components/daemon/src/platform.rs
@@ -3,7 +3,7 @@
 use crate::lists::InForce;
 use crate::peer::Peer;
 use crate::tables::{Tables, lock_write};
-use config::Lists;
+use config::{Published, ReadError, Reader};
 use decision::load::EndpointState;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -12,7 +12,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
-use store::{Store, StoreError};
+use store::Store;
 use utils::{HttpError, get_json};
 
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
@@ -48,8 +48,9 @@
 /// Reads the lists and the instances until the daemon stops.
 pub fn follow(shell: &Shell) {
     let store = Store::new(shell.tables.cfg.store, PLATFORM_TIMEOUT);
+    let mut reader = Reader::default();
     while !shell.tables.is_stopping() {
-        let read = read_lists(&shell.tables, &store);
+        let read = read_lists(&shell.tables, &store, &mut reader);
         shell.tables.store_reachable.store(read.is_ok(), Ordering::Relaxed);
         if let Err(e) = read {
             log::warn!("lists: {e}");
@@ -61,12 +62,13 @@
     }
 }
 
-fn read_lists(tables: &Tables, store: &Store) -> Result<(), StoreError> {
-    let Some(object) = store.get::<Lists>("lists", "current")? else { return Ok(()) };
+fn read_lists(tables: &Tables, store: &Store, reader: &mut Reader) -> Result<(), ReadError> {
+    let Some(published) = reader.read(store)? else { return Ok(()) };
     let mut in_force = lock_write(&tables.in_force);
-    if object.version > in_force.revision {
-        log::info!("lists revision={} in force", object.version);
-        *in_force = Arc::new(InForce::new(object.version, String::new(), object.value));
+    if published.revision > in_force.revision {
+        log::info!("lists revision={} in force", published.revision);
+        let Published { revision, digest, lists, .. } = published;
+        *in_force = Arc::new(InForce::new(revision, digest, lists));
     }
     Ok(())
 }
--- a/fakes/src/site.rs
+++ b/fakes/src/site.rs
@@ -1,11 +1,13 @@
 use crate::{Instance, InstanceKind, InstanceList, InstanceState, Process};
+use config::{Accepted, Edit, Lists, Reader};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
-use utils::{HttpError, client, get_json, post_json, put_json};
+use store::Store;
+use utils::{HttpError, client, get_json, post_json};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 const START_LIMIT: Duration = Duration::from_secs(30);
@@ -59,7 +61,7 @@
         let store = Process::start("chervilspur-fake", &["object-api"])?;
         let instances = Process::start("chervilspur-fake", &["instances"])?;
         let mut site = Site { store, instances, members: BTreeMap::new() };
-        site.put_lists(lists).map_err(io::Error::other)?;
+        site.put_lists(lists)?;
         let is_daemon = |member: &&Member| member.kind == InstanceKind::Daemon;
         for member in members.iter().filter(|m| !is_daemon(m)) {
             site.add(member, "127.0.0.1:0")?;
@@ -125,10 +127,13 @@
         self.add(&member, &address)
     }
 
-    /// Writes the lists into the object API.
-    pub fn put_lists(&self, lists: &Value) -> Result<Value, HttpError> {
-        let url = format!("http://{}/objects/lists/current", self.store.address);
-        put_json(&url, lists, TIMEOUT)
+    /// Makes the lists the next revision in the object API.
+    pub fn put_lists(&self, lists: &Value) -> io::Result<Accepted> {
+        let lists: Lists = serde_json::from_value(lists.clone())?;
+        let store = Store::new(self.store.address, TIMEOUT);
+        let current = Reader::default().read(&store).map_err(io::Error::other)?;
+        let edit = Edit::new(&lists, current.map_or(0, |published| published.revision));
+        edit.publish(&store).map_err(io::Error::other)
     }
 
     /// Puts all instances into the instance list as live.
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -1,9 +1,11 @@
 //! The whole path as separate processes.
 
+use config::{Edit, Lists};
 use fakes::Process;
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
-use utils::{get_json, post_json, put_json, sha256_hex};
+use store::Store;
+use utils::{get_json, post_json, sha256_hex};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -34,8 +36,8 @@
     let instances = Process::start("chervilspur-fake", &["instances"]).unwrap();
     let engine = Process::start("chervilspur-fake", &["engine", "--token-ms", "1"]).unwrap();
     let service = Process::start("chervilspur-fake", &["service"]).unwrap();
-    let url = format!("http://{}/objects/lists/current", store.address);
-    let _: Value = put_json(&url, &lists(), TIMEOUT).unwrap();
+    let lists: Lists = serde_json::from_value(lists()).unwrap();
+    Edit::new(&lists, 0).publish(&Store::new(store.address, TIMEOUT)).unwrap();
     let instance = |name: &str, kind: &str, process: &Process| {
         json!({
             "name": name, "kind": kind, "address": process.address,
