--- a/components/config/tests/lists.rs
+++ b/components/config/tests/lists.rs
@@ -104,6 +104,20 @@
     "35: plans.silver.classes.digest.tokens_per_minute: the limit must be at least 1"
 )]
 #[case("[classes.booking]", "[classes.plan]", "19: classes.plan: duplicate key")]
+#[case("[classes.booking]", "[classes.Booking]", "19: classes.Booking: the name \"Booking\" is")]
+#[case("[plans.silver.", "[plans.sil_ver.", "35: plans.sil_ver: the name \"sil_ver\" is not made")]
+#[case(
+    "minute = 60\n",
+    "minute = 0\n",
+    "26: plans.gold.classes.plan.requests_per_minute: the limit"
+)]
+#[case(
+    "repeatable = false",
+    "repeatable = false\nfloor = 0.5",
+    "22: classes.booking.floor: the floor needs requests_per_minute in pools.booking"
+)]
+#[case("repeatable = true\n", "", "4: classes.plan: missing field `repeatable`")]
+#[case("streams = 1", "streams = 1\nburst = 5", "40: plans.silver.classes.digest.burst: unknown")]
 fn errors_when_the_second_list_is_wrong(
     #[case] from: &str,
     #[case] to: &str,
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -157,6 +157,21 @@
     assert!(found.err.contains(expected), "{found:?}");
 }
 
+#[rstest]
+#[case("STORE", "store:80", "--store (CHERVILSPUR_STORE): \"store:80\" is not allowed")]
+#[case("INSTANCES", "", "--instances (CHERVILSPUR_INSTANCES): \"\" is not allowed")]
+#[case("OUTPUT", "xml", "--output (CHERVILSPUR_OUTPUT): \"xml\" is not allowed")]
+#[case("TIMEOUT_MS", "60001", "--timeout-ms (CHERVILSPUR_TIMEOUT_MS): \"60001\" is not allowed")]
+fn errors_when_a_variable_is_wrong(
+    #[case] name: &str,
+    #[case] value: &str,
+    #[case] expected: &str,
+) {
+    let found = outcome(tool().arg("check").env(format!("CHERVILSPUR_{name}"), value));
+    assert_eq!(found.code, 2, "{found:?}");
+    assert!(found.err.contains(expected), "{found:?}");
+}
+
 #[test]
 fn errors_when_the_daemon_gets_a_bad_setting() {
     let mut cmd = Command::new(env!("CARGO_BIN_EXE_chervilspurd"));
