Compare digests with the daemons and keep an accepted edit accepted

And an instance list that failed while apply waited made it report failure for an accepted edit. Ruled out: trusting the number alone; ending the wait at the first failure. Conclusion: exit 7 means accepted, but not known to be in force everywhere.

--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -5,8 +5,9 @@
 use crate::files::read_lists;
 use crate::fleet::Fleet;
 use crate::messages;
+use ::messages::status::DaemonStatus;
 use argh::FromArgs;
-use config::{Edit, Reader, ToolSettings};
+use config::{Accepted, Edit, Reader, ToolSettings};
 use serde::Serialize;
 use std::path::PathBuf;
 use std::thread;
@@ -56,6 +57,8 @@
     pub in_force: usize,
     /// The daemons that lack it.
     pub lacking: Vec<Lacking>,
+    /// Why the daemons could not be looked at; they may have it.
+    pub error: Option<String>,
 }
 
 /// A daemon that lacks the revision.
@@ -84,54 +87,79 @@
         }
         let edit = Edit { above: self.above, ..Edit::new(&lists, self.base) };
         let accepted = edit.publish(&store)?;
-        let waited = self.wait.then(|| self.wait_for(cfg, accepted.revision)).transpose()?;
+        let waited = self.wait.then(|| self.wait_for(cfg, &accepted));
         let (revision, digest, already) = (accepted.revision, accepted.digest, accepted.already);
         Ok(ApplyReport { revision, digest, already, waited })
     }
 
-    /// Refuses an edit that daemons would ignore, since they have a higher revision.
+    /// Refuses an edit that daemons would ignore, since they have a higher revision or other
+    /// lists of the same revision.
     fn check_restored(&self, cfg: &ToolSettings, store: &Store) -> Result<(), Failure> {
         // The daemons come first, so that an edit between the two calls raises no false alarm.
         let fleet = Fleet::read(cfg)?;
         let statuses = fleet.statuses();
-        let revisions = statuses.iter().filter_map(|(_, status)| status.as_ref().ok());
-        let in_daemons = revisions.map(|status| status.revision).max().unwrap_or_default();
-        let in_store = Reader::default().read(store)?.map_or(0, |current| current.revision);
-        if in_daemons > in_store.max(self.above) {
-            return Err(Failure::Restored { in_store, in_daemons });
+        let statuses = statuses.iter().filter_map(|(_, status)| status.as_ref().ok());
+        let current = Reader::default().read(store)?;
+        let (in_store, digest) = current.map_or((0, String::new()), |c| (c.revision, c.digest));
+        let ahead = statuses.filter(|s| is_ahead(s, in_store, &digest));
+        match ahead.map(|status| status.revision).max() {
+            Some(in_daemons) if in_daemons > self.above => {
+                Err(Failure::Restored { in_store, in_daemons })
+            }
+            _ => Ok(()),
         }
-        Ok(())
     }
 
-    fn wait_for(&self, cfg: &ToolSettings, revision: u64) -> Result<Waited, Failure> {
+    fn wait_for(&self, cfg: &ToolSettings, accepted: &Accepted) -> Waited {
         let started = Instant::now();
         loop {
-            let waited = look(&Fleet::read(cfg)?, revision);
+            let waited = look(cfg, accepted);
             let over = started.elapsed() >= Duration::from_millis(self.wait_ms);
-            if over || waited.lacking.is_empty() {
-                return Ok(waited);
+            if over || waited.is_everywhere() {
+                return waited;
             }
             thread::sleep(POLL_INTERVAL);
         }
     }
 }
 
-fn look(fleet: &Fleet, revision: u64) -> Waited {
+impl Waited {
+    /// Returns whether every daemon is known to have the revision.
+    pub fn is_everywhere(&self) -> bool {
+        self.lacking.is_empty() && self.error.is_none()
+    }
+}
+
+fn is_ahead(status: &DaemonStatus, revision: u64, digest: &str) -> bool {
+    let same_number = status.revision == revision && revision > 0;
+    status.revision > revision || (same_number && status.digest != digest)
+}
+
+fn has(status: &DaemonStatus, accepted: &Accepted) -> bool {
+    let same = status.revision == accepted.revision && status.digest == accepted.digest;
+    same || status.revision > accepted.revision
+}
+
+fn look(cfg: &ToolSettings, accepted: &Accepted) -> Waited {
     let mut waited = Waited::default();
+    let fleet = match Fleet::read(cfg) {
+        Ok(fleet) => fleet,
+        Err(e) => return Waited { error: Some(e.to_string()), ..waited },
+    };
     for (instance, status) in fleet.statuses() {
         if !instance.is_live() {
             continue;
         }
-        let (found, error) = match status {
+        let (revision, error) = match status {
+            Ok(status) if has(&status, accepted) => {
+                waited.in_force += 1;
+                continue;
+            }
             Ok(status) => (Some(status.revision), None),
             Err(e) => (None, Some(e.to_string())),
         };
-        if found.is_some_and(|found| found >= revision) {
-            waited.in_force += 1;
-            continue;
-        }
         let (daemon, data_centre) = (instance.name.clone(), instance.data_centre.clone());
-        waited.lacking.push(Lacking { daemon, data_centre, revision: found, error });
+        waited.lacking.push(Lacking { daemon, data_centre, revision, error });
     }
     waited
 }
@@ -142,7 +170,7 @@
     }
 
     fn exit(&self) -> Exit {
-        let lacks = self.waited.as_ref().is_some_and(|waited| !waited.lacking.is_empty());
+        let lacks = self.waited.as_ref().is_some_and(|waited| !waited.is_everywhere());
         if lacks { Exit::NotEverywhere } else { Exit::Done }
     }
 }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -5,7 +5,7 @@
 use crate::messages;
 use ::messages::status::{ClassStatus, DaemonStatus};
 use argh::FromArgs;
-use config::{Reader, ToolSettings};
+use config::{Published, ReadError, Reader, ToolSettings};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -31,6 +31,8 @@
 pub struct StoreReport {
     /// The revision in the object API; 0 before the first, absent when it was not reached.
     pub revision: Option<u64>,
+    /// The digest of the lists there; absent before the first.
+    pub digest: Option<String>,
     /// Why it was not read.
     pub error: Option<String>,
 }
@@ -65,13 +67,7 @@
 impl Status {
     /// Asks the object API and every daemon.
     pub fn run(&self, cfg: &ToolSettings) -> Result<StatusReport, Failure> {
-        let store = match Reader::default().read(&store(cfg)?) {
-            Ok(current) => {
-                let revision = Some(current.map_or(0, |c| c.revision));
-                StoreReport { revision, error: None }
-            }
-            Err(e) => StoreReport { revision: None, error: Some(e.to_string()) },
-        };
+        let store = store_report(Reader::default().read(&store(cfg)?));
         let daemons: Vec<DaemonReport> = daemon_reports(&Fleet::read(cfg)?);
         if daemons.iter().all(|d| d.status.is_none()) {
             let unreached = daemons.into_iter().map(|d| d.name).collect();
@@ -82,6 +78,16 @@
     }
 }
 
+fn store_report(read: Result<Option<Published>, ReadError>) -> StoreReport {
+    match read {
+        Ok(Some(c)) => {
+            StoreReport { revision: Some(c.revision), digest: Some(c.digest), error: None }
+        }
+        Ok(None) => StoreReport { revision: Some(0), digest: None, error: None },
+        Err(e) => StoreReport { revision: None, digest: None, error: Some(e.to_string()) },
+    }
+}
+
 fn daemon_reports(fleet: &Fleet) -> Vec<DaemonReport> {
     let statuses = fleet.statuses().into_iter();
     let report = statuses.map(|(instance, status)| {
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -17,7 +17,7 @@
     Unavailable = 5,
     /// The edit may have been accepted; run the same command again.
     Unknown = 6,
-    /// The edit is accepted, but not yet in force in every daemon.
+    /// The edit is accepted, but not known to be in force in every daemon.
     NotEverywhere = 7,
     /// No daemon that was reached knows the request.
     NoRequest = 8,
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -20,9 +20,9 @@
 /// Says that the object API is older than the daemons.
 pub fn restored(in_store: u64, in_daemons: u64) -> String {
     format!(
-        "the object API holds revision {in_store}, but daemons have revision {in_daemons}: it was \
-         restored older, and daemons would ignore the edit; nothing was changed. To go on from \
-         here, run it again with --base {in_store} --above {in_daemons}"
+        "the object API holds revision {in_store}, but daemons have revision {in_daemons} with \
+         other lists: it was restored older, and daemons would ignore the edit; nothing was \
+         changed. To go on from here, run it again with --base {in_store} --above {in_daemons}"
     )
 }
 
@@ -79,7 +79,10 @@
     let digest = digest.get(..DIGEST_SHOWN).unwrap_or(digest);
     let verb = if *already { "was accepted before" } else { "is accepted" };
     let text = format!("revision {revision} (digest {digest}) {verb}");
-    let Some(Waited { in_force, lacking }) = waited else { return text };
+    let Some(Waited { in_force, lacking, error }) = waited else { return text };
+    if let Some(error) = error {
+        return format!("{text}; whether it is in force is unknown: {error}");
+    }
     if lacking.is_empty() {
         return format!("{text} and in force in all {in_force} daemons");
     }
@@ -103,7 +106,7 @@
     let mut text = store_line(&report.store);
     text.push_str("\ndaemons:\n");
     for daemon in &report.daemons {
-        text.push_str(&daemon_lines(daemon, report.store.revision));
+        text.push_str(&daemon_lines(daemon, &report.store));
     }
     text.push_str("endpoints (state, outstanding, failures as each daemon sees them):\n");
     text.push_str(&endpoint_lines(&report.daemons));
@@ -124,7 +127,7 @@
     }
 }
 
-fn daemon_lines(daemon: &DaemonReport, in_store: Option<u64>) -> String {
+fn daemon_lines(daemon: &DaemonReport, in_store: &StoreReport) -> String {
     let DaemonReport { name, data_centre, address, listed, .. } = daemon;
     let head = format!("  {name} ({data_centre}, {address}, {listed}):");
     let Some(status) = &daemon.status else {
@@ -139,9 +142,13 @@
     let members = status.members.len();
     let revision = status.revision;
     let mut text = format!("{head} {ready}, revision {revision}, knows {members} others{store}\n");
-    if in_store.is_some_and(|in_store| in_store < revision) {
+    if in_store.revision.is_some_and(|in_store| in_store < revision) {
         text.push_str("    its revision is above the object API's, which was restored older\n");
     }
+    let other_lists = in_store.digest.as_ref().is_some_and(|digest| *digest != status.digest);
+    if in_store.revision == Some(revision) && other_lists {
+        text.push_str("    its lists are not those that the object API has of this revision\n");
+    }
     for note in &status.notes {
         text.push_str(&format!("    {note}\n"));
     }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -7,8 +7,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Command;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 use utils::{listen, post_json, respond_json};
@@ -96,14 +95,21 @@
     }
 }
 
+/// The revision and the digest that a daemon has in force.
+type Held = Arc<Mutex<(u64, String)>>;
+
+fn held(revision: u64, digest: &str) -> Held {
+    Arc::new(Mutex::new((revision, digest.to_string())))
+}
+
 /// Answers as a daemon does that has a revision and has taken one step of `request-1`.
-fn serve_daemon(name: &'static str, step: &'static str, revision: Arc<AtomicU64>) -> SocketAddr {
+fn serve_daemon(name: &'static str, step: &'static str, held: Held) -> SocketAddr {
     let server = listen(SocketAddr::from(([127, 0, 0, 1], 0)), None).unwrap();
     let address = server.server_addr().to_ip().unwrap();
     thread::spawn(move || {
         for req in server.incoming_requests() {
             let (status, body) = match req.url() {
-                "/admin/status" => (200, daemon_status(name, revision.load(Ordering::Relaxed))),
+                "/admin/status" => (200, daemon_status(name, &held.lock().unwrap())),
                 "/admin/explain/request-1" => (200, explanation(name, step)),
                 _ => (404, Value::Null),
             };
@@ -113,10 +119,10 @@
     address
 }
 
-fn daemon_status(name: &str, revision: u64) -> Value {
+fn daemon_status(name: &str, (revision, digest): &(u64, String)) -> Value {
     json!({
         "instance": "0", "name": name, "data_centre": "aburra-norte", "region": "valle-aburra",
-        "revision": revision, "digest": "", "ready": true, "stopping": false,
+        "revision": revision, "digest": digest, "ready": true, "stopping": false,
         "store": {"reachable": true}, "members": [], "notes": ["cut off from rionegro"],
         "endpoints": [{
             "name": "engine-1", "data_centre": "aburra-norte", "serves": ["campo-8b"],
@@ -269,32 +275,63 @@
 #[test]
 fn can_wait_until_an_edit_is_in_force_everywhere() {
     let bench = Bench::start("wait");
-    let revisions = [Arc::new(AtomicU64::new(1)), Arc::new(AtomicU64::new(0))];
-    let [first, second] = revisions.clone();
-    let behind = serve_daemon("behind", "forwarded", second);
-    bench.list_daemons(&[("ahead", serve_daemon("ahead", "received", first)), ("behind", behind)]);
-    let args = ["apply", "--base", "0", "--above", "0", "--wait", "--wait-ms", "0"];
+    let digest = bench.run(&["check"]).json()["digest"].as_str().unwrap().to_string();
+    let [ahead, behind] = [held(1, "other"), held(0, "")];
+    let first = serve_daemon("ahead", "received", ahead.clone());
+    bench.list_daemons(&[("ahead", first), ("behind", serve_daemon("behind", "", behind.clone()))]);
+    let args = ["apply", "--base", "0", "--wait", "--wait-ms", "0"];
     let refused = bench.run(&args);
     assert_eq!((refused.code, &refused.json()["error"]["kind"]), (4, &json!("store_restored")));
-    revisions[0].store(0, Ordering::Relaxed);
+    *ahead.lock().unwrap() = (0, String::new());
     let applied = bench.run(&args);
     assert_eq!((applied.code, &applied.json()["waited"]["in_force"]), (7, &json!(0)));
-    revisions[0].store(1, Ordering::Relaxed);
+    *ahead.lock().unwrap() = (1, digest.clone());
     let again = bench.run(&args);
     assert_eq!(again.json()["waited"]["lacking"][0]["daemon"], "behind", "{again:?}");
-    revisions[1].store(1, Ordering::Relaxed);
+    *behind.lock().unwrap() = (1, digest);
     let again = bench.run(&args);
     assert_eq!((again.code, &again.json()["waited"]["in_force"]), (0, &json!(2)), "{again:?}");
 }
 
+#[test]
+fn errors_when_a_daemon_has_other_lists_of_the_same_revision() {
+    let bench = Bench::start("same-revision");
+    assert_eq!(bench.run(&["apply", "--base", "0"]).code, 0);
+    let address = serve_daemon("d1", "received", held(1, "other"));
+    bench.list_daemons(&[("d1", address)]);
+    let refused = bench.run(&["apply", "--base", "1"]);
+    assert_eq!((refused.code, &refused.json()["error"]["kind"]), (4, &json!("store_restored")));
+    let text = bench.run(&["--output", "text", "status"]).out;
+    assert!(text.contains("its lists are not those that the object API has"), "{text}");
+    let applied = bench.run(&["apply", "--base", "1", "--above", "1"]).json();
+    assert_eq!((&applied["revision"], &applied["already"]), (&json!(2), &json!(false)));
+}
+
+#[test]
+fn can_say_that_an_edit_is_accepted_though_the_instance_list_fails() {
+    let bench = Bench::start("no-list");
+    let server = listen(SocketAddr::from(([127, 0, 0, 1], 0)), None).unwrap();
+    let list = server.server_addr().to_ip().unwrap().to_string();
+    thread::spawn(move || {
+        for (number, req) in server.incoming_requests().enumerate() {
+            let status = if number == 0 { 200 } else { 503 };
+            let _ = respond_json(req, status, &json!({"instances": []}));
+        }
+    });
+    let args = ["--instances", &list, "apply", "--base", "0", "--wait", "--wait-ms", "0"];
+    let applied = bench.run(&args);
+    assert_eq!((applied.code, &applied.json()["revision"]), (7, &json!(1)), "{applied:?}");
+    let error = &applied.json()["waited"]["error"];
+    assert!(error.as_str().is_some_and(|e| e.contains("status 503")), "{error}");
+}
+
 #[test]
 fn can_show_the_status_of_the_system() {
     let bench = Bench::start("status");
     let gone = SocketAddr::from(([127, 0, 0, 1], 1));
     bench.list_daemons(&[("gone", gone)]);
     assert_eq!(bench.run(&["status"]).code, 5);
-    let revision = Arc::new(AtomicU64::new(7));
-    let address = serve_daemon("d1", "received", revision);
+    let address = serve_daemon("d1", "received", held(7, ""));
     bench.list_daemons(&[("d1", address), ("gone", gone)]);
     let report = bench.run(&["status"]).json();
     assert_eq!(report["classes"]["plan"]["attainment"], 0.75);
@@ -318,10 +355,9 @@
 #[test]
 fn can_explain_a_request_over_several_daemons() {
     let bench = Bench::start("explain");
-    let none = || Arc::new(AtomicU64::new(0));
-    let second = serve_daemon("d2", "forwarded", none());
+    let second = serve_daemon("d2", "forwarded", held(0, ""));
     let gone = SocketAddr::from(([127, 0, 0, 1], 1));
-    let first = serve_daemon("d1", "received", none());
+    let first = serve_daemon("d1", "received", held(0, ""));
     bench.list_daemons(&[("d2", second), ("gone", gone), ("d1", first)]);
     let found = bench.run(&["explain", "request-1"]).json();
     assert_eq!(found["steps"][0]["daemon"], "d1");
