Decide the lease of a pool's doer and the placement of models

Cause: nothing gave orders to engines, and a paused holder of a lease still believes in it. Ruled out: letting endpoints that check the fencing number take destructive orders at once; an earlier holder's late unload at another endpoint, which has not seen the new number, could take the same model, so these wait too. Renewal time is counted from the sending of the write.

--- a/components/decision/src/lib.rs
+++ b/components/decision/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod execution;
 pub mod load;
+pub mod orders;
 mod time;
 
 pub use time::Millis;
--- /dev/null
+++ b/components/decision/tests/orders/main.rs
@@ -0,0 +1,4 @@
+//! One doer for each pool, and models placed after their demand.
+
+mod lease;
+mod placement;
