Measure many copies of the cluster state machine

Cause: the goals on changes, traffic and store calls need figures. Ruled out: a process per daemon for 360 daemons; values in virtual time give the same figures each run.

--- /dev/null
+++ b/components/fleet/src/main.rs
@@ -0,0 +1,219 @@
+//! Prints the tables of the page on measures that speak of the fleet.
+
+use argh::FromArgs;
+use decision::Millis;
+use decision::cluster::ClusterConfig;
+use fleet::{FleetConfig, Table, changes, deaths, memory, random_run, slope, steady, store_load};
+
+const SIZES: [usize; 4] = [7, 30, 90, 360];
+const ACCOUNTS: usize = 7_800;
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
+
+/// Measures many copies of the cluster state machine.
+#[derive(FromArgs)]
+struct Args {
+    /// what to measure: change, steady, death, store, memory, random or all
+    #[argh(positional, default = "String::from(\"all\")")]
+    what: String,
+    /// seeds of the randomised runs
+    #[argh(option, default = "1000")]
+    seeds: u64,
+    /// first seed of the randomised runs
+    #[argh(option, default = "1")]
+    first_seed: u64,
+    /// daemons in the randomised runs
+    #[argh(option, default = "9")]
+    size: usize,
+    /// largest fleet to measure
+    #[argh(option, default = "360")]
+    largest: usize,
+}
+
+fn main() {
+    let args: Args = argh::from_env();
+    let sizes: Vec<usize> = SIZES.into_iter().filter(|size| *size <= args.largest).collect();
+    let all = args.what == "all";
+    if all || args.what == "memory" {
+        print_memory();
+    }
+    if all || args.what == "change" {
+        print_changes(&sizes);
+    }
+    if all || args.what == "steady" {
+        print_steady(&sizes);
+    }
+    if all || args.what == "death" {
+        print_deaths(&sizes);
+    }
+    if all || args.what == "store" {
+        print_store(&sizes);
+    }
+    if all || args.what == "random" {
+        for seed in args.first_seed..args.first_seed + args.seeds {
+            random_run(args.size, seed);
+        }
+        println!("\n{} randomised runs of {} daemons held", args.seeds, args.size);
+    }
+}
+
+fn config(size: usize, loss_permille: u32, seed: u64) -> FleetConfig {
+    let cluster = ClusterConfig::default();
+    FleetConfig { size, loss_permille, seed, cluster, ..FleetConfig::default() }
+}
+
+fn print_changes(sizes: &[usize]) {
+    let head = [
+        "daemons",
+        "loss %",
+        "replaced",
+        "median ms",
+        "95 % ms",
+        "worst ms",
+        "fresh, worst ms",
+        "missed",
+    ];
+    let mut table = Table::new("Time until a change is in force in each live daemon", &head);
+    for size in sizes {
+        for (loss, replaced) in [(0, false), (50, false), (200, false), (50, true), (200, true)] {
+            let mut times = fleet::Times::default();
+            let mut fresh = fleet::Times::default();
+            let mut missed = 0;
+            for seed in SEEDS {
+                let change = changes(config(*size, loss, seed), ACCOUNTS, 4, replaced);
+                times.extend(&change.times);
+                fresh.extend(&change.fresh);
+                missed += change.missed;
+            }
+            table.row(&[
+                size.to_string(),
+                (loss / 10).to_string(),
+                if replaced { "10 %" } else { "none" }.to_string(),
+                times.percentile(50).0.to_string(),
+                times.percentile(95).0.to_string(),
+                times.percentile(100).0.to_string(),
+                fresh.percentile(100).0.to_string(),
+                missed.to_string(),
+            ]);
+        }
+    }
+    println!("{table}");
+}
+
+fn print_steady(sizes: &[usize]) {
+    let head = [
+        "daemons",
+        "loss %",
+        "values/s in a data centre",
+        "packets/s sent",
+        "bytes/s sent",
+        "bytes/s sent and received",
+        "µs a packet",
+        "µs a tick",
+        "% of a core",
+        "largest packet",
+        "bytes/s between regions, fleet",
+    ];
+    let mut table = Table::new("Steady traffic of one daemon, a change every 19 s", &head);
+    for size in sizes {
+        for (loss, values) in [(0, 0), (50, 0), (50, 4), (50, 16)] {
+            let (traffic, time) = steady(config(*size, loss, 1), ACCOUNTS, values, 57);
+            let seconds = time.0 as f64 / 1_000.0;
+            let each = *size as f64 * seconds;
+            let packet_us = traffic.packet_time.as_secs_f64() * 1e6 / traffic.packets as f64;
+            let tick_us = traffic.tick_time.as_secs_f64() * 1e6 / traffic.ticks as f64;
+            let busy = (traffic.packet_time + traffic.tick_time).as_secs_f64() / each;
+            let sent = traffic.bytes as f64 / each;
+            table.row(&[
+                size.to_string(),
+                (loss / 10).to_string(),
+                values.to_string(),
+                format!("{:.1}", traffic.packets as f64 / each),
+                format!("{sent:.0}"),
+                format!("{:.0}", sent * (2.0 - f64::from(loss) / 1_000.0)),
+                format!("{packet_us:.1}"),
+                format!("{tick_us:.1}"),
+                format!("{:.3}", busy * 100.0),
+                traffic.largest.to_string(),
+                format!("{:.0}", traffic.link_bytes as f64 / seconds),
+            ]);
+        }
+    }
+    println!("{table}");
+}
+
+fn print_deaths(sizes: &[usize]) {
+    let head = [
+        "daemons",
+        "loss %",
+        "pause ms",
+        "known in the data centre, median ms",
+        "worst ms",
+        "known elsewhere, median ms",
+        "worst ms",
+        "not known after 40 s",
+        "false suspicions",
+        "suspicions of paused",
+        "taken for dead wrongly",
+    ];
+    let mut table = Table::new("Time until a dead daemon is known; eight deaths", &head);
+    for size in sizes {
+        for (loss, pause) in [(0, 0), (50, 0), (200, 0), (50, 1_000), (50, 3_000), (50, 10_000)] {
+            let death = deaths(config(*size, loss, 1), 8, Millis(pause));
+            table.row(&[
+                size.to_string(),
+                (loss / 10).to_string(),
+                pause.to_string(),
+                death.local.percentile(50).0.to_string(),
+                death.local.percentile(100).0.to_string(),
+                death.remote.percentile(50).0.to_string(),
+                death.remote.percentile(100).0.to_string(),
+                death.missed.to_string(),
+                death.false_suspicions.to_string(),
+                death.pause_suspicions.to_string(),
+                death.false_deaths.to_string(),
+            ]);
+        }
+    }
+    println!("{table}");
+}
+
+fn print_store(sizes: &[usize]) {
+    let head = [
+        "daemons",
+        "first 10 s",
+        "peak in 1 s",
+        "a minute steady",
+        "a minute of outage",
+        "10 s after it",
+        "peak in 1 s after it",
+    ];
+    let mut table = Table::new("Calls to the store by the whole fleet", &head);
+    for size in sizes {
+        let load = store_load(config(*size, 50, 1));
+        let counts = [
+            load.at_start,
+            load.start_peak,
+            load.steady,
+            load.in_outage,
+            load.after_outage,
+            load.after_peak,
+        ];
+        let mut row = vec![size.to_string()];
+        row.extend(counts.iter().map(u64::to_string));
+        table.row(&row);
+    }
+    println!("{table}");
+}
+
+fn print_memory() {
+    let mut table = Table::new("Resident bytes of one state machine", &["of each", "bytes"]);
+    let members = [90, 180, 360].map(|n| (n as f64, memory(200, n, 0, 0)));
+    let accounts = [1_950, 3_900, 7_800].map(|n| (n as f64, memory(60, 0, n, 0)));
+    let entries = [230, 460, 930].map(|n| (n as f64, memory(200, 0, 0, n)));
+    for (name, points) in
+        [("member", members), ("client account", accounts), ("endpoint value", entries)]
+    {
+        table.row(&[name.to_string(), format!("{:.0}", slope(&points).0)]);
+    }
+    println!("{table}");
+}
--- a/components/messages/src/lib.rs
+++ b/components/messages/src/lib.rs
@@ -6,9 +6,12 @@
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod cluster;
+mod envelope;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod forward;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod status;
+
+pub use envelope::{OpenError, open, seal};
