--- /dev/null
+++ b/components/decision/src/load/admission.rs
@@ -0,0 +1,234 @@
+use super::entry::{Entry, Place};
+use super::{Effect, Scheduler, TIERS};
+use crate::Millis;
+use errors::{Reason, Refusal};
+
+/// The longest time to come back that is told, in milliseconds.
+const RETRY_MAX_MS: u64 = 60_000;
+
+/// The shortest time to come back that is told, in milliseconds.
+const RETRY_MIN_MS: u64 = 500;
+
+/// Finish targets after which a request that has begun is given up.
+const LATE_FACTOR: u64 = 3;
+
+/// Times that one request is sent to other data centres at most.
+const FORWARD_LIMIT: u32 = 2;
+
+/// The time that a request needs to get over the link and back, in milliseconds.
+const LINK_MS: u64 = 80;
+
+impl Scheduler {
+    /// Predicts the wait of a request that is not yet in the queue.
+    pub(super) fn predict_wait(&self, entry: &Entry, now: Millis) -> Millis {
+        let Some(pool) = self.pools.get(&entry.arrival.serves) else { return Millis(0) };
+        let share = self.share(&entry.arrival.serves);
+        let tier = entry.tier();
+        let ahead: usize = pool.queues[..=tier].iter().map(|q| q.len()).sum();
+        let held: usize = pool.paused[..=tier].iter().map(|p| p.len()).sum();
+        if f64::from(pool.outstanding()) + 1.0 <= share.total && ahead + held == 0 {
+            return Millis(0);
+        }
+        let own = self.expected_work(entry);
+        let fair = self.cfg.mechanisms.fairness;
+        let queued = pool.queues[tier].work_before(&entry.arrival.account, fair);
+        let work = queued + own * pool.paused[tier].len() as u64 / 2 + own / 2;
+        let ratio = pool.wait_ratio[tier].mean_or(1.0);
+        let streams = share.tiers[tier].max(pool.started[tier].per_ms(now)).max(0.5);
+        Millis((work as f64 / streams * ratio) as u64)
+    }
+
+    /// Queues a new request, sends it elsewhere, or refuses it because it cannot be in time.
+    pub(super) fn admit(&mut self, mut entry: Entry, now: Millis) -> Vec<Effect> {
+        let request = entry.arrival.request;
+        let (pool_name, tier) = (entry.arrival.serves.clone(), entry.tier());
+        entry.predicted = self.predict_wait(&entry, now);
+        let latest = self.latest_start(&entry, self.expected_work(&entry));
+        let late = now + entry.predicted > latest;
+        let wait = entry.predicted;
+        let mut effects = Vec::new();
+        self.entries.insert(request, entry);
+        let full = self.waiting() >= self.cfg.queue_limit;
+        if full && !self.make_room(&pool_name, tier, now, &mut effects) {
+            self.refuse(request, Reason::Overloaded, wait, now, &mut effects);
+            return effects;
+        }
+        self.place_waiting(request, now);
+        if late && self.cfg.mechanisms.early_refusal {
+            self.refuse_early(request, &pool_name, wait, now, &mut effects);
+        }
+        effects.append(&mut self.dispatch(&pool_name, now));
+        effects
+    }
+
+    /// Refuses a request that would be late, unless lower tiers or another data centre make room.
+    fn refuse_early(
+        &mut self,
+        request: u64,
+        pool_name: &str,
+        wait: Millis,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(tier) = self.entries.get(&request).map(Entry::tier) else { return };
+        while let Some(first) = self.first_up_to(pool_name, tier) {
+            let Some(first_tier) = self.entries.get(&first).map(Entry::tier) else { break };
+            if !self.displace_for(pool_name, first, first_tier, now, effects) {
+                break;
+            }
+        }
+        let waits = self.entries.get(&request).is_some_and(Entry::waits);
+        if !waits || self.others_give_way(pool_name, tier) > 0 {
+            return;
+        }
+        if self.spill(request, now, effects) {
+            return;
+        }
+        self.refuse(request, Reason::Overloaded, wait, now, effects);
+    }
+
+    /// Returns the first waiting request of a tier or a higher one.
+    fn first_up_to(&self, pool_name: &str, tier: usize) -> Option<u64> {
+        let pool = self.pools.get(pool_name)?;
+        pool.queues[..=tier].iter().find_map(|queue| queue.first())
+    }
+
+    /// Refuses a waiting request of a lower tier to make room in a full queue.
+    fn make_room(
+        &mut self,
+        pool_name: &str,
+        tier: usize,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(pool) = self.pools.get(pool_name) else { return false };
+        let below = (tier + 1..TIERS).rev();
+        let Some(last) = below.filter_map(|t| pool.queues[t].last()).next() else { return false };
+        let wait = Millis(pool.delay.mean as u64);
+        self.refuse(last, Reason::Overloaded, wait, now, effects);
+        true
+    }
+
+    /// Sends a waiting request to another data centre if that gains its target.
+    pub(super) fn spill(&mut self, request: u64, now: Millis, effects: &mut Vec<Effect>) -> bool {
+        let Some(entry) = self.entries.get(&request) else { return false };
+        let arrival = &entry.arrival;
+        let may = self.cfg.mechanisms.spill && !arrival.forwarded && entry.generated == 0;
+        if !may || entry.forwards >= FORWARD_LIMIT || !entry.may_repeat() {
+            return false;
+        }
+        let (tier, serves, class) = (entry.tier(), arrival.serves.clone(), arrival.class.clone());
+        let Some((centre, far)) = self.other_centre(&serves, tier) else { return false };
+        if far && !self.pay_for_link(request, &class, now) {
+            return false;
+        }
+        self.peers.take_room(&centre, &serves, tier);
+        self.stats.forwarded += 1;
+        self.vacate(request);
+        let Some(entry) = self.entries.get_mut(&request) else { return false };
+        entry.forwards += 1;
+        entry.attempt += 1;
+        entry.answered = false;
+        entry.started = now;
+        entry.progressed = now;
+        entry.place = Place::Remote(centre.clone());
+        let attempt = entry.attempt;
+        self.watch(request, now);
+        effects.push(Effect::Forward { request, attempt, data_centre: centre });
+        true
+    }
+
+    /// Returns the data centre to send a request to, and whether it is in another region.
+    ///
+    /// This region goes first; there, room goes before lower tiers that would give way.
+    fn other_centre(&self, serves: &str, tier: usize) -> Option<(String, bool)> {
+        let others = self.peers.centres().iter().filter(|(n, _)| **n != self.cfg.data_centre);
+        let rated = others.filter_map(|(name, centre)| {
+            let sum = centre.pools.get(serves)?;
+            let below = if self.cfg.mechanisms.preemption { sum.running_below(tier) } else { 0 };
+            let near = centre.region == self.cfg.region;
+            (sum.room + below > 0).then_some((near, sum.room, below, name))
+        });
+        let (near, _, _, name) = rated.max()?;
+        Some((name.clone(), !near))
+    }
+
+    /// Takes the bytes of a request off the link's budget, if it can be in time over the link.
+    fn pay_for_link(&mut self, request: u64, class: &str, now: Millis) -> bool {
+        let Some(entry) = self.entries.get(&request) else { return false };
+        let arrival = &entry.arrival;
+        let latest = self.latest_start(entry, self.expected_work(entry));
+        if latest < now + Millis(LINK_MS) {
+            return false;
+        }
+        let answer = self.lengths.remaining(class, &arrival.account, 0, 0.9);
+        let tokens = (arrival.prompt_tokens, answer);
+        let (daemons, _) = self.daemons_of_region();
+        let per_second = if self.cfg.mechanisms.link_budget {
+            self.cfg.link_bytes_per_second as f64 / f64::from(daemons)
+        } else {
+            f64::MAX / 1e6
+        };
+        self.link.take(class, tokens, per_second, now)
+    }
+
+    /// Returns the daemons of this region and of all regions.
+    pub(super) fn daemons_of_region(&self) -> (u32, u32) {
+        let centres = self.peers.centres().values();
+        let near = centres.filter(|c| c.region == self.cfg.region).map(|c| c.daemons);
+        (near.sum::<u32>() + 1, self.peers.count() as u32 + 1)
+    }
+
+    /// Gives up a request that has begun and is late beyond all use.
+    pub(super) fn give_up_late(&mut self, request: u64, now: Millis, effects: &mut Vec<Effect>) {
+        let Some(entry) = self.entries.get(&request) else { return };
+        let limit = Millis(entry.arrival.finish.0.saturating_mul(LATE_FACTOR));
+        if entry.arrival.finish.0 > 0 && now.since(entry.arrived) > limit {
+            self.refuse(request, Reason::Overloaded, Millis(0), now, effects);
+        }
+    }
+
+    /// Refuses a request that can no longer start in time.
+    pub(super) fn refuse_late(&mut self, request: u64, now: Millis, effects: &mut Vec<Effect>) {
+        let Some(entry) = self.entries.get(&request) else { return };
+        let wait = self.predict_wait(entry, now);
+        self.refuse(request, Reason::Overloaded, wait, now, effects);
+    }
+
+    /// Refuses a request and forgets it.
+    pub(super) fn refuse(
+        &mut self,
+        request: u64,
+        reason: Reason,
+        wait: Millis,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(entry) = self.entries.get(&request) else { return };
+        if reason == Reason::Overloaded {
+            self.check_refusal(&entry.arrival.serves.clone(), entry.tier(), now);
+        }
+        let Some(entry) = self.entries.get(&request) else { return };
+        let text = match reason {
+            Reason::EndpointFailed => format!("{} attempts failed", entry.attempt),
+            _ => format!("class {} cannot be answered in time", entry.arrival.class),
+        };
+        let refusal = Refusal { verdict: entry.verdict, ..Refusal::not_run(reason, text) };
+        let refusal = refusal.retry_after(wait.0.clamp(RETRY_MIN_MS, RETRY_MAX_MS));
+        self.stats.refused += 1;
+        self.forget(request);
+        effects.push(Effect::Refuse { request, refusal });
+    }
+
+    /// Forgets a request wherever it is and gives back what its account was charged.
+    pub(super) fn forget(&mut self, request: u64) {
+        self.vacate(request);
+        let Some(entry) = self.entries.remove(&request) else { return };
+        self.due.remove(&(entry.due, request));
+        let arrival = &entry.arrival;
+        if entry.is_charged {
+            let used = arrival.prompt_tokens + entry.generated;
+            self.limits.release(&arrival.account, &arrival.class, entry.charged, used);
+        }
+    }
+}
--- /dev/null
+++ b/components/decision/src/load/bucket.rs
@@ -0,0 +1,56 @@
+use crate::Millis;
+
+/// A token bucket that fills with time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Bucket {
+    level: f64,
+    filled_at: Millis,
+}
+
+impl Bucket {
+    /// Creates a full bucket.
+    pub(super) fn full(size: f64, now: Millis) -> Bucket {
+        Bucket { level: size, filled_at: now }
+    }
+
+    /// Fills the bucket up to the present time.
+    pub(super) fn fill(&mut self, per_ms: f64, size: f64, now: Millis) {
+        let added = now.since(self.filled_at).0 as f64 * per_ms;
+        self.level = (self.level + added).min(size);
+        self.filled_at = self.filled_at.max(now);
+    }
+
+    /// Takes `amount` if it is there.
+    pub(super) fn take(&mut self, amount: f64) -> bool {
+        let fits = self.level >= amount;
+        if fits {
+            self.level -= amount;
+        }
+        fits
+    }
+
+    /// Takes or gives back an amount that is known only now; the level may fall below zero.
+    pub(super) fn correct(&mut self, amount: f64) {
+        self.level -= amount;
+    }
+
+    /// Returns what is there.
+    pub(super) fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// Returns the time until `amount` is there, in milliseconds.
+    pub(super) fn wait_ms(&self, amount: f64, per_ms: f64) -> u64 {
+        ((amount - self.level).max(0.0) / per_ms.max(1e-9)).ceil() as u64
+    }
+}
+
+/// The time after which an unused bucket counts as full.
+const IDLE: Millis = Millis(60_000);
+
+impl Bucket {
+    /// Returns whether nothing was taken for so long that the bucket is full.
+    pub(super) fn is_idle(&self, now: Millis) -> bool {
+        now.since(self.filled_at) > IDLE
+    }
+}
--- /dev/null
+++ b/components/decision/src/load/choice.rs
@@ -0,0 +1,79 @@
+use super::{Endpoint, Scheduler};
+use crate::Millis;
+use rand::RngExt;
+use sha2::{Digest, Sha256};
+
+/// The load of the preferred endpoint against the mean, above which others are taken.
+const BOUNDED_LOAD: f64 = 1.25;
+
+/// The age above which a load report no longer counts, in milliseconds.
+const REPORT_AGE_MS: u64 = 3_000;
+
+/// Returns the first 64 bits of the SHA-256 of two names.
+pub(super) fn hash_names(a: &str, b: &str) -> u64 {
+    let mut hasher = Sha256::new();
+    hasher.update(a.as_bytes());
+    hasher.update([0]);
+    hasher.update(b.as_bytes());
+    let digest = hasher.finalize();
+    digest[..8].iter().fold(0, |hash, byte| hash << 8 | u64::from(*byte))
+}
+
+/// Mixes two hashes by the finaliser of SplitMix64.
+fn mix(a: u64, b: u64) -> u64 {
+    let mut z = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// Returns the load of an endpoint as far as it is known; lower is better.
+fn load(endpoint: &Endpoint, usual_ms: f64, now: Millis) -> f64 {
+    let slowness = endpoint.between_tokens.mean_or(usual_ms) / usual_ms.max(1.0);
+    let fresh = endpoint.report.filter(|(r, at)| r.age_ms + now.since(*at).0 < REPORT_AGE_MS);
+    let waiting = fresh.map_or(0, |(report, _)| report.waiting);
+    f64::from(endpoint.outstanding + 1) * slowness.max(0.5) + f64::from(waiting)
+}
+
+impl Scheduler {
+    /// Returns the requests that this daemon has at one endpoint at most.
+    pub(super) fn load_bound(&self, pool_name: &str) -> u32 {
+        let members = self.pools.get(pool_name).map_or(0, |pool| pool.members.len());
+        let used = members.clamp(1, self.cfg.subset.max(1));
+        let mean = self.share(pool_name).total / used as f64;
+        (mean * BOUNDED_LOAD).ceil() as u32
+    }
+
+    /// Chooses an endpoint with room from this daemon's part of the pool.
+    pub(super) fn choose(
+        &mut self,
+        pool_name: &str,
+        prefix: u64,
+        beyond_share: bool,
+        now: Millis,
+    ) -> Option<String> {
+        let pool = self.pools.get(pool_name)?;
+        let bound = self.load_bound(pool_name);
+        let names = pool.members.iter().map(|(_, name)| name);
+        let usable = names.filter_map(|name| self.endpoints.get(name));
+        let usable = usable.filter(|e| e.is_usable(now)).take(self.cfg.subset);
+        let usable: Vec<&Endpoint> = usable.collect();
+        let fits =
+            |e: &&&Endpoint| e.outstanding < e.limit() && (beyond_share || e.outstanding < bound);
+        let free: Vec<&Endpoint> = usable.iter().filter(fits).copied().collect();
+        if free.is_empty() {
+            return None;
+        }
+        let usual_ms = pool.between_tokens.mean_or(1.0);
+        if self.cfg.mechanisms.affinity && prefix != 0 {
+            let lowest = free.iter().map(|e| load(e, usual_ms, now)).fold(f64::MAX, f64::min);
+            let near = |e: &&&Endpoint| load(e, usual_ms, now) <= lowest * BOUNDED_LOAD + 1.0;
+            let best = free.iter().filter(near).max_by_key(|e| mix(prefix, e.hash));
+            return best.map(|e| e.info.name.clone());
+        }
+        let one = free[self.rng.random_range(0..free.len())];
+        let two = free[self.rng.random_range(0..free.len())];
+        let better = if load(one, usual_ms, now) <= load(two, usual_ms, now) { one } else { two };
+        Some(better.info.name.clone())
+    }
+}
--- /dev/null
+++ b/components/decision/src/load/dispatch.rs
@@ -0,0 +1,197 @@
+use super::entry::Place;
+use super::share::{Share, divide};
+use super::{Effect, Scheduler, TIERS};
+use crate::Millis;
+
+/// Paused requests of one tier that are tried before waiting ones.
+const RESUME_TRIES: usize = 4;
+
+/// A request that may start next.
+#[derive(Clone, Copy, Debug)]
+struct Next {
+    request: u64,
+    protected: bool,
+}
+
+impl Scheduler {
+    /// Returns the streams of a pool that are this daemon's to use.
+    pub(super) fn share(&self, pool_name: &str) -> Share {
+        let Some(pool) = self.pools.get(pool_name) else { return Share::default() };
+        if !self.cfg.mechanisms.exchange {
+            let all = f64::from(pool.slots);
+            return Share { tiers: [all; TIERS], total: all };
+        }
+        let (daemons, others) = self.peers.of(&self.cfg.data_centre, pool_name);
+        divide(pool.slots, pool.demand(), &others, daemons + 1)
+    }
+
+    /// Starts what fits, lets lower tiers give way, and gives up what is too late.
+    pub(super) fn dispatch(&mut self, pool_name: &str, now: Millis) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.earn_floors(pool_name, now);
+        while let Some(next) = self.next_start(pool_name, now) {
+            if !self.start(pool_name, next, false, now, &mut effects) {
+                break;
+            }
+        }
+        self.press(pool_name, now, &mut effects);
+        effects
+    }
+
+    fn earn_floors(&mut self, pool_name: &str, now: Millis) {
+        let (daemons, _) = self.peers.of(&self.cfg.data_centre, pool_name);
+        let Some(pool) = self.pools.get_mut(pool_name) else { return };
+        let slots = f64::from(pool.slots) / f64::from(daemons + 1);
+        for (class, floor) in &mut pool.floors {
+            let tokens = self.lengths.remaining(class, "", 0, 0.5);
+            let first = pool.first_token.mean_or(0.0) + 1.0;
+            let work = first + pool.between_tokens.mean_or(40.0) * f64::from(tokens);
+            floor.earn(slots, work as u64, now);
+        }
+    }
+
+    fn next_start(&self, pool_name: &str, now: Millis) -> Option<Next> {
+        let pool = self.pools.get(pool_name)?;
+        let share = self.share(pool_name);
+        if f64::from(pool.outstanding()) >= share.total.floor() {
+            return None;
+        }
+        if let Some(request) = self.owed(pool_name, now) {
+            return Some(Next { request, protected: true });
+        }
+        for tier in 0..TIERS {
+            let paused = pool.paused[tier].iter().take(RESUME_TRIES);
+            let mut resumable = paused.filter(|(_, request)| self.can_resume(*request, now));
+            let found = resumable.next().map(|(_, request)| *request);
+            if let Some(request) = found.or_else(|| pool.queues[tier].first()) {
+                return Some(Next { request, protected: false });
+            }
+        }
+        None
+    }
+
+    /// Returns a request whose class is owed its floor and that harms no higher tier.
+    fn owed(&self, pool_name: &str, now: Millis) -> Option<u64> {
+        if !self.cfg.mechanisms.floors {
+            return None;
+        }
+        let pool = self.pools.get(pool_name)?;
+        for floor in pool.floors.values() {
+            let Some((_, first)) = floor.waiting.first() else { continue };
+            let work = self.entries.get(first).map_or(0, |e| self.expected_work(e));
+            let Some(request) = floor.owed(work) else { continue };
+            let held = matches!(self.entries.get(&request)?.place, Place::Paused(_));
+            if held && !self.can_resume(request, now) {
+                continue;
+            }
+            if self.has_slack_above(pool_name, floor.tier, work, now) {
+                return Some(request);
+            }
+        }
+        None
+    }
+
+    /// Returns whether what waits above a tier can wait for one more stream to end.
+    pub(super) fn has_slack_above(
+        &self,
+        pool_name: &str,
+        tier: usize,
+        work: u64,
+        now: Millis,
+    ) -> bool {
+        let Some(pool) = self.pools.get(pool_name) else { return true };
+        let next_end = work / u64::from(pool.outstanding().max(1));
+        let until = now + Millis(next_end);
+        let urgent = |t: usize| pool.queues[t].most_urgent().is_some_and(|(at, _)| at < until);
+        !(0..tier).any(urgent)
+    }
+
+    fn can_resume(&self, request: u64, now: Millis) -> bool {
+        let Some(entry) = self.entries.get(&request) else { return false };
+        let Place::Paused(name) = &entry.place else { return false };
+        let bound = self.load_bound(&entry.arrival.serves);
+        let endpoint = self.endpoints.get(name);
+        endpoint.is_some_and(|e| e.resting_until <= now && e.outstanding < e.limit().min(bound))
+    }
+
+    /// Starts or resumes a request; returns whether there was room at an endpoint.
+    fn start(
+        &mut self,
+        pool_name: &str,
+        next: Next,
+        beyond_share: bool,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Next { request, protected } = next;
+        let Some(entry) = self.entries.get(&request) else { return false };
+        let prefix = entry.arrival.prefix;
+        if let Place::Paused(name) = entry.place.clone() {
+            self.note_start(request, protected, now);
+            self.vacate(request);
+            self.place_running(request, &name, now);
+            self.entries.get_mut(&request).into_iter().for_each(|e| e.queued_again = true);
+            effects.push(Effect::Resume { request });
+            return true;
+        }
+        let Some(endpoint) = self.choose(pool_name, prefix, beyond_share, now) else {
+            return false;
+        };
+        self.send(request, &endpoint, protected, now, effects);
+        true
+    }
+
+    /// Starts a request beyond this daemon's share, because others are to give way.
+    pub(super) fn start_beyond_share(
+        &mut self,
+        pool_name: &str,
+        request: u64,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let next = Next { request, protected: false };
+        self.start(pool_name, next, true, now, effects)
+    }
+
+    /// Sends a waiting request to an endpoint.
+    pub(super) fn send(
+        &mut self,
+        request: u64,
+        endpoint: &str,
+        protected: bool,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.note_start(request, protected, now);
+        self.vacate(request);
+        let Some(entry) = self.entries.get_mut(&request) else { return };
+        entry.attempt += 1;
+        entry.answered = false;
+        let attempt = entry.attempt;
+        self.place_running(request, endpoint, now);
+        effects.push(Effect::Dispatch { request, attempt, endpoint: endpoint.to_string() });
+    }
+
+    /// Learns from the wait of a request that starts.
+    fn note_start(&mut self, request: u64, protected: bool, now: Millis) {
+        let Some(entry) = self.entries.get_mut(&request) else { return };
+        entry.protected = protected;
+        let (tier, attempt) = (entry.tier(), entry.attempt);
+        let (waited, predicted) = (now.since(entry.arrived).0 as f64, entry.predicted.0 as f64);
+        let Some(entry) = self.entries.get(&request) else { return };
+        let work = self.expected_work(entry);
+        let Some(pool) = self.pools.get_mut(&entry.arrival.serves) else { return };
+        if let Some(floor) = pool.floors.get_mut(&entry.arrival.class) {
+            floor.start(work, now);
+        }
+        pool.started[tier].add(work as f64, now);
+        let Place::Waiting(position) = &entry.place else { return };
+        pool.queues[tier].advance(position.tag);
+        if attempt == 0 {
+            pool.delay.add(waited);
+        }
+        if attempt == 0 && predicted > 0.0 {
+            pool.wait_ratio[tier].add((waited / predicted).clamp(0.25, 4.0));
+        }
+    }
+}
--- a/components/decision/src/load/endpoint.rs
+++ b/components/decision/src/load/endpoint.rs
@@ -1,3 +1,4 @@
+use super::observation::Smoothed;
 use crate::Millis;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -51,10 +52,61 @@
     pub state: EndpointState,
     /// Requests of this daemon that it works on.
     pub outstanding: u32,
+    /// Streams of this daemon that it holds back.
+    pub paused: u32,
     /// Attempts that failed since the last one that went well.
     pub failures: u32,
     /// The time before which a failed endpoint gets no work.
     pub resting_until: Millis,
     /// Its last report and when it was received.
     pub report: Option<(EndpointReport, Millis)>,
+    /// Requests that it works on or holds back.
+    pub requests: BTreeSet<u64>,
+    /// The time to the first token, in milliseconds.
+    pub first_token: Smoothed,
+    /// The time between tokens, in milliseconds.
+    pub between_tokens: Smoothed,
+    /// Whether it is much slower than its pool.
+    pub slow: bool,
+    /// Requests that it may work on while it comes back; `None` when it is back.
+    pub ramp: Option<u32>,
+    /// A hash of its name.
+    pub hash: u64,
+}
+
+/// Requests that an endpoint gets at first when it comes back.
+const FIRST_RAMP: u32 = 1;
+
+/// The longest rest as a multiple of the first.
+const REST_LIMIT: u32 = 16;
+
+impl Endpoint {
+    /// Returns whether it may get new work.
+    pub fn is_usable(&self, now: Millis) -> bool {
+        self.state == EndpointState::Live && self.resting_until <= now
+    }
+
+    /// Returns the requests that it may work on at most.
+    pub fn limit(&self) -> u32 {
+        if self.slow {
+            return FIRST_RAMP;
+        }
+        self.ramp.unwrap_or(self.info.slots).min(self.info.slots)
+    }
+
+    /// Notes a failure; the endpoint rests, longer each time.
+    pub fn fail(&mut self, rest: Millis, ramp: bool, now: Millis) {
+        let times = 1 << self.failures.min(4);
+        self.failures += 1;
+        self.resting_until = now + Millis(rest.0 * u64::from(times.min(REST_LIMIT)));
+        if ramp {
+            self.ramp = Some(FIRST_RAMP);
+        }
+    }
+
+    /// Notes a whole answer; an endpoint that comes back may work on more.
+    pub fn succeed(&mut self) {
+        self.failures = 0;
+        self.ramp = self.ramp.map(|limit| limit * 2).filter(|limit| *limit < self.info.slots);
+    }
 }
--- /dev/null
+++ b/components/decision/src/load/floor.rs
@@ -0,0 +1,85 @@
+use crate::Millis;
+use std::collections::BTreeSet;
+
+/// The part of the finish window after which a waiting class earns twice, then four times as much.
+const AGEING_PART: u64 = 4;
+
+/// Expected slot times of one request that a class can save up.
+const CREDIT_LIMIT: f64 = 2.0;
+
+/// The floor of one class in one pool.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Floor {
+    /// The share of the pool, 0 to 1.
+    pub(super) share: f64,
+    /// The finish window.
+    pub(super) window: Millis,
+    /// The tier as an index.
+    pub(super) tier: usize,
+    /// Requests that wait or are held back, the oldest first.
+    pub(super) waiting: BTreeSet<(Millis, u64)>,
+    /// Slot time that the class has earned and not had, in milliseconds.
+    credit: f64,
+    earned_at: Millis,
+    /// Since when the class has waited without a start.
+    hungry_since: Option<Millis>,
+    /// Whether higher tiers had no slack since then.
+    pub(super) blocked: bool,
+}
+
+impl Floor {
+    /// Adds a request that waits.
+    pub(super) fn push(&mut self, arrived: Millis, request: u64, now: Millis) {
+        self.waiting.insert((arrived, request));
+        self.hungry_since.get_or_insert(now);
+    }
+
+    /// Takes out a request.
+    pub(super) fn remove(&mut self, arrived: Millis, request: u64) {
+        self.waiting.remove(&(arrived, request));
+        if self.waiting.is_empty() {
+            self.hungry_since = None;
+            self.blocked = false;
+        }
+    }
+
+    /// Notes that a request of the class starts with this expected slot time.
+    pub(super) fn start(&mut self, work: u64, now: Millis) {
+        self.credit = (self.credit - work as f64).max(-CREDIT_LIMIT * work as f64);
+        self.hungry_since = if self.waiting.is_empty() { None } else { Some(now) };
+        self.blocked = false;
+    }
+
+    /// Earns slot time from `slots` slots; waiting longer earns more.
+    pub(super) fn earn(&mut self, slots: f64, work: u64, now: Millis) {
+        let elapsed = now.since(self.earned_at).0 as f64;
+        self.earned_at = now;
+        if self.waiting.is_empty() {
+            return;
+        }
+        let earned = elapsed * slots * self.share * self.ageing(now);
+        self.credit = (self.credit + earned).min(CREDIT_LIMIT * work as f64);
+    }
+
+    fn ageing(&self, now: Millis) -> f64 {
+        let waited = self.hungry_since.map_or(Millis(0), |since| now.since(since));
+        let parts = waited.0 * AGEING_PART / self.window.0.max(1);
+        match parts {
+            0 => 1.0,
+            1 => 2.0,
+            _ => 4.0,
+        }
+    }
+
+    /// Returns the request that the floor starts next, if it has the slot time for it.
+    pub(super) fn owed(&self, work: u64) -> Option<u64> {
+        let (_, request) = self.waiting.first()?;
+        (self.credit >= work as f64).then_some(*request)
+    }
+
+    /// Returns whether the class had a start in each finish window that left it slack.
+    pub(super) fn holds(&self, now: Millis) -> bool {
+        let hungry = self.hungry_since.is_some_and(|since| now.since(since) > self.window);
+        !hungry || self.blocked
+    }
+}
--- /dev/null
+++ b/components/decision/src/load/health.rs
@@ -0,0 +1,142 @@
+use super::entry::{Entry, Place};
+use super::observation::median;
+use super::{Effect, Scheduler};
+use crate::Millis;
+use errors::{Reason, Verdict};
+
+/// The time between tokens against the pool's median from which an endpoint is slow.
+const SLOW_FACTOR: f64 = 3.0;
+
+/// The factor below which it is no longer slow.
+const USUAL_FACTOR: f64 = 1.5;
+
+/// Observations that a judgement needs.
+const ENOUGH: u32 = 8;
+
+/// The time to the first token against its usual value after which an attempt is silent.
+const SILENT_FACTOR: u64 = 4;
+
+impl Scheduler {
+    /// Ends an attempt that failed; the request is tried again or refused.
+    pub(super) fn fail_attempt(
+        &mut self,
+        request: u64,
+        verdict: Verdict,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(entry) = self.entries.get_mut(&request) else { return };
+        entry.verdict = entry.verdict.combine(verdict);
+        let was_remote = matches!(entry.place, Place::Remote(_));
+        if !was_remote {
+            entry.failures += 1;
+        }
+        let has_attempts = entry.failures < self.cfg.attempt_limit;
+        let may = has_attempts && (entry.arrival.repeatable || verdict == Verdict::NotRun);
+        if let Place::Running(name) | Place::Paused(name) = entry.place.clone() {
+            let ramp = self.cfg.mechanisms.slow_reentry;
+            if let Some(endpoint) = self.endpoints.get_mut(&name) {
+                endpoint.fail(self.cfg.rest_after_failure, ramp, now);
+            }
+        }
+        let free = was_remote && verdict == Verdict::NotRun;
+        if may && (free || self.spend_retry(now)) {
+            self.vacate(request);
+            self.place_waiting(request, now);
+            return;
+        }
+        self.refuse(request, Reason::EndpointFailed, Millis(1_000), now, effects);
+    }
+
+    fn spend_retry(&mut self, now: Millis) -> bool {
+        !self.cfg.mechanisms.retry_budget || self.retries.spend(now)
+    }
+
+    /// Gives up attempts that have brought no token for too long.
+    pub(super) fn end_silent(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        while let Some((at, request)) = self.due.first().copied() {
+            if at > now {
+                return;
+            }
+            self.due.remove(&(at, request));
+            let Some(entry) = self.entries.get(&request) else { continue };
+            if !matches!(entry.place, Place::Running(_) | Place::Remote(_)) {
+                continue;
+            }
+            let limit = self.silence_limit(entry);
+            let since = entry.progressed;
+            if !self.cfg.mechanisms.observation || now.since(since) < limit {
+                let next = (since + limit).max(now + Millis(1));
+                if let Some(entry) = self.entries.get_mut(&request) {
+                    entry.due = next;
+                }
+                self.due.insert((next, request));
+                continue;
+            }
+            effects.push(Effect::Cancel { request });
+            self.fail_attempt(request, Verdict::MayHaveRun, now, effects);
+        }
+    }
+
+    fn silence_limit(&self, entry: &Entry) -> Millis {
+        let limit = self.cfg.silence_limit;
+        if entry.answered && !entry.queued_again {
+            return limit;
+        }
+        let pool = self.pools.get(&entry.arrival.serves);
+        let usual = pool.map_or(0, |pool| pool.first_token_ms());
+        let remote = matches!(entry.place, Place::Remote(_));
+        let queued = if remote { entry.arrival.first_token } else { Millis(0) };
+        limit.max(Millis(usual * SILENT_FACTOR)).max(queued)
+    }
+
+    /// Compares the endpoints of a pool with each other.
+    pub(super) fn judge_endpoints(
+        &mut self,
+        pool_name: &str,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !self.cfg.mechanisms.observation {
+            return;
+        }
+        let Some(pool) = self.pools.get(pool_name) else { return };
+        let names: Vec<String> =
+            pool.members.iter().take(self.cfg.subset).map(|(_, name)| name.clone()).collect();
+        let seen = names.iter().filter_map(|name| self.endpoints.get(name));
+        let seen = seen.filter(|e| e.between_tokens.count >= ENOUGH);
+        let Some(usual) = median(seen.map(|e| e.between_tokens.mean).collect()) else { return };
+        for name in names {
+            let Some(endpoint) = self.endpoints.get_mut(&name) else { continue };
+            let mean = endpoint.between_tokens.mean;
+            let enough = endpoint.between_tokens.count >= ENOUGH;
+            if endpoint.slow && mean < usual * USUAL_FACTOR {
+                endpoint.slow = false;
+            } else if enough && mean > usual * SLOW_FACTOR {
+                endpoint.slow = true;
+                self.move_late(&name, now, effects);
+            }
+        }
+    }
+
+    /// Moves requests off a slow endpoint that would miss their finish there.
+    fn move_late(&mut self, name: &str, now: Millis, effects: &mut Vec<Effect>) {
+        let Some(endpoint) = self.endpoints.get(name) else { return };
+        let slow_ms = endpoint.between_tokens.mean;
+        let requests: Vec<u64> = endpoint.requests.iter().copied().collect();
+        for request in requests {
+            let Some(entry) = self.entries.get(&request) else { continue };
+            let arrival = &entry.arrival;
+            let left = (entry.arrived + arrival.finish).since(now).0 as f64;
+            let tokens =
+                self.lengths.remaining(&arrival.class, &arrival.account, entry.generated, 0.5);
+            let late = arrival.finish.0 > 0 && f64::from(tokens) * slow_ms > left;
+            if !late || !arrival.repeatable || !self.spend_retry(now) {
+                continue;
+            }
+            self.vacate(request);
+            self.place_waiting(request, now);
+            effects.push(Effect::Cancel { request });
+        }
+    }
+}
--- /dev/null
+++ b/components/decision/src/load/invariant.rs
@@ -0,0 +1,93 @@
+use super::entry::Place;
+use super::{Scheduler, TIERS};
+use crate::Millis;
+use std::collections::BTreeMap;
+
+/// Checks of the scheduler's own state; they panic when it is wrong.
+impl Scheduler {
+    pub(super) fn checks(&self) -> bool {
+        cfg!(debug_assertions) || self.cfg.check_invariants
+    }
+
+    /// Counts, and when checks are on forbids, a refusal while lower-tier work could give way.
+    pub(super) fn check_refusal(&mut self, pool_name: &str, tier: usize, _now: Millis) {
+        let victim = self.pools.get(pool_name).and_then(|pool| pool.victim(tier));
+        let others = self.others_give_way(pool_name, tier);
+        if victim.is_none() && others == 0 {
+            return;
+        }
+        self.stats.tier_violations += 1;
+        if self.checks() {
+            let tier = tier + 1;
+            assert!(victim.is_none(), "tier {tier} refused while a lower one ran here");
+            assert!(others == 0, "tier {tier} refused while others ran {others} lower ones");
+        }
+    }
+
+    /// Checks the tables against each other.
+    pub(super) fn check(&mut self, now: Millis) {
+        if !self.checks() {
+            return;
+        }
+        self.check_places();
+        self.check_endpoints();
+        self.check_floors(now);
+        assert!(self.link.is_within_budget(), "the link's budget is overrun");
+    }
+
+    /// Each request is in exactly one place.
+    fn check_places(&self) {
+        let mut waiting = 0;
+        let mut running = 0;
+        let mut paused = 0;
+        for (request, entry) in &self.entries {
+            match entry.place {
+                Place::Nowhere => panic!("request {request} is nowhere"),
+                Place::Waiting(_) => waiting += 1,
+                Place::Running(_) => running += 1,
+                Place::Paused(_) => paused += 1,
+                Place::Remote(_) => {}
+            }
+        }
+        let pools = || self.pools.values();
+        let queued: usize = pools().map(|p| p.waiting()).sum();
+        assert_eq!(waiting, queued, "waiting requests against the queues");
+        let outstanding: u32 = pools().map(|p| p.outstanding()).sum();
+        assert_eq!(running, outstanding, "running requests against the pools");
+        let held: usize = pools().flat_map(|p| p.paused.iter()).map(|p| p.len()).sum();
+        assert_eq!(paused, held, "paused requests against the pools");
+        let charged = self.entries.values().filter(|e| e.is_charged).count() as u64;
+        assert_eq!(charged, self.limits.streams(), "charged streams against the entries");
+    }
+
+    /// The counts of each endpoint match its requests.
+    fn check_endpoints(&self) {
+        let mut counts: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
+        for entry in self.entries.values() {
+            match &entry.place {
+                Place::Running(name) => counts.entry(name).or_default().0 += 1,
+                Place::Paused(name) => counts.entry(name).or_default().1 += 1,
+                _ => {}
+            }
+        }
+        for (name, endpoint) in &self.endpoints {
+            let counted = counts.get(name.as_str()).copied().unwrap_or_default();
+            let noted = (endpoint.outstanding, endpoint.paused);
+            assert_eq!(counted, noted, "requests at {name}");
+        }
+    }
+
+    /// A class with a floor starts work in each finish window that higher tiers leave slack.
+    fn check_floors(&mut self, now: Millis) {
+        let names: Vec<String> = self.pools.keys().cloned().collect();
+        for name in names {
+            let tight: [bool; TIERS] =
+                std::array::from_fn(|tier| !self.has_slack_above(&name, tier, 0, now));
+            let Some(pool) = self.pools.get_mut(&name) else { continue };
+            for (class, floor) in &mut pool.floors {
+                floor.blocked |= tight[floor.tier];
+                assert!(floor.holds(now), "class {class} has not had its floor");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/decision/src/load/limits.rs
@@ -0,0 +1,141 @@
+use super::{AccountLimits, bucket::Bucket};
+use crate::Millis;
+use std::collections::BTreeMap;
+
+/// Milliseconds of the minute that the limits count by.
+const MINUTE_MS: f64 = 60_000.0;
+
+/// The part of a minute's tokens and requests that may come at once.
+const BURST: f64 = 0.25;
+
+/// The longest time to come back that is told, in milliseconds.
+const RETRY_MAX_MS: u64 = 60_000;
+
+/// What one account has used of one class.
+#[derive(Clone, Debug, Default)]
+struct Usage {
+    requests: Bucket,
+    tokens: Bucket,
+    streams: u32,
+}
+
+/// The account limits as this daemon grants them.
+///
+/// Each daemon grants its part of a limit, and at least one request and one stream. With `n`
+/// daemons that know of each other the sum exceeds a limit by less than `n` streams and `n`
+/// requests of burst. A daemon that another has not yet noticed adds at most the part that the
+/// other grants for it until the peer timeout.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Limits {
+    accounts: BTreeMap<String, BTreeMap<String, Usage>>,
+    swept: Option<String>,
+}
+
+impl Limits {
+    /// Charges a request; returns the time to come back, in milliseconds, when it does not fit.
+    pub(super) fn charge(
+        &mut self,
+        key: (&str, &str),
+        limits: AccountLimits,
+        share: f64,
+        tokens: u32,
+        now: Millis,
+    ) -> Result<(), u64> {
+        let (account, class) = key;
+        let requests = Rate::of(limits.requests_per_minute, share, 1.0);
+        let rate = Rate::of(limits.tokens_per_minute, share, f64::from(tokens));
+        let usage = self.usage(account, class, &requests, &rate, now);
+        let streams = (f64::from(limits.streams) * share).ceil().max(1.0) as u32;
+        if limits.streams > 0 && usage.streams >= streams {
+            return Err(1_000);
+        }
+        usage.requests.fill(requests.per_ms, requests.size, now);
+        usage.tokens.fill(rate.per_ms, rate.size, now);
+        let wait = requests.wait(&usage.requests, 1.0);
+        let wait = wait.max(rate.wait(&usage.tokens, f64::from(tokens)));
+        if wait > 0 {
+            return Err(wait.min(RETRY_MAX_MS));
+        }
+        usage.requests.correct(1.0);
+        usage.tokens.correct(f64::from(tokens));
+        usage.streams += 1;
+        Ok(())
+    }
+
+    /// Notes the end of a request that was charged `charged` tokens and used `used`.
+    pub(super) fn release(&mut self, account: &str, class: &str, charged: u32, used: u32) {
+        let usage = self.accounts.get_mut(account).and_then(|classes| classes.get_mut(class));
+        if let Some(usage) = usage {
+            usage.streams = usage.streams.saturating_sub(1);
+            usage.tokens.correct(f64::from(used) - f64::from(charged));
+        }
+    }
+
+    /// Returns the streams of an account that are charged.
+    pub(super) fn streams(&self) -> u64 {
+        let all = self.accounts.values().flat_map(BTreeMap::values);
+        all.map(|usage| u64::from(usage.streams)).sum()
+    }
+
+    /// Forgets one account that has been idle for a minute; the next call looks at the next one.
+    pub(super) fn sweep(&mut self, now: Millis) {
+        let next = match self.swept.take() {
+            Some(last) => {
+                use std::ops::Bound::{Excluded, Unbounded};
+                let mut after = self.accounts.range::<str, _>((Excluded(last.as_str()), Unbounded));
+                after.next().map(|(name, _)| name.clone())
+            }
+            None => self.accounts.keys().next().cloned(),
+        };
+        let Some(name) = next else { return };
+        if let Some(classes) = self.accounts.get_mut(&name) {
+            classes.retain(|_, usage| usage.streams > 0 || !usage.requests.is_idle(now));
+            if classes.is_empty() {
+                self.accounts.remove(&name);
+            }
+        }
+        self.swept = Some(name);
+    }
+
+    fn usage(
+        &mut self,
+        account: &str,
+        class: &str,
+        requests: &Rate,
+        tokens: &Rate,
+        now: Millis,
+    ) -> &mut Usage {
+        if !self.accounts.contains_key(account) {
+            self.accounts.insert(account.to_string(), BTreeMap::new());
+        }
+        let classes = self.accounts.get_mut(account).expect("inserted above");
+        if !classes.contains_key(class) {
+            let usage = Usage {
+                requests: Bucket::full(requests.size, now),
+                tokens: Bucket::full(tokens.size, now),
+                streams: 0,
+            };
+            classes.insert(class.to_string(), usage);
+        }
+        classes.get_mut(class).expect("inserted above")
+    }
+}
+
+/// A limit a minute as this daemon grants it.
+struct Rate {
+    per_ms: f64,
+    size: f64,
+    limited: bool,
+}
+
+impl Rate {
+    fn of(per_minute: u32, share: f64, least: f64) -> Rate {
+        let granted = f64::from(per_minute) * share;
+        let size = (granted * BURST).max(least);
+        Rate { per_ms: granted / MINUTE_MS, size, limited: per_minute > 0 }
+    }
+
+    fn wait(&self, bucket: &Bucket, amount: f64) -> u64 {
+        if self.limited { bucket.wait_ms(amount, self.per_ms) } else { 0 }
+    }
+}
--- /dev/null
+++ b/components/decision/src/load/observation.rs
@@ -0,0 +1,70 @@
+use crate::Millis;
+use serde::{Deserialize, Serialize};
+
+/// The weight of a new observation.
+const WEIGHT: f64 = 0.1;
+
+/// A mean and a mean deviation in which old observations fade.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Smoothed {
+    /// The mean.
+    pub mean: f64,
+    /// The mean deviation.
+    pub deviation: f64,
+    /// Observations so far.
+    pub count: u32,
+}
+
+impl Smoothed {
+    /// Adds an observation.
+    pub fn add(&mut self, value: f64) {
+        self.count = self.count.saturating_add(1);
+        if self.count == 1 {
+            self.mean = value;
+            self.deviation = value / 2.0;
+            return;
+        }
+        self.deviation += WEIGHT * ((value - self.mean).abs() - self.deviation);
+        self.mean += WEIGHT * (value - self.mean);
+    }
+
+    /// Returns a value that few observations exceed, or `unknown` before the first.
+    pub fn high(&self, unknown: f64) -> f64 {
+        if self.count == 0 { unknown } else { self.mean + 2.0 * self.deviation }
+    }
+
+    /// Returns the mean, or `unknown` before the first observation.
+    pub fn mean_or(&self, unknown: f64) -> f64 {
+        if self.count == 0 { unknown } else { self.mean }
+    }
+}
+
+/// Returns the median; `None` for no value.
+pub(super) fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
+
+/// The time in which a rate fades to a third, in milliseconds.
+const RATE_MS: f64 = 5_000.0;
+
+/// The rate of an amount, in which old amounts fade.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Rate {
+    per_ms: f64,
+    at: Millis,
+}
+
+impl Rate {
+    /// Adds an amount.
+    pub(super) fn add(&mut self, amount: f64, now: Millis) {
+        self.per_ms = self.per_ms(now) + amount / RATE_MS;
+        self.at = now;
+    }
+
+    /// Returns the amount in a millisecond.
+    pub(super) fn per_ms(&self, now: Millis) -> f64 {
+        self.per_ms * (-(now.since(self.at).0 as f64) / RATE_MS).exp()
+    }
+}
--- /dev/null
+++ b/components/decision/src/load/peers.rs
@@ -0,0 +1,137 @@
+use super::{DaemonLoad, PoolLoad, TIERS};
+use crate::Millis;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The load of several daemons on one pool.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(super) struct PoolSum {
+    pub(super) waiting: [u32; TIERS],
+    pub(super) running: [u32; TIERS],
+    pub(super) pressed: [u32; TIERS],
+    pub(super) protected: u32,
+    pub(super) room: u32,
+    /// Daemons with requests that miss their target unless another gives way.
+    pub(super) pressed_daemons: u32,
+}
+
+impl PoolSum {
+    fn add(&mut self, load: &PoolLoad) {
+        for tier in 0..TIERS {
+            self.waiting[tier] += load.waiting[tier];
+            self.running[tier] += load.running[tier];
+            self.pressed[tier] += load.pressed[tier];
+        }
+        self.protected += load.protected;
+        self.room += load.room;
+        self.pressed_daemons += u32::from(load.pressed.iter().any(|n| *n > 0));
+    }
+
+    /// Takes a load off again; what was sent there meanwhile is already off.
+    fn subtract(&mut self, load: &PoolLoad) {
+        let less = |sum: &mut u32, part: u32| *sum = sum.saturating_sub(part);
+        for tier in 0..TIERS {
+            less(&mut self.waiting[tier], load.waiting[tier]);
+            less(&mut self.running[tier], load.running[tier]);
+            less(&mut self.pressed[tier], load.pressed[tier]);
+        }
+        less(&mut self.protected, load.protected);
+        less(&mut self.room, load.room);
+        less(&mut self.pressed_daemons, u32::from(load.pressed.iter().any(|n| *n > 0)));
+    }
+
+    /// Returns the running requests below a tier.
+    pub(super) fn running_below(&self, tier: usize) -> u32 {
+        self.running[tier + 1..].iter().sum()
+    }
+}
+
+/// What the daemons of one data centre spread.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Centre {
+    pub(super) region: String,
+    pub(super) daemons: u32,
+    pub(super) pools: BTreeMap<String, PoolSum>,
+}
+
+/// What the other daemons spread, summed by data centre.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Peers {
+    loads: BTreeMap<String, (DaemonLoad, Millis)>,
+    by_time: BTreeSet<(Millis, String)>,
+    centres: BTreeMap<String, Centre>,
+}
+
+impl Peers {
+    /// Takes in what a daemon spreads.
+    pub(super) fn set(&mut self, load: &DaemonLoad, now: Millis) {
+        self.forget(&load.daemon);
+        if !self.centres.contains_key(&load.data_centre) {
+            self.centres.insert(load.data_centre.clone(), Centre::default());
+        }
+        let centre = self.centres.get_mut(&load.data_centre).expect("inserted above");
+        centre.region.clone_from(&load.region);
+        centre.daemons += 1;
+        for (name, pool) in &load.pools {
+            centre.pools.entry(name.clone()).or_default().add(pool);
+        }
+        self.by_time.insert((now, load.daemon.clone()));
+        self.loads.insert(load.daemon.clone(), (load.clone(), now));
+    }
+
+    /// Forgets a daemon that left or is gone.
+    pub(super) fn forget(&mut self, daemon: &str) {
+        let Some((load, at)) = self.loads.remove(daemon) else { return };
+        self.by_time.remove(&(at, load.daemon));
+        let Some(centre) = self.centres.get_mut(&load.data_centre) else { return };
+        centre.daemons -= 1;
+        for (name, pool) in &load.pools {
+            if let Some(sum) = centre.pools.get_mut(name) {
+                sum.subtract(pool);
+            }
+        }
+        if centre.daemons == 0 {
+            self.centres.remove(&load.data_centre);
+        }
+    }
+
+    /// Forgets daemons that have not spread their load for `timeout`.
+    pub(super) fn expire(&mut self, timeout: Millis, now: Millis) {
+        while let Some((at, daemon)) = self.by_time.first().cloned() {
+            if now.since(at) <= timeout {
+                return;
+            }
+            self.forget(&daemon);
+        }
+    }
+
+    /// Returns the other daemons of a data centre and their load on a pool.
+    pub(super) fn of(&self, data_centre: &str, pool: &str) -> (u32, PoolSum) {
+        let centre = self.centres.get(data_centre);
+        let sum = centre.and_then(|c| c.pools.get(pool)).cloned().unwrap_or_default();
+        (centre.map_or(0, |c| c.daemons), sum)
+    }
+
+    /// Returns the data centres by name.
+    pub(super) fn centres(&self) -> &BTreeMap<String, Centre> {
+        &self.centres
+    }
+
+    /// Returns all daemons that spread their load.
+    pub(super) fn count(&self) -> usize {
+        self.loads.len()
+    }
+
+    /// Notes that a request of a tier is sent to another data centre.
+    pub(super) fn take_room(&mut self, data_centre: &str, pool: &str, tier: usize) {
+        let centre = self.centres.get_mut(data_centre);
+        let Some(sum) = centre.and_then(|c| c.pools.get_mut(pool)) else { return };
+        if sum.room > 0 {
+            sum.room -= 1;
+            return;
+        }
+        let lowest = (tier + 1..TIERS).rev().find(|t| sum.running[*t] > 0);
+        if let Some(lowest) = lowest {
+            sum.running[lowest] -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/components/decision/src/load/place.rs
@@ -0,0 +1,164 @@
+use super::entry::{Entry, Place};
+use super::{Scheduler, floor::Floor, pool::Pool};
+use crate::Millis;
+
+/// The quantile of the answer length that a start is planned on.
+const PLANNED_QUANTILE: f32 = 0.6;
+
+/// The part of its slack that a request waits before others give way.
+const PATIENCE_PART: u64 = 4;
+
+/// The time before the latest start from which others give way.
+const PRESS_AHEAD: Millis = Millis(500);
+
+/// A time later than any other.
+const NEVER: Millis = Millis(u64::MAX);
+
+/// Moves of a request from one place to another; only these change the tables of places.
+impl Scheduler {
+    /// Returns the expected slot time of a request, in milliseconds.
+    pub(super) fn expected_work(&self, entry: &Entry) -> u64 {
+        let arrival = &entry.arrival;
+        let quantile = PLANNED_QUANTILE;
+        let tokens = if self.cfg.mechanisms.lengths {
+            self.lengths.remaining(&arrival.class, &arrival.account, entry.generated, quantile)
+        } else {
+            256
+        };
+        self.pools.get(&arrival.serves).map_or(0, |pool| pool.work(tokens))
+    }
+
+    /// Returns the time by which a request has to start to meet its targets.
+    pub(super) fn latest_start(&self, entry: &Entry, work: u64) -> Millis {
+        let arrival = &entry.arrival;
+        let first_ms = self.pools.get(&arrival.serves).map_or(0, Pool::first_token_ms);
+        let by = |target: Millis, needed: u64| match target.0 {
+            0 => NEVER,
+            _ => (entry.arrived + target) - Millis(needed),
+        };
+        let by_first = if entry.generated > 0 { NEVER } else { by(arrival.first_token, first_ms) };
+        by_first.min(by(arrival.finish, work))
+    }
+
+    /// Puts a request that is nowhere into its queue.
+    pub(super) fn place_waiting(&mut self, request: u64, now: Millis) {
+        let Some(entry) = self.entries.get(&request) else { return };
+        let work = self.expected_work(entry);
+        let latest = self.latest_start(entry, work);
+        let times = (latest, press_at(entry.arrived, latest));
+        let fair = self.cfg.mechanisms.fairness;
+        let (tier, is_new) = (entry.tier(), entry.attempt == 0);
+        let (serves, account) = (entry.arrival.serves.clone(), entry.arrival.account.clone());
+        let pool = self.pools.entry(serves).or_default();
+        let queue = &mut pool.queues[tier];
+        let position = if is_new {
+            queue.push(request, &account, times, work, fair)
+        } else {
+            queue.push_front(request, times, work)
+        };
+        let Some(entry) = self.entries.get_mut(&request) else { return };
+        entry.place = Place::Waiting(position);
+        entry.protected = false;
+        if let Some(floor) = floor_of(pool, entry) {
+            floor.push(entry.arrived, request, now);
+        }
+    }
+
+    /// Puts a request that is nowhere at an endpoint.
+    pub(super) fn place_running(&mut self, request: u64, name: &str, now: Millis) {
+        let Some(entry) = self.entries.get_mut(&request) else { return };
+        entry.place = Place::Running(name.to_string());
+        entry.started = now;
+        entry.progressed = now;
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            endpoint.outstanding += 1;
+            endpoint.requests.insert(request);
+        }
+        let pool = self.pools.entry(entry.arrival.serves.clone()).or_default();
+        if entry.protected {
+            pool.protected.insert(request);
+        } else {
+            pool.running[entry.tier()].insert((now, request));
+        }
+        self.watch(request, now);
+    }
+
+    /// Holds a request that is nowhere back at its endpoint.
+    pub(super) fn place_paused(&mut self, request: u64, name: &str, now: Millis) {
+        let Some(entry) = self.entries.get_mut(&request) else { return };
+        entry.place = Place::Paused(name.to_string());
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            endpoint.paused += 1;
+            endpoint.requests.insert(request);
+        }
+        let pool = self.pools.entry(entry.arrival.serves.clone()).or_default();
+        pool.paused[entry.tier()].insert((entry.arrived, request));
+        if let Some(floor) = floor_of(pool, entry) {
+            floor.push(entry.arrived, request, now);
+        }
+    }
+
+    /// Takes a request out of its place.
+    pub(super) fn vacate(&mut self, request: u64) {
+        let Some(entry) = self.entries.get(&request) else { return };
+        let tier = entry.tier();
+        let Some(pool) = self.pools.get_mut(&entry.arrival.serves) else { return };
+        match &entry.place {
+            Place::Waiting(position) => {
+                pool.queues[tier].remove(request, &entry.arrival.account, *position);
+                if let Some(floor) = pool.floors.get_mut(&entry.arrival.class) {
+                    floor.remove(entry.arrived, request);
+                }
+            }
+            Place::Running(name) => {
+                if let Some(endpoint) = self.endpoints.get_mut(name) {
+                    endpoint.outstanding -= 1;
+                    endpoint.requests.remove(&request);
+                }
+                pool.protected.remove(&request);
+                pool.running[tier].remove(&(entry.started, request));
+            }
+            Place::Paused(name) => {
+                if let Some(endpoint) = self.endpoints.get_mut(name) {
+                    endpoint.paused -= 1;
+                    endpoint.requests.remove(&request);
+                }
+                pool.paused[tier].remove(&(entry.arrived, request));
+                if let Some(floor) = pool.floors.get_mut(&entry.arrival.class) {
+                    floor.remove(entry.arrived, request);
+                }
+            }
+            Place::Nowhere | Place::Remote(_) => {}
+        }
+    }
+
+    /// Has a request looked at when it has brought no token for too long.
+    pub(super) fn watch(&mut self, request: u64, now: Millis) {
+        let Some(entry) = self.entries.get_mut(&request) else { return };
+        self.due.remove(&(entry.due, request));
+        entry.due = now + self.cfg.silence_limit;
+        self.due.insert((entry.due, request));
+    }
+}
+
+/// Returns the time from which others give way to a request, so that it starts well in time.
+fn press_at(arrived: Millis, latest: Millis) -> Millis {
+    let slack = latest.since(arrived);
+    (arrived + Millis(slack.0 / PATIENCE_PART)).max(latest - PRESS_AHEAD)
+}
+
+/// Returns the floor of an entry's class, if it has one.
+fn floor_of<'a>(pool: &'a mut Pool, entry: &Entry) -> Option<&'a mut Floor> {
+    let arrival = &entry.arrival;
+    if arrival.floor <= 0.0 {
+        return None;
+    }
+    if !pool.floors.contains_key(&arrival.class) {
+        pool.floors.insert(arrival.class.clone(), Floor::default());
+    }
+    let floor = pool.floors.get_mut(&arrival.class)?;
+    floor.share = arrival.floor;
+    floor.window = arrival.finish;
+    floor.tier = entry.tier();
+    Some(floor)
+}
--- /dev/null
+++ b/components/decision/src/load/pool.rs
@@ -0,0 +1,99 @@
+use super::floor::Floor;
+use super::observation::{Rate, Smoothed};
+use super::queue::TierQueue;
+use super::share::Demand;
+use super::{PoolLoad, TIERS};
+use crate::Millis;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The time between tokens expected before any was seen, in milliseconds.
+const UNKNOWN_BETWEEN_MS: f64 = 40.0;
+
+/// The time to the first token expected before any was seen, in milliseconds.
+const UNKNOWN_FIRST_MS: f64 = 200.0;
+
+/// The requests and endpoints of one model or plain service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Pool {
+    /// Waiting requests by tier.
+    pub(super) queues: [TierQueue; TIERS],
+    /// Requests held back by tier, the oldest first.
+    pub(super) paused: [BTreeSet<(Millis, u64)>; TIERS],
+    /// Running requests that could give way by tier, by their start.
+    pub(super) running: [BTreeSet<(Millis, u64)>; TIERS],
+    /// Running requests that a floor protects.
+    pub(super) protected: BTreeSet<u64>,
+    /// Floors by class.
+    pub(super) floors: BTreeMap<String, Floor>,
+    /// Endpoints in the order in which this daemon prefers them.
+    pub(super) members: BTreeSet<(u64, String)>,
+    /// Streams of all endpoints.
+    pub(super) slots: u32,
+    /// The time to the first token.
+    pub(super) first_token: Smoothed,
+    /// The time between tokens.
+    pub(super) between_tokens: Smoothed,
+    /// The measured wait against the predicted one, by tier.
+    pub(super) wait_ratio: [Smoothed; TIERS],
+    /// The slot time started by tier, which is the streams that the tier gets.
+    pub(super) started: [Rate; TIERS],
+    /// The measured wait, in milliseconds.
+    pub(super) delay: Smoothed,
+}
+
+impl Pool {
+    /// Returns the requests that this daemon runs on the pool.
+    pub(super) fn outstanding(&self) -> u32 {
+        let running: usize = self.running.iter().map(BTreeSet::len).sum();
+        (running + self.protected.len()) as u32
+    }
+
+    /// Returns how many requests wait.
+    pub(super) fn waiting(&self) -> usize {
+        self.queues.iter().map(TierQueue::len).sum()
+    }
+
+    /// Returns the demand of this daemon.
+    pub(super) fn demand(&self) -> Demand {
+        let of = |tier: usize| {
+            self.queues[tier].len() + self.paused[tier].len() + self.running[tier].len()
+        };
+        let tiers = std::array::from_fn(|tier| of(tier) as u32);
+        Demand { tiers, protected: self.protected.len() as u32 }
+    }
+
+    /// Returns the running request that gives way first to a tier.
+    pub(super) fn victim(&self, tier: usize) -> Option<u64> {
+        let below = (tier + 1..TIERS).rev();
+        below.filter_map(|t| self.running[t].last()).map(|(_, request)| *request).next()
+    }
+
+    /// Returns the slot time of an answer, in milliseconds.
+    pub(super) fn work(&self, tokens: u32) -> u64 {
+        let first = self.first_token.mean_or(UNKNOWN_FIRST_MS);
+        (first + self.between_tokens.mean_or(UNKNOWN_BETWEEN_MS) * f64::from(tokens)) as u64
+    }
+
+    /// Returns a time to the first token that few attempts exceed.
+    pub(super) fn first_token_ms(&self) -> u64 {
+        self.first_token.high(UNKNOWN_FIRST_MS) as u64
+    }
+
+    /// Returns the requests of a tier that have to start by `until`.
+    fn pressed(&self, tier: usize, until: Millis) -> u32 {
+        self.queues[tier].urgent(until).take(self.slots as usize).count() as u32
+    }
+
+    /// Returns what the daemon spreads of the pool.
+    pub(super) fn load(&self, room: u32, until: Millis) -> PoolLoad {
+        let waiting = |t: usize| (self.queues[t].len() + self.paused[t].len()) as u32;
+        PoolLoad {
+            waiting: std::array::from_fn(waiting),
+            running: std::array::from_fn(|t| self.running[t].len() as u32),
+            protected: self.protected.len() as u32,
+            pressed: std::array::from_fn(|t| self.pressed(t, until)),
+            room,
+            delay_ms: self.delay.mean as u32,
+        }
+    }
+}
--- /dev/null
+++ b/components/decision/src/load/preempt.rs
@@ -0,0 +1,130 @@
+use super::entry::Place;
+use super::{Effect, Scheduler, TIERS};
+use crate::Millis;
+
+/// Requests of one tier that are looked at in one call.
+const PRESSED_BATCH: usize = 32;
+
+impl Scheduler {
+    /// Serves what has to start now: lower tiers give way, or it goes elsewhere or is refused.
+    pub(super) fn press(&mut self, pool_name: &str, now: Millis, effects: &mut Vec<Effect>) {
+        for tier in 0..TIERS {
+            let Some(pool) = self.pools.get(pool_name) else { return };
+            let urgent: Vec<u64> = pool.queues[tier].urgent(now).take(PRESSED_BATCH).collect();
+            for request in urgent {
+                self.press_one(pool_name, request, tier, now, effects);
+            }
+        }
+    }
+
+    fn press_one(
+        &mut self,
+        pool_name: &str,
+        request: u64,
+        tier: usize,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(entry) = self.entries.get(&request) else { return };
+        let Place::Waiting(position) = entry.place else { return };
+        if entry.generated > 0 {
+            self.give_up_late(request, now, effects);
+            return;
+        }
+        if self.displace_for(pool_name, request, tier, now, effects) {
+            return;
+        }
+        if self.spill(request, now, effects) {
+            return;
+        }
+        let others = self.others_give_way(pool_name, tier);
+        if others > 0 && self.start_beyond_share(pool_name, request, now, effects) {
+            *self.beyond_share.entry(pool_name.to_string()).or_default() += 1;
+            return;
+        }
+        if position.latest < now {
+            self.refuse_late(request, now, effects);
+        }
+    }
+
+    /// Returns this daemon's part of the lower-tier requests that other daemons run.
+    pub(super) fn others_give_way(&self, pool_name: &str, tier: usize) -> u32 {
+        let mechanisms = self.cfg.mechanisms;
+        if !mechanisms.exchange || !mechanisms.preemption {
+            return 0;
+        }
+        let (_, others) = self.peers.of(&self.cfg.data_centre, pool_name);
+        let part = others.running_below(tier) / (others.pressed_daemons + 1);
+        part.saturating_sub(self.beyond_share.get(pool_name).copied().unwrap_or(0))
+    }
+
+    /// Starts a request in the place of a lower-tier one; returns whether there was one.
+    pub(super) fn displace_for(
+        &mut self,
+        pool_name: &str,
+        request: u64,
+        tier: usize,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        if !self.cfg.mechanisms.preemption {
+            return false;
+        }
+        let Some(victim) = self.pools.get(pool_name).and_then(|pool| pool.victim(tier)) else {
+            return false;
+        };
+        let Some(endpoint) = self.displace(victim, now, effects) else { return false };
+        let fits = self.endpoints.get(&endpoint).is_some_and(|e| e.is_usable(now) && !e.slow);
+        if fits {
+            self.send(request, &endpoint, false, now, effects);
+            return true;
+        }
+        self.start_beyond_share(pool_name, request, now, effects)
+    }
+
+    /// Holds back or ends a running request; returns the endpoint that it was at.
+    pub(super) fn displace(
+        &mut self,
+        victim: u64,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) -> Option<String> {
+        let entry = self.entries.get(&victim)?;
+        let Place::Running(name) = entry.place.clone() else { return None };
+        let endpoint = self.endpoints.get(&name)?;
+        let pauses = self.cfg.mechanisms.pause && endpoint.info.pauses;
+        let holds = pauses && endpoint.paused < endpoint.info.slots;
+        self.vacate(victim);
+        if holds {
+            self.stats.paused += 1;
+            self.place_paused(victim, &name, now);
+            effects.push(Effect::Pause { request: victim });
+        } else {
+            self.stats.cancelled += 1;
+            self.place_waiting(victim, now);
+            effects.push(Effect::Cancel { request: victim });
+        }
+        Some(name)
+    }
+
+    /// Lets requests give way to higher tiers that other daemons cannot start.
+    pub(super) fn give_way(&mut self, pool_name: &str, now: Millis, effects: &mut Vec<Effect>) {
+        if !self.cfg.mechanisms.preemption || !self.cfg.mechanisms.exchange {
+            return;
+        }
+        let (_, others) = self.peers.of(&self.cfg.data_centre, pool_name);
+        let Some(tier) = (0..TIERS).find(|tier| others.pressed[*tier] > 0) else { return };
+        let pressed: u32 = others.pressed.iter().sum();
+        let share = self.share(pool_name).total.floor() as u32;
+        for _ in 0..pressed {
+            let Some(pool) = self.pools.get(pool_name) else { return };
+            if pool.outstanding() <= share {
+                return;
+            }
+            let Some(victim) = pool.victim(tier) else { return };
+            if self.displace(victim, now, effects).is_none() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/decision/src/load/queue.rs
@@ -0,0 +1,123 @@
+use crate::Millis;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The waiting requests of one tier of one pool, shared evenly by account.
+///
+/// A request is tagged with the virtual time at which its account's earlier work would end if each
+/// account got the same rate; the lowest tag goes first.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TierQueue {
+    waiting: BTreeSet<(u64, u64)>,
+    pressed: BTreeSet<(Millis, u64)>,
+    /// The virtual time at which the queued work of each account ends.
+    ends: BTreeMap<String, u64>,
+    virtual_time: u64,
+    work: u64,
+}
+
+/// Where a request stands in its queue.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct Position {
+    /// The virtual time that orders the queue.
+    pub(super) tag: u64,
+    /// The time by which the request has to start.
+    pub(super) latest: Millis,
+    /// The time from which others have to give way to it.
+    pub(super) press_at: Millis,
+    /// The expected slot time of the request, in milliseconds.
+    pub(super) work: u64,
+}
+
+impl TierQueue {
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Adds a request with its latest start and the time from which others give way to it.
+    ///
+    /// Without fairness the order is that of the requests' numbers.
+    pub(super) fn push(
+        &mut self,
+        request: u64,
+        account: &str,
+        times: (Millis, Millis),
+        work: u64,
+        fair: bool,
+    ) -> Position {
+        let end = self.ends.get(account).copied().unwrap_or(0);
+        let tag = if fair { self.virtual_time.max(end) } else { 0 };
+        if fair {
+            self.ends.insert(account.to_string(), tag + work);
+        }
+        let position = Position { tag, latest: times.0, press_at: times.1, work };
+        self.put(request, position);
+        position
+    }
+
+    /// Puts a request that has already started back in front.
+    pub(super) fn push_front(
+        &mut self,
+        request: u64,
+        times: (Millis, Millis),
+        work: u64,
+    ) -> Position {
+        let position = Position { tag: 0, latest: times.0, press_at: times.1, work };
+        self.put(request, position);
+        position
+    }
+
+    fn put(&mut self, request: u64, position: Position) {
+        self.waiting.insert((position.tag, request));
+        self.pressed.insert((position.press_at, request));
+        self.work += position.work;
+    }
+
+    /// Takes out a request.
+    pub(super) fn remove(&mut self, request: u64, account: &str, position: Position) {
+        if !self.waiting.remove(&(position.tag, request)) {
+            return;
+        }
+        self.pressed.remove(&(position.press_at, request));
+        self.work = self.work.saturating_sub(position.work);
+        if self.waiting.is_empty() {
+            self.ends.clear();
+        } else if self.ends.get(account) == Some(&(position.tag + position.work)) {
+            self.ends.insert(account.to_string(), position.tag);
+        }
+    }
+
+    /// Notes that the request with this tag starts, which moves the virtual time.
+    pub(super) fn advance(&mut self, tag: u64) {
+        self.virtual_time = self.virtual_time.max(tag);
+    }
+
+    /// Returns the request to start next.
+    pub(super) fn first(&self) -> Option<u64> {
+        self.waiting.first().map(|(_, request)| *request)
+    }
+
+    /// Returns the last request in the order of starting.
+    pub(super) fn last(&self) -> Option<u64> {
+        self.waiting.last().map(|(_, request)| *request)
+    }
+
+    /// Returns the request to which others give way soonest, and from when.
+    pub(super) fn most_urgent(&self) -> Option<(Millis, u64)> {
+        self.pressed.first().copied()
+    }
+
+    /// Returns requests to which others give way by `until`, the most urgent first.
+    pub(super) fn urgent(&self, until: Millis) -> impl Iterator<Item = u64> + '_ {
+        self.pressed.iter().take_while(move |(at, _)| *at <= until).map(|(_, request)| *request)
+    }
+
+    /// Returns the slot time that an account's next request has before it, in milliseconds.
+    pub(super) fn work_before(&self, account: &str, fair: bool) -> u64 {
+        if !fair {
+            return self.work;
+        }
+        let own = self.ends.get(account).map_or(0, |end| end.saturating_sub(self.virtual_time));
+        let accounts = self.ends.len().max(1) as u64;
+        self.work.min(own.saturating_mul(accounts))
+    }
+}
--- a/components/decision/src/load/scheduler.rs
+++ b/components/decision/src/load/scheduler.rs
@@ -1,67 +1,62 @@
+use super::choice::hash_names;
+use super::entry::{Entry, Place};
+use super::length::LengthBook;
+use super::limits::Limits;
+use super::link::Link;
+use super::peers::Peers;
+use super::pool::Pool;
+use super::retry::RetryBudget;
 use super::{
     Arrival, DaemonLoad, Effect, Endpoint, EndpointInfo, EndpointReport, EndpointState, Outcome,
+    SchedulerConfig, Stats,
 };
 use crate::Millis;
 use errors::{Reason, Refusal, Verdict};
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
-
-/// Settings of the scheduler.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(default)]
-pub struct SchedulerConfig {
-    /// The name of this daemon.
-    pub name: String,
-    /// The data centre of this daemon.
-    pub data_centre: String,
-    /// The region of this daemon.
-    pub region: String,
-    /// The seed of the choices that are drawn.
-    pub seed: u64,
-    /// Requests that wait in this daemon at most.
-    pub queue_limit: usize,
-    /// Attempts for one request at most.
-    pub attempt_limit: u32,
-    /// The time for which an endpoint rests after a failure.
-    pub rest_after_failure: Millis,
-}
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
 
-impl Default for SchedulerConfig {
-    fn default() -> SchedulerConfig {
-        SchedulerConfig {
-            name: String::new(),
-            data_centre: String::new(),
-            region: String::new(),
-            seed: 0,
-            queue_limit: 1024,
-            attempt_limit: 3,
-            rest_after_failure: Millis(1_000),
-        }
-    }
-}
+/// The time ahead for which pressed requests are told to other daemons, in milliseconds.
+const TELL_AHEAD_MS: u64 = 400;
 
+/// The queue, the endpoints and the peers of one daemon.
 #[derive(Clone, Debug)]
-struct Entry {
-    arrival: Arrival,
-    attempt: u32,
-    endpoint: Option<String>,
-    verdict: Verdict,
-}
-
-/// The queue and the endpoints of one daemon.
-#[derive(Clone, Debug, Default)]
 pub struct Scheduler {
-    cfg: SchedulerConfig,
-    endpoints: BTreeMap<String, Endpoint>,
-    entries: BTreeMap<u64, Entry>,
-    /// Waiting requests by tier, then by number.
-    queue: BTreeMap<(u8, u64), ()>,
+    pub(super) cfg: SchedulerConfig,
+    pub(super) rng: Pcg64Mcg,
+    pub(super) endpoints: BTreeMap<String, Endpoint>,
+    pub(super) entries: BTreeMap<u64, Entry>,
+    pub(super) pools: BTreeMap<String, Pool>,
+    pub(super) peers: Peers,
+    pub(super) limits: Limits,
+    pub(super) lengths: LengthBook,
+    pub(super) retries: RetryBudget,
+    pub(super) link: Link,
+    /// When running requests are looked at for a missing token.
+    pub(super) due: BTreeSet<(Millis, u64)>,
+    /// Requests started beyond the share since others last spread their load, by pool.
+    pub(super) beyond_share: BTreeMap<String, u32>,
+    pub(super) stats: Stats,
 }
 
 impl Scheduler {
     /// Creates a scheduler that knows no endpoint.
     pub fn new(cfg: SchedulerConfig) -> Scheduler {
-        Scheduler { cfg, ..Scheduler::default() }
+        Scheduler {
+            rng: Pcg64Mcg::seed_from_u64(cfg.seed),
+            cfg,
+            endpoints: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            peers: Peers::default(),
+            limits: Limits::default(),
+            lengths: LengthBook::default(),
+            retries: RetryBudget::default(),
+            link: Link::default(),
+            due: BTreeSet::new(),
+            beyond_share: BTreeMap::new(),
+            stats: Stats::default(),
+        }
     }
 
     /// Returns the endpoints by name.
@@ -71,74 +66,126 @@
 
     /// Returns how many requests wait.
     pub fn waiting(&self) -> usize {
-        self.queue.len()
+        self.pools.values().map(Pool::waiting).sum()
+    }
+
+    /// Returns the attempt of a request that is live; events of any other are to be dropped.
+    pub fn live_attempt(&self, request: u64) -> Option<u32> {
+        let entry = self.entries.get(&request)?;
+        let live = matches!(entry.place, Place::Running(_) | Place::Paused(_) | Place::Remote(_));
+        live.then_some(entry.attempt)
+    }
+
+    /// Returns what the scheduler has counted.
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
+    /// Returns the bytes that were budgeted for the link between regions, by class.
+    pub fn link_bytes(&self) -> &BTreeMap<String, u64> {
+        self.link.bytes()
     }
 
     /// Takes in a request.
     pub fn arrive(&mut self, arrival: Arrival, now: Millis) -> Vec<Effect> {
         let request = arrival.request;
-        if !self.endpoints.values().any(|e| e.info.serves.contains(&arrival.serves)) {
+        self.retries.earn(now);
+        if self.pools.get(&arrival.serves).is_none_or(|pool| pool.members.is_empty()) {
             let text = format!("no endpoint serves {}", arrival.serves);
             let refusal = Refusal::not_run(Reason::NoEndpoint, text).retry_after(1_000);
             return vec![Effect::Refuse { request, refusal }];
         }
-        if self.queue.len() >= self.cfg.queue_limit {
-            let text = format!("class {} has no room", arrival.class);
-            let refusal = Refusal::not_run(Reason::Overloaded, text).retry_after(1_000);
+        let mut entry = Entry::new(arrival, now);
+        if let Err(wait_ms) = self.charge(&mut entry, now) {
+            let arrival = &entry.arrival;
+            let text = format!("account {} class {}", arrival.account, arrival.class);
+            let refusal = Refusal::not_run(Reason::LimitReached, text).retry_after(wait_ms);
             return vec![Effect::Refuse { request, refusal }];
         }
-        self.queue.insert((arrival.tier, request), ());
-        let entry = Entry { arrival, attempt: 0, endpoint: None, verdict: Verdict::NotRun };
-        self.entries.insert(request, entry);
-        self.dispatch(now)
+        self.admit(entry, now)
     }
 
-    /// Notes that `tokens` more tokens of an attempt have arrived.
-    pub fn progress(&mut self, _request: u64, _tokens: u32, _now: Millis) -> Vec<Effect> {
-        Vec::new()
+    fn charge(&mut self, entry: &mut Entry, now: Millis) -> Result<(), u64> {
+        if entry.arrival.forwarded || !self.cfg.mechanisms.limits {
+            return Ok(());
+        }
+        let (daemons, _) = self.peers.of(&self.cfg.data_centre, "");
+        let share = self.cfg.limit_share / f64::from(daemons + 1);
+        let arrival = &entry.arrival;
+        let answer = self.lengths.remaining(&arrival.class, &arrival.account, 0, 0.5);
+        let tokens = arrival.prompt_tokens + answer;
+        let key = (arrival.account.as_str(), arrival.class.as_str());
+        self.limits.charge(key, arrival.limits, share, tokens, now)?;
+        entry.charged = tokens;
+        entry.is_charged = true;
+        Ok(())
     }
 
-    /// Notes how an attempt ended.
-    pub fn finish(&mut self, request: u64, outcome: Outcome, now: Millis) -> Vec<Effect> {
+    /// Notes that `tokens` more tokens of the live attempt have arrived.
+    pub fn progress(&mut self, request: u64, tokens: u32, now: Millis) -> Vec<Effect> {
         let Some(entry) = self.entries.get_mut(&request) else { return Vec::new() };
-        let endpoint = entry.endpoint.take().and_then(|name| self.endpoints.get_mut(&name));
-        if let Some(endpoint) = endpoint {
-            endpoint.outstanding = endpoint.outstanding.saturating_sub(1);
-            match outcome {
-                Outcome::Failed(_) => {
-                    endpoint.failures += 1;
-                    endpoint.resting_until = now + self.cfg.rest_after_failure;
-                }
-                Outcome::Done => endpoint.failures = 0,
-                Outcome::Abandoned => {}
-            }
+        if tokens == 0 {
+            return Vec::new();
         }
+        let elapsed = now.since(entry.progressed).0 as f64;
+        let first = !entry.answered;
+        entry.generated = entry.generated.saturating_add(tokens);
+        entry.progressed = now;
+        entry.answered = true;
+        let Place::Running(name) = &entry.place else { return Vec::new() };
+        let Some(endpoint) = self.endpoints.get_mut(name) else { return Vec::new() };
+        let Some(pool) = self.pools.get_mut(&entry.arrival.serves) else { return Vec::new() };
+        if std::mem::take(&mut entry.queued_again) {
+            return Vec::new();
+        }
+        if first {
+            endpoint.first_token.add(elapsed);
+            pool.first_token.add(elapsed);
+        } else {
+            endpoint.between_tokens.add(elapsed / f64::from(tokens));
+            pool.between_tokens.add(elapsed / f64::from(tokens));
+        }
+        Vec::new()
+    }
+
+    /// Notes how the live attempt ended.
+    pub fn finish(&mut self, request: u64, outcome: Outcome, now: Millis) -> Vec<Effect> {
+        let Some(entry) = self.entries.get(&request) else { return Vec::new() };
+        let pool = entry.arrival.serves.clone();
         let mut effects = Vec::new();
-        if let Outcome::Failed(verdict) = outcome {
-            entry.verdict = entry.verdict.combine(verdict);
-            let retryable = entry.arrival.repeatable || verdict == Verdict::NotRun;
-            if retryable && entry.attempt < self.cfg.attempt_limit {
-                self.queue.insert((entry.arrival.tier, request), ());
-                return self.dispatch(now);
+        match outcome {
+            Outcome::Done => {
+                self.learn(request);
+                self.forget(request);
             }
-            let text = format!("{} attempts failed", entry.attempt);
-            let refusal = Refusal {
-                verdict: entry.verdict,
-                ..Refusal::not_run(Reason::EndpointFailed, text).retry_after(1_000)
-            };
-            effects.push(Effect::Refuse { request, refusal });
-        }
-        self.entries.remove(&request);
-        effects.append(&mut self.dispatch(now));
+            Outcome::Abandoned => self.forget(request),
+            Outcome::Failed(verdict) => self.fail_attempt(request, verdict, now, &mut effects),
+        }
+        effects.append(&mut self.dispatch(&pool, now));
         effects
     }
 
-    /// Drops a request that waits, because its caller left.
+    fn learn(&mut self, request: u64) {
+        let Some(entry) = self.entries.get(&request) else { return };
+        let arrival = &entry.arrival;
+        if entry.generated > 0 {
+            self.lengths.add(&arrival.class, &arrival.account, entry.generated);
+        }
+        if let Place::Running(name) = &entry.place
+            && let Some(endpoint) = self.endpoints.get_mut(name)
+        {
+            endpoint.succeed();
+        }
+    }
+
+    /// Drops a request, because its caller left.
     pub fn abandon(&mut self, request: u64, now: Millis) -> Vec<Effect> {
-        if let Some(entry) = self.entries.get(&request) {
-            self.queue.remove(&(entry.arrival.tier, request));
+        let mut effects = Vec::new();
+        if self.live_attempt(request).is_some() {
+            effects.push(Effect::Cancel { request });
         }
-        self.finish(request, Outcome::Abandoned, now)
+        effects.append(&mut self.finish(request, Outcome::Abandoned, now));
+        effects
     }
 
     /// Takes in the description and state of an endpoint.
@@ -148,16 +195,56 @@
         state: EndpointState,
         now: Millis,
     ) -> Vec<Effect> {
-        let endpoint = self.endpoints.entry(info.name.clone()).or_default();
+        let name = info.name.clone();
+        let served = self.endpoints.get(&name).map(|e| e.info.serves.clone()).unwrap_or_default();
+        self.leave_pools(&name);
+        let endpoint = self.endpoints.entry(name.clone()).or_default();
+        endpoint.hash = hash_names(&name, "");
         endpoint.info = info;
         endpoint.state = endpoint.state.max(state);
-        self.dispatch(now)
+        let serves = endpoint.info.serves.clone();
+        if endpoint.state == EndpointState::Live {
+            self.join_pools(&name);
+        }
+        let pools: BTreeSet<String> = served.union(&serves).cloned().collect();
+        pools.iter().flat_map(|pool| self.dispatch(pool, now)).collect()
     }
 
-    /// Forgets an endpoint that is gone.
+    fn join_pools(&mut self, name: &str) {
+        let Some(endpoint) = self.endpoints.get(name) else { return };
+        let score = hash_names(&self.cfg.name, name);
+        for pool in &endpoint.info.serves {
+            let pool = self.pools.entry(pool.clone()).or_default();
+            pool.members.insert((score, name.to_string()));
+            pool.slots += endpoint.info.slots;
+        }
+    }
+
+    fn leave_pools(&mut self, name: &str) {
+        let Some(endpoint) = self.endpoints.get(name) else { return };
+        let score = hash_names(&self.cfg.name, name);
+        for pool in &endpoint.info.serves {
+            let Some(pool) = self.pools.get_mut(pool) else { continue };
+            if pool.members.remove(&(score, name.to_string())) {
+                pool.slots -= endpoint.info.slots;
+            }
+        }
+    }
+
+    /// Forgets an endpoint that is gone; what ran there is tried elsewhere.
     pub fn remove_endpoint(&mut self, name: &str, now: Millis) -> Vec<Effect> {
+        self.leave_pools(name);
+        let Some(endpoint) = self.endpoints.get(name) else { return Vec::new() };
+        let requests: Vec<u64> = endpoint.requests.iter().copied().collect();
+        let pools = endpoint.info.serves.clone();
+        let mut effects = Vec::new();
+        for request in requests {
+            effects.push(Effect::Cancel { request });
+            self.fail_attempt(request, Verdict::MayHaveRun, now, &mut effects);
+        }
         self.endpoints.remove(name);
-        self.dispatch(now)
+        effects.extend(pools.iter().flat_map(|pool| self.dispatch(pool, now)));
+        effects
     }
 
     /// Takes in a load report of an endpoint.
@@ -165,47 +252,57 @@
         if let Some(endpoint) = self.endpoints.get_mut(name) {
             endpoint.report = Some((report, now));
         }
-        self.dispatch(now)
+        Vec::new()
     }
 
     /// Looks at what has become due.
     pub fn tick(&mut self, now: Millis) -> Vec<Effect> {
-        self.dispatch(now)
+        let mut effects = Vec::new();
+        self.peers.expire(self.cfg.peer_timeout, now);
+        self.limits.sweep(now);
+        self.end_silent(now, &mut effects);
+        let pools: Vec<String> = self.pools.keys().cloned().collect();
+        for pool in &pools {
+            self.judge_endpoints(pool, now, &mut effects);
+            effects.append(&mut self.dispatch(pool, now));
+        }
+        self.check(now);
+        effects
     }
 
-    /// Returns what this daemon spreads to the others.
-    pub fn own_load(&mut self, _now: Millis) -> DaemonLoad {
-        DaemonLoad::default()
+    /// Returns what this daemon spreads to the others a few times a second.
+    pub fn own_load(&mut self, now: Millis) -> DaemonLoad {
+        let until = now + Millis(TELL_AHEAD_MS);
+        let load = |(name, pool): (&String, &Pool)| {
+            let free = self.share(name).total - f64::from(pool.outstanding());
+            let room = (free - pool.waiting() as f64).max(0.0) as u32;
+            (name.clone(), pool.load(room, until))
+        };
+        DaemonLoad {
+            daemon: self.cfg.name.clone(),
+            data_centre: self.cfg.data_centre.clone(),
+            region: self.cfg.region.clone(),
+            pools: self.pools.iter().map(load).collect(),
+        }
     }
 
     /// Takes in what another daemon spreads.
-    pub fn peer_load(&mut self, _load: &DaemonLoad, now: Millis) -> Vec<Effect> {
-        self.tick(now)
-    }
-
-    fn dispatch(&mut self, now: Millis) -> Vec<Effect> {
+    pub fn peer_load(&mut self, load: &DaemonLoad, now: Millis) -> Vec<Effect> {
+        self.peers.set(load, now);
+        if load.data_centre != self.cfg.data_centre {
+            return Vec::new();
+        }
         let mut effects = Vec::new();
-        let waiting: Vec<(u8, u64)> = self.queue.keys().copied().collect();
-        for key in waiting {
-            let Some(entry) = self.entries.get_mut(&key.1) else { continue };
-            let chosen = self
-                .endpoints
-                .values_mut()
-                .filter(|e| e.state == EndpointState::Live && e.resting_until <= now)
-                .filter(|e| e.info.serves.contains(&entry.arrival.serves))
-                .filter(|e| e.outstanding < e.info.slots)
-                .min_by_key(|e| e.outstanding);
-            let Some(endpoint) = chosen else { continue };
-            endpoint.outstanding += 1;
-            entry.attempt += 1;
-            entry.endpoint = Some(endpoint.info.name.clone());
-            self.queue.remove(&key);
-            effects.push(Effect::Dispatch {
-                request: key.1,
-                attempt: entry.attempt,
-                endpoint: endpoint.info.name.clone(),
-            });
+        for pool in load.pools.keys() {
+            self.beyond_share.remove(pool);
+            self.give_way(pool, now, &mut effects);
+            effects.append(&mut self.dispatch(pool, now));
         }
         effects
     }
+
+    /// Forgets a daemon that left or is gone.
+    pub fn forget_peer(&mut self, daemon: &str) {
+        self.peers.forget(daemon);
+    }
 }
--- a/components/workload/src/engine.rs
+++ b/components/workload/src/engine.rs
@@ -143,13 +143,18 @@
         let batch = self.running.len() as f64;
         let step_ms = (STEP_MS + STEP_MS_PER_STREAM * batch) * slowness;
         let mut prefill = dt * PREFILL_TOKENS_PER_MS / slowness;
+        let mut order: Vec<usize> = (0..self.running.len()).collect();
+        order.sort_by_key(|at| self.running[*at].tier);
+        for at in order {
+            let stream = &mut self.running[at];
+            let spent = stream.prefill.min(prefill);
+            prefill -= spent;
+            stream.prefill -= spent;
+        }
         let mut at = 0;
         while at < self.running.len() {
             let stream = &mut self.running[at];
             if stream.prefill > 0.0 {
-                let spent = stream.prefill.min(prefill);
-                prefill -= spent;
-                stream.prefill -= spent;
                 at += 1;
                 continue;
             }
--- a/components/workload/src/lib.rs
+++ b/components/workload/src/lib.rs
@@ -1,5 +1,6 @@
 //! A seeded driver in virtual time over copies of the scheduler, with a small engine model.
 
+mod ablation;
 mod baseline;
 mod engine;
 mod fault;
@@ -11,6 +12,7 @@
 mod traffic;
 mod world;
 
+pub use ablation::{ABLATIONS, mechanisms};
 pub use baseline::{Baseline, Choice, Order};
 pub use fault::Fault;
 pub use measure::{ClassMeasure, Measure};
--- a/components/workload/src/main.rs
+++ b/components/workload/src/main.rs
@@ -1,8 +1,11 @@
 //! Prints the measures under load.
 
 use argh::FromArgs;
-use decision::load::{Scheduler, SchedulerConfig};
-use workload::{Baseline, Choice, Measure, Order, Row, Scenario, Variant, print_table, run};
+use decision::load::{Mechanisms, Scheduler, SchedulerConfig};
+use workload::{
+    ABLATIONS, Baseline, Choice, Measure, Order, Row, Scenario, Variant, mechanisms, print_table,
+    run,
+};
 
 /// Measures the decisions under load in virtual time.
 #[derive(Debug, FromArgs)]
@@ -10,7 +13,7 @@
     /// scenarios, by name, separated by commas; workloads, faults or a name
     #[argh(option, default = "String::from(\"workloads\")")]
     scenarios: String,
-    /// policies, by name, separated by commas
+    /// policies, by name, separated by commas; ablations switch one mechanism off in each row
     #[argh(
         option,
         default = "String::from(\"chervilspur,random,round_robin,least,fifo,priority\")"
@@ -24,12 +27,13 @@
     first_seed: u64,
 }
 
-fn scheduler(variant: &Variant) -> SchedulerConfig {
+fn scheduler(variant: &Variant, mechanisms: Mechanisms) -> SchedulerConfig {
     SchedulerConfig {
         name: variant.daemon.clone(),
         data_centre: variant.data_centre.clone(),
         region: variant.region.clone(),
         seed: variant.seed,
+        mechanisms,
         ..SchedulerConfig::default()
     }
 }
@@ -37,12 +41,14 @@
 fn run_named(scenario: &Scenario, policy: &str, seed: u64) -> Option<Measure> {
     let baseline = |order, choice| run(scenario, seed, |v| Baseline::new(order, choice, v));
     let measure = match policy {
-        "chervilspur" => run(scenario, seed, |v| Scheduler::new(scheduler(v))),
         "random" => baseline(Order::Fifo, Choice::Random),
         "round_robin" => baseline(Order::Fifo, Choice::RoundRobin),
         "least" | "fifo" => baseline(Order::Fifo, Choice::LeastOutstanding),
         "priority" => baseline(Order::Tier, Choice::LeastOutstanding),
-        _ => return None,
+        name => {
+            let mechanisms = mechanisms(name)?;
+            run(scenario, seed, |v| Scheduler::new(scheduler(v, mechanisms)))
+        }
     };
     Some(measure)
 }
@@ -56,11 +62,16 @@
     names.split(',').flat_map(of).collect()
 }
 
+fn policies(names: &str) -> Vec<&str> {
+    let of = |name| if name == "ablations" { ABLATIONS.to_vec() } else { vec![name] };
+    names.split(',').flat_map(of).collect()
+}
+
 fn main() {
     let options: Options = argh::from_env();
     let mut rows = Vec::new();
     for scenario in scenarios(&options.scenarios) {
-        for policy in options.policies.split(',') {
+        for policy in policies(&options.policies) {
             let seeds = options.first_seed..options.first_seed + options.seeds;
             let runs = seeds.filter_map(|seed| run_named(&scenario, policy, seed)).collect();
             rows.push(Row { scenario: scenario.name, policy: policy.to_string(), runs });
--- a/components/workload/src/policy.rs
+++ b/components/workload/src/policy.rs
@@ -71,6 +71,10 @@
     fn peer_load(&mut self, load: &DaemonLoad, now: Millis) -> Vec<Effect> {
         Scheduler::peer_load(self, load, now)
     }
+
+    fn tier_violations(&self) -> u64 {
+        self.stats().tier_violations
+    }
 }
 
 /// What the driver tells a policy of the daemon that it runs in.
