--- a/components/decision/src/cluster/following.rs
+++ b/components/decision/src/cluster/following.rs
@@ -89,7 +89,7 @@
         if let Some(text) = self.lists.complete() {
             self.put_in_force(text, now, effects);
         }
-        if !self.is_watcher || !self.join.joined {
+        if !self.is_watcher || !self.join.joined || now < self.due.store {
             return;
         }
         let limits = self.store_limits();
--- a/components/decision/src/cluster/members.rs
+++ b/components/decision/src/cluster/members.rs
@@ -20,12 +20,19 @@
     Changed(Member),
 }
 
+/// Since when a member is suspected, and whether this daemon has probed it since.
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    since: Millis,
+    is_checked: bool,
+}
+
 /// What this daemon knows of the others.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     live: BTreeMap<Identity, Member>,
     ended: BTreeMap<Identity, (Member, Millis)>,
-    suspected: BTreeMap<Identity, Millis>,
+    suspected: BTreeMap<Identity, Suspicion>,
 }
 
 impl Members {
@@ -81,7 +88,9 @@
             }
         }
         match record.state {
-            MemberState::Suspected => self.suspected.insert(identity, now),
+            MemberState::Suspected => {
+                self.suspected.insert(identity, Suspicion { since: now, is_checked: false })
+            }
             _ => self.suspected.remove(&identity),
         };
         self.live.insert(identity, record.clone());
@@ -90,12 +99,25 @@
 
     /// Restarts the time that each suspected member has to show that it lives.
     pub fn restart_suspicions(&mut self, now: Millis) {
-        self.suspected.values_mut().for_each(|since| *since = now);
+        let restarted = Suspicion { since: now, is_checked: false };
+        self.suspected.values_mut().for_each(|suspicion| *suspicion = restarted);
+    }
+
+    /// Returns the members that have been suspected for `limit` and were not probed since, once.
+    pub fn take_unchecked(&mut self, limit: Millis, now: Millis) -> Vec<Identity> {
+        let mut unchecked = Vec::new();
+        for (identity, suspicion) in &mut self.suspected {
+            if !suspicion.is_checked && now.since(suspicion.since) >= limit {
+                suspicion.is_checked = true;
+                unchecked.push(*identity);
+            }
+        }
+        unchecked
     }
 
     /// Returns the members that have been suspected for `limit`.
     pub fn overdue(&self, limit: Millis, now: Millis) -> Vec<Identity> {
-        let overdue = self.suspected.iter().filter(|(_, since)| now.since(**since) >= limit);
+        let overdue = self.suspected.iter().filter(|(_, s)| now.since(s.since) >= limit);
         overdue.map(|(identity, _)| *identity).collect()
     }
 
--- a/components/decision/src/cluster/membership.rs
+++ b/components/decision/src/cluster/membership.rs
@@ -132,6 +132,11 @@
             self.me.sequence = record.sequence + 1;
             self.counters.refuted += 1;
             self.spread.push(News::Member(self.me.identity));
+            for to in self.some_local(self.cfg.fanout) {
+                let mut packet = self.packet(PacketKind::Push, 0);
+                packet.members.push(self.me.to_record());
+                effects.push(Effect::Send { to, packet });
+            }
         }
     }
 
--- a/components/decision/src/cluster/probing.rs
+++ b/components/decision/src/cluster/probing.rs
@@ -39,13 +39,10 @@
 
     /// Probes a member and expects its answer.
     pub(super) fn probe(&mut self, target: Identity, now: Millis, effects: &mut Vec<Effect>) {
-        let Some(member) = self.members.get(target).cloned() else { return };
+        let Some(member) = self.members.get(target) else { return };
         let address = member.address;
         let number = self.prober.number();
-        let mut packet = self.probe_packet(number, address, now);
-        if member.state == MemberState::Suspected {
-            packet.members.insert(0, member.to_record());
-        }
+        let packet = self.probe_packet(number, address, now);
         let outstanding = Outstanding { target, address, sent: now, indirect: false };
         self.prober.outstanding.insert(number, outstanding);
         effects.push(Effect::Send { to: address, packet });
@@ -54,7 +51,12 @@
     fn probe_packet(&mut self, number: u64, to: SocketAddr, now: Millis) -> Packet {
         let mut packet = self.packet(PacketKind::Probe, number);
         packet.members.push(self.me.to_record());
-        let data_centre = self.data_centre_of(to);
+        let member = self.members.iter().find(|member| member.address == to).cloned();
+        if let Some(suspected) = member.as_ref().filter(|m| m.state == MemberState::Suspected) {
+            // It can only refute a suspicion that it hears of.
+            packet.members.push(suspected.to_record());
+        }
+        let data_centre = member.map(|member| member.data_centre).unwrap_or_default();
         self.add_news(&mut packet, &data_centre, now);
         packet
     }
@@ -115,9 +117,14 @@
         for probe in self.prober.failed(self.cfg.probe_interval, now) {
             self.suspect(probe.target, now, effects);
         }
-        for identity in self.members.overdue(self.cfg.suspicion, now) {
-            let member = self.members.get(identity);
-            if member.is_some_and(|m| m.data_centre == self.cfg.data_centre) {
+        for identity in self.members.take_unchecked(self.cfg.suspicion, now) {
+            if self.is_local(identity) {
+                self.probe(identity, now, effects);
+            }
+        }
+        let limit = self.cfg.suspicion + self.cfg.probe_interval;
+        for identity in self.members.overdue(limit, now) {
+            if self.is_local(identity) {
                 self.bury(identity, now, effects);
             }
         }
@@ -133,6 +140,9 @@
             }
         }
         for (number, target, address) in late {
+            // One packet may have been lost, so the member is asked directly once more as well.
+            let again = self.probe_packet(number, address, now);
+            effects.push(Effect::Send { to: address, packet: again });
             let helpers = self
                 .members
                 .iter()
@@ -159,6 +169,11 @@
         self.learn(record, now, effects);
     }
 
+    fn is_local(&self, identity: Identity) -> bool {
+        let member = self.members.get(identity);
+        member.is_some_and(|member| member.data_centre == self.cfg.data_centre)
+    }
+
     pub(super) fn data_centre_of(&self, address: SocketAddr) -> String {
         let member = self.members.iter().find(|member| member.address == address);
         member.map(|member| member.data_centre.clone()).unwrap_or_default()
--- a/components/decision/src/cluster/settings.rs
+++ b/components/decision/src/cluster/settings.rs
@@ -16,7 +16,7 @@
     pub probe_timeout: Millis,
     /// Members asked to probe for this one.
     pub indirect_peers: usize,
-    /// The time in which a suspected member can show that it lives.
+    /// The time after which a suspected member is probed once more before it counts as dead.
     pub suspicion: Millis,
     /// Members of a data centre that probe the other data centres.
     pub bridges: usize,
@@ -42,6 +42,8 @@
     pub fetch_timeout: Millis,
     /// Chunks asked for at once.
     pub fetch_window: usize,
+    /// The time for which a daemon holds the duty to watch the store before its first call.
+    pub watch_hold: Millis,
     /// Calls to the store in a second at most.
     pub store_rate: u64,
     /// The first wait after a failed call to the store.
@@ -64,7 +66,7 @@
             probe_interval: Millis(1_000),
             probe_timeout: Millis(300),
             indirect_peers: 3,
-            suspicion: Millis(3_000),
+            suspicion: Millis(2_000),
             bridges: 4,
             unreachable_after: Millis(6_000),
             unlisted_limit: Millis(120_000),
@@ -77,6 +79,7 @@
             join_attempts: 4,
             fetch_timeout: Millis(120),
             fetch_window: 64,
+            watch_hold: Millis(2_000),
             store_rate: 4,
             backoff_base: Millis(250),
             backoff_limit: Millis(10_000),
--- a/components/decision/src/cluster/state.rs
+++ b/components/decision/src/cluster/state.rs
@@ -46,6 +46,7 @@
     pub exchange: Millis,
     pub reach: Millis,
     pub announce: Millis,
+    pub store: Millis,
 }
 
 /// One daemon's view of the cluster.
@@ -221,7 +222,7 @@
         self.join_when_due(now, effects);
         if now >= self.due.duties {
             self.due.duties = now + DUTY_INTERVAL;
-            self.assign_duties();
+            self.assign_duties(now);
             self.members.expire(self.cfg.tombstone_limit, now);
             self.table.expire(now);
             self.prober.expire(now);
@@ -234,13 +235,14 @@
         self.become_ready(effects);
     }
 
-    fn assign_duties(&mut self) {
+    fn assign_duties(&mut self, now: Millis) {
         let me = self.me.identity;
         self.is_bridge = self.holders("bridge", self.cfg.bridges).contains(&me);
         let was_watcher = self.is_watcher;
         self.is_watcher = self.holders("store-watch", self.cfg.watchers).contains(&me);
         if self.is_watcher && !was_watcher {
             self.store.reset();
+            self.due.store = now + self.cfg.watch_hold;
         }
     }
 
--- a/components/fleet/src/driver.rs
+++ b/components/fleet/src/driver.rs
@@ -192,6 +192,11 @@
         }
     }
 
+    /// Loses this many packets in a thousand from now on.
+    pub fn set_loss(&mut self, permille: u32) {
+        self.cfg.loss_permille = permille;
+    }
+
     /// Takes the store down, which ends its watches, or up again.
     pub fn set_store_down(&mut self, is_down: bool) {
         self.store.is_down = is_down;
--- a/components/fleet/src/random.rs
+++ b/components/fleet/src/random.rs
@@ -74,6 +74,7 @@
     fleet.cuts.clear();
     fleet.store_cuts.clear();
     fleet.set_store_down(false);
+    fleet.set_loss(0);
     fleet.run(fleet.now + Millis(10_000));
     for node in 0..size {
         if fleet.cluster(node).is_none() {
