--- a/components/daemon/src/platform.rs
+++ b/components/daemon/src/platform.rs
@@ -1,26 +1,23 @@
-use crate::attempt::{Shell, carry_out};
-use crate::tables::{InForce, Tables, lock, lock_write};
-use config::Lists;
-use decision::load::{EndpointInfo, EndpointState};
-use serde::Deserialize;
-use std::collections::BTreeSet;
+use crate::attempt::Shell;
+use crate::endpoints::{ListedEndpoint, set_listed};
+use crate::lists::InForce;
+use crate::peer::Peer;
+use crate::tables::{Tables, lock_write};
+use config::{Published, ReadError, Reader};
+use decision::load::EndpointState;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use store::Store;
 use utils::{HttpError, get_json};
 
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// An object as the store gives it.
-#[derive(Debug, Deserialize)]
-struct Object<T> {
-    version: u64,
-    value: T,
-}
-
 /// The platform's list of instances.
 #[derive(Debug, Deserialize)]
 struct InstanceList {
@@ -34,22 +31,28 @@
     kind: String,
     address: SocketAddr,
     data_centre: String,
+    #[serde(default)]
+    region: String,
     state: EndpointState,
 }
 
-/// What an endpoint says of itself.
-#[derive(Debug, Deserialize)]
-struct Description {
-    serves: BTreeSet<String>,
-    slots: u32,
-    #[serde(default)]
-    pauses: bool,
+/// What a daemon says of itself to another.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct DaemonDescription {
+    /// The identity of the process, 32 hexadecimal digits.
+    pub instance: String,
+    /// Whether it takes new work.
+    pub ready: bool,
 }
 
 /// Reads the lists and the instances until the daemon stops.
 pub fn follow(shell: &Shell) {
-    while !shell.tables.stopping.load(Ordering::Relaxed) {
-        if let Err(e) = read_lists(&shell.tables) {
+    let store = Store::new(shell.tables.cfg.store, PLATFORM_TIMEOUT);
+    let mut reader = Reader::default();
+    while !shell.tables.is_stopping() {
+        let read = read_lists(&shell.tables, &store, &mut reader);
+        shell.tables.store_reachable.store(read.is_ok(), Ordering::Relaxed);
+        if let Err(e) = read {
             log::warn!("lists: {e}");
         }
         if let Err(e) = read_instances(shell) {
@@ -59,13 +62,13 @@
     }
 }
 
-fn read_lists(tables: &Tables) -> Result<(), HttpError> {
-    let url = format!("http://{}/objects/lists/current", tables.cfg.store);
-    let object: Object<Lists> = get_json(&url, PLATFORM_TIMEOUT)?;
+fn read_lists(tables: &Tables, store: &Store, reader: &mut Reader) -> Result<(), ReadError> {
+    let Some(published) = reader.read(store)? else { return Ok(()) };
     let mut in_force = lock_write(&tables.in_force);
-    if object.version > in_force.version {
-        log::info!("lists version={} in force", object.version);
-        *in_force = Arc::new(InForce::new(object.version, object.value));
+    if published.revision > in_force.revision {
+        log::info!("lists revision={} in force", published.revision);
+        let Published { revision, digest, lists, .. } = published;
+        *in_force = Arc::new(InForce::new(revision, digest, lists));
     }
     Ok(())
 }
@@ -74,28 +77,44 @@
     let tables = &shell.tables;
     let url = format!("http://{}/instances", tables.cfg.instances);
     let list: InstanceList = get_json(&url, PLATFORM_TIMEOUT)?;
+    let mut peers = BTreeMap::new();
+    let mut endpoints = BTreeMap::new();
     for instance in list.instances {
-        if instance.kind == "daemon" || instance.data_centre != tables.cfg.data_centre {
-            continue;
+        if instance.kind == "daemon" {
+            read_daemon(tables, &instance, &mut peers);
+        } else if instance.data_centre == tables.cfg.data_centre {
+            let endpoint = ListedEndpoint {
+                name: instance.name.clone(),
+                address: instance.address,
+                data_centre: instance.data_centre,
+                state: instance.state,
+            };
+            endpoints.insert(instance.name, endpoint);
         }
-        let url = format!("http://{}/v1/description", instance.address);
-        let description: Description = match get_json(&url, PLATFORM_TIMEOUT) {
-            Ok(description) => description,
-            Err(e) => {
-                log::warn!("endpoint={} {e}", instance.name);
-                continue;
-            }
-        };
-        lock_write(&tables.addresses).insert(instance.name.clone(), instance.address);
-        let info = EndpointInfo {
-            name: instance.name,
-            data_centre: instance.data_centre,
-            serves: description.serves,
-            slots: description.slots,
-            pauses: description.pauses,
-        };
-        let effects = lock(&tables.scheduler).set_endpoint(info, instance.state, tables.now());
-        carry_out(shell, effects);
     }
+    *lock_write(&tables.peers) = peers;
+    set_listed(shell, endpoints);
     Ok(())
 }
+
+fn read_daemon(tables: &Tables, instance: &Instance, peers: &mut BTreeMap<u128, Peer>) {
+    let url = format!("http://{}/peer/description", instance.address);
+    let description: DaemonDescription = match get_json(&url, PLATFORM_TIMEOUT) {
+        Ok(description) => description,
+        Err(e) => {
+            log::debug!("daemon={} {e}", instance.name);
+            return;
+        }
+    };
+    let Ok(id) = u128::from_str_radix(&description.instance, 16) else { return };
+    if id == tables.instance || !description.ready {
+        return;
+    }
+    let peer = Peer {
+        name: instance.name.clone(),
+        address: instance.address,
+        data_centre: instance.data_centre.clone(),
+        region: instance.region.clone(),
+    };
+    peers.insert(id, peer);
+}
--- a/components/decision/src/lib.rs
+++ b/components/decision/src/lib.rs
@@ -3,7 +3,9 @@
 //! The present time is an argument, events go in and typed effects come back.
 
 pub mod cluster;
+pub mod execution;
 pub mod load;
+pub mod orders;
 mod time;
 
 pub use time::Millis;
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -1,9 +1,11 @@
 //! The whole path as separate processes.
 
+use config::{Edit, Lists};
 use fakes::Process;
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
-use utils::{get_json, post_json, put_json, sha256_hex};
+use store::Store;
+use utils::{get_json, post_json, sha256_hex};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -34,8 +36,8 @@
     let instances = Process::start("chervilspur-fake", &["instances"]).unwrap();
     let engine = Process::start("chervilspur-fake", &["engine", "--token-ms", "1"]).unwrap();
     let service = Process::start("chervilspur-fake", &["service"]).unwrap();
-    let url = format!("http://{}/objects/lists/current", store.address);
-    let _: Value = put_json(&url, &lists(), TIMEOUT).unwrap();
+    let lists: Lists = serde_json::from_value(lists()).unwrap();
+    Edit::new(&lists, 0).publish(&Store::new(store.address, TIMEOUT)).unwrap();
     let instance = |name: &str, kind: &str, process: &Process| {
         json!({
             "name": name, "kind": kind, "address": process.address,
@@ -48,8 +50,16 @@
     let url = format!("http://{}/instances", instances.address);
     let _: Value = post_json(&url, &list, TIMEOUT).unwrap();
     let (store_arg, instances_arg) = (store.address.to_string(), instances.address.to_string());
-    let args =
-        ["--data-centre", "aburra-norte", "--store", &store_arg, "--instances", &instances_arg];
+    let args = [
+        "--data-centre",
+        "aburra-norte",
+        "--peer-key",
+        "0123456789abcdef",
+        "--store",
+        &store_arg,
+        "--instances",
+        &instances_arg,
+    ];
     let daemon = Process::start("chervilspurd", &args).unwrap();
     wait_until_ready(&daemon);
     Site { daemon, _parts: vec![store, instances, engine, service] }
@@ -89,6 +99,7 @@
     let call = attohttpc::post(format!("http://{}/v1/call", site.daemon.address))
         .header("authorization", "Bearer key-1")
         .header("x-request-class", "booking")
+        .header("idempotency-key", format!("{}-whole-path", utils::wall_clock()))
         .text("{}")
         .send()
         .unwrap();
