--- a/components/decision/src/lib.rs
+++ b/components/decision/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cluster;
 pub mod execution;
 pub mod load;
+pub mod orders;
 mod time;
 
 pub use time::Millis;
