--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -293,6 +293,29 @@
     assert_eq!((again.code, &again.json()["waited"]["in_force"]), (0, &json!(2)), "{again:?}");
 }
 
+#[test]
+fn can_put_an_edit_in_force_in_daemons() {
+    let bench = Bench::start("daemons");
+    let (store, instances) = (bench.store.address.to_string(), bench.instances.address.to_string());
+    let start = |name: &str| {
+        let mut args = vec!["--name", name, "--peer-key", "0123456789abcdef"];
+        args.extend(["--store", &store, "--instances", &instances]);
+        Process::start("chervilspurd", &args).unwrap()
+    };
+    let (first, second) = (start("d1"), start("d2"));
+    bench.list_daemons(&[("d1", first.address), ("d2", second.address)]);
+    for (base, streams) in [("0", "streams = 1"), ("1", "streams = 2")] {
+        bench.write(PLANS, &GRANTS.replace("streams = 1", streams));
+        let applied = bench.run(&["apply", "--base", base, "--wait"]);
+        assert_eq!(applied.code, 0, "{applied:?}");
+        assert_eq!(applied.json()["waited"]["in_force"], 2);
+    }
+    let status = bench.run(&["status"]).json();
+    let revisions = [0, 1].map(|n| status["daemons"][n]["status"]["revision"].clone());
+    assert_eq!(revisions, [json!(2), json!(2)]);
+    assert_eq!(bench.run(&["explain", "request-1"]).code, 8);
+}
+
 #[test]
 fn errors_when_a_daemon_has_other_lists_of_the_same_revision() {
     let bench = Bench::start("same-revision");
