Send a request elsewhere when its data centre has no endpoint for it

Cause: arrive refused with no_endpoint before it looked at other data centres. A stream held back for a slow caller looked silent to the scheduler, which would have cancelled it after its silence limit. The kernel's send buffer grew without a stated bound, so a caller that does not read held megabytes. Ruled out: a placeholder pool without endpoints in the normal admission (its predicted wait is 0, so the request would queue until refused late). Conclusion: progress with 0 tokens is the sign of a held-back stream.

--- a/components/daemon/src/engine.rs
+++ b/components/daemon/src/engine.rs
@@ -1,6 +1,7 @@
 use crate::attempt::{Attempt, Shell, Target};
 use crate::control::{Order, OrderKind, send_order};
 use crate::endpoints::address_of;
+use crate::hold::{is_behind, wait_for_reader};
 use crate::job::Job;
 use crate::tables::lock;
 use errors::{Reason, Refusal, Verdict};
@@ -10,9 +11,6 @@
 use std::time::Duration;
 use utils::{HttpError, client};
 
-/// Tokens that a paused stream's reader still lacks when the endpoint goes on.
-const RESUME_BELOW: usize = 16;
-
 /// One event of an engine's stream.
 #[derive(Debug, Deserialize)]
 struct EngineEvent {
@@ -142,15 +140,11 @@
 
     /// Pauses the endpoint while the caller is too far behind.
     fn hold_back(&self) {
-        let cfg = &self.shell.tables.cfg;
-        if self.job.stream.unread() < cfg.stream_buffer_tokens {
+        if !is_behind(self.shell, self.job) {
             return;
         }
         self.order(OrderKind::Pause);
-        let window = Duration::from_millis(cfg.stream_window_ms);
-        if !self.job.stream.wait_until_read(RESUME_BELOW, window) {
-            log::info!("request={} is not read", self.job.id);
-        }
+        wait_for_reader(self.shell, self.job, self.attempt.attempt);
         self.order(OrderKind::Resume);
     }
 
--- a/components/daemon/src/forward.rs
+++ b/components/daemon/src/forward.rs
@@ -1,9 +1,11 @@
-use crate::attempt::{Attempt, Shell};
+use crate::attempt::{Attempt, Shell, carry_out};
 use crate::auth::{CODE_HEADER, code};
 use crate::frame::read_frame;
+use crate::hold::{is_behind, wait_for_reader};
 use crate::job::Job;
 use crate::peer::{FORWARD_PATH, Peer, peer_in};
 use crate::stream::End;
+use crate::tables::lock;
 use errors::{Reason, Refusal, Verdict};
 use messages::forward::ForwardRequest;
 use std::io::Read;
@@ -33,13 +35,21 @@
             job.stream.push(attempt.attempt, job.stream.offset(), token);
             job.counters.add_token(shell.tables.now());
         }
+        let arrived = piece.tokens.len() as u32;
+        if arrived > 0 {
+            let now = shell.tables.now();
+            let effects = lock(&shell.tables.scheduler).progress(job.number, arrived, now);
+            carry_out(shell, effects);
+        }
         if !job.stream.is_live(attempt.attempt) {
             return Err(lost(&peer, "the attempt was ended"));
         }
         match piece.end {
             Some(End::Whole) => return Ok(()),
             Some(End::Refused(refusal)) => return Err(refusal),
-            None => hold_back(shell, job),
+            // The other daemon pauses the endpoint when this one stops reading.
+            None if is_behind(shell, job) => wait_for_reader(shell, job, attempt.attempt),
+            None => {}
         }
     }
 }
@@ -93,12 +103,3 @@
     let text = format!("{} in {}: {text}", peer.name, peer.data_centre);
     Refusal::may_have_run(Reason::EndpointFailed, text).retry_after(1_000)
 }
-
-/// Stops reading while the caller is too far behind, so that the other daemon pauses.
-fn hold_back(shell: &Shell, job: &Job) {
-    let cfg = &shell.tables.cfg;
-    if job.stream.unread() >= cfg.stream_buffer_tokens {
-        let window = Duration::from_millis(cfg.stream_window_ms);
-        job.stream.wait_until_read(cfg.stream_buffer_tokens / 2, window);
-    }
-}
--- /dev/null
+++ b/components/daemon/src/hold.rs
@@ -0,0 +1,27 @@
+use crate::attempt::Shell;
+use crate::job::Job;
+use crate::tables::lock;
+use decision::Millis;
+use std::time::Duration;
+
+/// The time after which the scheduler is told again that a stream is held back.
+const HOLD_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Returns whether the caller is so far behind that the attempt has to wait.
+pub fn is_behind(shell: &Shell, job: &Job) -> bool {
+    job.stream.unread() >= shell.tables.cfg.stream_buffer_tokens
+}
+
+/// Waits until the caller has read half of what it lacks, at most for the stream window.
+pub fn wait_for_reader(shell: &Shell, job: &Job, attempt: u32) {
+    let tables = &shell.tables;
+    let left = tables.cfg.stream_buffer_tokens / 2;
+    let window = Millis(tables.cfg.stream_window_ms);
+    let started = tables.now();
+    while !job.stream.wait_until_read(left, HOLD_INTERVAL) {
+        lock(&tables.scheduler).progress(job.number, 0, tables.now());
+        if !job.stream.is_live(attempt) || tables.now().since(started) > window {
+            return;
+        }
+    }
+}
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod execution;
 mod forward;
 mod frame;
+mod hold;
 mod job;
 mod lists;
 mod measures;
--- a/components/decision/src/load/scheduler.rs
+++ b/components/decision/src/load/scheduler.rs
@@ -90,10 +90,9 @@
     pub fn arrive(&mut self, arrival: Arrival, now: Millis) -> Vec<Effect> {
         let request = arrival.request;
         self.retries.earn(now);
-        if self.pools.get(&arrival.serves).is_none_or(|pool| pool.members.is_empty()) {
-            let text = format!("no endpoint serves {}", arrival.serves);
-            let refusal = Refusal::not_run(Reason::NoEndpoint, text).retry_after(1_000);
-            return vec![Effect::Refuse { request, refusal }];
+        let is_local = self.has_endpoint(&arrival.serves);
+        if !is_local && (arrival.forwarded || !self.is_served_elsewhere(&arrival.serves)) {
+            return vec![no_endpoint(&arrival)];
         }
         let mut entry = Entry::new(arrival, now);
         if let Err(wait_ms) = self.charge(&mut entry, now) {
@@ -102,7 +101,28 @@
             let refusal = Refusal::not_run(Reason::LimitReached, text).retry_after(wait_ms);
             return vec![Effect::Refuse { request, refusal }];
         }
-        self.admit(entry, now)
+        if is_local { self.admit(entry, now) } else { self.send_elsewhere(entry, now) }
+    }
+
+    fn has_endpoint(&self, serves: &str) -> bool {
+        self.pools.get(serves).is_some_and(|pool| !pool.members.is_empty())
+    }
+
+    fn is_served_elsewhere(&self, serves: &str) -> bool {
+        self.peers.centres().values().any(|centre| centre.pools.contains_key(serves))
+    }
+
+    /// Sends a request that no endpoint of this data centre answers to another data centre.
+    fn send_elsewhere(&mut self, entry: Entry, now: Millis) -> Vec<Effect> {
+        let arrival = entry.arrival.clone();
+        self.entries.insert(arrival.request, entry);
+        self.place_waiting(arrival.request, now);
+        let mut effects = Vec::new();
+        if !self.spill(arrival.request, now, &mut effects) {
+            self.forget(arrival.request);
+            effects.push(no_endpoint(&arrival));
+        }
+        effects
     }
 
     fn charge(&mut self, entry: &mut Entry, now: Millis) -> Result<(), u64> {
@@ -122,9 +142,13 @@
     }
 
     /// Notes that `tokens` more tokens of the live attempt have arrived.
+    ///
+    /// 0 tokens tell that the daemon holds the attempt back for a caller that does not read.
     pub fn progress(&mut self, request: u64, tokens: u32, now: Millis) -> Vec<Effect> {
         let Some(entry) = self.entries.get_mut(&request) else { return Vec::new() };
         if tokens == 0 {
+            entry.progressed = now;
+            entry.queued_again = true;
             return Vec::new();
         }
         let elapsed = now.since(entry.progressed).0 as f64;
@@ -306,3 +330,9 @@
         self.peers.forget(daemon);
     }
 }
+
+fn no_endpoint(arrival: &Arrival) -> Effect {
+    let text = format!("no endpoint serves {}", arrival.serves);
+    let refusal = Refusal::not_run(Reason::NoEndpoint, text).retry_after(1_000);
+    Effect::Refuse { request: arrival.request, refusal }
+}
--- /dev/null
+++ b/components/decision/tests/elsewhere.rs
@@ -0,0 +1,99 @@
+//! Requests that no endpoint of the data centre answers, and streams that are held back.
+
+use decision::Millis;
+use decision::load::{
+    Arrival, DaemonLoad, Effect, EndpointInfo, EndpointState, PoolLoad, Scheduler, SchedulerConfig,
+};
+use errors::{Reason, Verdict};
+use rstest::rstest;
+use std::collections::{BTreeMap, BTreeSet};
+
+const MODEL: &str = "campo-8b";
+
+fn scheduler() -> Scheduler {
+    Scheduler::new(SchedulerConfig {
+        name: String::from("daemon-1"),
+        data_centre: String::from("aburra-norte"),
+        region: String::from("valle-aburra"),
+        check_invariants: true,
+        ..SchedulerConfig::default()
+    })
+}
+
+fn arrival(forwarded: bool) -> Arrival {
+    Arrival {
+        request: 1,
+        class: String::from("plan"),
+        tier: 1,
+        serves: String::from(MODEL),
+        repeatable: true,
+        first_token: Millis(580),
+        finish: Millis(20_000),
+        forwarded,
+        ..Arrival::default()
+    }
+}
+
+fn load_elsewhere(region: &str, room: u32) -> DaemonLoad {
+    let pool = PoolLoad { room, ..PoolLoad::default() };
+    DaemonLoad {
+        daemon: String::from("daemon-9"),
+        data_centre: String::from("rionegro"),
+        region: region.to_string(),
+        pools: BTreeMap::from([(MODEL.to_string(), pool)]),
+    }
+}
+
+#[rstest]
+#[case::same_region("valle-aburra")]
+#[case::other_region("oriente")]
+fn can_send_a_request_to_a_data_centre_that_serves_it(#[case] region: &str) {
+    let mut scheduler = scheduler();
+    scheduler.peer_load(&load_elsewhere(region, 4), Millis(0));
+    let effects = scheduler.arrive(arrival(false), Millis(10));
+    let data_centre = String::from("rionegro");
+    assert_eq!(effects, [Effect::Forward { request: 1, attempt: 1, data_centre }]);
+}
+
+#[rstest]
+#[case::nobody_serves_it(None, false)]
+#[case::no_room(Some(0), false)]
+#[case::it_was_sent_here(Some(4), true)]
+fn errors_when_no_endpoint_is_left(#[case] room: Option<u32>, #[case] forwarded: bool) {
+    let mut scheduler = scheduler();
+    if let Some(room) = room {
+        scheduler.peer_load(&load_elsewhere("oriente", room), Millis(0));
+    }
+    let effects = scheduler.arrive(arrival(forwarded), Millis(10));
+    let [Effect::Refuse { request: 1, refusal }] = effects.as_slice() else {
+        panic!("{effects:?}");
+    };
+    assert_eq!((refusal.reason, refusal.verdict), (Reason::NoEndpoint, Verdict::NotRun));
+    assert!(refusal.retry_after_ms.is_some());
+    assert_eq!(scheduler.tick(Millis(20)), []);
+}
+
+#[rstest]
+#[case::held_back(true, false)]
+#[case::silent(false, true)]
+fn can_tell_a_held_back_stream_from_a_silent_one(#[case] held: bool, #[case] cancelled: bool) {
+    let mut scheduler = scheduler();
+    let info = EndpointInfo {
+        name: String::from("engine-1"),
+        serves: BTreeSet::from([MODEL.to_string()]),
+        slots: 4,
+        ..EndpointInfo::default()
+    };
+    scheduler.set_endpoint(info, EndpointState::Live, Millis(0));
+    let started = scheduler.arrive(arrival(false), Millis(10));
+    assert!(matches!(started.as_slice(), [Effect::Dispatch { .. }]), "{started:?}");
+    scheduler.progress(1, 1, Millis(50));
+    let mut effects = Vec::new();
+    for at in (100..6_000).step_by(100) {
+        if held {
+            scheduler.progress(1, 0, Millis(at));
+        }
+        effects.append(&mut scheduler.tick(Millis(at)));
+    }
+    assert_eq!(effects.contains(&Effect::Cancel { request: 1 }), cancelled, "{effects:?}");
+}
--- a/components/utils/src/http.rs
+++ b/components/utils/src/http.rs
@@ -14,6 +14,9 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(10);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 const KEEPALIVE_PROBES: u32 = 3;
+/// Bytes of an answer that the kernel holds for a slow reader; Linux doubles the figure.
+const SEND_BUFFER: usize = 16 << 10;
+
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(30);
 
 /// A failed exchange with another process.
@@ -68,6 +71,7 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
     socket.set_tcp_nodelay(true)?;
+    socket.set_send_buffer_size(SEND_BUFFER)?;
     socket.set_read_timeout(read_timeout)?;
     socket.bind(&address.into())?;
     socket.listen(ACCEPT_BACKLOG)?;
