Bring the cluster's datagrams and store calls into the daemon

Cause: each daemon read the lists and the other daemons' descriptions by itself. Ruled out: HTTP between daemons for these messages, since a connection a call costs three more packets than a datagram of 160 bytes needs; reading the object after each change, since the watch brings it; watching from the object's own version, since a store that forgets its history would answer 410 for ever. Conclusion: the whole-path test passes with the lists passed on by the cluster.

--- a/components/config/src/settings/generated.rs
+++ b/components/config/src/settings/generated.rs
@@ -114,6 +114,12 @@
     allowed: "text, json",
     secret: false,
 };
+const PEER_ADDRESS: Setting = Setting {
+    flag: "peer-address",
+    variable: "CHERVILSPUR_PEER_ADDRESS",
+    allowed: "an IP number and a port",
+    secret: false,
+};
 const PEER_KEY: Setting = Setting {
     flag: "peer-key",
     variable: "CHERVILSPUR_PEER_KEY",
@@ -213,6 +219,9 @@
     /// name of this instance (1 to 63 lower-case letters, digits and inner hyphens)
     #[argh(option)]
     pub name: Option<String>,
+    /// address at which other daemons reach this one; without it the address that it listens on (an IP number and a port)
+    #[argh(option)]
+    pub peer_address: Option<String>,
     /// secret that all daemons share; prefer the variable, since flags show in process lists (16 to 256 characters)
     #[argh(option)]
     pub peer_key: Option<String>,
@@ -267,6 +276,8 @@
     pub metrics: Option<SocketAddr>,
     /// Name of this instance.
     pub name: String,
+    /// Address at which other daemons reach this one; without it the address that it listens on.
+    pub peer_address: Option<SocketAddr>,
     /// Secret that all daemons share; prefer the variable, since flags show in process lists.
     pub peer_key: Secret,
     /// Requests that may wait for an endpoint at once.
@@ -301,6 +312,7 @@
             log_level: LogLevel::Info,
             metrics: None,
             name: String::from("daemon"),
+            peer_address: None,
             peer_key: Default::default(),
             queue_limit: 1024,
             region: String::from("local"),
@@ -370,6 +382,12 @@
                     |text| check::label(text, 63),
                 )?
                 .unwrap_or(default.name),
+            peer_address: PEER_ADDRESS
+                .optional(
+                    flags.peer_address.as_deref(),
+                    &variable,
+                    check::socket_address,
+                )?,
             peer_key: PEER_KEY
                 .required(
                     flags.peer_key.as_deref(),
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 mod measures;
 mod outcome;
 mod peer;
+mod peers;
 mod platform;
 mod records;
 mod reply;
--- /dev/null
+++ b/components/daemon/src/peers/lists.rs
@@ -0,0 +1,82 @@
+use super::Peers;
+use config::{LISTS_KIND, LISTS_NAME, Lists, Manifest, Published, Reader};
+use crossbeam::channel::Receiver;
+use decision::cluster::{Event, StoreCall, StoreOutcome};
+use serde::{Deserialize, Serialize};
+use std::fmt::Display;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use store::{Change, Changes, Object, Store, StoreError};
+
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+const WATCH_LIMIT: Duration = Duration::from_secs(30);
+
+/// The lists as the daemons pass them on.
+#[derive(Deserialize, Serialize)]
+pub(super) struct Document {
+    /// The digest that the object API holds for them.
+    pub digest: String,
+    /// Both lists.
+    pub lists: Lists,
+}
+
+/// Makes the calls to the store that the cluster asks for.
+pub(super) fn follow_store(peers: &Peers, calls: &Receiver<StoreCall>) {
+    let store = Store::new(peers.tables.cfg.store, STORE_TIMEOUT);
+    let mut reader = Reader::default();
+    for call in calls {
+        let event = make(&store, &mut reader, call);
+        let reachable = event != Event::Store(StoreOutcome::Failed);
+        peers.tables.store_reachable.store(reachable, Ordering::Relaxed);
+        peers.tell(event);
+    }
+}
+
+fn make(store: &Store, reader: &mut Reader, call: StoreCall) -> Event {
+    match call {
+        StoreCall::Read => read(store, reader),
+        StoreCall::Watch { after } => watch(store, reader, after),
+    }
+}
+
+fn read(store: &Store, reader: &mut Reader) -> Event {
+    let (version, mut objects) = match store.list::<Manifest>(LISTS_KIND) {
+        Ok(listing) => listing,
+        Err(e) => return failed(&e),
+    };
+    match objects.remove(LISTS_NAME) {
+        Some(manifest) => assemble(store, reader, manifest, version),
+        None => Event::Store(StoreOutcome::Unchanged { version }),
+    }
+}
+
+fn watch(store: &Store, reader: &mut Reader, after: u64) -> Event {
+    let watched: Result<Changes<Manifest>, StoreError> =
+        store.watch(LISTS_KIND, after, WATCH_LIMIT);
+    let Changes { version, changes } = match watched {
+        Ok(changes) => changes,
+        Err(StoreError::HistoryGone { .. }) => return Event::Store(StoreOutcome::Gap),
+        Err(e) => return failed(&e),
+    };
+    let last = changes.into_iter().rfind(|change| change.name == LISTS_NAME);
+    let Some(Change { version: written, value: Some(value), .. }) = last else {
+        return Event::Store(StoreOutcome::Unchanged { version });
+    };
+    assemble(store, reader, Object { version: written, value }, version)
+}
+
+fn assemble(store: &Store, reader: &mut Reader, manifest: Object<Manifest>, version: u64) -> Event {
+    let Published { revision, digest, lists, .. } = match reader.assemble(store, manifest) {
+        Ok(published) => published,
+        Err(e) => return failed(&e),
+    };
+    match serde_json::to_string(&Document { digest, lists }) {
+        Ok(text) => Event::Lists { version, revision, text },
+        Err(e) => failed(&e),
+    }
+}
+
+fn failed<E: Display>(error: &E) -> Event {
+    log::warn!("lists: {error}");
+    Event::Store(StoreOutcome::Failed)
+}
--- /dev/null
+++ b/components/daemon/src/peers/mod.rs
@@ -0,0 +1,172 @@
+//! The datagrams between the daemons, and what the cluster decides for the rest of this one.
+
+mod lists;
+mod socket;
+
+use crate::lists::InForce;
+use crate::peer::Peer;
+use crate::tables::{Tables, lock, lock_write};
+use crossbeam::channel::{Sender, unbounded};
+use decision::cluster::{
+    Cluster, ClusterConfig, Effect, Event, Identity, Member, MemberState, Revision, Seed, StoreCall,
+};
+use lists::{Document, follow_store};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use socket::{open_socket, receive};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+use utils::random_id;
+
+/// The time that the notes of leaving get before the process ends.
+const LEAVE_NOTICE: Duration = Duration::from_millis(150);
+
+/// This daemon among the others.
+///
+/// The lock of `cluster` comes before those of the tables and is not held during I/O.
+pub struct Peers {
+    tables: Arc<Tables>,
+    cluster: Mutex<Cluster>,
+    socket: UdpSocket,
+    calls: Sender<StoreCall>,
+    /// The daemons of the instance list, for their names and regions.
+    listed: Mutex<BTreeMap<SocketAddr, Peer>>,
+    closed: AtomicBool,
+}
+
+impl Peers {
+    /// Opens the socket and starts to join the other daemons.
+    pub fn start(tables: &Arc<Tables>, address: SocketAddr) -> io::Result<Arc<Peers>> {
+        let socket = open_socket(address)?;
+        let cfg = ClusterConfig {
+            address: tables.cfg.peer_address.unwrap_or(address),
+            data_centre: tables.cfg.data_centre.clone(),
+            check_invariants: tables.cfg.check_invariants,
+            ..ClusterConfig::default()
+        };
+        let rng = Pcg64::from_seed(seed());
+        let cluster = Cluster::new(cfg, Identity(tables.instance), rng, tables.now());
+        let (tx, rx) = unbounded();
+        let peers = Arc::new(Peers {
+            tables: Arc::clone(tables),
+            cluster: Mutex::new(cluster),
+            socket,
+            calls: tx,
+            listed: Mutex::default(),
+            closed: AtomicBool::new(false),
+        });
+        let receiver = Arc::clone(&peers);
+        thread::Builder::new().name("peers".into()).spawn(move || receive(&receiver))?;
+        let follower = Arc::clone(&peers);
+        thread::Builder::new().name("lists".into()).spawn(move || follow_store(&follower, &rx))?;
+        Ok(peers)
+    }
+
+    /// Gives the cluster an event and does what it decides.
+    pub fn tell(&self, event: Event) {
+        let effects = lock(&self.cluster).handle(event, self.tables.now());
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    /// Takes in the daemons of the instance list.
+    pub fn list(&self, daemons: Vec<Peer>) {
+        let seed =
+            |peer: &Peer| Seed { address: peer.address, data_centre: peer.data_centre.clone() };
+        let seeds = daemons.iter().map(seed).collect();
+        *lock(&self.listed) = daemons.into_iter().map(|peer| (peer.address, peer)).collect();
+        self.tell(Event::Instances(seeds));
+        self.update_peers();
+    }
+
+    /// Tells the others that this daemon leaves.
+    pub fn leave(&self) {
+        self.tell(Event::Leave);
+        // The ticks of the receiving thread repeat the note.
+        thread::sleep(LEAVE_NOTICE);
+        self.closed.store(true, Ordering::Relaxed);
+    }
+
+    fn carry_out(&self, effect: Effect) {
+        match effect {
+            Effect::Send { to, packet } => socket::send(self, to, &packet),
+            Effect::InForce { revision, text } => self.put_in_force(revision, &text),
+            Effect::Member { member, change } => {
+                log::info!("daemon={} at {} {change:?}", member.identity, member.address);
+                self.update_peers();
+            }
+            Effect::IdentityReplaced { old, new } => {
+                log::warn!("taken for dead as {old}; goes on as {new}");
+            }
+            Effect::Store(call) => {
+                // The thread at the other end runs as long as the process.
+                let _ = self.calls.send(call);
+            }
+            Effect::StoreOlder { store, in_force } => {
+                log::error!("the store has revision {store} and {in_force} is in force");
+            }
+            Effect::RevisionConflict { revision } => {
+                log::error!("two lists have revision {revision}; apply one again");
+            }
+            Effect::DataCentre { name, reachable } => {
+                log::warn!("data centre {name} reachable={reachable}");
+            }
+            Effect::Ready => self.tables.joined.store(true, Ordering::Relaxed),
+        }
+    }
+
+    fn put_in_force(&self, revision: Revision, text: &str) {
+        let document: Document = match serde_json::from_str(text) {
+            Ok(document) => document,
+            Err(e) => {
+                log::error!("revision {} cannot be read: {e}", revision.number);
+                return;
+            }
+        };
+        let in_force = InForce::new(revision.number, document.digest, document.lists);
+        let mut current = lock_write(&self.tables.in_force);
+        // Two threads may carry out the effects of two revisions.
+        if in_force.revision > current.revision {
+            log::info!("lists revision={} in force", in_force.revision);
+            *current = Arc::new(in_force);
+        }
+    }
+
+    /// Makes the live members the daemons that requests can be handed to.
+    fn update_peers(&self) {
+        let members: Vec<Member> = {
+            let cluster = lock(&self.cluster);
+            let live = cluster.members().iter().filter(|m| m.state == MemberState::Live);
+            live.cloned().collect()
+        };
+        let listed = lock(&self.listed).clone();
+        let peer = |member: Member| {
+            let known = listed.get(&member.address).cloned();
+            (member.identity.0, known.unwrap_or_else(|| self.unlisted(member)))
+        };
+        *lock_write(&self.tables.peers) = members.into_iter().map(peer).collect();
+    }
+
+    /// Describes a member that the instance list does not name yet.
+    fn unlisted(&self, member: Member) -> Peer {
+        let cfg = &self.tables.cfg;
+        let is_local = member.data_centre == cfg.data_centre;
+        Peer {
+            name: member.address.to_string(),
+            address: member.address,
+            data_centre: member.data_centre,
+            region: if is_local { cfg.region.clone() } else { String::new() },
+        }
+    }
+}
+
+fn seed() -> [u8; 32] {
+    let (first, second) = (random_id().to_be_bytes(), random_id().to_be_bytes());
+    std::array::from_fn(|i| if i < 16 { first[i] } else { second[i - 16] })
+}
--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -4,6 +4,7 @@
 use crate::control::send_order;
 use crate::endpoints::probe_endpoints;
 use crate::peer::{FORWARD_PATH, serve_forward};
+use crate::peers::Peers;
 use crate::platform::{DaemonDescription, follow};
 use crate::reply::respond_refusal;
 use crate::resume::{expire, serve_request_path};
@@ -47,6 +48,14 @@
         /// The failure.
         source: io::Error,
     },
+    /// The socket for the other daemons cannot be opened.
+    #[snafu(display("cannot open the socket for other daemons at {address}: {source}"))]
+    Peers {
+        /// The address.
+        address: SocketAddr,
+        /// The failure.
+        source: io::Error,
+    },
     /// The collector of metrics cannot be used.
     #[snafu(display("cannot send metrics: {source}"))]
     Metrics {
@@ -68,6 +77,7 @@
     server: Arc<Server>,
     address: SocketAddr,
     shell: Shell,
+    peers: Arc<Peers>,
 }
 
 impl Daemon {
@@ -92,8 +102,9 @@
                 }
             }
         })?;
-        let follow_shell = shell.clone();
-        spawn("platform", move || follow(&follow_shell))?;
+        let peers = Peers::start(&shell.tables, address).context(PeersSnafu { address })?;
+        let (follow_shell, follow_peers) = (shell.clone(), Arc::clone(&peers));
+        spawn("platform", move || follow(&follow_shell, &follow_peers))?;
         let probe_shell = shell.clone();
         spawn("probes", move || probe_endpoints(&probe_shell))?;
         let tick_shell = shell.clone();
@@ -106,7 +117,7 @@
                 }
             })?;
         }
-        Ok(Daemon { server: Arc::new(server), address, shell })
+        Ok(Daemon { server: Arc::new(server), address, shell, peers })
     }
 
     /// Returns the address that the daemon listens on.
@@ -118,11 +129,12 @@
     pub fn serve(self) -> Result<(), StartError> {
         let mut signals =
             Signals::new([SIGTERM, SIGINT]).context(ThreadSnafu { name: "signals" })?;
-        let stop_shell = self.shell.clone();
+        let (stop_shell, peers) = (self.shell.clone(), Arc::clone(&self.peers));
         let server = Arc::clone(&self.server);
         spawn("signals", move || {
             if signals.forever().next().is_some() {
                 stop_gracefully(&stop_shell);
+                peers.leave();
                 server.unblock();
             }
         })?;
--- a/components/daemon/src/tables.rs
+++ b/components/daemon/src/tables.rs
@@ -54,6 +54,8 @@
     pub measures: Measures,
     /// Whether new work is refused because the daemon stops.
     pub stopping: AtomicBool,
+    /// Whether this daemon has joined the others.
+    pub joined: AtomicBool,
     /// Whether the last call to the store went well.
     pub store_reachable: AtomicBool,
     /// Requests of callers and peers that are being served.
@@ -82,6 +84,7 @@
             spans: SpanTable::default(),
             measures: Measures::new(cfg.metrics)?,
             stopping: AtomicBool::new(false),
+            joined: AtomicBool::new(false),
             store_reachable: AtomicBool::new(false),
             serving: AtomicUsize::new(0),
             next_request: AtomicU64::new(1),
@@ -111,10 +114,12 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Returns whether callers can be served: lists are in force and endpoints have been probed.
+    /// Returns whether callers can be served: lists are in force, the other daemons are known and
+    /// endpoints have been probed.
     pub fn is_ready(&self) -> bool {
         let has_lists = self.lists().revision > 0;
-        !self.is_stopping() && has_lists && lock(&self.endpoints).is_known()
+        let has_joined = self.joined.load(Ordering::Relaxed);
+        !self.is_stopping() && has_lists && has_joined && lock(&self.endpoints).is_known()
     }
 
     /// Returns a request that has not ended.
--- a/components/decision/src/cluster/event.rs
+++ b/components/decision/src/cluster/event.rs
@@ -30,7 +30,7 @@
     Instances(Vec<Seed>),
     /// A read or watch of the store gave the lists.
     Lists {
-        /// The version of the object.
+        /// The version of the store to watch from next.
         version: u64,
         /// The revision that the operators' tool gave the lists.
         revision: u64,
--- a/components/decision/src/cluster/membership.rs
+++ b/components/decision/src/cluster/membership.rs
@@ -109,10 +109,19 @@
         self.spread.push(News::Member(member.identity));
         if change == MemberChange::Joined {
             self.probe_namesake(&member, now, effects);
+            self.await_view(&member, now);
         }
         effects.push(Effect::Member { member, change });
     }
 
+    /// Leaves the store alone at a start until no more daemons of this data centre turn up, since
+    /// each would take itself for a watcher.
+    fn await_view(&mut self, new: &Member, now: Millis) {
+        if self.lists.in_force().number == 0 && new.data_centre == self.cfg.data_centre {
+            self.due.store = now + self.cfg.watch_hold;
+        }
+    }
+
     /// Probes a member whose address a new member has, so that the answer shows which one lives.
     fn probe_namesake(&mut self, new: &Member, now: Millis, effects: &mut Vec<Effect>) {
         let namesake = self.members.iter().find(|m| m.address == new.address && **m != *new);
--- a/components/decision/src/cluster/state.rs
+++ b/components/decision/src/cluster/state.rs
@@ -82,10 +82,10 @@
 }
 
 impl Cluster {
-    /// Creates a daemon that knows nobody and draws its identity.
-    pub fn new(cfg: ClusterConfig, mut rng: Pcg64, now: Millis) -> Cluster {
+    /// Creates a daemon that knows nobody.
+    pub fn new(cfg: ClusterConfig, identity: Identity, rng: Pcg64, now: Millis) -> Cluster {
         let me = Member {
-            identity: Identity::random(&mut rng),
+            identity,
             address: cfg.address,
             data_centre: cfg.data_centre.clone(),
             sequence: 0,
--- a/components/decision/src/cluster/store_watch.rs
+++ b/components/decision/src/cluster/store_watch.rs
@@ -11,7 +11,7 @@
     Read,
     /// Wait for a version after this one.
     Watch {
-        /// The version of the object that was seen last.
+        /// The version of the store up to which everything was seen.
         after: u64,
     },
 }
@@ -20,13 +20,16 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StoreOutcome {
-    /// The lists were read at this version of the object.
+    /// The lists were read.
     Read {
-        /// The version.
+        /// The version to watch from next.
+        version: u64,
+    },
+    /// The watch ended without a change, or there are no lists yet.
+    Unchanged {
+        /// The version to watch from next.
         version: u64,
     },
-    /// The watch ended without a change, or the object does not exist yet.
-    Unchanged,
     /// The store no longer knows the version that the watch resumes from.
     Gap,
     /// The store did not answer.
@@ -47,7 +50,7 @@
 /// When the next call to the store may go.
 #[derive(Clone, Debug, Default)]
 pub struct StoreWatch {
-    version: u64,
+    version: Option<u64>,
     in_flight: bool,
     next_at: Millis,
     failures: u32,
@@ -65,8 +68,8 @@
         self.calls += 1;
         self.next_at = now + Millis(1_000 / limits.rate.max(1));
         Some(match self.version {
-            0 => StoreCall::Read,
-            after => StoreCall::Watch { after },
+            None => StoreCall::Read,
+            Some(after) => StoreCall::Watch { after },
         })
     }
 
@@ -80,24 +83,18 @@
     ) {
         self.in_flight = false;
         match outcome {
-            StoreOutcome::Read { version } => {
-                self.version = version;
-                self.failures = 0;
-            }
-            StoreOutcome::Unchanged => {
+            StoreOutcome::Read { version } | StoreOutcome::Unchanged { version } => {
+                self.version = Some(version);
                 self.failures = 0;
-                if self.version == 0 {
-                    self.next_at = now + limits.backoff_limit;
-                }
             }
-            StoreOutcome::Gap => self.version = 0,
+            StoreOutcome::Gap => self.version = None,
             StoreOutcome::Failed => self.back_off(limits, rng, now),
         }
     }
 
     /// Forgets the version, so that the next call reads in full.
     pub fn reset(&mut self) {
-        self.version = 0;
+        self.version = None;
     }
 
     /// Returns how many calls failed in a row.
--- a/components/fleet/src/driver.rs
+++ b/components/fleet/src/driver.rs
@@ -256,10 +256,11 @@
             ..self.cfg.cluster.clone()
         };
         let rng = Pcg64::seed_from_u64(self.rng.random());
+        let identity = Identity::random(&mut self.rng);
         self.nodes[node].incarnation += 1;
         self.nodes[node].started = self.now;
         self.nodes[node].invariants = Invariants::default();
-        self.nodes[node].cluster = Some(Cluster::new(cfg, rng, self.now));
+        self.nodes[node].cluster = Some(Cluster::new(cfg, identity, rng, self.now));
         let incarnation = self.nodes[node].incarnation;
         self.in_force.retain(|(n, _), _| *n != node);
         self.schedule(self.now, node, Action::Instances { incarnation });
@@ -362,14 +363,16 @@
                     return;
                 }
                 self.store.waiting.retain(|w| w.0 != node);
-                Event::Store(StoreOutcome::Unchanged)
+                Event::Store(StoreOutcome::Unchanged { version: self.store.version })
             }
             Some(_) if !cut && !self.store.is_down && self.store.version > 0 => Event::Lists {
                 version: self.store.version,
                 revision: self.store.revision,
                 text: self.store.text.clone(),
             },
-            Some(_) if !cut && !self.store.is_down => Event::Store(StoreOutcome::Unchanged),
+            Some(_) if !cut && !self.store.is_down => {
+                Event::Store(StoreOutcome::Unchanged { version: self.store.version })
+            }
             _ => Event::Store(StoreOutcome::Failed),
         };
         self.tell(node, event);
--- a/components/fleet/src/scenarios.rs
+++ b/components/fleet/src/scenarios.rs
@@ -187,8 +187,9 @@
     let now = Millis(0);
     let mut clusters = Vec::new();
     for copy in 0..copies {
-        let rng = rand_pcg::Pcg64::seed_from_u64(copy as u64);
-        let mut cluster = Cluster::new(ClusterConfig::default(), rng, now);
+        let mut rng = rand_pcg::Pcg64::seed_from_u64(copy as u64);
+        let identity = Identity::random(&mut rng);
+        let mut cluster = Cluster::new(ClusterConfig::default(), identity, rng, now);
         if accounts > 0 {
             let lists = Event::Lists { version: 1, revision: 1, text: text.clone() };
             cluster.handle(lists, now);
