Exchange the load of pools between daemons and divide limits among data centres

Cause: each daemon decided alone: it did not know what the others had waiting or running, so a tier was kept only within one daemon, and a request never went to another data centre. Account limits held once per data centre. Weighed: the load as one value a pool in the cluster's table (taken: it spreads on traffic that flows anyway) against a call from each daemon to each other one. Limits: [shares] in the second list gives each data centre its part; `check` refuses parts above the whole. Without it each data centre grants the whole.

--- a/components/config/src/check.rs
+++ b/components/config/src/check.rs
@@ -7,6 +7,7 @@
 const NAME_LIMIT: usize = 63;
 const LOWEST_TIER: u8 = 4;
 const DIGEST_DIGITS: usize = 64;
+const WHOLE_THOUSANDTHS: u64 = 1_000;
 
 /// The problems of one file, by key.
 type Found = Vec<(String, Problem)>;
@@ -22,7 +23,7 @@
     };
     let lists = Lists { plans: plans.value.clone(), grants: grants.value.clone() };
     let mut errors = place(&plans, account_problems(&lists));
-    let found = [class_problems, plan_problems, pool_problems, floor_problems];
+    let found = [class_problems, plan_problems, pool_problems, floor_problems, share_problems];
     for problems in found {
         errors.extend(place(&grants, problems(&lists)));
     }
@@ -157,3 +158,20 @@
     }
     found
 }
+
+fn share_problems(lists: &Lists) -> Found {
+    let mut found = Found::new();
+    let mut sum = 0;
+    for (data_centre, share) in &lists.grants.shares {
+        let key = format!("shares.{data_centre}");
+        check_name(&key, data_centre, &mut found);
+        match thousandths(*share) {
+            Some(part) if part > 0 => sum += part,
+            _ => found.push((key, Problem::Share { share: share.to_string() })),
+        }
+    }
+    if sum > WHOLE_THOUSANDTHS {
+        found.push(("shares".to_string(), Problem::Shares { thousandths: sum }));
+    }
+    found
+}
--- a/components/config/src/lists.rs
+++ b/components/config/src/lists.rs
@@ -31,6 +31,20 @@
     /// What models and plain services can do, by name; a class with a floor needs it.
     #[serde(default)]
     pub pools: BTreeMap<String, Pool>,
+    /// The part of each account limit that a data centre grants, above 0 and at most 1. Without
+    /// any, each data centre grants the whole limit.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub shares: BTreeMap<String, f64>,
+}
+
+impl Grants {
+    /// Returns the part of each account limit that a data centre grants.
+    pub fn share_of(&self, data_centre: &str) -> f64 {
+        if self.shares.is_empty() {
+            return 1.0;
+        }
+        self.shares.get(data_centre).copied().unwrap_or(0.0)
+    }
 }
 
 /// What all endpoints of one model or plain service can do together.
--- a/components/config/src/problem.rs
+++ b/components/config/src/problem.rs
@@ -90,6 +90,18 @@
         /// The floor.
         floor: String,
     },
+    /// The share of a data centre is no share.
+    #[snafu(display("share {share} is not above 0 and at most 1 in steps of 0.001"))]
+    Share {
+        /// The share.
+        share: String,
+    },
+    /// The data centres together would grant more than the limits.
+    #[snafu(display("the shares add up to {thousandths} thousandths, more than 1000"))]
+    Shares {
+        /// The sum of all shares, in thousandths.
+        thousandths: u64,
+    },
     /// A floor is a share of something unknown.
     #[snafu(display("the floor needs {limit} in pools.{pool}"))]
     NoCapacity {
--- a/components/config/src/settings/generated.rs
+++ b/components/config/src/settings/generated.rs
@@ -204,7 +204,7 @@
     /// address of the platform's instance list (an IP number and a port)
     #[argh(option)]
     pub instances: Option<String>,
-    /// bytes a second that this daemon may send to another region (0 to 1000000000)
+    /// bytes a second between the regions, each way, for all daemons together (0 to 1000000000)
     #[argh(option)]
     pub link_bytes_per_second: Option<String>,
     /// address to listen on; port 0 takes a free one (an IP number and a port)
@@ -266,7 +266,7 @@
     pub data_centre: String,
     /// Address of the platform's instance list.
     pub instances: SocketAddr,
-    /// Bytes a second that this daemon may send to another region.
+    /// Bytes a second between the regions, each way, for all daemons together.
     pub link_bytes_per_second: u64,
     /// Address to listen on; port 0 takes a free one.
     pub listen: SocketAddr,
@@ -307,7 +307,7 @@
             check_invariants: false,
             data_centre: String::from("local"),
             instances: SocketAddr::from(([0, 0, 0, 0], 0)),
-            link_bytes_per_second: 500000,
+            link_bytes_per_second: 3750000,
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             log_level: LogLevel::Info,
             metrics: None,
--- a/components/config/tests/lists.rs
+++ b/components/config/tests/lists.rs
@@ -117,6 +117,17 @@
     "22: classes.booking.floor: the floor needs requests_per_minute in pools.booking"
 )]
 #[case("repeatable = true\n", "", "4: classes.plan: missing field `repeatable`")]
+#[case(
+    "[classes.plan]",
+    "[shares]\nnorte = 0.7\nsur = 0.4\n\n[classes.plan]",
+    "4: shares: the shares add up to 1100 thousandths, more than 1000"
+)]
+#[case("[classes.plan]", "[shares]\nnorte = 0\n\n[classes.plan]", "5: shares.norte: share 0 is")]
+#[case(
+    "[classes.plan]",
+    "[shares]\nnorte = 1.5\n\n[classes.plan]",
+    "5: shares.norte: share 1.5 is"
+)]
 #[case("streams = 1", "streams = 1\nburst = 5", "40: plans.silver.classes.digest.burst: unknown")]
 fn errors_when_the_second_list_is_wrong(
     #[case] from: &str,
@@ -130,6 +141,19 @@
     assert!(found.lines().any(|line| line.starts_with(&expected)), "{found}");
 }
 
+#[rstest]
+#[case::none("", 1.0, 1.0)]
+#[case::some("[shares]\nnorte = 0.6\nsur = 0.4\n\n", 0.6, 0.0)]
+fn can_divide_limits_among_data_centres(
+    #[case] shares: &str,
+    #[case] norte: f64,
+    #[case] unnamed: f64,
+) {
+    let lists = check(PLANS, &format!("{shares}{GRANTS}")).unwrap();
+    assert_eq!(lists.grants.share_of("norte"), norte);
+    assert_eq!(lists.grants.share_of("rionegro"), unnamed);
+}
+
 #[test]
 fn errors_when_more_accounts_leave_no_room_for_a_floor() {
     let key = "3".repeat(64);
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod endpoints;
 mod engine;
 mod events;
+mod exchange;
 mod execution;
 mod forward;
 mod frame;
--- a/components/daemon/src/peers/mod.rs
+++ b/components/daemon/src/peers/mod.rs
@@ -7,8 +7,10 @@
 use crate::peer::Peer;
 use crate::tables::{Tables, lock, lock_write};
 use crossbeam::channel::{Sender, unbounded};
+use decision::Millis;
 use decision::cluster::{
-    Cluster, ClusterConfig, Effect, Event, Identity, Member, MemberState, Revision, Seed, StoreCall,
+    Cluster, ClusterConfig, Effect, Event, Identity, Member, MemberState, Revision, Scope, Seed,
+    StoreCall,
 };
 use lists::{Document, follow_store};
 use rand::SeedableRng;
@@ -85,6 +87,20 @@
         self.update_peers();
     }
 
+    /// Spreads a small value to every daemon.
+    pub fn publish(&self, key: String, ttl: Millis, values: Vec<u64>) {
+        self.tell(Event::Publish { key, scope: Scope::Fleet, ttl, values });
+    }
+
+    /// Returns the values that other daemons spread under keys with a prefix, by origin and key.
+    pub fn values(&self, prefix: &str) -> BTreeMap<(u128, String), Vec<u64>> {
+        let cluster = lock(&self.cluster);
+        let me = cluster.me().identity;
+        let entries = cluster.entries(self.tables.now());
+        let others = entries.filter(|e| e.origin != me && e.key.starts_with(prefix));
+        others.map(|e| ((e.origin.0, e.key.clone()), e.values.clone())).collect()
+    }
+
     /// Tells the others that this daemon leaves.
     pub fn leave(&self) {
         self.tell(Event::Leave);
@@ -134,7 +150,9 @@
         // Two threads may carry out the effects of two revisions.
         if in_force.revision > current.revision {
             log::info!("lists revision={} in force", in_force.revision);
+            let share = in_force.lists.grants.share_of(&self.tables.cfg.data_centre);
             *current = Arc::new(in_force);
+            lock(&self.tables.scheduler).set_limit_share(share);
         }
     }
 
--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -3,6 +3,7 @@
 use crate::chat::serve_chat;
 use crate::control::send_order;
 use crate::endpoints::probe_endpoints;
+use crate::exchange::exchange_loads;
 use crate::peer::{FORWARD_PATH, serve_forward};
 use crate::peers::Peers;
 use crate::platform::{DaemonDescription, follow};
@@ -105,6 +106,8 @@
         let peers = Peers::start(&shell.tables, address).context(PeersSnafu { address })?;
         let (follow_shell, follow_peers) = (shell.clone(), Arc::clone(&peers));
         spawn("platform", move || follow(&follow_shell, &follow_peers))?;
+        let (load_shell, load_peers) = (shell.clone(), Arc::clone(&peers));
+        spawn("loads", move || exchange_loads(&load_shell, &load_peers))?;
         let probe_shell = shell.clone();
         spawn("probes", move || probe_endpoints(&probe_shell))?;
         let tick_shell = shell.clone();
--- a/components/daemon/src/tables.rs
+++ b/components/daemon/src/tables.rs
@@ -1,3 +1,4 @@
+use crate::admin::instance_text;
 use crate::endpoints::EndpointTable;
 use crate::job::Job;
 use crate::lists::InForce;
@@ -67,13 +68,20 @@
 impl Tables {
     /// Creates empty tables.
     pub fn new(cfg: Settings) -> io::Result<Tables> {
+        let instance = random_id();
         let scheduler_cfg = SchedulerConfig {
+            name: instance_text(instance),
             data_centre: cfg.data_centre.clone(),
+            region: cfg.region.clone(),
+            seed: instance as u64,
             queue_limit: cfg.queue_limit,
+            silence_limit: Millis(cfg.silence_limit_ms),
+            link_bytes_per_second: cfg.link_bytes_per_second,
+            check_invariants: cfg.check_invariants,
             ..SchedulerConfig::default()
         };
         Ok(Tables {
-            instance: random_id(),
+            instance,
             in_force: RwLock::default(),
             endpoints: Mutex::default(),
             addresses: RwLock::default(),
--- a/components/decision/src/load/scheduler.rs
+++ b/components/decision/src/load/scheduler.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Sets the part of the account limits that this data centre grants, 0 to 1.
+    pub fn set_limit_share(&mut self, share: f64) {
+        self.cfg.limit_share = share;
+    }
+
     /// Returns the endpoints by name.
     pub fn endpoints(&self) -> &BTreeMap<String, Endpoint> {
         &self.endpoints
