--- a/components/decision/src/load/admission.rs
+++ b/components/decision/src/load/admission.rs
@@ -15,6 +15,9 @@
 /// Times that one request is sent to other data centres at most.
 const FORWARD_LIMIT: u32 = 2;
 
+/// Predicted waits beyond the slack from which a request is refused on arrival.
+const DOUBT: f64 = 2.0;
+
 /// The time that a request needs to get over the link and back, in milliseconds.
 const LINK_MS: u64 = 80;
 
@@ -33,19 +36,18 @@
         let fair = self.cfg.mechanisms.fairness;
         let queued = pool.queues[tier].work_before(&entry.arrival.account, fair);
         let work = queued + own * pool.paused[tier].len() as u64 / 2 + own / 2;
-        let ratio = pool.wait_ratio[tier].mean_or(1.0);
         let streams = share.tiers[tier].max(pool.started[tier].per_ms(now)).max(0.5);
-        Millis((work as f64 / streams * ratio) as u64)
+        Millis((work as f64 / streams) as u64)
     }
 
     /// Queues a new request, sends it elsewhere, or refuses it because it cannot be in time.
-    pub(super) fn admit(&mut self, mut entry: Entry, now: Millis) -> Vec<Effect> {
+    pub(super) fn admit(&mut self, entry: Entry, now: Millis) -> Vec<Effect> {
         let request = entry.arrival.request;
         let (pool_name, tier) = (entry.arrival.serves.clone(), entry.tier());
-        entry.predicted = self.predict_wait(&entry, now);
+        let wait = self.predict_wait(&entry, now);
         let latest = self.latest_start(&entry, self.expected_work(&entry));
-        let late = now + entry.predicted > latest;
-        let wait = entry.predicted;
+        let slack = latest.since(now).0 as f64;
+        let late = wait.0 as f64 > slack * DOUBT;
         let mut effects = Vec::new();
         self.entries.insert(request, entry);
         let full = self.waiting() >= self.cfg.queue_limit;
@@ -78,7 +80,7 @@
             }
         }
         let waits = self.entries.get(&request).is_some_and(Entry::waits);
-        if !waits || self.others_give_way(pool_name, tier) > 0 {
+        if !waits || self.others_give_way(pool_name, tier, now) > 0 {
             return;
         }
         if self.spill(request, now, effects) {
--- a/components/decision/src/load/dispatch.rs
+++ b/components/decision/src/load/dispatch.rs
@@ -3,6 +3,9 @@
 use super::{Effect, Scheduler, TIERS};
 use crate::Millis;
 
+/// Requests that are counted to tell whether a tier has slack.
+const SLACK_LOOKS: usize = 32;
+
 /// Paused requests of one tier that are tried before waiting ones.
 const RESUME_TRIES: usize = 4;
 
@@ -92,6 +95,8 @@
     }
 
     /// Returns whether what waits above a tier can wait for one more stream to end.
+    ///
+    /// A request that has others to give way to it can.
     pub(super) fn has_slack_above(
         &self,
         pool_name: &str,
@@ -102,8 +107,17 @@
         let Some(pool) = self.pools.get(pool_name) else { return true };
         let next_end = work / u64::from(pool.outstanding().max(1));
         let until = now + Millis(next_end);
-        let urgent = |t: usize| pool.queues[t].most_urgent().is_some_and(|(at, _)| at < until);
-        !(0..tier).any(urgent)
+        let mut urgent = 0;
+        for above in 0..tier {
+            urgent += pool.queues[above].urgent(until).take(SLACK_LOOKS).count();
+            let has_urgent = pool.queues[above].most_urgent().is_some_and(|(at, _)| at <= until);
+            let give_way = pool.running_below(above).take(SLACK_LOOKS).count();
+            let able = self.cfg.mechanisms.preemption && urgent < give_way;
+            if has_urgent && !able {
+                return false;
+            }
+        }
+        true
     }
 
     fn can_resume(&self, request: u64, now: Millis) -> bool {
@@ -177,7 +191,7 @@
         let Some(entry) = self.entries.get_mut(&request) else { return };
         entry.protected = protected;
         let (tier, attempt) = (entry.tier(), entry.attempt);
-        let (waited, predicted) = (now.since(entry.arrived).0 as f64, entry.predicted.0 as f64);
+        let waited = now.since(entry.arrived).0 as f64;
         let Some(entry) = self.entries.get(&request) else { return };
         let work = self.expected_work(entry);
         let Some(pool) = self.pools.get_mut(&entry.arrival.serves) else { return };
@@ -190,8 +204,5 @@
         if attempt == 0 {
             pool.delay.add(waited);
         }
-        if attempt == 0 && predicted > 0.0 {
-            pool.wait_ratio[tier].add((waited / predicted).clamp(0.25, 4.0));
-        }
     }
 }
--- a/components/decision/src/load/entry.rs
+++ b/components/decision/src/load/entry.rs
@@ -39,8 +39,6 @@
     pub(super) protected: bool,
     /// How often it was sent to another data centre.
     pub(super) forwards: u32,
-    /// The wait that was predicted on arrival.
-    pub(super) predicted: Millis,
     /// When it is looked at next for a missing token.
     pub(super) due: Millis,
     /// Attempts that failed.
@@ -66,7 +64,6 @@
             progressed: now,
             protected: false,
             forwards: 0,
-            predicted: Millis(0),
             due: Millis(0),
             failures: 0,
             is_charged: false,
--- a/components/decision/src/load/floor.rs
+++ b/components/decision/src/load/floor.rs
@@ -4,6 +4,9 @@
 /// The part of the finish window after which a waiting class earns twice, then four times as much.
 const AGEING_PART: u64 = 4;
 
+/// The part of a finish window without slack that excuses a class from starting in it.
+const BLOCKED_PART: f64 = 0.9;
+
 /// Expected slot times of one request that a class can save up.
 const CREDIT_LIMIT: f64 = 2.0;
 
@@ -23,8 +26,10 @@
     earned_at: Millis,
     /// Since when the class has waited without a start.
     hungry_since: Option<Millis>,
-    /// Whether higher tiers had no slack since then.
-    pub(super) blocked: bool,
+    /// Looks at the class since then.
+    looks: u32,
+    /// Looks at which higher tiers had no slack.
+    blocked: u32,
 }
 
 impl Floor {
@@ -39,7 +44,7 @@
         self.waiting.remove(&(arrived, request));
         if self.waiting.is_empty() {
             self.hungry_since = None;
-            self.blocked = false;
+            (self.looks, self.blocked) = (0, 0);
         }
     }
 
@@ -47,7 +52,7 @@
     pub(super) fn start(&mut self, work: u64, now: Millis) {
         self.credit = (self.credit - work as f64).max(-CREDIT_LIMIT * work as f64);
         self.hungry_since = if self.waiting.is_empty() { None } else { Some(now) };
-        self.blocked = false;
+        (self.looks, self.blocked) = (0, 0);
     }
 
     /// Earns slot time from `slots` slots; waiting longer earns more.
@@ -77,9 +82,16 @@
         (self.credit >= work as f64).then_some(*request)
     }
 
+    /// Notes whether higher tiers leave the class slack now.
+    pub(super) fn look(&mut self, has_slack: bool) {
+        self.looks += 1;
+        self.blocked += u32::from(!has_slack);
+    }
+
     /// Returns whether the class had a start in each finish window that left it slack.
     pub(super) fn holds(&self, now: Millis) -> bool {
         let hungry = self.hungry_since.is_some_and(|since| now.since(since) > self.window);
-        !hungry || self.blocked
+        let without_slack = f64::from(self.blocked) >= f64::from(self.looks) * BLOCKED_PART;
+        !hungry || without_slack
     }
 }
--- a/components/decision/src/load/invariant.rs
+++ b/components/decision/src/load/invariant.rs
@@ -10,9 +10,9 @@
     }
 
     /// Counts, and when checks are on forbids, a refusal while lower-tier work could give way.
-    pub(super) fn check_refusal(&mut self, pool_name: &str, tier: usize, _now: Millis) {
-        let victim = self.pools.get(pool_name).and_then(|pool| pool.victim(tier));
-        let others = self.others_give_way(pool_name, tier);
+    pub(super) fn check_refusal(&mut self, pool_name: &str, tier: usize, now: Millis) {
+        let victim = self.victim(pool_name, tier, now);
+        let others = self.others_give_way(pool_name, tier, now);
         if victim.is_none() && others == 0 {
             return;
         }
@@ -81,11 +81,11 @@
     fn check_floors(&mut self, now: Millis) {
         let names: Vec<String> = self.pools.keys().cloned().collect();
         for name in names {
-            let tight: [bool; TIERS] =
-                std::array::from_fn(|tier| !self.has_slack_above(&name, tier, 0, now));
+            let slack: [bool; TIERS] =
+                std::array::from_fn(|tier| self.has_slack_above(&name, tier, 0, now));
             let Some(pool) = self.pools.get_mut(&name) else { continue };
             for (class, floor) in &mut pool.floors {
-                floor.blocked |= tight[floor.tier];
+                floor.look(slack[floor.tier]);
                 assert!(floor.holds(now), "class {class} has not had its floor");
             }
         }
--- a/components/decision/src/load/pool.rs
+++ b/components/decision/src/load/pool.rs
@@ -33,8 +33,6 @@
     pub(super) first_token: Smoothed,
     /// The time between tokens.
     pub(super) between_tokens: Smoothed,
-    /// The measured wait against the predicted one, by tier.
-    pub(super) wait_ratio: [Smoothed; TIERS],
     /// The slot time started by tier, which is the streams that the tier gets.
     pub(super) started: [Rate; TIERS],
     /// The measured wait, in milliseconds.
@@ -62,10 +60,10 @@
         Demand { tiers, protected: self.protected.len() as u32 }
     }
 
-    /// Returns the running request that gives way first to a tier.
-    pub(super) fn victim(&self, tier: usize) -> Option<u64> {
+    /// Returns the running requests below a tier in the order in which they give way.
+    pub(super) fn running_below(&self, tier: usize) -> impl Iterator<Item = u64> + '_ {
         let below = (tier + 1..TIERS).rev();
-        below.filter_map(|t| self.running[t].last()).map(|(_, request)| *request).next()
+        below.flat_map(|t| self.running[t].iter().rev()).map(|(_, request)| *request)
     }
 
     /// Returns the slot time of an answer, in milliseconds.
--- a/components/decision/src/load/preempt.rs
+++ b/components/decision/src/load/preempt.rs
@@ -1,7 +1,11 @@
 use super::entry::Place;
+use super::pool::Pool;
 use super::{Effect, Scheduler, TIERS};
 use crate::Millis;
 
+/// Running requests that are looked at for one that gives way.
+const VICTIM_TRIES: usize = 32;
+
 /// Requests of one tier that are looked at in one call.
 const PRESSED_BATCH: usize = 32;
 
@@ -37,7 +41,7 @@
         if self.spill(request, now, effects) {
             return;
         }
-        let others = self.others_give_way(pool_name, tier);
+        let others = self.others_give_way(pool_name, tier, now);
         if others > 0 && self.start_beyond_share(pool_name, request, now, effects) {
             *self.beyond_share.entry(pool_name.to_string()).or_default() += 1;
             return;
@@ -48,9 +52,10 @@
     }
 
     /// Returns this daemon's part of the lower-tier requests that other daemons run.
-    pub(super) fn others_give_way(&self, pool_name: &str, tier: usize) -> u32 {
+    pub(super) fn others_give_way(&self, pool_name: &str, tier: usize, now: Millis) -> u32 {
         let mechanisms = self.cfg.mechanisms;
-        if !mechanisms.exchange || !mechanisms.preemption {
+        let may = mechanisms.exchange && mechanisms.preemption;
+        if !may || !self.has_endpoint(pool_name, now) {
             return 0;
         }
         let (_, others) = self.peers.of(&self.cfg.data_centre, pool_name);
@@ -70,16 +75,29 @@
         if !self.cfg.mechanisms.preemption {
             return false;
         }
-        let Some(victim) = self.pools.get(pool_name).and_then(|pool| pool.victim(tier)) else {
-            return false;
-        };
+        let Some(victim) = self.victim(pool_name, tier, now) else { return false };
         let Some(endpoint) = self.displace(victim, now, effects) else { return false };
-        let fits = self.endpoints.get(&endpoint).is_some_and(|e| e.is_usable(now) && !e.slow);
-        if fits {
-            self.send(request, &endpoint, false, now, effects);
-            return true;
-        }
-        self.start_beyond_share(pool_name, request, now, effects)
+        self.send(request, &endpoint, false, now, effects);
+        true
+    }
+
+    /// Returns the running request that gives way first to a tier, where that makes room.
+    pub(super) fn victim(&self, pool_name: &str, tier: usize, now: Millis) -> Option<u64> {
+        let below = self.pools.get(pool_name)?.running_below(tier).take(VICTIM_TRIES);
+        below.into_iter().find(|request| {
+            let place = self.entries.get(request).map(|entry| &entry.place);
+            let Some(Place::Running(name)) = place else { return false };
+            self.endpoints.get(name).is_some_and(|e| e.is_usable(now) && !e.slow)
+        })
+    }
+
+    /// Returns whether this daemon could start one more request beyond its share.
+    pub(super) fn has_endpoint(&self, pool_name: &str, now: Millis) -> bool {
+        let Some(pool) = self.pools.get(pool_name) else { return false };
+        let names = pool.members.iter().map(|(_, name)| name);
+        let usable = names.filter_map(|name| self.endpoints.get(name));
+        let mut usable = usable.filter(|e| e.is_usable(now)).take(self.cfg.subset);
+        usable.any(|e| e.outstanding < e.limit())
     }
 
     /// Holds back or ends a running request; returns the endpoint that it was at.
@@ -117,11 +135,11 @@
         let pressed: u32 = others.pressed.iter().sum();
         let share = self.share(pool_name).total.floor() as u32;
         for _ in 0..pressed {
-            let Some(pool) = self.pools.get(pool_name) else { return };
-            if pool.outstanding() <= share {
+            let outstanding = self.pools.get(pool_name).map_or(0, Pool::outstanding);
+            if outstanding <= share {
                 return;
             }
-            let Some(victim) = pool.victim(tier) else { return };
+            let Some(victim) = self.victim(pool_name, tier, now) else { return };
             if self.displace(victim, now, effects).is_none() {
                 return;
             }
--- a/components/workload/src/lib.rs
+++ b/components/workload/src/lib.rs
@@ -6,6 +6,7 @@
 mod fault;
 mod measure;
 mod policy;
+mod random;
 mod scenario;
 mod site;
 mod table;
--- a/components/workload/src/main.rs
+++ b/components/workload/src/main.rs
@@ -10,7 +10,7 @@
 /// Measures the decisions under load in virtual time.
 #[derive(Debug, FromArgs)]
 struct Options {
-    /// scenarios, by name, separated by commas; workloads, faults or a name
+    /// scenarios, by name, separated by commas; workloads, faults, random or a name
     #[argh(option, default = "String::from(\"workloads\")")]
     scenarios: String,
     /// policies, by name, separated by commas; ablations switch one mechanism off in each row
@@ -25,20 +25,24 @@
     /// the first seed
     #[argh(option, default = "1")]
     first_seed: u64,
+    /// check the scheduler's invariants at each tick; a broken one ends the program
+    #[argh(switch)]
+    check: bool,
 }
 
-fn scheduler(variant: &Variant, mechanisms: Mechanisms) -> SchedulerConfig {
+fn scheduler(variant: &Variant, mechanisms: Mechanisms, check: bool) -> SchedulerConfig {
     SchedulerConfig {
         name: variant.daemon.clone(),
         data_centre: variant.data_centre.clone(),
         region: variant.region.clone(),
         seed: variant.seed,
         mechanisms,
+        check_invariants: check,
         ..SchedulerConfig::default()
     }
 }
 
-fn run_named(scenario: &Scenario, policy: &str, seed: u64) -> Option<Measure> {
+fn run_named(scenario: &Scenario, policy: &str, seed: u64, check: bool) -> Option<Measure> {
     let baseline = |order, choice| run(scenario, seed, |v| Baseline::new(order, choice, v));
     let measure = match policy {
         "random" => baseline(Order::Fifo, Choice::Random),
@@ -47,7 +51,7 @@
         "priority" => baseline(Order::Tier, Choice::LeastOutstanding),
         name => {
             let mechanisms = mechanisms(name)?;
-            run(scenario, seed, |v| Scheduler::new(scheduler(v, mechanisms)))
+            run(scenario, seed, |v| Scheduler::new(scheduler(v, mechanisms, check)))
         }
     };
     Some(measure)
@@ -62,6 +66,11 @@
     names.split(',').flat_map(of).collect()
 }
 
+/// Returns the scenario itself, or the one that a seed draws.
+fn of_seed(scenario: &Scenario, seed: u64) -> Scenario {
+    if scenario.name == "random" { Scenario::random(seed) } else { scenario.clone() }
+}
+
 fn policies(names: &str) -> Vec<&str> {
     let of = |name| if name == "ablations" { ABLATIONS.to_vec() } else { vec![name] };
     names.split(',').flat_map(of).collect()
@@ -73,7 +82,11 @@
     for scenario in scenarios(&options.scenarios) {
         for policy in policies(&options.policies) {
             let seeds = options.first_seed..options.first_seed + options.seeds;
-            let runs = seeds.filter_map(|seed| run_named(&scenario, policy, seed)).collect();
+            let runs = seeds
+                .filter_map(|seed| {
+                    run_named(&of_seed(&scenario, seed), policy, seed, options.check)
+                })
+                .collect();
             rows.push(Row { scenario: scenario.name, policy: policy.to_string(), runs });
         }
     }
--- a/components/workload/src/scenario.rs
+++ b/components/workload/src/scenario.rs
@@ -125,6 +125,7 @@
         let mut all = Scenario::workloads();
         all.append(&mut Scenario::faults());
         all.push(Scenario::full());
+        all.push(Scenario::random(0));
         all.into_iter().find(|s| s.name == name)
     }
 }
