--- a/components/decision/src/load/entry.rs
+++ b/components/decision/src/load/entry.rs
@@ -76,6 +76,11 @@
         matches!(self.place, Place::Waiting(_))
     }
 
+    /// Notes that an attempt left for an endpoint and was ended there.
+    pub(super) fn may_have_run(&mut self) {
+        self.verdict = self.verdict.combine(Verdict::MayHaveRun);
+    }
+
     /// Returns whether another attempt may be made.
     pub(super) fn may_repeat(&self) -> bool {
         self.arrival.repeatable || self.verdict == Verdict::NotRun
--- a/components/decision/src/load/health.rs
+++ b/components/decision/src/load/health.rs
@@ -135,6 +135,7 @@
                 continue;
             }
             self.vacate(request);
+            self.entries.get_mut(&request).into_iter().for_each(Entry::may_have_run);
             self.place_waiting(request, now);
             effects.push(Effect::Cancel { request });
         }
--- a/components/decision/src/load/preempt.rs
+++ b/components/decision/src/load/preempt.rs
@@ -85,7 +85,8 @@
     pub(super) fn victim(&self, pool_name: &str, tier: usize, now: Millis) -> Option<u64> {
         let below = self.pools.get(pool_name)?.running_below(tier).take(VICTIM_TRIES);
         below.into_iter().find(|request| {
-            let place = self.entries.get(request).map(|entry| &entry.place);
+            let repeatable = self.entries.get(request).filter(|entry| entry.arrival.repeatable);
+            let place = repeatable.map(|entry| &entry.place);
             let Some(Place::Running(name)) = place else { return false };
             self.endpoints.get(name).is_some_and(|e| e.is_usable(now) && !e.slow)
         })
@@ -119,6 +120,7 @@
             effects.push(Effect::Pause { request: victim });
         } else {
             self.stats.cancelled += 1;
+            self.entries.get_mut(&victim)?.may_have_run();
             self.place_waiting(victim, now);
             effects.push(Effect::Cancel { request: victim });
         }
