--- a/components/decision/src/load/dispatch.rs
+++ b/components/decision/src/load/dispatch.rs
@@ -1,8 +1,12 @@
 use super::entry::Place;
+use super::pool::Pool;
 use super::share::{Share, divide};
 use super::{Effect, Scheduler, TIERS};
 use crate::Millis;
 
+/// Requests that are counted to tell whether a tier has slack.
+const SLACK_LOOKS: usize = 32;
+
 /// Paused requests of one tier that are tried before waiting ones.
 const RESUME_TRIES: usize = 4;
 
@@ -28,6 +32,10 @@
     /// Starts what fits, lets lower tiers give way, and gives up what is too late.
     pub(super) fn dispatch(&mut self, pool_name: &str, now: Millis) -> Vec<Effect> {
         let mut effects = Vec::new();
+        let idle = self.pools.get(pool_name).is_none_or(Pool::is_idle);
+        if idle {
+            return effects;
+        }
         self.earn_floors(pool_name, now);
         while let Some(next) = self.next_start(pool_name, now) {
             if !self.start(pool_name, next, false, now, &mut effects) {
@@ -42,11 +50,9 @@
         let (daemons, _) = self.peers.of(&self.cfg.data_centre, pool_name);
         let Some(pool) = self.pools.get_mut(pool_name) else { return };
         let slots = f64::from(pool.slots) / f64::from(daemons + 1);
-        for (class, floor) in &mut pool.floors {
-            let tokens = self.lengths.remaining(class, "", 0, 0.5);
-            let first = pool.first_token.mean_or(0.0) + 1.0;
-            let work = first + pool.between_tokens.mean_or(40.0) * f64::from(tokens);
-            floor.earn(slots, work as u64, now);
+        for floor in pool.floors.values_mut() {
+            let first = floor.waiting.first().and_then(|(_, first)| self.entries.get(first));
+            floor.earn(slots, first.map_or(0, |entry| entry.work), now);
         }
     }
 
@@ -78,7 +84,7 @@
         let pool = self.pools.get(pool_name)?;
         for floor in pool.floors.values() {
             let Some((_, first)) = floor.waiting.first() else { continue };
-            let work = self.entries.get(first).map_or(0, |e| self.expected_work(e));
+            let work = self.entries.get(first).map_or(0, |e| e.work);
             let Some(request) = floor.owed(work) else { continue };
             let held = matches!(self.entries.get(&request)?.place, Place::Paused(_));
             if held && !self.can_resume(request, now) {
@@ -92,6 +98,8 @@
     }
 
     /// Returns whether what waits above a tier can wait for one more stream to end.
+    ///
+    /// A request that has others to give way to it can.
     pub(super) fn has_slack_above(
         &self,
         pool_name: &str,
@@ -102,8 +110,17 @@
         let Some(pool) = self.pools.get(pool_name) else { return true };
         let next_end = work / u64::from(pool.outstanding().max(1));
         let until = now + Millis(next_end);
-        let urgent = |t: usize| pool.queues[t].most_urgent().is_some_and(|(at, _)| at < until);
-        !(0..tier).any(urgent)
+        let mut urgent = 0;
+        for above in 0..tier {
+            urgent += pool.queues[above].urgent(until).take(SLACK_LOOKS).count();
+            let has_urgent = pool.queues[above].most_urgent().is_some_and(|(at, _)| at <= until);
+            let give_way = pool.running_below(above).take(SLACK_LOOKS).count();
+            let able = self.cfg.mechanisms.preemption && urgent < give_way;
+            if has_urgent && !able {
+                return false;
+            }
+        }
+        true
     }
 
     fn can_resume(&self, request: u64, now: Millis) -> bool {
@@ -177,9 +194,9 @@
         let Some(entry) = self.entries.get_mut(&request) else { return };
         entry.protected = protected;
         let (tier, attempt) = (entry.tier(), entry.attempt);
-        let (waited, predicted) = (now.since(entry.arrived).0 as f64, entry.predicted.0 as f64);
+        let waited = now.since(entry.arrived).0 as f64;
         let Some(entry) = self.entries.get(&request) else { return };
-        let work = self.expected_work(entry);
+        let work = entry.work;
         let Some(pool) = self.pools.get_mut(&entry.arrival.serves) else { return };
         if let Some(floor) = pool.floors.get_mut(&entry.arrival.class) {
             floor.start(work, now);
@@ -190,8 +207,5 @@
         if attempt == 0 {
             pool.delay.add(waited);
         }
-        if attempt == 0 && predicted > 0.0 {
-            pool.wait_ratio[tier].add((waited / predicted).clamp(0.25, 4.0));
-        }
     }
 }
