Delete the records of keys that no daemon takes any more

Cause: records stayed in the store for good. Ruled out: deletion by every daemon (each would list the same minutes) and by the record's own daemon (it may be gone). The doer has a lease with a long interval, so that 360 daemons read it 12 times a second together. A first test put its record where the sweeper had passed already (swept runs- once before the put); the test now puts it an hour ahead of the sweeper's start.

--- /dev/null
+++ b/components/daemon/src/duty.rs
@@ -0,0 +1,79 @@
+use crate::tables::Tables;
+use decision::Millis;
+use decision::execution::WriteAnswer;
+use decision::orders::{Lease, LeaseConfig, LeaseEffect, LeaseRecord};
+use std::time::Duration;
+use store::{Store, StoreError};
+
+/// The kind of the objects that hold leases.
+const LEASE_KIND: &str = "leases";
+
+/// The time after which a call to the store counts as lost.
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A duty that one daemon does at a time, by a lease in the object API.
+pub struct Duty {
+    name: String,
+    store: Store,
+    lease: Lease,
+}
+
+impl Duty {
+    /// Creates a duty that this process does not do yet.
+    pub fn new(tables: &Tables, name: &str, cfg: LeaseConfig) -> Duty {
+        let process = format!("{:032x}", tables.instance);
+        Duty {
+            name: name.to_string(),
+            store: Store::new(tables.cfg.store, STORE_TIMEOUT),
+            lease: Lease::new(cfg, &process),
+        }
+    }
+
+    /// Returns whether this process holds the lease.
+    pub fn is_held(&self, now: Millis) -> bool {
+        self.lease.held(now).is_some()
+    }
+
+    /// Asks for the lease or renews it when that is due.
+    pub fn step(&mut self, tables: &Tables) {
+        let Some(effect) = self.lease.tick(tables.now()) else { return };
+        let effect = match effect {
+            LeaseEffect::Read => match self.read() {
+                Ok(found) => self.lease.on_read(found, tables.now()),
+                Err(e) => return log::debug!("lease {}: {e}", self.name),
+            },
+            LeaseEffect::Write(..) => Some(effect),
+        };
+        let Some(LeaseEffect::Write(record, version)) = effect else { return };
+        let answer = self.write(&record, version);
+        self.lease.on_write(answer, tables.now());
+    }
+
+    /// Gives the lease up.
+    pub fn close(self, tables: &Tables) {
+        let Duty { name, store, lease } = self;
+        let Some(LeaseEffect::Write(record, version)) = lease.close(tables.now()) else { return };
+        if let Err(e) = store.put(LEASE_KIND, &name, &record, version) {
+            log::info!("lease {name}: {e}");
+        }
+    }
+
+    fn read(&self) -> Result<Option<(u64, LeaseRecord)>, StoreError> {
+        let found = self.store.get::<LeaseRecord>(LEASE_KIND, &self.name)?;
+        Ok(found.map(|object| (object.version, object.value)))
+    }
+
+    fn write(&self, record: &LeaseRecord, version: u64) -> WriteAnswer {
+        write_answer(self.store.put(LEASE_KIND, &self.name, record, version))
+    }
+}
+
+/// Says what the answer to a conditional write means.
+pub fn write_answer(written: Result<u64, StoreError>) -> WriteAnswer {
+    match written {
+        Ok(version) => WriteAnswer::Written(version),
+        Err(StoreError::Conflict { .. }) => WriteAnswer::Conflict,
+        Err(e) if e.may_have_written() => WriteAnswer::Lost,
+        Err(_) => WriteAnswer::Unsent,
+    }
+}
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod chat;
 mod completion;
 mod control;
+mod duty;
 mod endpoints;
 mod engine;
 mod events;
@@ -28,6 +29,7 @@
 mod spans;
 mod stop;
 mod stream;
+mod sweep;
 mod tables;
 
 pub use server::{Daemon, StartError};
--- a/components/daemon/src/records.rs
+++ b/components/daemon/src/records.rs
@@ -1,6 +1,10 @@
+use crate::duty::write_answer;
 use crate::tables::lock;
 use decision::Millis;
-use decision::execution::{IdempotencyKey, KeyPolicy, ReadAnswer, Record, StoreWatch, WriteAnswer};
+use decision::execution::{
+    IdempotencyKey, KeyPolicy, ReadAnswer, Record, StoreWatch, Sweep, WriteAnswer,
+};
+use serde::de::IgnoredAny;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -10,9 +14,6 @@
 /// The time after which a call to the store counts as lost.
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The span of issue times whose records share a kind, in milliseconds.
-const KIND_SPAN_MS: u64 = 60_000;
-
 /// Where the record of a key stands in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RecordName {
@@ -23,7 +24,7 @@
 impl RecordName {
     /// Names the record of a client account's key.
     pub fn new(account: &str, key: &IdempotencyKey) -> RecordName {
-        let kind = format!("runs-{}", key.issued.0 / KIND_SPAN_MS);
+        let kind = kind_of(Sweep::span_of(key.issued));
         let name = sha256_hex(&format!("{account}\n{}\n{}", key.issued.0, key.random));
         RecordName { kind, name }
     }
@@ -66,14 +67,29 @@
                 }
                 WriteAnswer::Written(version)
             }
-            Err(StoreError::Conflict { .. }) => WriteAnswer::Conflict,
             Err(e) => {
-                log::warn!("record {}: {e}", name.name);
-                if e.may_have_written() { WriteAnswer::Lost } else { WriteAnswer::Unsent }
+                log::debug!("record {}: {e}", name.name);
+                write_answer(Err(e))
             }
         }
     }
 
+    /// Lists the records of a span of issue times, with their versions.
+    pub fn list(&self, span: u64) -> Result<Vec<(RecordName, u64)>, StoreError> {
+        let kind = kind_of(span);
+        let (_, objects) = self.store.list::<IgnoredAny>(&kind)?;
+        let names = objects.into_iter().map(|(name, object)| {
+            let record = RecordName { kind: kind.clone(), name };
+            (record, object.version)
+        });
+        Ok(names.collect())
+    }
+
+    /// Deletes a record if it still has this version.
+    pub fn delete(&self, name: &RecordName, version: u64) -> Result<(), StoreError> {
+        self.store.delete(&name.kind, &name.name, version).map(|_| ())
+    }
+
     /// Reads a record.
     pub fn read(&self, name: &RecordName) -> ReadAnswer {
         match self.store.get::<Record>(&name.kind, &name.name) {
@@ -86,3 +102,7 @@
         }
     }
 }
+
+fn kind_of(span: u64) -> String {
+    format!("runs-{span}")
+}
--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -10,6 +10,7 @@
 use crate::service::serve_call;
 use crate::spans::start_export;
 use crate::stop::stop_gracefully;
+use crate::sweep::sweep_records;
 use crate::tables::{Tables, lock};
 use config::Settings;
 use crossbeam::channel::{Receiver, unbounded};
@@ -96,6 +97,8 @@
         spawn("platform", move || follow(&follow_shell))?;
         let probe_shell = shell.clone();
         spawn("probes", move || probe_endpoints(&probe_shell))?;
+        let sweep_shell = shell.clone();
+        spawn("sweep", move || sweep_records(&sweep_shell))?;
         let tick_shell = shell.clone();
         spawn("tick", move || tick(&tick_shell))?;
         if let Some(collector) = shell.tables.cfg.spans {
--- /dev/null
+++ b/components/daemon/src/sweep.rs
@@ -0,0 +1,60 @@
+use crate::attempt::Shell;
+use crate::duty::Duty;
+use crate::tables::Tables;
+use decision::Millis;
+use decision::execution::Sweep;
+use decision::orders::LeaseConfig;
+use std::thread;
+use std::time::Duration;
+use store::StoreError;
+use utils::wall_clock;
+
+const STEP_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The time between two deletions, which keeps them far below the store's rate.
+const DELETE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Deletes the records of keys that no daemon takes any more, while this daemon has the duty.
+pub fn sweep_records(shell: &Shell) {
+    let tables = &shell.tables;
+    // Each daemon reads the lease once an interval, so a long one keeps a large fleet cheap.
+    let cfg = LeaseConfig {
+        term: Millis(120_000),
+        interval: Millis(30_000),
+        drift: Millis(2_000),
+        ..LeaseConfig::default()
+    };
+    let mut duty = Duty::new(tables, "sweep", cfg);
+    let mut sweep = Sweep::default();
+    while !tables.is_stopping() {
+        duty.step(tables);
+        if let Err(e) = sweep_once(tables, &mut duty, &mut sweep) {
+            log::debug!("records are not swept: {e}");
+        }
+        thread::sleep(STEP_INTERVAL);
+    }
+    duty.close(tables);
+}
+
+fn sweep_once(tables: &Tables, duty: &mut Duty, sweep: &mut Sweep) -> Result<(), StoreError> {
+    if !duty.is_held(tables.now()) {
+        *sweep = Sweep::default();
+        return Ok(());
+    }
+    let Some(span) = sweep.due(&tables.records.keys(), Millis(wall_clock())) else {
+        return Ok(());
+    };
+    for (name, version) in tables.records.list(span)? {
+        duty.step(tables);
+        if !duty.is_held(tables.now()) || tables.is_stopping() {
+            return Ok(());
+        }
+        match tables.records.delete(&name, version) {
+            Ok(()) | Err(StoreError::Conflict { .. }) => {}
+            Err(e) => return Err(e),
+        }
+        thread::sleep(DELETE_INTERVAL);
+    }
+    sweep.finish(span);
+    Ok(())
+}
--- a/components/decision/src/execution/mod.rs
+++ b/components/decision/src/execution/mod.rs
@@ -8,6 +8,7 @@
 mod key;
 mod record;
 mod store_watch;
+mod sweep;
 
 pub use attempt::{
     Answer, Attempt, AttemptConfig, Call, Effect, EndpointAnswer, Event, ReadAnswer, WriteAnswer,
@@ -15,3 +16,4 @@
 pub use key::{IdempotencyKey, KeyError, KeyPolicy};
 pub use record::{Outcome, Record, RunState};
 pub use store_watch::StoreWatch;
+pub use sweep::Sweep;
--- a/components/decision/tests/execution/keys.rs
+++ b/components/decision/tests/execution/keys.rs
@@ -1,5 +1,5 @@
 use decision::Millis;
-use decision::execution::{IdempotencyKey, KeyError, KeyPolicy, StoreWatch};
+use decision::execution::{IdempotencyKey, KeyError, KeyPolicy, StoreWatch, Sweep};
 use rstest::rstest;
 
 const HOUR: u64 = 3_600_000;
@@ -49,3 +49,19 @@
     let result = policy.check(&key, Millis(60_001));
     assert_eq!(result, Err(KeyError::Forgotten { random: "k".to_string() }));
 }
+
+#[test]
+fn can_delete_a_span_of_records_only_after_its_last_key() {
+    let policy = KeyPolicy { retention: Millis(HOUR), ..KeyPolicy::default() };
+    let mut sweep = Sweep::default();
+    let now = Millis(100 * HOUR);
+    let mut last = None;
+    while let Some(span) = sweep.due(&policy, now) {
+        let newest = Millis((span + 1) * 60_000 - 1);
+        assert!(policy.is_deletable(newest, now));
+        sweep.finish(span);
+        last = Some(span);
+    }
+    assert_eq!(last, Some(Sweep::span_of(Millis(99 * HOUR)) - 2));
+    assert!(sweep.due(&policy, now + Millis(50_000)).is_some());
+}
--- a/components/store/src/client.rs
+++ b/components/store/src/client.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use utils::{HttpError, get_json, put_json};
+use utils::{HttpError, delete_json, get_json, put_json};
 
 /// The time that a watch may take to answer beyond the time that it was asked to wait.
 const WATCH_MARGIN: Duration = Duration::from_secs(2);
@@ -101,6 +101,14 @@
         written.map(|object| object.version).map_err(|e| classify(path, e))
     }
 
+    /// Deletes an object if it has `expected` as its version.
+    pub fn delete(&self, kind: &str, name: &str, expected: u64) -> Result<u64, StoreError> {
+        let path = format!("/objects/{kind}/{name}");
+        let url = format!("{}?if_version={expected}", self.url(&path));
+        let deleted: Result<Object<serde_json::Value>, HttpError> = delete_json(&url, self.timeout);
+        deleted.map(|object| object.version).map_err(|e| classify(path, e))
+    }
+
     /// Waits at most `wait` for changes of a kind after `version`.
     pub fn watch<T: DeserializeOwned>(
         &self,
--- a/components/utils/src/http.rs
+++ b/components/utils/src/http.rs
@@ -110,6 +110,12 @@
     send_json(url, attohttpc::put(url), body, timeout)
 }
 
+/// Deletes what is at `url` and reads the JSON answer.
+pub fn delete_json<T: DeserializeOwned>(url: &str, timeout: Duration) -> Result<T, HttpError> {
+    let res = client(attohttpc::delete(url), timeout).send().context(ExchangeSnafu { url })?;
+    decode(url, res)
+}
+
 fn send_json<B: Serialize, T: DeserializeOwned>(
     url: &str,
     req: RequestBuilder,
--- a/components/utils/src/lib.rs
+++ b/components/utils/src/lib.rs
@@ -9,7 +9,8 @@
 pub use clock::wall_clock;
 pub use digest::sha256_hex;
 pub use http::{
-    ChunkWriter, HttpError, body_text, client, get_json, listen, post_json, put_json, respond_json,
+    ChunkWriter, HttpError, body_text, client, delete_json, get_json, listen, post_json, put_json,
+    respond_json,
 };
 pub use id::random_id;
 pub use pool::Pool;
--- a/tests/execution.rs
+++ b/tests/execution.rs
@@ -11,7 +11,7 @@
 use std::sync::mpsc::channel;
 use std::thread;
 use std::time::{Duration, Instant};
-use utils::{client, get_json, post_json, sha256_hex, wall_clock};
+use utils::{client, get_json, post_json, put_json, sha256_hex, wall_clock};
 
 const PLACE: &str = "valle-aburra/aburra-norte";
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -147,6 +147,24 @@
     }
 }
 
+#[test]
+fn can_delete_the_records_of_expired_keys() {
+    let site = start_site();
+    let key = new_key("fresh");
+    book(site.address("daemon-1"), "key-1", &key, 1, PATIENCE);
+    // The sweeper has begun with the spans of seven hours ago.
+    let span = (wall_clock() - 6 * 3_600_000) / 60_000;
+    let record = format!("http://{}/objects/runs-{span}/old", site.store.address);
+    let _: Value = put_json(&record, &json!({}), PATIENCE).unwrap();
+    let started = Instant::now();
+    while get_json::<Value>(&record, PATIENCE).is_ok() {
+        assert!(started.elapsed() < Duration::from_secs(60), "the record stays");
+        thread::sleep(Duration::from_millis(20));
+    }
+    let told = book(site.address("daemon-2"), "key-1", &key, 2, PATIENCE);
+    assert_eq!(told, Told::Outcome(json!({"ran": key, "run": 1})));
+}
+
 fn signal(site: &Site, name: &str, signal: &str) {
     let id = site.process(name).id().to_string();
     assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
