Test the cluster state machine event by event

Cause: the state machine had randomised runs only. Found by it: a bridge without other data centres noted an empty list every 10 s; it now notes nothing. Ruled out: tests through the fleet alone, which show that something broke but not what.

--- a/components/decision/src/cluster/membership.rs
+++ b/components/decision/src/cluster/membership.rs
@@ -335,7 +335,8 @@
         let noted = self.table.get(self.me.identity, REACH_KEY).map(|entry| &entry.values);
         let is_new = noted.map_or(!heard.is_empty(), |noted| *noted != heard);
         // A member that stops being a bridge lets its note lapse unless it changes.
-        if !self.is_bridge || (!is_new && now < self.due.reach) {
+        let has_none = heard.is_empty() && noted.is_none();
+        if !self.is_bridge || has_none || (!is_new && now < self.due.reach) {
             return;
         }
         self.due.reach = now + REACH_INTERVAL;
--- /dev/null
+++ b/components/decision/tests/cluster.rs
@@ -0,0 +1,275 @@
+//! The cluster state machine, driven event by event.
+
+use decision::Millis;
+use decision::cluster::{
+    Cluster, ClusterConfig, Effect, Event, Identity, MemberChange, Scope, Seed, StoreCall,
+    StoreLimits, StoreOutcome, StoreWatch, holders,
+};
+use messages::cluster::{MemberRecord, MemberState, Packet, PacketKind};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use rstest::rstest;
+use std::net::SocketAddr;
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_000))
+}
+
+fn daemon(number: u8) -> Cluster {
+    let cfg = ClusterConfig {
+        address: address(number),
+        check_invariants: true,
+        ..ClusterConfig::default()
+    };
+    let rng = Pcg64::seed_from_u64(u64::from(number));
+    Cluster::new(cfg, Identity(u128::from(number)), rng, Millis(0))
+}
+
+fn seeds(numbers: &[u8]) -> Event {
+    let seed = |number: &u8| Seed { address: address(*number), data_centre: "local".to_string() };
+    Event::Instances(numbers.iter().map(seed).collect())
+}
+
+/// Passes packets between two daemons until none is left, and returns the other effects.
+fn exchange(daemons: &mut [Cluster], effects: Vec<(usize, Effect)>, now: Millis) -> Vec<Effect> {
+    let mut other = Vec::new();
+    let mut queue = effects;
+    while !queue.is_empty() {
+        let (from, effect) = queue.remove(0);
+        let Effect::Send { to, packet } = effect else {
+            other.push(effect);
+            continue;
+        };
+        let Some(to) = daemons.iter().position(|d| d.me().address == to) else { continue };
+        let event = Event::Packet { from: daemons[from].me().address, packet };
+        queue.extend(daemons[to].handle(event, now).into_iter().map(|effect| (to, effect)));
+    }
+    other
+}
+
+/// Ticks every daemon from `from` to `until` and delivers every packet.
+fn run(daemons: &mut [Cluster], from: u64, until: u64) -> Vec<Effect> {
+    let mut other = Vec::new();
+    for now in (from..until).step_by(50).map(Millis) {
+        for i in 0..daemons.len() {
+            let effects = daemons[i].handle(Event::Tick, now);
+            let effects = effects.into_iter().map(|effect| (i, effect)).collect();
+            other.extend(exchange(daemons, effects, now));
+        }
+    }
+    other
+}
+
+fn joined_pair() -> [Cluster; 2] {
+    let mut pair = [daemon(1), daemon(2)];
+    pair[0].handle(seeds(&[1, 2]), Millis(0));
+    pair[1].handle(seeds(&[1, 2]), Millis(0));
+    run(&mut pair, 0, 3_000);
+    pair
+}
+
+fn lists(revision: u64, text: &str) -> Event {
+    Event::Lists { version: revision, revision, text: text.to_string() }
+}
+
+fn record(of: &Cluster, state: MemberState) -> MemberRecord {
+    MemberRecord {
+        id: of.me().identity.into(),
+        address: of.me().address.to_string(),
+        data_centre: "local".to_string(),
+        sequence: of.me().sequence,
+        state,
+    }
+}
+
+/// Returns a packet of a third daemon that tells of a record.
+fn telling(record: MemberRecord) -> Packet {
+    let mut third = daemon(3);
+    third.handle(seeds(&[1]), Millis(0));
+    let effects = third.handle(Event::Tick, Millis(0));
+    let packet = effects.into_iter().find_map(|effect| match effect {
+        Effect::Send { packet, .. } => Some(packet),
+        _ => None,
+    });
+    Packet { kind: PacketKind::Push, members: vec![record], ..packet.unwrap() }
+}
+
+#[test]
+fn can_pass_lists_on_without_the_store() {
+    let mut pair = joined_pair();
+    let text = "accounts ".repeat(2_000);
+    let effects = pair[0].handle(lists(7, &text), Millis(3_000));
+    let effects = effects.into_iter().map(|effect| (0, effect)).collect();
+    let other = exchange(&mut pair, effects, Millis(3_000));
+    let in_force = |e: &Effect| matches!(e, Effect::InForce { text: t, .. } if *t == text);
+    assert_eq!(other.iter().filter(|e| in_force(e)).count(), 2);
+    assert_eq!(pair[1].in_force().number, 7);
+    assert!(pair[1].is_ready());
+}
+
+#[rstest]
+#[case::older(6, "b", 7, true)]
+#[case::same(7, "a", 7, false)]
+#[case::newer(8, "b", 8, false)]
+fn can_only_move_lists_forward(
+    #[case] revision: u64,
+    #[case] text: &str,
+    #[case] expected: u64,
+    #[case] reported: bool,
+) {
+    let mut daemon = daemon(1);
+    daemon.handle(lists(7, "a"), Millis(0));
+    let effects = daemon.handle(lists(revision, text), Millis(10));
+    assert_eq!(daemon.in_force().number, expected);
+    let older = effects.iter().any(|e| matches!(e, Effect::StoreOlder { .. }));
+    assert_eq!(older, reported);
+}
+
+#[rstest]
+#[case("a", "b")]
+#[case("b", "a")]
+fn can_agree_on_one_of_two_texts_with_the_same_revision(#[case] first: &str, #[case] next: &str) {
+    let mut one = daemon(1);
+    one.handle(lists(7, first), Millis(0));
+    let effects = one.handle(lists(7, next), Millis(10));
+    assert!(effects.contains(&Effect::RevisionConflict { revision: 7 }));
+    let mut other = daemon(2);
+    other.handle(lists(7, "a"), Millis(0));
+    other.handle(lists(7, "b"), Millis(10));
+    assert_eq!(one.in_force(), other.in_force());
+}
+
+#[test]
+fn errors_when_no_peer_and_no_store_has_lists() {
+    let mut pair = joined_pair();
+    run(&mut pair, 3_000, 10_000);
+    assert!(!pair[0].is_ready());
+}
+
+#[test]
+fn can_refute_a_suspicion_with_a_higher_sequence() {
+    let mut pair = joined_pair();
+    let suspicion = record(&pair[1], MemberState::Suspected);
+    let packet = telling(suspicion);
+    let sequence = pair[1].me().sequence;
+    pair[1].handle(Event::Packet { from: address(1), packet }, Millis(9_000));
+    assert_eq!(pair[1].me().sequence, sequence + 1);
+    assert_eq!(pair[1].me().identity, Identity(2));
+}
+
+#[test]
+fn can_go_on_under_a_new_identity_when_taken_for_dead() {
+    let mut pair = joined_pair();
+    let end = record(&pair[1], MemberState::Dead);
+    let packet = telling(end);
+    let effects = pair[1].handle(Event::Packet { from: address(1), packet }, Millis(9_000));
+    assert!(effects.iter().any(|e| matches!(e, Effect::IdentityReplaced { .. })));
+    assert_ne!(pair[1].me().identity, Identity(2));
+}
+
+#[test]
+fn can_keep_an_ended_identity_from_coming_back() {
+    let mut pair = joined_pair();
+    let live = record(&pair[1], MemberState::Live);
+    let goodbye = pair[1].handle(Event::Leave, Millis(3_000));
+    let goodbye = goodbye.into_iter().map(|effect| (1, effect)).collect();
+    exchange(&mut pair, goodbye, Millis(3_000));
+    let packet = telling(live);
+    let effects = pair[0].handle(Event::Packet { from: address(3), packet }, Millis(4_000));
+    assert!(pair[0].members().get(Identity(2)).is_none());
+    assert!(!effects.iter().any(|e| matches!(e, Effect::Member { .. })));
+}
+
+#[test]
+fn can_take_a_new_process_at_an_address_for_a_new_member() {
+    let mut pair = joined_pair();
+    let rng = Pcg64::seed_from_u64(9);
+    let cfg = ClusterConfig { address: address(2), ..ClusterConfig::default() };
+    pair[1] = Cluster::new(cfg, Identity(22), rng, Millis(3_000));
+    pair[1].handle(seeds(&[1, 2]), Millis(3_000));
+    let effects = run(&mut pair, 3_000, 6_000);
+    let dead = |e: &Effect| {
+        let Effect::Member { member, change } = e else { return false };
+        member.identity == Identity(2) && *change == MemberChange::Dead
+    };
+    assert!(effects.iter().any(dead));
+    assert!(pair[0].members().get(Identity(22)).is_some());
+}
+
+#[test]
+fn can_suspect_nobody_after_a_pause_of_its_own() {
+    let mut pair = joined_pair();
+    pair[0].handle(Event::Tick, Millis(60_000));
+    assert_eq!(pair[0].counters().suspected, 0);
+}
+
+#[test]
+fn can_spread_a_value_and_forget_it() {
+    let mut pair = joined_pair();
+    let (key, ttl) = ("admission/campo-8b".to_string(), Millis(2_000));
+    let event = Event::Publish { key, scope: Scope::DataCentre, ttl, values: vec![2, 40] };
+    pair[0].handle(event, Millis(3_000));
+    run(&mut pair, 3_000, 4_500);
+    let values: Vec<_> = pair[1].entries(Millis(4_500)).map(|e| e.values.clone()).collect();
+    assert_eq!(values, [[2, 40]]);
+    assert_eq!(pair[1].entries(Millis(5_500)).count(), 0);
+}
+
+#[test]
+fn can_move_a_duty_only_with_its_holder() {
+    let members: Vec<Identity> = (1..40).map(Identity).collect();
+    let before = holders(members.iter().copied(), "store-watch", 2);
+    let rest = members.iter().copied().filter(|m| *m != before[0]);
+    let after = holders(rest, "store-watch", 2);
+    assert_eq!(after[0], before[1]);
+}
+
+#[test]
+fn can_read_in_full_after_a_gap_and_back_off_after_failures() {
+    let limits = StoreLimits { rate: 4, backoff_base: Millis(250), backoff_limit: Millis(10_000) };
+    let mut rng = Pcg64::seed_from_u64(1);
+    let mut watch = StoreWatch::default();
+    assert_eq!(watch.due(&limits, Millis(0)), Some(StoreCall::Read));
+    assert_eq!(watch.due(&limits, Millis(1_000)), None);
+    watch.ended(StoreOutcome::Read { version: 9 }, &limits, &mut rng, Millis(1_000));
+    assert_eq!(watch.due(&limits, Millis(1_000)), Some(StoreCall::Watch { after: 9 }));
+    watch.ended(StoreOutcome::Gap, &limits, &mut rng, Millis(2_000));
+    assert_eq!(watch.due(&limits, Millis(2_000)), Some(StoreCall::Read));
+    for failures in 0..8u32 {
+        let now = Millis(10_000 + 100_000 * u64::from(failures));
+        watch.ended(StoreOutcome::Failed, &limits, &mut rng, now);
+        let longest = (250 << failures).min(10_000);
+        assert_eq!(watch.due(&limits, now + Millis(longest / 2 - 1)), None);
+        assert!(watch.due(&limits, now + Millis(longest)).is_some());
+    }
+}
+
+#[rstest]
+#[case::empty(0)]
+#[case::one_leaf(100)]
+#[case::many_leaves(200_000)]
+fn can_change_a_text_with_few_chunks(#[case] len: usize) {
+    use decision::cluster::ChunkTree;
+    let mut text: String = (0..len).map(|i| char::from(b'a' + (i * i % 23) as u8)).collect();
+    text.extend((0..len / 40).map(|i| format!("{{\"account-{i}\":{}}}", i * 7_919)));
+    let before = ChunkTree::split(&text);
+    assert_eq!(before.text().as_deref(), Some(text.as_str()));
+    text.insert(text.len() / 2, 'ñ');
+    let after = ChunkTree::split(&text);
+    let new = after.chunks.keys().filter(|name| !before.chunks.contains_key(name)).count();
+    assert!(new <= 8, "{new} of {} chunks are new", after.chunks.len());
+    assert_eq!(after.text(), Some(text));
+}
+
+#[test]
+fn can_ignore_what_asks_for_too_much() {
+    let mut pair = joined_pair();
+    let live = record(&pair[1], MemberState::Live);
+    let mut packet = telling(live);
+    packet.kind = PacketKind::Probe;
+    packet.bucket.bits = u32::MAX;
+    packet.members[0].address = "nowhere".to_string();
+    packet.revision.number = 0;
+    pair[1].handle(Event::Packet { from: address(1), packet }, Millis(9_000));
+    assert_eq!(pair[1].counters().bad_records, 1);
+}
--- a/components/fleet/src/main.rs
+++ b/components/fleet/src/main.rs
@@ -3,10 +3,21 @@
 use argh::FromArgs;
 use decision::Millis;
 use decision::cluster::ClusterConfig;
-use fleet::{FleetConfig, Table, changes, deaths, memory, random_run, slope, steady, store_load};
+use fleet::{
+    Change, FleetConfig, Table, changes, deaths, memory, random_run, slope, steady, store_load,
+};
+use std::thread;
 
 const SIZES: [usize; 4] = [7, 30, 90, 360];
+/// Cases that are measured at once.
+const WORKERS: usize = 4;
 const ACCOUNTS: usize = 7_800;
+/// Packets lost in a thousand, and whether a tenth of the daemons is replaced.
+const CHANGE_CASES: [(u32, bool); 5] =
+    [(0, false), (50, false), (200, false), (50, true), (200, true)];
+/// Packets lost in a thousand, and the length of the pauses in milliseconds.
+const DEATH_CASES: [(u32, u64); 6] =
+    [(0, 0), (50, 0), (200, 0), (50, 1_000), (50, 3_000), (50, 10_000)];
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
 
 /// Measures many copies of the cluster state machine.
@@ -56,6 +67,24 @@
     }
 }
 
+/// Measures up to four cases at once and returns the results in the order of the cases.
+fn measure_all<C: Copy + Sync, R: Send>(cases: &[C], measure: impl Fn(C) -> R + Sync) -> Vec<R> {
+    let mut results = Vec::new();
+    for group in cases.chunks(WORKERS) {
+        results.extend(thread::scope(|scope| {
+            let workers: Vec<_> = group
+                .iter()
+                .map(|case| {
+                    let measure = &measure;
+                    scope.spawn(move || measure(*case))
+                })
+                .collect();
+            workers.into_iter().map(|w| w.join().expect("a case holds")).collect::<Vec<R>>()
+        }));
+    }
+    results
+}
+
 fn config(size: usize, loss_permille: u32, seed: u64) -> FleetConfig {
     let cluster = ClusterConfig::default();
     FleetConfig { size, loss_permille, seed, cluster, ..FleetConfig::default() }
@@ -73,28 +102,33 @@
         "missed",
     ];
     let mut table = Table::new("Time until a change is in force in each live daemon", &head);
-    for size in sizes {
-        for (loss, replaced) in [(0, false), (50, false), (200, false), (50, true), (200, true)] {
-            let mut times = fleet::Times::default();
-            let mut fresh = fleet::Times::default();
-            let mut missed = 0;
-            for seed in SEEDS {
-                let change = changes(config(*size, loss, seed), ACCOUNTS, 4, replaced);
-                times.extend(&change.times);
-                fresh.extend(&change.fresh);
-                missed += change.missed;
-            }
-            table.row(&[
-                size.to_string(),
-                (loss / 10).to_string(),
-                if replaced { "10 %" } else { "none" }.to_string(),
-                times.percentile(50).0.to_string(),
-                times.percentile(95).0.to_string(),
-                times.percentile(100).0.to_string(),
-                fresh.percentile(100).0.to_string(),
-                missed.to_string(),
-            ]);
+    let cases: Vec<_> = sizes
+        .iter()
+        .flat_map(|size| CHANGE_CASES.map(|(loss, replaced)| (*size, loss, replaced)))
+        .flat_map(|(size, loss, replaced)| SEEDS.map(move |seed| (size, loss, replaced, seed)))
+        .collect();
+    let results = measure_all(&cases, |(size, loss, replaced, seed)| {
+        changes(config(size, loss, seed), ACCOUNTS, 4, replaced)
+    });
+    let seeds = SEEDS.count();
+    for (case, results) in cases.chunks(seeds).zip(results.chunks(seeds)) {
+        let (size, loss, replaced, _) = case[0];
+        let mut all = Change::default();
+        for change in results {
+            all.times.extend(&change.times);
+            all.fresh.extend(&change.fresh);
+            all.missed += change.missed;
         }
+        table.row(&[
+            size.to_string(),
+            (loss / 10).to_string(),
+            if replaced { "10 %" } else { "none" }.to_string(),
+            all.times.percentile(50).0.to_string(),
+            all.times.percentile(95).0.to_string(),
+            all.times.percentile(100).0.to_string(),
+            all.fresh.percentile(100).0.to_string(),
+            all.missed.to_string(),
+        ]);
     }
     println!("{table}");
 }
@@ -156,23 +190,26 @@
         "taken for dead wrongly",
     ];
     let mut table = Table::new("Time until a dead daemon is known; eight deaths", &head);
-    for size in sizes {
-        for (loss, pause) in [(0, 0), (50, 0), (200, 0), (50, 1_000), (50, 3_000), (50, 10_000)] {
-            let death = deaths(config(*size, loss, 1), 8, Millis(pause));
-            table.row(&[
-                size.to_string(),
-                (loss / 10).to_string(),
-                pause.to_string(),
-                death.local.percentile(50).0.to_string(),
-                death.local.percentile(100).0.to_string(),
-                death.remote.percentile(50).0.to_string(),
-                death.remote.percentile(100).0.to_string(),
-                death.missed.to_string(),
-                death.false_suspicions.to_string(),
-                death.pause_suspicions.to_string(),
-                death.false_deaths.to_string(),
-            ]);
-        }
+    let cases: Vec<_> = sizes
+        .iter()
+        .flat_map(|size| DEATH_CASES.map(|(loss, pause)| (*size, loss, pause)))
+        .collect();
+    let results =
+        measure_all(&cases, |(size, loss, pause)| deaths(config(size, loss, 1), 8, Millis(pause)));
+    for ((size, loss, pause), death) in cases.iter().zip(results) {
+        table.row(&[
+            size.to_string(),
+            (loss / 10).to_string(),
+            pause.to_string(),
+            death.local.percentile(50).0.to_string(),
+            death.local.percentile(100).0.to_string(),
+            death.remote.percentile(50).0.to_string(),
+            death.remote.percentile(100).0.to_string(),
+            death.missed.to_string(),
+            death.false_suspicions.to_string(),
+            death.pause_suspicions.to_string(),
+            death.false_deaths.to_string(),
+        ]);
     }
     println!("{table}");
 }
