--- a/components/daemon/src/peers/mod.rs
+++ b/components/daemon/src/peers/mod.rs
@@ -13,7 +13,8 @@
 use lists::{Document, follow_store};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
-use socket::{open_socket, receive};
+pub use socket::open_socket;
+use socket::receive;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -40,9 +41,12 @@
 }
 
 impl Peers {
-    /// Opens the socket and starts to join the other daemons.
-    pub fn start(tables: &Arc<Tables>, address: SocketAddr) -> io::Result<Arc<Peers>> {
-        let socket = open_socket(address)?;
+    /// Starts to join the other daemons.
+    pub fn start(
+        tables: &Arc<Tables>,
+        socket: UdpSocket,
+        address: SocketAddr,
+    ) -> io::Result<Arc<Peers>> {
         let cfg = ClusterConfig {
             address: tables.cfg.peer_address.unwrap_or(address),
             data_centre: tables.cfg.data_centre.clone(),
@@ -116,6 +120,7 @@
             }
             Effect::DataCentre { name, reachable } => {
                 log::warn!("data centre {name} reachable={reachable}");
+                self.update_peers();
             }
             Effect::Ready => self.tables.joined.store(true, Ordering::Relaxed),
         }
@@ -138,12 +143,14 @@
         }
     }
 
-    /// Makes the live members the daemons that requests can be handed to.
+    /// Makes the live members that can be reached the daemons that requests can be handed to.
     fn update_peers(&self) {
         let members: Vec<Member> = {
             let cluster = lock(&self.cluster);
+            let is_cut_off =
+                |m: &&Member| cluster.data_centres().get(&m.data_centre) == Some(&false);
             let live = cluster.members().iter().filter(|m| m.state == MemberState::Live);
-            live.cloned().collect()
+            live.filter(|m| !is_cut_off(m)).cloned().collect()
         };
         let listed = lock(&self.listed).clone();
         let peer = |member: Member| {
--- a/components/daemon/src/peers/socket.rs
+++ b/components/daemon/src/peers/socket.rs
@@ -14,7 +14,7 @@
 const PACKET_BYTES: usize = 2_048;
 
 /// Opens the socket for the other daemons.
-pub(super) fn open_socket(address: SocketAddr) -> io::Result<UdpSocket> {
+pub fn open_socket(address: SocketAddr) -> io::Result<UdpSocket> {
     let socket = Socket::new(Domain::for_address(address), Type::DGRAM, Some(Protocol::UDP))?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.bind(&address.into())?;
--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -4,7 +4,7 @@
 use crate::control::send_order;
 use crate::endpoints::probe_endpoints;
 use crate::peer::{FORWARD_PATH, serve_forward};
-use crate::peers::Peers;
+use crate::peers::{Peers, open_socket};
 use crate::platform::{DaemonDescription, follow};
 use crate::reply::respond_refusal;
 use crate::resume::{expire, serve_request_path};
@@ -19,7 +19,7 @@
 use signal_hook::iterator::Signals;
 use snafu::{ResultExt, Snafu};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -28,6 +28,8 @@
 use utils::{Pool, listen, respond_json};
 
 const CALLER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Free ports that are tried until one is free for TCP and UDP.
+const PORT_TRIES: u32 = 16;
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 const EXPIRE_INTERVAL_TICKS: u64 = 10;
 
@@ -84,7 +86,7 @@
     /// Listens and starts the workers.
     pub fn start(cfg: Settings) -> Result<Daemon, StartError> {
         let address = cfg.listen;
-        let server = listen(address, Some(CALLER_READ_TIMEOUT)).context(ListenSnafu { address })?;
+        let (server, socket) = open(address)?;
         let address = server.server_addr().to_ip().unwrap_or(address);
         let (attempt_tx, attempt_rx) = unbounded();
         let (order_tx, order_rx) = unbounded();
@@ -102,7 +104,7 @@
                 }
             }
         })?;
-        let peers = Peers::start(&shell.tables, address).context(PeersSnafu { address })?;
+        let peers = Peers::start(&shell.tables, socket, address).context(PeersSnafu { address })?;
         let (follow_shell, follow_peers) = (shell.clone(), Arc::clone(&peers));
         spawn("platform", move || follow(&follow_shell, &follow_peers))?;
         let probe_shell = shell.clone();
@@ -159,6 +161,22 @@
     }
 }
 
+/// Listens for callers and opens the socket for other daemons at the same port.
+fn open(address: SocketAddr) -> Result<(Server, UdpSocket), StartError> {
+    let mut tries = if address.port() == 0 { PORT_TRIES } else { 1 };
+    loop {
+        tries -= 1;
+        let server = listen(address, Some(CALLER_READ_TIMEOUT)).context(ListenSnafu { address })?;
+        let listening = server.server_addr().to_ip().unwrap_or(address);
+        match open_socket(listening).context(PeersSnafu { address: listening }) {
+            Ok(socket) => return Ok((server, socket)),
+            Err(e) if tries == 0 => return Err(e),
+            // The free port that the listener got is taken for UDP.
+            Err(_) => {}
+        }
+    }
+}
+
 fn start_attempts(shell: &Shell, rx: Receiver<Attempt>) -> Result<(), StartError> {
     let (work_shell, shell) = (shell.clone(), shell.clone());
     // Abandoned requests may still hold a worker while new ones start.
--- a/components/decision/src/cluster/membership.rs
+++ b/components/decision/src/cluster/membership.rs
@@ -196,7 +196,7 @@
         if now < self.join.next_at {
             return;
         }
-        let Some(seeds) = &self.seeds else { return };
+        let Some(seeds) = self.join_candidates() else { return };
         self.join.next_at = now + self.cfg.join_interval;
         let enough = self.join.answers >= JOIN_ANSWERS;
         let late = self.join.attempts >= 2 && self.join.answers > 0;
@@ -218,6 +218,15 @@
         }
     }
 
+    /// Returns whom to ask: the listed daemons, or without a list those that spoke up themselves.
+    fn join_candidates(&self) -> Option<Vec<Seed>> {
+        if self.seeds.is_some() || self.members.is_empty() {
+            return self.seeds.clone();
+        }
+        let seed = |m: &Member| Seed { address: m.address, data_centre: m.data_centre.clone() };
+        Some(self.members.iter().map(seed).collect())
+    }
+
     fn probe_seed_when_due(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         if now < self.due.seeds {
             return;
--- /dev/null
+++ b/components/messages/tests/envelope.rs
@@ -0,0 +1,55 @@
+//! Packets are taken only from those who have the key.
+
+use messages::cluster::{Bucket, Id, MemberRecord, MemberState, Packet, PacketKind, Revision};
+use messages::{OpenError, open, seal};
+use rstest::rstest;
+
+fn packet() -> Packet {
+    let id = Id { high: u64::MAX, low: 1 };
+    let member = MemberRecord {
+        id: id.clone(),
+        address: "10.0.0.1:7000".to_string(),
+        data_centre: "nelson".to_string(),
+        sequence: 3,
+        state: MemberState::Suspected,
+    };
+    Packet {
+        kind: PacketKind::Probe,
+        from: id.clone(),
+        number: 7,
+        subject: id.clone(),
+        subject_address: String::new(),
+        revision: Revision { number: 1, digest: id, root: 2 },
+        bucket: Bucket { bits: 1, index: 1, digest: 9 },
+        members: vec![member],
+        entries: Vec::new(),
+        wants: vec![5],
+        chunks: Vec::new(),
+    }
+}
+
+#[test]
+fn can_open_what_was_sealed_with_the_same_key() {
+    let buf = seal(b"key", &packet()).unwrap();
+    assert_eq!(open(b"key", &buf).unwrap(), packet());
+}
+
+#[rstest]
+#[case::another_key(b"kez", 0, 0)]
+#[case::a_changed_body(b"key", 3, 1)]
+#[case::a_changed_tag(b"key", 200, 1)]
+fn errors_when_the_tag_does_not_match(
+    #[case] key: &[u8],
+    #[case] position: usize,
+    #[case] change: u8,
+) {
+    let mut buf = seal(b"key", &packet()).unwrap();
+    let position = position.min(buf.len() - 1);
+    buf[position] ^= change;
+    assert!(matches!(open(key, &buf), Err(OpenError::Tag)));
+}
+
+#[test]
+fn errors_when_a_packet_is_too_short_for_a_tag() {
+    assert!(matches!(open(b"key", b"short"), Err(OpenError::Short { len: 5 })));
+}
