Test the failures of single processes while requests flow

Cause: no test killed a daemon, an engine or the object API. Ruled out: sharing one site among the cases (a fault of one case would reach the next).

--- a/fakes/src/engine/batch.rs
+++ b/fakes/src/engine/batch.rs
@@ -21,6 +21,8 @@
     pub(super) tokens: u64,
     pub(super) priority: u8,
     pub(super) offset: u64,
+    /// Tokens of the prompt that were cached.
+    pub(super) cached: u64,
     pub(super) traceparent: String,
 }
 
--- a/fakes/src/engine/stream.rs
+++ b/fakes/src/engine/stream.rs
@@ -185,7 +185,8 @@
     fn prefill(&self, attempt: &Attempt) -> Duration {
         let mut batch = lock(&self.batch);
         let cached = batch.cache.read(&attempt.prompt);
-        let tokens = prompt_tokens(&attempt.prompt) - cached + attempt.offset;
+        batch.counts.entry(attempt.request.clone()).or_default().cached = cached;
+        let tokens = prompt_tokens(&attempt.prompt) - cached;
         let time = Duration::from_micros(tokens * self.cfg.prefill_us);
         time.mul_f64(batch.faults.slow_factor)
     }
--- a/fakes/src/process.rs
+++ b/fakes/src/process.rs
@@ -33,6 +33,17 @@
         self.child.id()
     }
 
+    /// Sends a signal by its name, such as `STOP`.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let sent = Command::new("kill").args(["-s", name, &self.id().to_string()]).status()?;
+        if sent.success() { Ok(()) } else { Err(io::Error::other(format!("kill -s {name}"))) }
+    }
+
+    /// Waits until the process has ended; returns whether it ended well.
+    pub fn wait(&mut self) -> io::Result<bool> {
+        self.child.wait().map(|status| status.success())
+    }
+
     /// Kills the process without notice.
     pub fn kill(&mut self) -> io::Result<()> {
         self.child.kill()?;
--- a/fakes/src/site.rs
+++ b/fakes/src/site.rs
@@ -93,6 +93,11 @@
         &self.members.get(name).unwrap_or_else(|| panic!("no instance {name}")).1
     }
 
+    /// Takes an instance out of the site; the instance list still names it.
+    pub fn remove(&mut self, name: &str) -> Option<Process> {
+        self.members.remove(name).map(|(_, process)| process)
+    }
+
     /// Returns the names of all instances of a kind.
     pub fn names(&self, kind: InstanceKind) -> Vec<&str> {
         let members = self.members.values().filter(|(member, _)| member.kind == kind);
@@ -187,7 +192,7 @@
     pairs.as_flattened().to_vec()
 }
 
-/// Returns lists with one client account and one class for each model or service.
+/// Returns lists with one client account, whose plan grants all classes but `audit`.
 pub fn simple_lists(key_sha256: &str) -> Value {
     let target = json!({"first_token_ms": 580, "between_tokens_ms": 64, "finish_ms": 20_000});
     let grant = json!({
@@ -201,10 +206,11 @@
                 "plan": {"model": "campo-8b", "repeatable": true, "target": target},
                 "digest": {"model": "logbook-4b", "repeatable": true, "target": target},
                 "closure": {"model": "campo-8b", "repeatable": false, "target": target},
+                "audit": {"model": "campo-8b", "repeatable": true, "target": target},
                 "booking": {"service": "booking", "repeatable": false, "target": target},
             },
             "plans": {"gold": {"classes": {
-                "plan": grant, "digest": grant, "booking": grant,
+                "plan": grant, "digest": grant, "closure": grant, "booking": grant,
             }}},
         },
     })
--- a/fakes/tests/engine.rs
+++ b/fakes/tests/engine.rs
@@ -1,6 +1,6 @@
 //! The contract of the engine's stand-in, with its faults.
 
-use fakes::{Process, answer_length, whole_answer};
+use fakes::{Caller, Process, answer_length, whole_answer};
 use rstest::rstest;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
@@ -123,6 +123,20 @@
     assert_eq!(whole_answer("r1", 3).split(' ').count(), 4);
 }
 
+#[rstest]
+#[case::held(&[], 64)]
+#[case::forgotten(&["--cache-blocks", "4"], 0)]
+fn can_cache_the_start_of_a_prompt(#[case] args: &[&str], #[case] cached: u64) {
+    let engine = Engine::start(args);
+    let caller = Caller { address: engine.0.address, key: String::new(), class: String::new() };
+    let prompt = "visit ".repeat(43);
+    for (request, prompt) in [("r1", &prompt), ("r2", &"other ".repeat(43)), ("r3", &prompt)] {
+        assert!(caller.chat(request, prompt, 1).is_whole(1));
+    }
+    let counts = engine.get("/counts");
+    assert_eq!((&counts["r1"]["cached"], &counts["r3"]["cached"]), (&json!(0), &json!(cached)));
+}
+
 #[test]
 fn can_run_a_higher_priority_first() {
     let engine = Engine::start(&["--slots", "1", "--token-ms", "1000"]);
--- /dev/null
+++ b/tests/processes/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the programs as separate processes.
+
+mod failures;
+mod refusals;
+mod support;
+mod whole_path;
--- /dev/null
+++ b/tests/processes/support.rs
@@ -0,0 +1,84 @@
+//! A site of processes and a flow of requests for the tests.
+
+use fakes::InstanceKind::{Daemon, Engine, Service};
+use fakes::{Answer, Caller, Member, Site, build_programs, simple_lists};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread::{self, JoinHandle};
+use utils::sha256_hex;
+
+/// The key of the only client account.
+pub const KEY: &str = "key-1";
+
+/// Tokens that each request asks for at most.
+pub const MAX_TOKENS: u64 = 40;
+
+/// Requests that flow at once.
+const WORKERS: usize = 6;
+
+const PLACE: &str = "valle-aburra/aburra-norte";
+
+/// Starts two daemons, two engines and a service in one data centre.
+pub fn start_site(engine_args: &[&str]) -> Site {
+    let daemon_args = ["--log-level", "error", "--silence-limit-ms", "1000"];
+    let members = [
+        Member::new("daemon-1", Daemon, PLACE, &daemon_args),
+        Member::new("daemon-2", Daemon, PLACE, &daemon_args),
+        Member::new("engine-1", Engine, PLACE, engine_args),
+        Member::new("engine-2", Engine, PLACE, engine_args),
+        Member::new("booking-1", Service, PLACE, &[]),
+    ];
+    build_programs().unwrap();
+    Site::start(&simple_lists(&sha256_hex(KEY)), &members).unwrap()
+}
+
+/// Returns a caller of a daemon.
+pub fn caller(site: &Site, daemon: &str, class: &str) -> Caller {
+    let address = site.address(daemon);
+    Caller { address, key: KEY.to_string(), class: class.to_string() }
+}
+
+/// Requests that are sent one after another by some callers at once.
+pub struct Flow {
+    stopping: Arc<AtomicBool>,
+    rx: Receiver<Answer>,
+    workers: Vec<JoinHandle<()>>,
+}
+
+impl Flow {
+    /// Starts a flow to the given callers in turn.
+    pub fn start(callers: &[Caller]) -> Flow {
+        let stopping = Arc::new(AtomicBool::new(false));
+        let (tx, rx) = channel();
+        let worker = |n: usize| {
+            let (caller, tx, stopping) =
+                (callers[n % callers.len()].clone(), tx.clone(), Arc::clone(&stopping));
+            thread::spawn(move || {
+                while !stopping.load(Ordering::Relaxed) {
+                    // The receiver is gone when a check has failed.
+                    let _ = tx.send(caller.chat("", "plan the routes", MAX_TOKENS));
+                }
+            })
+        };
+        let workers = (0..WORKERS).map(worker).collect();
+        Flow { stopping, rx, workers }
+    }
+
+    /// Waits for the next `count` answers.
+    pub fn take(&self, count: usize) -> Vec<Answer> {
+        self.rx.iter().take(count).collect()
+    }
+
+    /// Waits for answers until one is whole; returns those before it.
+    pub fn take_until_whole(&self) -> Vec<Answer> {
+        self.rx.iter().take_while(|answer| !answer.is_whole(MAX_TOKENS)).collect()
+    }
+
+    /// Starts no further request; returns the answers that were still to come.
+    pub fn close(self) -> Vec<Answer> {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.workers.into_iter().for_each(|worker| worker.join().unwrap());
+        self.rx.try_iter().collect()
+    }
+}
