--- a/components/config/src/settings/mod.rs
+++ b/components/config/src/settings/mod.rs
@@ -4,12 +4,15 @@
 //! change.
 
 mod check;
+mod flags;
 #[allow(clippy::all)]
 #[rustfmt::skip]
 mod generated;
 mod secret;
 mod setting;
 
+pub use check::label;
+pub use flags::{BAD_SETTING, process_flags};
 pub use generated::{LogLevel, Output, Settings, SettingsFlags, ToolFlags, ToolSettings};
 pub use secret::Secret;
 pub use setting::{SettingError, process_variable};
--- a/components/daemon/src/engine.rs
+++ b/components/daemon/src/engine.rs
@@ -1,7 +1,9 @@
 use crate::attempt::{Attempt, Shell, Target};
 use crate::control::{Order, OrderKind, send_order};
+use crate::endpoints::address_of;
+use crate::hold::{is_behind, wait_for_reader};
 use crate::job::Job;
-use crate::tables::{lock, lock_read};
+use crate::tables::lock;
 use errors::{Reason, Refusal, Verdict};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -9,9 +11,6 @@
 use std::time::Duration;
 use utils::{HttpError, client};
 
-/// Tokens that a paused stream's reader still lacks when the endpoint goes on.
-const RESUME_BELOW: usize = 16;
-
 /// One event of an engine's stream.
 #[derive(Debug, Deserialize)]
 struct EngineEvent {
@@ -29,8 +28,7 @@
     endpoint: &str,
     span: u64,
 ) -> Result<(), Refusal> {
-    let address = lock_read(&shell.tables.addresses).get(endpoint).copied();
-    let Some(address) = address else {
+    let Some(address) = address_of(shell, endpoint) else {
         return Err(Refusal::not_run(Reason::NoEndpoint, format!("{endpoint} has no address")));
     };
     let url = format!("http://{address}/v1/chat/completions");
@@ -142,15 +140,11 @@
 
     /// Pauses the endpoint while the caller is too far behind.
     fn hold_back(&self) {
-        let cfg = &self.shell.tables.cfg;
-        if self.job.stream.unread() < cfg.stream_buffer_tokens {
+        if !is_behind(self.shell, self.job) {
             return;
         }
         self.order(OrderKind::Pause);
-        let window = Duration::from_millis(cfg.stream_window_ms);
-        if !self.job.stream.wait_until_read(RESUME_BELOW, window) {
-            log::info!("request={} is not read", self.job.id);
-        }
+        wait_for_reader(self.shell, self.job, self.attempt.attempt);
         self.order(OrderKind::Resume);
     }
 
--- a/tests/processes/failures.rs
+++ b/tests/processes/failures.rs
@@ -1,7 +1,7 @@
 //! Failures of single processes while requests flow.
 
-use crate::support::{Flow, MAX_TOKENS, caller, start_site};
-use fakes::{Answer, whole_answer};
+use crate::support::{Flow, MAX_TOKENS, caller, new_key, start_site, wait_until};
+use fakes::{Answer, Site, whole_answer};
 use rstest::rstest;
 use serde_json::{Value, json};
 use std::thread;
@@ -12,6 +12,10 @@
     assert!(honest, "neither whole nor refused: {answer:?}");
 }
 
+fn running(site: &Site, engine: &str) -> u64 {
+    site.get(engine, "/v1/load").unwrap()["running"].as_u64().unwrap()
+}
+
 fn is_cut(answer: &Answer) -> bool {
     let own = whole_answer(&answer.request, MAX_TOKENS).starts_with(&answer.text);
     !answer.done && answer.refusal.is_none() && own
@@ -39,9 +43,7 @@
             thread::spawn(move || caller.chat("", "plan the routes", MAX_TOKENS))
         })
         .collect();
-    while site.get("engine-1", "/v1/load").unwrap()["running"].as_u64() < Some(2) {
-        thread::yield_now();
-    }
+    wait_until(|| running(&site, "engine-1") >= 2);
     site.kill("engine-1").unwrap();
     for chat in chats {
         let answer = chat.join().unwrap();
@@ -76,7 +78,7 @@
     flow.take(20).iter().for_each(whole);
     site.store.kill().unwrap();
     flow.take(60).iter().for_each(whole);
-    let booked = caller(&site, "daemon-1", "booking").call("key-of-a-booking", &json!({}));
+    let booked = caller(&site, "daemon-1", "booking").call(&new_key("booking"), &json!({}));
     let runs = site.get("booking-1", "/counts").unwrap();
     let total: u64 = runs.as_object().unwrap().values().filter_map(Value::as_u64).sum();
     let refused = booked.body["error"]["verdict"] == "not_run";
@@ -124,9 +126,7 @@
             thread::spawn(move || caller.chat("", "plan the routes", MAX_TOKENS))
         })
         .collect();
-    while site.get("engine-1", "/v1/load").unwrap()["running"].as_u64() < Some(1) {
-        thread::yield_now();
-    }
+    wait_until(|| running(&site, "engine-1") >= 1);
     site.post("engine-1", "/faults", &json!({"silent": true})).unwrap();
     for chat in chats {
         let answer = chat.join().unwrap();
@@ -143,10 +143,7 @@
             thread::spawn(move || caller.chat("", "plan the routes", MAX_TOKENS))
         })
         .collect();
-    let running = |name| site.get(name, "/v1/load").unwrap()["running"].as_u64().unwrap();
-    while running("engine-1") + running("engine-2") < 6 {
-        thread::yield_now();
-    }
+    wait_until(|| running(&site, "engine-1") + running(&site, "engine-2") == 6);
     let mut daemon = site.remove("daemon-1").unwrap();
     daemon.signal("TERM").unwrap();
     for chat in chats {
--- a/tests/processes/support.rs
+++ b/tests/processes/support.rs
@@ -6,7 +6,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread::{self, JoinHandle};
-use utils::sha256_hex;
+use std::time::{Duration, Instant};
+use utils::{sha256_hex, wall_clock};
 
 /// The key of the only client account.
 pub const KEY: &str = "key-1";
@@ -17,6 +18,9 @@
 /// Requests that flow at once.
 const WORKERS: usize = 6;
 
+const PATIENCE: Duration = Duration::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+
 const PLACE: &str = "valle-aburra/aburra-norte";
 
 /// Starts two daemons, two engines and a service in one data centre.
@@ -39,6 +43,20 @@
     Caller { address, key: KEY.to_string(), class: class.to_string() }
 }
 
+/// Returns an idempotency key that is issued now.
+pub fn new_key(name: &str) -> String {
+    format!("{}-{name}", wall_clock())
+}
+
+/// Waits for an event, and fails when it does not come at all.
+pub fn wait_until<F: FnMut() -> bool>(mut happened: F) {
+    let started = Instant::now();
+    while !happened() {
+        assert!(started.elapsed() < PATIENCE, "what was waited for does not come");
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
 /// Requests that are sent one after another by some callers at once.
 pub struct Flow {
     stopping: Arc<AtomicBool>,
@@ -72,7 +90,11 @@
 
     /// Waits for answers until one is whole; returns those before it.
     pub fn take_until_whole(&self) -> Vec<Answer> {
-        self.rx.iter().take_while(|answer| !answer.is_whole(MAX_TOKENS)).collect()
+        let started = Instant::now();
+        let before = self.rx.iter().take_while(|answer| !answer.is_whole(MAX_TOKENS));
+        before
+            .inspect(|_| assert!(started.elapsed() < PATIENCE, "no answer is whole any more"))
+            .collect()
     }
 
     /// Starts no further request; returns the answers that were still to come.
--- a/tests/processes/whole_path.rs
+++ b/tests/processes/whole_path.rs
@@ -1,6 +1,6 @@
 //! The whole path, from a caller to an endpoint and back.
 
-use crate::support::{caller, start_site};
+use crate::support::{caller, new_key, start_site};
 use serde_json::{Value, json};
 
 #[test]
@@ -15,7 +15,7 @@
 #[test]
 fn can_call_a_plain_service() {
     let site = start_site(&[]);
-    let reply = caller(&site, "daemon-1", "booking").call("key-of-a-booking", &json!({}));
+    let reply = caller(&site, "daemon-1", "booking").call(&new_key("booking"), &json!({}));
     assert_eq!(reply.status, 200, "{reply:?}");
     let runs = site.get("booking-1", "/counts").unwrap();
     let runs: Vec<&Value> = runs.as_object().unwrap().values().collect();
