--- a/examples/local/main.rs
+++ b/examples/local/main.rs
@@ -6,12 +6,13 @@
 mod samples;
 
 use argh::FromArgs;
-use config::{Grants, Lists, Plans};
+use config::Lists;
 use fakes::InstanceKind::{Daemon, Engine, Service};
-use fakes::{InstanceKind, Member, Site, build_programs};
-use samples::{SAMPLES, Sample, key_of};
+use fakes::{InstanceKind, Member, Site, binary, build_programs};
+use samples::{SAMPLES, Sample};
 use std::error::Error;
-use std::process::ExitCode;
+use std::io;
+use std::process::{Command, ExitCode};
 use std::thread;
 
 const PLANS: &str = include_str!("../lists/plans.toml");
@@ -40,24 +41,24 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    match run(&args) {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(e) => {
-            eprintln!("local: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    let held = run(&args).unwrap_or_else(|e| {
+        eprintln!("local: {e}");
+        false
+    });
+    if held { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 fn run(args: &Args) -> Result<bool, Box<dyn Error>> {
     println!("building the programs");
     build_programs()?;
-    let plans: Plans = toml::from_str(PLANS)?;
-    let grants: Grants = toml::from_str(GRANTS)?;
-    let lists = Lists { plans, grants };
+    let lists = Lists { plans: toml::from_str(PLANS)?, grants: toml::from_str(GRANTS)? };
     let members = MEMBERS.map(|(name, kind, place, args)| Member::new(name, kind, place, args));
-    let site = Site::start(&serde_json::to_value(&lists)?, &members)?;
+    let mut site = Site::start_platform()?;
+    site.start_members(&members)?;
+    apply_lists(&site)?;
+    for name in site.names(Daemon) {
+        site.wait_until_ready(name)?;
+    }
     print_processes(&site);
     let mut held = true;
     for sample in &SAMPLES {
@@ -65,8 +66,7 @@
     }
     println!("{}", if held { "all samples held" } else { "NOT all samples held" });
     if !args.once {
-        print_commands(&site);
-        // The processes serve until this one is ended, and end with it.
+        print_commands(&site)?;
         loop {
             thread::park();
         }
@@ -74,6 +74,20 @@
     Ok(held)
 }
 
+fn apply_lists(site: &Site) -> Result<(), Box<dyn Error>> {
+    let lists = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/lists");
+    let status = tool(site)?.args(["apply", "--base", "0", "--wait", lists]).status()?;
+    if status.success() { Ok(()) } else { Err("chervilspur apply failed".into()) }
+}
+
+/// Returns the command-line tool with the addresses of the platform.
+fn tool(site: &Site) -> io::Result<Command> {
+    let mut tool = Command::new(binary("chervilspur")?);
+    tool.args(["--store", &site.store.address.to_string()]);
+    tool.args(["--instances", &site.instances.address.to_string()]);
+    Ok(tool)
+}
+
 fn print_processes(site: &Site) {
     println!("object API {}, instance list {}", site.store.address, site.instances.address);
     for (name, ..) in MEMBERS {
@@ -82,10 +96,7 @@
 }
 
 fn report(site: &Site, lists: &Lists, sample: &Sample) -> bool {
-    let Some(class) = lists.grants.classes.get(sample.class) else {
-        println!("\nclass {} is not in the lists", sample.class);
-        return false;
-    };
+    let class = &lists.grants.classes[sample.class];
     let result = samples::send(site, sample, class);
     println!("\n{} for {}", sample.class, sample.account);
     println!("  path    {}", result.path.join(" -> "));
@@ -96,14 +107,16 @@
     result.held
 }
 
-fn print_commands(site: &Site) {
-    let (daemon, key) = (site.address("daemon-norte-1"), key_of("medellin-sur"));
+fn print_commands(site: &Site) -> io::Result<()> {
+    let daemon = site.address("daemon-norte-1");
     println!("\nto try, from another terminal:");
-    println!("curl -N http://{daemon}/v1/chat/completions -H 'authorization: Bearer {key}' \\");
+    println!("curl -N http://{daemon}/v1/chat/completions \\");
+    println!("  -H 'authorization: Bearer key-medellin-sur' \\");
     println!("  -H 'x-request-class: plan' -H 'content-type: application/json' \\");
     println!(
-        "  -d '{{\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"Hello\"}}]}}'"
+        "  -d '{{\"stream\": true, \"messages\": [{{\"role\": \"user\", \"content\": \"Hi\"}}]}}'"
     );
-    println!("curl http://{daemon}/readyz -i");
+    println!("{:?} status", tool(site)?);
     println!("end with Ctrl-C");
+    Ok(())
 }
--- a/examples/local/samples.rs
+++ b/examples/local/samples.rs
@@ -12,16 +12,18 @@
 /// Characters of an answer that are shown.
 const SHOWN: usize = 60;
 
+type Text = &'static str;
+
 /// A sample request.
 pub struct Sample {
     /// The client account.
-    pub account: &'static str,
+    pub account: Text,
     /// The request class.
-    pub class: &'static str,
+    pub class: Text,
     /// The daemon that it enters at.
-    daemon: &'static str,
+    daemon: Text,
     /// The prompt, or the body of a call.
-    text: &'static str,
+    text: Text,
 }
 
 /// One sample of each class.
@@ -32,12 +34,7 @@
     sample("medellin-sur", "booking", "daemon-rionegro-1", "household 118"),
 ];
 
-const fn sample(
-    account: &'static str,
-    class: &'static str,
-    daemon: &'static str,
-    text: &'static str,
-) -> Sample {
+const fn sample(account: Text, class: Text, daemon: Text, text: Text) -> Sample {
     Sample { account, class, daemon, text }
 }
 
@@ -55,11 +52,8 @@
 
 /// Sends a sample and checks its answer.
 pub fn send(site: &Site, sample: &Sample, class: &Class) -> Outcome {
-    if class.service.is_empty() {
-        chat(site, sample, &class.target)
-    } else {
-        call(site, sample, &class.target)
-    }
+    let send = if class.service.is_empty() { chat } else { call };
+    send(site, sample, &class.target)
 }
 
 fn chat(site: &Site, sample: &Sample, target: &Target) -> Outcome {
@@ -83,7 +77,7 @@
 
 fn call(site: &Site, sample: &Sample, target: &Target) -> Outcome {
     let started = Instant::now();
-    let key = format!("{}-{:032x}", sample.class, utils::random_id());
+    let key = format!("{}-{:032x}", utils::wall_clock(), utils::random_id());
     let reply = caller(site, sample).call(&key, &json!({"text": sample.text}));
     let took = started.elapsed();
     let ran = runs(site);
@@ -98,14 +92,9 @@
     }
 }
 
-/// Returns the key of an account.
-pub fn key_of(account: &str) -> String {
-    format!("key-{account}")
-}
-
 fn caller(site: &Site, sample: &Sample) -> Caller {
     let address = site.address(sample.daemon);
-    Caller { address, key: key_of(sample.account), class: sample.class.to_string() }
+    Caller { address, key: format!("key-{}", sample.account), class: sample.class.to_string() }
 }
 
 /// Finds the engines that ran a request.
--- a/fakes/src/site.rs
+++ b/fakes/src/site.rs
@@ -56,25 +56,35 @@
 }
 
 impl Site {
-    /// Starts the platform with the lists, the endpoints, then the daemons, and waits for these.
+    /// Starts a site whose lists are in the object API, and waits until its daemons are ready.
     pub fn start(lists: &Value, members: &[Member]) -> io::Result<Site> {
+        let mut site = Site::start_platform()?;
+        site.put_lists(lists)?;
+        site.start_members(members)?;
+        for name in site.names(InstanceKind::Daemon) {
+            site.wait_until_ready(name)?;
+        }
+        Ok(site)
+    }
+
+    /// Starts the object API and the instance list, both empty.
+    pub fn start_platform() -> io::Result<Site> {
         let store = Process::start("chervilspur-fake", &["object-api"])?;
         let instances = Process::start("chervilspur-fake", &["instances"])?;
-        let mut site = Site { store, instances, members: BTreeMap::new() };
-        site.put_lists(lists)?;
+        Ok(Site { store, instances, members: BTreeMap::new() })
+    }
+
+    /// Starts endpoints, then daemons, and puts them into the instance list.
+    pub fn start_members(&mut self, members: &[Member]) -> io::Result<()> {
         let is_daemon = |member: &&Member| member.kind == InstanceKind::Daemon;
         for member in members.iter().filter(|m| !is_daemon(m)) {
-            site.add(member, "127.0.0.1:0")?;
+            self.add(member, "127.0.0.1:0")?;
         }
-        site.publish().map_err(io::Error::other)?;
+        self.publish().map_err(io::Error::other)?;
         for member in members.iter().filter(is_daemon) {
-            site.add(member, "127.0.0.1:0")?;
+            self.add(member, "127.0.0.1:0")?;
         }
-        site.publish().map_err(io::Error::other)?;
-        for member in members.iter().filter(is_daemon) {
-            site.wait_until_ready(&member.name)?;
-        }
-        Ok(site)
+        self.publish().map_err(io::Error::other)
     }
 
     /// Returns the address of an instance.
