--- a/fakes/src/caller.rs
+++ b/fakes/src/caller.rs
@@ -1,5 +1,5 @@
 use crate::whole_answer;
-use attohttpc::Response;
+use attohttpc::{RequestBuilder, Response};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -59,34 +59,29 @@
         });
         let started = Instant::now();
         let mut answer = Answer { request: request.to_string(), ..Answer::default() };
-        if let Ok(res) = self.send("/v1/chat/completions", ("x-request-id", request), &body) {
+        let req = self.request("/v1/chat/completions").header("x-request-id", request);
+        if let Ok(res) = req.text(body.to_string()).send() {
             answer.read(res, started);
         }
         answer.finish = started.elapsed();
         answer
     }
 
-    /// Calls a plain service under an idempotency key.
+    /// Calls a plain service for the first time under an idempotency key.
     pub fn call(&self, idempotency_key: &str, body: &Value) -> Reply {
-        let Ok(res) = self.send("/v1/call", ("idempotency-key", idempotency_key), body) else {
-            return Reply::default();
-        };
+        let req = self
+            .request("/v1/call")
+            .header("idempotency-key", idempotency_key)
+            .header("idempotency-attempt", "1");
+        let Ok(res) = req.text(body.to_string()).send() else { return Reply::default() };
         Reply { status: res.status().as_u16(), body: json_body(res) }
     }
 
-    fn send(
-        &self,
-        path: &str,
-        (name, value): (&'static str, &str),
-        body: &Value,
-    ) -> attohttpc::Result<Response> {
+    fn request(&self, path: &str) -> RequestBuilder {
         client(attohttpc::post(format!("http://{}{path}", self.address)), SILENCE_LIMIT)
             .header("content-type", "application/json")
             .header("authorization", format!("Bearer {}", self.key))
             .header("x-request-class", &self.class)
-            .header(name, value)
-            .text(body.to_string())
-            .send()
     }
 }
 
--- a/fakes/src/site.rs
+++ b/fakes/src/site.rs
@@ -56,25 +56,35 @@
 }
 
 impl Site {
-    /// Starts the platform with the lists, the endpoints, then the daemons, and waits for these.
+    /// Starts a site whose lists are in the object API, and waits until its daemons are ready.
     pub fn start(lists: &Value, members: &[Member]) -> io::Result<Site> {
+        let mut site = Site::start_platform()?;
+        site.put_lists(lists)?;
+        site.start_members(members)?;
+        for name in site.names(InstanceKind::Daemon) {
+            site.wait_until_ready(name)?;
+        }
+        Ok(site)
+    }
+
+    /// Starts the object API and the instance list, both empty.
+    pub fn start_platform() -> io::Result<Site> {
         let store = Process::start("chervilspur-fake", &["object-api"])?;
         let instances = Process::start("chervilspur-fake", &["instances"])?;
-        let mut site = Site { store, instances, members: BTreeMap::new() };
-        site.put_lists(lists)?;
+        Ok(Site { store, instances, members: BTreeMap::new() })
+    }
+
+    /// Starts endpoints, then daemons, and puts them into the instance list.
+    pub fn start_members(&mut self, members: &[Member]) -> io::Result<()> {
         let is_daemon = |member: &&Member| member.kind == InstanceKind::Daemon;
         for member in members.iter().filter(|m| !is_daemon(m)) {
-            site.add(member, "127.0.0.1:0")?;
-        }
-        site.publish().map_err(io::Error::other)?;
-        for member in members.iter().filter(is_daemon) {
-            site.add(member, "127.0.0.1:0")?;
+            self.add(member, "127.0.0.1:0")?;
         }
-        site.publish().map_err(io::Error::other)?;
+        self.publish().map_err(io::Error::other)?;
         for member in members.iter().filter(is_daemon) {
-            site.wait_until_ready(&member.name)?;
+            self.add(member, "127.0.0.1:0")?;
         }
-        Ok(site)
+        self.publish().map_err(io::Error::other)
     }
 
     /// Returns the address of an instance.
@@ -95,6 +105,11 @@
         &self.members.get(name).unwrap_or_else(|| panic!("no instance {name}")).1
     }
 
+    /// Takes an instance out of the site; the instance list still names it.
+    pub fn remove(&mut self, name: &str) -> Option<Process> {
+        self.members.remove(name).map(|(_, process)| process)
+    }
+
     /// Returns the names of all instances of a kind.
     pub fn names(&self, kind: InstanceKind) -> Vec<&str> {
         let members = self.members.values().filter(|(member, _)| member.kind == kind);
@@ -192,7 +207,7 @@
     pairs.as_flattened().to_vec()
 }
 
-/// Returns lists with one client account and one class for each model or service.
+/// Returns lists with one client account, whose plan grants all classes but `audit`.
 pub fn simple_lists(key_sha256: &str) -> Value {
     let target = json!({"first_token_ms": 580, "between_tokens_ms": 64, "finish_ms": 20_000});
     let grant = json!({
@@ -206,10 +221,11 @@
                 "plan": {"model": "campo-8b", "repeatable": true, "target": target},
                 "digest": {"model": "logbook-4b", "repeatable": true, "target": target},
                 "closure": {"model": "campo-8b", "repeatable": false, "target": target},
+                "audit": {"model": "campo-8b", "repeatable": true, "target": target},
                 "booking": {"service": "booking", "repeatable": false, "target": target},
             },
             "plans": {"gold": {"classes": {
-                "plan": grant, "digest": grant, "booking": grant,
+                "plan": grant, "digest": grant, "closure": grant, "booking": grant,
             }}},
         },
     })
