Give the scheduler's two questions about endpoints two names

Ruled out: one function for both; the first must stay true while all endpoints are busy. Conclusion: is_served_here asks for membership, has_endpoint for room.

--- a/components/decision/src/load/scheduler.rs
+++ b/components/decision/src/load/scheduler.rs
@@ -98,7 +98,7 @@
     pub fn arrive(&mut self, arrival: Arrival, now: Millis) -> Vec<Effect> {
         let request = arrival.request;
         self.retries.earn(now);
-        let is_local = self.has_endpoint(&arrival.serves);
+        let is_local = self.is_served_here(&arrival.serves);
         if !is_local && (arrival.forwarded || !self.is_served_elsewhere(&arrival.serves)) {
             return vec![no_endpoint(&arrival)];
         }
@@ -112,7 +112,7 @@
         if is_local { self.admit(entry, now) } else { self.send_elsewhere(entry, now) }
     }
 
-    fn has_endpoint(&self, serves: &str) -> bool {
+    fn is_served_here(&self, serves: &str) -> bool {
         self.pools.get(serves).is_some_and(|pool| !pool.members.is_empty())
     }
 
