--- a/components/daemon/src/peers/mod.rs
+++ b/components/daemon/src/peers/mod.rs
@@ -96,13 +96,13 @@
         self.tell(Event::Publish { key, scope: Scope::Fleet, ttl, values });
     }
 
-    /// Returns the values that other daemons spread under keys with a prefix, by origin and key.
-    pub fn values(&self, prefix: &str) -> BTreeMap<(u128, String), Vec<u64>> {
+    /// Returns the values that other daemons spread under a key, by origin.
+    pub fn values(&self, key: &str) -> BTreeMap<u128, Vec<u64>> {
         let cluster = lock(&self.cluster);
         let me = cluster.me().identity;
         let entries = cluster.entries(self.tables.now());
-        let others = entries.filter(|e| e.origin != me && e.key.starts_with(prefix));
-        others.map(|e| ((e.origin.0, e.key.clone()), e.values.clone())).collect()
+        let others = entries.filter(|e| e.origin != me && e.key == key);
+        others.map(|e| (e.origin.0, e.values.clone())).collect()
     }
 
     /// Tells the others that this daemon leaves.
--- a/components/utils/src/digest.rs
+++ b/components/utils/src/digest.rs
@@ -5,3 +5,9 @@
     let digest = Sha256::digest(text.as_bytes());
     digest.iter().map(|byte| format!("{byte:02x}")).collect()
 }
+
+/// Returns the first 64 bits of the SHA-256 of a name.
+pub fn hash_name(name: &str) -> u64 {
+    let digest = Sha256::digest(name.as_bytes());
+    digest.iter().take(8).fold(0, |hash, byte| hash << 8 | u64::from(*byte))
+}
--- a/components/utils/src/lib.rs
+++ b/components/utils/src/lib.rs
@@ -7,7 +7,7 @@
 mod pool;
 
 pub use clock::wall_clock;
-pub use digest::sha256_hex;
+pub use digest::{hash_name, sha256_hex};
 pub use http::{
     ChunkWriter, HttpError, body_text, client, delete_json, get_json, listen, post_json, put_json,
     respond_json,
