--- a/components/config/src/settings/generated.rs
+++ b/components/config/src/settings/generated.rs
@@ -114,6 +114,12 @@
     allowed: "text, json",
     secret: false,
 };
+const PEER_ADDRESS: Setting = Setting {
+    flag: "peer-address",
+    variable: "CHERVILSPUR_PEER_ADDRESS",
+    allowed: "an IP number and a port",
+    secret: false,
+};
 const PEER_KEY: Setting = Setting {
     flag: "peer-key",
     variable: "CHERVILSPUR_PEER_KEY",
@@ -198,7 +204,7 @@
     /// address of the platform's instance list (an IP number and a port)
     #[argh(option)]
     pub instances: Option<String>,
-    /// bytes a second that this daemon may send to another region (0 to 1000000000)
+    /// bytes a second between the regions, each way, for all daemons together (0 to 1000000000)
     #[argh(option)]
     pub link_bytes_per_second: Option<String>,
     /// address to listen on; port 0 takes a free one (an IP number and a port)
@@ -213,6 +219,9 @@
     /// name of this instance (1 to 63 lower-case letters, digits and inner hyphens)
     #[argh(option)]
     pub name: Option<String>,
+    /// address at which other daemons reach this one; without it the address that it listens on (an IP number and a port)
+    #[argh(option)]
+    pub peer_address: Option<String>,
     /// secret that all daemons share; prefer the variable, since flags show in process lists (16 to 256 characters)
     #[argh(option)]
     pub peer_key: Option<String>,
@@ -257,7 +266,7 @@
     pub data_centre: String,
     /// Address of the platform's instance list.
     pub instances: SocketAddr,
-    /// Bytes a second that this daemon may send to another region.
+    /// Bytes a second between the regions, each way, for all daemons together.
     pub link_bytes_per_second: u64,
     /// Address to listen on; port 0 takes a free one.
     pub listen: SocketAddr,
@@ -267,6 +276,8 @@
     pub metrics: Option<SocketAddr>,
     /// Name of this instance.
     pub name: String,
+    /// Address at which other daemons reach this one; without it the address that it listens on.
+    pub peer_address: Option<SocketAddr>,
     /// Secret that all daemons share; prefer the variable, since flags show in process lists.
     pub peer_key: Secret,
     /// Requests that may wait for an endpoint at once.
@@ -296,11 +307,12 @@
             check_invariants: false,
             data_centre: String::from("local"),
             instances: SocketAddr::from(([0, 0, 0, 0], 0)),
-            link_bytes_per_second: 500000,
+            link_bytes_per_second: 3750000,
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             log_level: LogLevel::Info,
             metrics: None,
             name: String::from("daemon"),
+            peer_address: None,
             peer_key: Default::default(),
             queue_limit: 1024,
             region: String::from("local"),
@@ -370,6 +382,12 @@
                     |text| check::label(text, 63),
                 )?
                 .unwrap_or(default.name),
+            peer_address: PEER_ADDRESS
+                .optional(
+                    flags.peer_address.as_deref(),
+                    &variable,
+                    check::socket_address,
+                )?,
             peer_key: PEER_KEY
                 .required(
                     flags.peer_key.as_deref(),
--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -3,13 +3,16 @@
 use crate::chat::serve_chat;
 use crate::control::send_order;
 use crate::endpoints::probe_endpoints;
+use crate::exchange::exchange_loads;
 use crate::peer::{FORWARD_PATH, serve_forward};
+use crate::peers::{Peers, open_socket};
 use crate::platform::{DaemonDescription, follow};
 use crate::reply::respond_refusal;
 use crate::resume::{expire, serve_request_path};
 use crate::service::serve_call;
 use crate::spans::start_export;
 use crate::stop::stop_gracefully;
+use crate::sweep::sweep_records;
 use crate::tables::{Tables, lock};
 use config::Settings;
 use crossbeam::channel::{Receiver, unbounded};
@@ -18,7 +21,7 @@
 use signal_hook::iterator::Signals;
 use snafu::{ResultExt, Snafu};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -27,6 +30,8 @@
 use utils::{Pool, listen, respond_json};
 
 const CALLER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Free ports that are tried until one is free for TCP and UDP.
+const PORT_TRIES: u32 = 16;
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 const EXPIRE_INTERVAL_TICKS: u64 = 10;
 
@@ -47,6 +52,14 @@
         /// The failure.
         source: io::Error,
     },
+    /// The socket for the other daemons cannot be opened.
+    #[snafu(display("cannot open the socket for other daemons at {address}: {source}"))]
+    Peers {
+        /// The address.
+        address: SocketAddr,
+        /// The failure.
+        source: io::Error,
+    },
     /// The collector of metrics cannot be used.
     #[snafu(display("cannot send metrics: {source}"))]
     Metrics {
@@ -68,13 +81,14 @@
     server: Arc<Server>,
     address: SocketAddr,
     shell: Shell,
+    peers: Arc<Peers>,
 }
 
 impl Daemon {
     /// Listens and starts the workers.
     pub fn start(cfg: Settings) -> Result<Daemon, StartError> {
         let address = cfg.listen;
-        let server = listen(address, Some(CALLER_READ_TIMEOUT)).context(ListenSnafu { address })?;
+        let (server, socket) = open(address)?;
         let address = server.server_addr().to_ip().unwrap_or(address);
         let (attempt_tx, attempt_rx) = unbounded();
         let (order_tx, order_rx) = unbounded();
@@ -92,10 +106,15 @@
                 }
             }
         })?;
-        let follow_shell = shell.clone();
-        spawn("platform", move || follow(&follow_shell))?;
+        let peers = Peers::start(&shell.tables, socket, address).context(PeersSnafu { address })?;
+        let (follow_shell, follow_peers) = (shell.clone(), Arc::clone(&peers));
+        spawn("platform", move || follow(&follow_shell, &follow_peers))?;
+        let (load_shell, load_peers) = (shell.clone(), Arc::clone(&peers));
+        spawn("loads", move || exchange_loads(&load_shell, &load_peers))?;
         let probe_shell = shell.clone();
         spawn("probes", move || probe_endpoints(&probe_shell))?;
+        let sweep_shell = shell.clone();
+        spawn("sweep", move || sweep_records(&sweep_shell))?;
         let tick_shell = shell.clone();
         spawn("tick", move || tick(&tick_shell))?;
         if let Some(collector) = shell.tables.cfg.spans {
@@ -106,7 +125,7 @@
                 }
             })?;
         }
-        Ok(Daemon { server: Arc::new(server), address, shell })
+        Ok(Daemon { server: Arc::new(server), address, shell, peers })
     }
 
     /// Returns the address that the daemon listens on.
@@ -118,11 +137,12 @@
     pub fn serve(self) -> Result<(), StartError> {
         let mut signals =
             Signals::new([SIGTERM, SIGINT]).context(ThreadSnafu { name: "signals" })?;
-        let stop_shell = self.shell.clone();
+        let (stop_shell, peers) = (self.shell.clone(), Arc::clone(&self.peers));
         let server = Arc::clone(&self.server);
         spawn("signals", move || {
             if signals.forever().next().is_some() {
                 stop_gracefully(&stop_shell);
+                peers.leave();
                 server.unblock();
             }
         })?;
@@ -147,6 +167,22 @@
     }
 }
 
+/// Listens for callers and opens the socket for other daemons at the same port.
+fn open(address: SocketAddr) -> Result<(Server, UdpSocket), StartError> {
+    let mut tries = if address.port() == 0 { PORT_TRIES } else { 1 };
+    loop {
+        tries -= 1;
+        let server = listen(address, Some(CALLER_READ_TIMEOUT)).context(ListenSnafu { address })?;
+        let listening = server.server_addr().to_ip().unwrap_or(address);
+        match open_socket(listening).context(PeersSnafu { address: listening }) {
+            Ok(socket) => return Ok((server, socket)),
+            Err(e) if tries == 0 => return Err(e),
+            // The free port that the listener got is taken for UDP.
+            Err(_) => {}
+        }
+    }
+}
+
 fn start_attempts(shell: &Shell, rx: Receiver<Attempt>) -> Result<(), StartError> {
     let (work_shell, shell) = (shell.clone(), shell.clone());
     // Abandoned requests may still hold a worker while new ones start.
--- a/components/daemon/src/tables.rs
+++ b/components/daemon/src/tables.rs
@@ -1,3 +1,4 @@
+use crate::admin::instance_text;
 use crate::endpoints::EndpointTable;
 use crate::job::Job;
 use crate::lists::InForce;
@@ -54,6 +55,8 @@
     pub measures: Measures,
     /// Whether new work is refused because the daemon stops.
     pub stopping: AtomicBool,
+    /// Whether this daemon has joined the others.
+    pub joined: AtomicBool,
     /// Whether the last call to the store went well.
     pub store_reachable: AtomicBool,
     /// Requests of callers and peers that are being served.
@@ -65,13 +68,20 @@
 impl Tables {
     /// Creates empty tables.
     pub fn new(cfg: Settings) -> io::Result<Tables> {
+        let instance = random_id();
         let scheduler_cfg = SchedulerConfig {
+            name: instance_text(instance),
             data_centre: cfg.data_centre.clone(),
+            region: cfg.region.clone(),
+            seed: instance as u64,
             queue_limit: cfg.queue_limit,
+            silence_limit: Millis(cfg.silence_limit_ms),
+            link_bytes_per_second: cfg.link_bytes_per_second,
+            check_invariants: cfg.check_invariants,
             ..SchedulerConfig::default()
         };
         Ok(Tables {
-            instance: random_id(),
+            instance,
             in_force: RwLock::default(),
             endpoints: Mutex::default(),
             addresses: RwLock::default(),
@@ -82,6 +92,7 @@
             spans: SpanTable::default(),
             measures: Measures::new(cfg.metrics)?,
             stopping: AtomicBool::new(false),
+            joined: AtomicBool::new(false),
             store_reachable: AtomicBool::new(false),
             serving: AtomicUsize::new(0),
             next_request: AtomicU64::new(1),
@@ -111,10 +122,12 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Returns whether callers can be served: lists are in force and endpoints have been probed.
+    /// Returns whether callers can be served: lists are in force, the other daemons are known and
+    /// endpoints have been probed.
     pub fn is_ready(&self) -> bool {
         let has_lists = self.lists().revision > 0;
-        !self.is_stopping() && has_lists && lock(&self.endpoints).is_known()
+        let has_joined = self.joined.load(Ordering::Relaxed);
+        !self.is_stopping() && has_lists && has_joined && lock(&self.endpoints).is_known()
     }
 
     /// Returns a request that has not ended.
--- a/components/decision/src/cluster/membership.rs
+++ b/components/decision/src/cluster/membership.rs
@@ -109,10 +109,19 @@
         self.spread.push(News::Member(member.identity));
         if change == MemberChange::Joined {
             self.probe_namesake(&member, now, effects);
+            self.await_view(&member, now);
         }
         effects.push(Effect::Member { member, change });
     }
 
+    /// Leaves the store alone at a start until no more daemons of this data centre turn up, since
+    /// each would take itself for a watcher.
+    fn await_view(&mut self, new: &Member, now: Millis) {
+        if self.lists.in_force().number == 0 && new.data_centre == self.cfg.data_centre {
+            self.due.store = now + self.cfg.watch_hold;
+        }
+    }
+
     /// Probes a member whose address a new member has, so that the answer shows which one lives.
     fn probe_namesake(&mut self, new: &Member, now: Millis, effects: &mut Vec<Effect>) {
         let namesake = self.members.iter().find(|m| m.address == new.address && **m != *new);
@@ -187,7 +196,7 @@
         if now < self.join.next_at {
             return;
         }
-        let Some(seeds) = &self.seeds else { return };
+        let Some(seeds) = self.join_candidates() else { return };
         self.join.next_at = now + self.cfg.join_interval;
         let enough = self.join.answers >= JOIN_ANSWERS;
         let late = self.join.attempts >= 2 && self.join.answers > 0;
@@ -209,6 +218,15 @@
         }
     }
 
+    /// Returns whom to ask: the listed daemons, or without a list those that spoke up themselves.
+    fn join_candidates(&self) -> Option<Vec<Seed>> {
+        if self.seeds.is_some() || self.members.is_empty() {
+            return self.seeds.clone();
+        }
+        let seed = |m: &Member| Seed { address: m.address, data_centre: m.data_centre.clone() };
+        Some(self.members.iter().map(seed).collect())
+    }
+
     fn probe_seed_when_due(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         if now < self.due.seeds {
             return;
@@ -326,7 +344,8 @@
         let noted = self.table.get(self.me.identity, REACH_KEY).map(|entry| &entry.values);
         let is_new = noted.map_or(!heard.is_empty(), |noted| *noted != heard);
         // A member that stops being a bridge lets its note lapse unless it changes.
-        if !self.is_bridge || (!is_new && now < self.due.reach) {
+        let has_none = heard.is_empty() && noted.is_none();
+        if !self.is_bridge || has_none || (!is_new && now < self.due.reach) {
             return;
         }
         self.due.reach = now + REACH_INTERVAL;
--- a/components/decision/src/load/entry.rs
+++ b/components/decision/src/load/entry.rs
@@ -25,6 +25,8 @@
     pub(super) place: Place,
     pub(super) attempt: u32,
     pub(super) verdict: Verdict,
+    /// The expected slot time of the rest of the answer when it was last queued, in milliseconds.
+    pub(super) work: u64,
     /// Tokens that have arrived.
     pub(super) generated: u32,
     /// When the present attempt started.
@@ -39,8 +41,6 @@
     pub(super) protected: bool,
     /// How often it was sent to another data centre.
     pub(super) forwards: u32,
-    /// The wait that was predicted on arrival.
-    pub(super) predicted: Millis,
     /// When it is looked at next for a missing token.
     pub(super) due: Millis,
     /// Attempts that failed.
@@ -59,6 +59,7 @@
             place: Place::Nowhere,
             attempt: 0,
             verdict: Verdict::NotRun,
+            work: 0,
             generated: 0,
             started: now,
             answered: false,
@@ -66,7 +67,6 @@
             progressed: now,
             protected: false,
             forwards: 0,
-            predicted: Millis(0),
             due: Millis(0),
             failures: 0,
             is_charged: false,
@@ -79,6 +79,11 @@
         matches!(self.place, Place::Waiting(_))
     }
 
+    /// Notes that an attempt left for an endpoint and was ended there.
+    pub(super) fn may_have_run(&mut self) {
+        self.verdict = self.verdict.combine(Verdict::MayHaveRun);
+    }
+
     /// Returns whether another attempt may be made.
     pub(super) fn may_repeat(&self) -> bool {
         self.arrival.repeatable || self.verdict == Verdict::NotRun
--- a/components/fleet/src/driver.rs
+++ b/components/fleet/src/driver.rs
@@ -33,6 +33,8 @@
     pub seed: u64,
     /// The time in which all daemons start.
     pub start_within: Millis,
+    /// Whether the daemons that start with the fleet have its lists already.
+    pub is_preloaded: bool,
     /// Settings of each daemon; address and data centre are filled in.
     pub cluster: ClusterConfig,
 }
@@ -44,6 +46,7 @@
             loss_permille: 0,
             seed: 1,
             start_within: Millis(1_000),
+            is_preloaded: false,
             cluster: ClusterConfig { check_invariants: true, ..ClusterConfig::default() },
         }
     }
@@ -256,12 +259,17 @@
             ..self.cfg.cluster.clone()
         };
         let rng = Pcg64::seed_from_u64(self.rng.random());
+        let identity = Identity::random(&mut self.rng);
         self.nodes[node].incarnation += 1;
         self.nodes[node].started = self.now;
         self.nodes[node].invariants = Invariants::default();
-        self.nodes[node].cluster = Some(Cluster::new(cfg, rng, self.now));
+        self.nodes[node].cluster = Some(Cluster::new(cfg, identity, rng, self.now));
         let incarnation = self.nodes[node].incarnation;
         self.in_force.retain(|(n, _), _| *n != node);
+        if self.cfg.is_preloaded && incarnation == 1 {
+            let Store { version, revision, text, .. } = self.store.clone();
+            self.tell(node, Event::Lists { version, revision, text });
+        }
         self.schedule(self.now, node, Action::Instances { incarnation });
         self.schedule(self.now, node, Action::Tick { incarnation });
     }
@@ -362,14 +370,16 @@
                     return;
                 }
                 self.store.waiting.retain(|w| w.0 != node);
-                Event::Store(StoreOutcome::Unchanged)
+                Event::Store(StoreOutcome::Unchanged { version: self.store.version })
             }
             Some(_) if !cut && !self.store.is_down && self.store.version > 0 => Event::Lists {
                 version: self.store.version,
                 revision: self.store.revision,
                 text: self.store.text.clone(),
             },
-            Some(_) if !cut && !self.store.is_down => Event::Store(StoreOutcome::Unchanged),
+            Some(_) if !cut && !self.store.is_down => {
+                Event::Store(StoreOutcome::Unchanged { version: self.store.version })
+            }
             _ => Event::Store(StoreOutcome::Failed),
         };
         self.tell(node, event);
--- a/components/workload/src/lib.rs
+++ b/components/workload/src/lib.rs
@@ -2,10 +2,12 @@
 
 mod ablation;
 mod baseline;
+mod cost;
 mod engine;
 mod fault;
 mod measure;
 mod policy;
+mod random;
 mod scenario;
 mod site;
 mod table;
@@ -14,6 +16,7 @@
 
 pub use ablation::{ABLATIONS, mechanisms};
 pub use baseline::{Baseline, Choice, Order};
+pub use cost::{Size, print_cost};
 pub use fault::Fault;
 pub use measure::{ClassMeasure, Measure};
 pub use policy::{Policy, Variant};
