Count the streams of resting endpoints as lost and move what is held back too long

Paused streams stayed at a full endpoint while others had room. A request sent twice by a peer overwrote its entry.

--- a/components/decision/src/load/choice.rs
+++ b/components/decision/src/load/choice.rs
@@ -45,21 +45,28 @@
     }
 
     /// Chooses an endpoint with room from this daemon's part of the pool.
+    ///
+    /// An endpoint that is tried out gets no request while lower tiers run that can try it.
     pub(super) fn choose(
         &mut self,
         pool_name: &str,
-        prefix: u64,
+        request: u64,
         beyond_share: bool,
         now: Millis,
     ) -> Option<String> {
         let pool = self.pools.get(pool_name)?;
+        let entry = self.entries.get(&request)?;
+        let prefix = entry.arrival.prefix;
+        let spared = pool.running_below(entry.tier()).next().is_some();
         let bound = self.load_bound(pool_name);
         let names = pool.members.iter().map(|(_, name)| name);
         let usable = names.filter_map(|name| self.endpoints.get(name));
         let usable = usable.filter(|e| e.is_usable(now)).take(self.cfg.subset);
         let usable: Vec<&Endpoint> = usable.collect();
-        let fits =
-            |e: &&&Endpoint| e.outstanding < e.limit() && (beyond_share || e.outstanding < bound);
+        let fits = |e: &&&Endpoint| {
+            let probes = spared && e.is_probed();
+            !probes && e.outstanding < e.limit() && (beyond_share || e.outstanding < bound)
+        };
         let usual_ms = pool.between_tokens.mean_or(1.0);
         let free = usable.iter().filter(fits).map(|e| (*e, load(e, usual_ms, now)));
         let free: Vec<(&Endpoint, f64)> = free.collect();
--- a/components/decision/src/load/dispatch.rs
+++ b/components/decision/src/load/dispatch.rs
@@ -1,4 +1,4 @@
-use super::entry::Place;
+use super::entry::{Entry, Place};
 use super::pool::Pool;
 use super::share::{Share, divide};
 use super::{Effect, Scheduler, TIERS};
@@ -7,6 +7,9 @@
 /// Requests that are counted to tell whether a tier has slack.
 const SLACK_LOOKS: usize = 32;
 
+/// The time after which a request that is held back goes on at another endpoint.
+const MOVE_AFTER: Millis = Millis(2_000);
+
 /// Paused requests of one tier that are tried before waiting ones.
 const RESUME_TRIES: usize = 4;
 
@@ -22,11 +25,11 @@
     pub(super) fn share(&self, pool_name: &str) -> Share {
         let Some(pool) = self.pools.get(pool_name) else { return Share::default() };
         if !self.cfg.mechanisms.exchange {
-            let all = f64::from(pool.slots);
+            let all = f64::from(pool.usable_slots());
             return Share { tiers: [all; TIERS], total: all };
         }
         let (daemons, others) = self.peers.of(&self.cfg.data_centre, pool_name);
-        divide(pool.slots, pool.demand(), &others, daemons + 1)
+        divide(pool.usable_slots(), pool.demand(), &others, daemons + 1)
     }
 
     /// Starts what fits, lets lower tiers give way, and gives up what is too late.
@@ -49,7 +52,7 @@
     fn earn_floors(&mut self, pool_name: &str, now: Millis) {
         let (daemons, _) = self.peers.of(&self.cfg.data_centre, pool_name);
         let Some(pool) = self.pools.get_mut(pool_name) else { return };
-        let slots = f64::from(pool.slots) / f64::from(daemons + 1);
+        let slots = f64::from(pool.usable_slots()) / f64::from(daemons + 1);
         for floor in pool.floors.values_mut() {
             let first = floor.waiting.first().and_then(|(_, first)| self.entries.get(first));
             floor.earn(slots, first.map_or(0, |entry| entry.work), now);
@@ -69,6 +72,7 @@
             let paused = pool.paused[tier].iter().take(RESUME_TRIES);
             let mut resumable = paused.filter(|(_, request)| self.can_resume(*request, now));
             let found = resumable.next().map(|(_, request)| *request);
+            let found = found.or_else(|| self.movable(pool_name, tier, now));
             if let Some(request) = found.or_else(|| pool.queues[tier].first()) {
                 return Some(Next { request, protected: false });
             }
@@ -123,6 +127,14 @@
         true
     }
 
+    /// Returns the oldest request of a tier if it was held back for so long that it is moved.
+    fn movable(&self, pool_name: &str, tier: usize, now: Millis) -> Option<u64> {
+        let (_, request) = self.pools.get(pool_name)?.paused[tier].first()?;
+        let entry = self.entries.get(request)?;
+        let may = entry.arrival.repeatable && now.since(entry.started) > MOVE_AFTER;
+        may.then_some(*request)
+    }
+
     fn can_resume(&self, request: u64, now: Millis) -> bool {
         let Some(entry) = self.entries.get(&request) else { return false };
         let Place::Paused(name) = &entry.place else { return false };
@@ -142,8 +154,8 @@
     ) -> bool {
         let Next { request, protected } = next;
         let Some(entry) = self.entries.get(&request) else { return false };
-        let prefix = entry.arrival.prefix;
-        if let Place::Paused(name) = entry.place.clone() {
+        let resumes = self.can_resume(request, now);
+        if let (true, Place::Paused(name)) = (resumes, entry.place.clone()) {
             self.note_start(request, protected, now);
             self.vacate(request);
             self.place_running(request, &name, now);
@@ -151,9 +163,13 @@
             effects.push(Effect::Resume { request });
             return true;
         }
-        let Some(endpoint) = self.choose(pool_name, prefix, beyond_share, now) else {
+        let Some(endpoint) = self.choose(pool_name, request, beyond_share, now) else {
             return false;
         };
+        if matches!(self.entries.get(&request).map(|e| &e.place), Some(Place::Paused(_))) {
+            effects.push(Effect::Cancel { request });
+            self.entries.get_mut(&request).into_iter().for_each(Entry::may_have_run);
+        }
         self.send(request, &endpoint, protected, now, effects);
         true
     }
--- a/components/decision/src/load/endpoint.rs
+++ b/components/decision/src/load/endpoint.rs
@@ -94,6 +94,11 @@
         self.ramp.unwrap_or(self.info.slots).min(self.info.slots)
     }
 
+    /// Returns whether it gets single requests to see whether it is well again.
+    pub fn is_probed(&self) -> bool {
+        self.slow || self.ramp == Some(FIRST_RAMP)
+    }
+
     /// Notes a failure; the endpoint rests, longer each time.
     pub fn fail(&mut self, rest: Millis, ramp: bool, now: Millis) {
         let times = 1 << self.failures.min(4);
--- a/components/decision/src/load/entry.rs
+++ b/components/decision/src/load/entry.rs
@@ -29,7 +29,7 @@
     pub(super) work: u64,
     /// Tokens that have arrived.
     pub(super) generated: u32,
-    /// When the present attempt started.
+    /// When the present attempt started, went on or was held back.
     pub(super) started: Millis,
     /// Whether the present attempt has brought a token.
     pub(super) answered: bool,
--- a/components/decision/src/load/health.rs
+++ b/components/decision/src/load/health.rs
@@ -90,6 +90,23 @@
         limit.max(Millis(usual * SILENT_FACTOR)).max(queued)
     }
 
+    /// Counts the streams of a pool whose endpoints rest or come back.
+    pub(super) fn count_lost(&mut self, pool_name: &str, now: Millis) {
+        let Some(pool) = self.pools.get(pool_name) else { return };
+        let names = pool.members.iter().take(self.cfg.subset).map(|(_, name)| name);
+        let used = names.filter_map(|name| self.endpoints.get(name));
+        let (mut all, mut lost) = (0, 0);
+        for endpoint in used {
+            let limit = if endpoint.is_usable(now) { endpoint.limit() } else { 0 };
+            all += endpoint.info.slots;
+            lost += endpoint.info.slots - limit.min(endpoint.info.slots);
+        }
+        let lost = f64::from(lost) * f64::from(pool.slots) / f64::from(all.max(1));
+        if let Some(pool) = self.pools.get_mut(pool_name) {
+            pool.lost = lost as u32;
+        }
+    }
+
     /// Compares the endpoints of a pool with each other.
     pub(super) fn judge_endpoints(
         &mut self,
--- a/components/decision/src/load/place.rs
+++ b/components/decision/src/load/place.rs
@@ -95,6 +95,7 @@
     pub(super) fn place_paused(&mut self, request: u64, name: &str, now: Millis) {
         let Some(entry) = self.entries.get_mut(&request) else { return };
         entry.place = Place::Paused(name.to_string());
+        entry.started = now;
         if let Some(endpoint) = self.endpoints.get_mut(name) {
             endpoint.paused += 1;
             endpoint.requests.insert(request);
--- a/components/decision/src/load/pool.rs
+++ b/components/decision/src/load/pool.rs
@@ -29,6 +29,8 @@
     pub(super) members: BTreeSet<(u64, String)>,
     /// Streams of all endpoints.
     pub(super) slots: u32,
+    /// Streams of endpoints that rest or come back.
+    pub(super) lost: u32,
     /// The time to the first token.
     pub(super) first_token: Smoothed,
     /// The time between tokens.
@@ -40,6 +42,11 @@
 }
 
 impl Pool {
+    /// Returns the streams that endpoints have now.
+    pub(super) fn usable_slots(&self) -> u32 {
+        self.slots.saturating_sub(self.lost)
+    }
+
     /// Returns the requests that this daemon runs on the pool.
     pub(super) fn outstanding(&self) -> u32 {
         let running: usize = self.running.iter().map(BTreeSet::len).sum();
--- a/components/decision/src/load/preempt.rs
+++ b/components/decision/src/load/preempt.rs
@@ -98,7 +98,7 @@
         let names = pool.members.iter().map(|(_, name)| name);
         let usable = names.filter_map(|name| self.endpoints.get(name));
         let mut usable = usable.filter(|e| e.is_usable(now)).take(self.cfg.subset);
-        usable.any(|e| e.outstanding < e.limit())
+        usable.any(|e| !e.is_probed() && e.outstanding < e.limit())
     }
 
     /// Holds back or ends a running request; returns the endpoint that it was at.
--- a/components/decision/src/load/scheduler.rs
+++ b/components/decision/src/load/scheduler.rs
@@ -92,6 +92,12 @@
     /// Takes in a request.
     pub fn arrive(&mut self, arrival: Arrival, now: Millis) -> Vec<Effect> {
         let request = arrival.request;
+        if self.entries.contains_key(&request) {
+            // A peer that lost the answer sends the same request again: the new one counts.
+            let mut effects = self.abandon(request, now);
+            effects.append(&mut self.arrive(arrival, now));
+            return effects;
+        }
         self.retries.earn(now);
         if self.pools.get(&arrival.serves).is_none_or(|pool| pool.members.is_empty()) {
             let text = format!("no endpoint serves {}", arrival.serves);
@@ -268,6 +274,7 @@
         let judged = pools.get(self.ticks as usize % pools.len().max(1));
         if let Some(pool) = judged {
             self.judge_endpoints(pool, now, &mut effects);
+            self.count_lost(pool, now);
         }
         self.ticks = self.ticks.wrapping_add(1);
         for pool in &pools {
--- a/components/workload/src/measure.rs
+++ b/components/workload/src/measure.rs
@@ -35,6 +35,8 @@
     pub wasted_link_bytes: u64,
     /// Cases of a higher tier refused while lower-tier work that could give way was known.
     pub violations: u64,
+    /// Requests with neither an answer nor a refusal at the end.
+    pub open: u64,
     /// Seconds of load.
     pub seconds: f64,
     /// The attainment of the accounts apart from the largest three, all classes.
@@ -69,6 +71,7 @@
             self.small_requests += 1;
             self.small_attained += u64::from(attained);
         }
+        self.open += u64::from(!call.refused && call.done_at.is_none());
         self.generated += call.generated;
         self.link_bytes += call.link_bytes;
         if attained {
--- a/components/workload/src/scenario.rs
+++ b/components/workload/src/scenario.rs
@@ -107,8 +107,17 @@
         let killed = Fault::DaemonKilled { daemon: 1 };
         let mut one_class = Scenario { name: "one_class", ..Scenario::dawn() };
         one_class.phases.push(Phase { class: 1, from: 30_000, until: 33_000, load: 3.0 });
+        let flaps = (0..10).map(|n| 30_000 + n * 3_000);
+        let flap = |from| Timed { from, until: from + 1_000, fault: Fault::Crash { engine: 5 } };
+        let flapping =
+            Scenario { name: "flapping", faults: flaps.map(flap).collect(), ..Scenario::dawn() };
+        let silence = Fault::Straggler { engine: 1, slowness: 1e6 };
+        let mut silent = Scenario::dawn_with("silent", &[silence]);
+        silent.faults[0].until = u64::MAX;
         vec![
+            flapping,
             Scenario::dawn_with("straggler", &[straggler]),
+            silent,
             Scenario::dawn_with("crash", &[crash]),
             Scenario::dawn_with("stale", &[Fault::StaleReports]),
             one_class,
--- a/components/workload/src/table.rs
+++ b/components/workload/src/table.rs
@@ -40,6 +40,7 @@
         let all = windows(|m| m.classes.iter().map(|c| c.windows).sum());
         let served = windows(|m| m.classes.iter().map(|c| c.served_windows).sum());
         cells.push(format!("{served}/{all}"));
+        cells.push(windows(|m| m.open).to_string());
         cells.push(windows(|m| m.violations).to_string());
         println!("| {} |", cells.join(" | "));
     }
@@ -49,9 +50,9 @@
 pub fn print_table(rows: &[Row]) {
     println!(
         "| workload | policy | tier 1 % | tier 2 % | tier 3 % | tier 4 % | goodput tokens/s \
-         | wasted % | link MB | small accounts % | windows served | violations |"
+         | wasted % | link MB | small accounts % | windows served | open | violations |"
     );
-    println!("|{}", "---|".repeat(12));
+    println!("|{}", "---|".repeat(13));
     for row in rows {
         row.print();
     }
