--- a/components/workload/src/cost.rs
+++ b/components/workload/src/cost.rs
@@ -137,6 +137,9 @@
             scheduler.arrive(arrival, now)
         };
         note_started(&effects, &mut running);
+        if scheduler.waiting() > size.waiting && scheduler.live_attempt(request).is_none() {
+            times.time("abandon", || scheduler.abandon(request, now));
+        }
         if !timed {
             continue;
         }
--- a/components/workload/src/lib.rs
+++ b/components/workload/src/lib.rs
@@ -2,7 +2,10 @@
 
 mod ablation;
 mod baseline;
+mod call;
 mod cost;
+mod delivery;
+mod effects;
 mod engine;
 mod fault;
 mod measure;
--- a/components/workload/src/measure.rs
+++ b/components/workload/src/measure.rs
@@ -1,5 +1,5 @@
+use crate::call::Call;
 use crate::scenario::Scenario;
-use crate::world::Call;
 
 /// What callers of one class got.
 #[derive(Clone, Debug, Default)]
--- a/components/workload/src/world.rs
+++ b/components/workload/src/world.rs
@@ -1,103 +1,44 @@
-use crate::engine::{Engine, Generated, Stream};
+use crate::call::Call;
+use crate::delivery::Message;
+use crate::engine::Engine;
 use crate::fault::Fault;
 use crate::measure::Measure;
 use crate::policy::{Policy, Variant};
 use crate::scenario::Scenario;
-use crate::site::ClassSpec;
 use crate::traffic::{Request, draw_requests};
 use decision::Millis;
-use decision::load::{Arrival, DaemonLoad, Effect, EndpointInfo, EndpointReport, Outcome};
+use decision::load::{Arrival, EndpointInfo, EndpointReport, Outcome};
 use errors::Verdict;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The length of a step, in milliseconds.
-const STEP: u64 = 10;
+pub(crate) const STEP: u64 = 10;
 
-/// The time between two ticks of a daemon, in milliseconds.
-const TICK: u64 = 50;
-
-/// The time between two exchanges of load among daemons, in milliseconds.
-const EXCHANGE: u64 = 200;
-
-/// The time between two load reports of an engine, and their lag, in milliseconds.
-const REPORT: u64 = 1_000;
-
-/// The time from one region to the other, in milliseconds.
-const REGION_LATENCY: u64 = 30;
-
-/// Bytes of a prompt token on the link.
-const PROMPT_TOKEN_BYTES: u64 = 5;
-
-/// Bytes of an answer token on the link, in a batched frame.
-const ANSWER_TOKEN_BYTES: u64 = 12;
-
-/// One request of a caller and what became of it.
-#[derive(Clone, Debug)]
-pub struct Call {
-    /// The request.
-    pub request: Request,
-    /// The daemon that the caller reached.
-    pub daemon: usize,
-    /// The daemon of another data centre that works on it.
-    pub remote: Option<usize>,
-    /// Tokens that the caller has.
-    pub received: u32,
-    /// Tokens that engines generated for it.
-    pub generated: u64,
-    /// When the first token came.
-    pub first_at: Option<u64>,
-    /// When the answer was whole.
-    pub done_at: Option<u64>,
-    /// Whether it was refused.
-    pub refused: bool,
-    /// Bytes over the link.
-    pub link_bytes: u64,
-}
-
-impl Call {
-    /// Returns whether the answer came whole within the target of its class.
-    pub fn attained(&self, class: &ClassSpec) -> bool {
-        let at = self.request.at;
-        let first = self.first_at.is_some_and(|first| first <= at + class.first_token);
-        first && self.done_at.is_some_and(|done| done <= at + class.finish)
-    }
-
-    fn ended(&self) -> bool {
-        self.refused || self.done_at.is_some()
-    }
-}
-
-#[derive(Clone, Debug)]
-enum Message {
-    Arrive { call: usize, to: usize },
-    Progress { call: usize, to: usize, tokens: u32 },
-    Finish { call: usize, to: usize, outcome: Outcome },
-    Load { to: usize, load: DaemonLoad },
-}
-
-struct Daemon<P> {
-    policy: P,
-    data_centre: usize,
-    region: usize,
+/// A daemon of the site.
+pub(crate) struct Daemon<P> {
+    pub(crate) policy: P,
+    pub(crate) data_centre: usize,
+    pub(crate) region: usize,
 }
 
-struct World<'a, P> {
-    scenario: &'a Scenario,
-    daemons: Vec<Daemon<P>>,
-    engines: Vec<Engine>,
-    by_name: BTreeMap<String, usize>,
-    calls: Vec<Call>,
-    mail: BTreeMap<u64, Vec<Message>>,
-    reports: VecDeque<(u64, usize, EndpointReport)>,
-    cuts: BTreeSet<usize>,
-    link_cut: bool,
-    stale: bool,
-    violations: u64,
-    link_free_at: [u64; 2],
-    rng: Pcg64Mcg,
-    now: u64,
+/// A site in virtual time.
+pub(crate) struct World<'a, P> {
+    pub(crate) scenario: &'a Scenario,
+    pub(crate) daemons: Vec<Daemon<P>>,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) by_name: BTreeMap<String, usize>,
+    pub(crate) calls: Vec<Call>,
+    pub(crate) mail: BTreeMap<u64, Vec<Message>>,
+    pub(crate) reports: VecDeque<(u64, usize, EndpointReport)>,
+    pub(crate) cuts: BTreeSet<usize>,
+    pub(crate) link_cut: bool,
+    pub(crate) stale: bool,
+    pub(crate) violations: u64,
+    pub(crate) link_free_at: [u64; 2],
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) now: u64,
 }
 
 /// Runs a scenario with one policy in each daemon.
@@ -120,7 +61,11 @@
 }
 
 impl<'a, P: Policy> World<'a, P> {
-    fn new(scenario: &'a Scenario, seed: u64, make: &impl Fn(&Variant) -> P) -> World<'a, P> {
+    pub(crate) fn new(
+        scenario: &'a Scenario,
+        seed: u64,
+        make: &impl Fn(&Variant) -> P,
+    ) -> World<'a, P> {
         let mut world = World {
             scenario,
             daemons: Vec::new(),
@@ -159,7 +104,7 @@
     }
 
     /// Tells a daemon of the endpoints of its data centre.
-    fn introduce(&mut self, daemon: usize) {
+    pub(crate) fn introduce(&mut self, daemon: usize) {
         for engine in &self.engines {
             if engine.crashed || engine.data_centre != self.daemons[daemon].data_centre {
                 continue;
@@ -175,7 +120,7 @@
         }
     }
 
-    fn change_faults(&mut self, make: &impl Fn(&Variant) -> P) {
+    pub(crate) fn change_faults(&mut self, make: &impl Fn(&Variant) -> P) {
         for timed in &self.scenario.faults {
             let starts = timed.from == self.now;
             if !starts && timed.until != self.now {
@@ -202,7 +147,7 @@
     }
 
     /// Ends an engine; the connections of its streams break at once.
-    fn crash(&mut self, engine: usize) {
+    pub(crate) fn crash(&mut self, engine: usize) {
         self.engines[engine].crashed = true;
         for stream in self.engines[engine].drain() {
             let outcome = Outcome::Failed(Verdict::MayHaveRun);
@@ -211,7 +156,7 @@
     }
 
     /// Replaces a daemon by an empty one; its callers come back to another.
-    fn kill(&mut self, daemon: usize, make: &impl Fn(&Variant) -> P) {
+    pub(crate) fn kill(&mut self, daemon: usize, make: &impl Fn(&Variant) -> P) {
         self.violations += self.daemons[daemon].policy.tier_violations();
         let centre = self.daemons[daemon].data_centre;
         self.daemons[daemon].policy = make(&variant(self.scenario, centre, daemon, self.now));
@@ -236,7 +181,7 @@
         }
     }
 
-    fn send(&mut self, request: Request) {
+    pub(crate) fn send(&mut self, request: Request) {
         let call = Call {
             request,
             daemon: 0,
@@ -253,7 +198,7 @@
     }
 
     /// Brings a call to a daemon of the caller's data centre.
-    fn enter(&mut self, call: usize) {
+    pub(crate) fn enter(&mut self, call: usize) {
         let centre = self.calls[call].request.data_centre;
         let Some(daemon) = self.any_daemon(centre) else { return };
         self.calls[call].daemon = daemon;
@@ -263,13 +208,13 @@
         self.carry_out(daemon, effects);
     }
 
-    fn any_daemon(&mut self, centre: usize) -> Option<usize> {
+    pub(crate) fn any_daemon(&mut self, centre: usize) -> Option<usize> {
         let of_centre = |d: &usize| self.daemons[*d].data_centre == centre;
         let all: Vec<usize> = (0..self.daemons.len()).filter(of_centre).collect();
         if all.is_empty() { None } else { Some(all[self.rng.random_range(0..all.len())]) }
     }
 
-    fn arrival(&self, call: usize, forwarded: bool) -> Arrival {
+    pub(crate) fn arrival(&self, call: usize, forwarded: bool) -> Arrival {
         let spent = self.now.saturating_sub(self.calls[call].request.at);
         let request = &self.calls[call].request;
         let class = &self.scenario.site.classes[request.class];
@@ -290,288 +235,6 @@
             ..Arrival::default()
         }
     }
-
-    fn step(&mut self) {
-        self.deliver();
-        self.run_engines();
-        if self.now.is_multiple_of(TICK) {
-            for daemon in 0..self.daemons.len() {
-                let effects = self.daemons[daemon].policy.tick(Millis(self.now));
-                self.carry_out(daemon, effects);
-            }
-        }
-        if self.now.is_multiple_of(EXCHANGE) {
-            self.exchange();
-        }
-        self.report();
-    }
-
-    fn deliver(&mut self) {
-        while let Some(entry) = self.mail.first_entry() {
-            if *entry.key() > self.now {
-                return;
-            }
-            for message in entry.remove() {
-                self.take(message);
-            }
-        }
-    }
-
-    fn take(&mut self, message: Message) {
-        let now = Millis(self.now);
-        match message {
-            Message::Arrive { call, to } => {
-                if self.calls[call].remote != Some(to) || self.calls[call].ended() {
-                    return;
-                }
-                let arrival = self.arrival(call, true);
-                let effects = self.daemons[to].policy.arrive(arrival, now);
-                self.carry_out(to, effects);
-            }
-            Message::Progress { call, to, tokens } => {
-                if self.calls[call].daemon != to || self.calls[call].ended() {
-                    return;
-                }
-                self.receive(call, tokens);
-                let effects = self.daemons[to].policy.progress(call as u64, tokens, now);
-                self.carry_out(to, effects);
-            }
-            Message::Finish { call, to, outcome } => self.finish(call, to, outcome),
-            Message::Load { to, load } => {
-                let effects = self.daemons[to].policy.peer_load(&load, now);
-                self.carry_out(to, effects);
-            }
-        }
-    }
-
-    /// Ends an attempt for the daemon that works on it.
-    fn finish(&mut self, call: usize, daemon: usize, outcome: Outcome) {
-        if self.calls[call].ended() {
-            return;
-        }
-        let is_remote = self.calls[call].remote == Some(daemon);
-        if !is_remote && self.calls[call].daemon != daemon {
-            return;
-        }
-        if !is_remote {
-            self.calls[call].remote = None;
-            if outcome == Outcome::Done {
-                self.calls[call].done_at = Some(self.now);
-            }
-        }
-        let effects = self.daemons[daemon].policy.finish(call as u64, outcome, Millis(self.now));
-        self.carry_out(daemon, effects);
-        if is_remote && outcome == Outcome::Done {
-            self.post_back(call, daemon, |to| Message::Finish { call, to, outcome });
-        }
-    }
-
-    fn abandon(&mut self, call: usize, daemon: usize) {
-        for engine in &mut self.engines {
-            engine.remove(call, daemon);
-        }
-        let effects = self.daemons[daemon].policy.abandon(call as u64, Millis(self.now));
-        self.carry_out(daemon, effects);
-    }
-
-    fn receive(&mut self, call: usize, tokens: u32) {
-        if tokens > 0 {
-            self.calls[call].received += tokens;
-            self.calls[call].first_at.get_or_insert(self.now);
-        }
-    }
-
-    fn run_engines(&mut self) {
-        let mut out: Vec<Generated> = Vec::new();
-        for engine in self.engines.iter_mut().filter(|e| !e.crashed) {
-            engine.step(STEP as f64, &mut out);
-        }
-        for generated in out {
-            self.pass_on(generated);
-        }
-    }
-
-    fn pass_on(&mut self, generated: Generated) {
-        let Generated { call, daemon, tokens, done, .. } = generated;
-        self.calls[call].generated += u64::from(tokens);
-        if self.calls[call].ended() {
-            return;
-        }
-        let effects = self.daemons[daemon].policy.progress(call as u64, tokens, Millis(self.now));
-        self.carry_out(daemon, effects);
-        if self.calls[call].daemon == daemon {
-            self.receive(call, tokens);
-        } else {
-            self.count_link(call, daemon, u64::from(tokens) * ANSWER_TOKEN_BYTES);
-            self.post_back(call, daemon, |to| Message::Progress { call, to, tokens });
-        }
-        if done {
-            self.finish(call, daemon, Outcome::Done);
-        }
-    }
-
-    /// Posts a message from the daemon that works on a call to the one that the caller reached.
-    fn post_back(&mut self, call: usize, from: usize, message: impl Fn(usize) -> Message) {
-        let to = self.calls[call].daemon;
-        if self.reaches(from, to) {
-            let latency = self.latency(from, to);
-            self.mail.entry(self.now + latency).or_default().push(message(to));
-        }
-    }
-
-    fn latency(&self, a: usize, b: usize) -> u64 {
-        let same = self.daemons[a].region == self.daemons[b].region;
-        if same { 0 } else { REGION_LATENCY }
-    }
-
-    fn reaches(&self, a: usize, b: usize) -> bool {
-        let (a, b) = (&self.daemons[a], &self.daemons[b]);
-        if a.data_centre == b.data_centre {
-            return true;
-        }
-        let cut = self.cuts.contains(&a.data_centre) || self.cuts.contains(&b.data_centre);
-        !cut && (a.region == b.region || !self.link_cut)
-    }
-
-    fn count_link(&mut self, call: usize, from: usize, bytes: u64) {
-        let region = self.daemons[from].region;
-        let home = self.daemons[self.calls[call].daemon].region;
-        let away = self.calls[call].remote.map(|r| self.daemons[r].region);
-        if away.is_some_and(|r| r != home) {
-            self.calls[call].link_bytes += bytes;
-            let ms = bytes * 8 * 1_000 / self.scenario.link_bits.max(1);
-            let free_at = &mut self.link_free_at[region.min(1)];
-            *free_at = (*free_at).max(self.now) + ms;
-        }
-    }
-
-    fn carry_out(&mut self, daemon: usize, effects: Vec<Effect>) {
-        for effect in effects {
-            self.do_one(daemon, effect);
-        }
-    }
-
-    fn do_one(&mut self, daemon: usize, effect: Effect) {
-        match effect {
-            Effect::Dispatch { request, endpoint, .. } => {
-                self.dispatch(daemon, request as usize, &endpoint);
-            }
-            Effect::Forward { request, data_centre, .. } => {
-                self.forward(daemon, request as usize, &data_centre);
-            }
-            Effect::Pause { request } => {
-                self.engines.iter_mut().for_each(|e| e.pause(request as usize, daemon));
-            }
-            Effect::Resume { request } => {
-                self.engines.iter_mut().for_each(|e| e.resume(request as usize, daemon));
-            }
-            Effect::Cancel { request } => self.cancel(daemon, request as usize),
-            Effect::Refuse { request, .. } => self.refuse(daemon, request as usize),
-        }
-    }
-
-    fn dispatch(&mut self, daemon: usize, call: usize, endpoint: &str) {
-        let engine = &mut self.engines[self.by_name[endpoint]];
-        if engine.crashed {
-            let outcome = Outcome::Failed(Verdict::NotRun);
-            let message = Message::Finish { call, to: daemon, outcome };
-            self.mail.entry(self.now + STEP).or_default().push(message);
-            return;
-        }
-        let request = &self.calls[call].request;
-        let received = self.calls[call].received.min(request.answer);
-        engine.push(Stream {
-            call,
-            daemon,
-            tier: self.scenario.site.classes[request.class].tier,
-            prefix: (request.account * 8 + request.class) as u64,
-            prefill: f64::from(request.prompt + received),
-            left: f64::from((request.answer - received).max(1)),
-            part: 0.0,
-        });
-    }
-
-    fn forward(&mut self, daemon: usize, call: usize, data_centre: &str) {
-        let centres = &self.scenario.site.data_centres;
-        let centre = centres.iter().position(|d| d.name == data_centre).unwrap_or(0);
-        let to = self.any_daemon(centre).filter(|to| self.reaches(daemon, *to));
-        let Some(to) = to else {
-            let outcome = Outcome::Failed(Verdict::NotRun);
-            let message = Message::Finish { call, to: daemon, outcome };
-            self.mail.entry(self.now + STEP).or_default().push(message);
-            return;
-        };
-        self.calls[call].remote = Some(to);
-        let bytes = u64::from(self.calls[call].request.prompt) * PROMPT_TOKEN_BYTES;
-        self.count_link(call, daemon, bytes);
-        let mut at = self.now + self.latency(daemon, to);
-        if self.daemons[daemon].region != self.daemons[to].region {
-            at = at.max(self.link_free_at[self.daemons[daemon].region.min(1)]);
-        }
-        self.mail.entry(at).or_default().push(Message::Arrive { call, to });
-    }
-
-    fn cancel(&mut self, daemon: usize, call: usize) {
-        if let Some(remote) = self.calls[call].remote.filter(|r| *r != daemon) {
-            self.calls[call].remote = None;
-            self.abandon(call, remote);
-        }
-        for engine in &mut self.engines {
-            engine.remove(call, daemon);
-        }
-    }
-
-    fn refuse(&mut self, daemon: usize, call: usize) {
-        if self.calls[call].daemon == daemon {
-            self.calls[call].refused = true;
-            return;
-        }
-        if self.calls[call].remote == Some(daemon) {
-            let outcome = Outcome::Failed(Verdict::NotRun);
-            self.post_back(call, daemon, |to| Message::Finish { call, to, outcome });
-        }
-    }
-
-    fn exchange(&mut self) {
-        let now = Millis(self.now);
-        let loads: Vec<DaemonLoad> =
-            self.daemons.iter_mut().map(|d| d.policy.own_load(now)).collect();
-        for (from, load) in loads.iter().enumerate() {
-            for to in (0..self.daemons.len()).filter(|to| *to != from) {
-                if self.reaches(from, to) {
-                    let at = self.now + STEP + self.latency(from, to);
-                    let message = Message::Load { to, load: load.clone() };
-                    self.mail.entry(at).or_default().push(message);
-                }
-            }
-        }
-    }
-
-    /// Sends reports that describe a moment already past.
-    fn report(&mut self) {
-        if self.now.is_multiple_of(REPORT) && !self.stale {
-            for (number, engine) in self.engines.iter().enumerate().filter(|(_, e)| !e.crashed) {
-                let report = EndpointReport {
-                    running: engine.running.len() as u32,
-                    waiting: engine.waiting() as u32,
-                    age_ms: REPORT,
-                };
-                self.reports.push_back((self.now + REPORT, number, report));
-            }
-        }
-        while self.reports.front().is_some_and(|(at, ..)| *at <= self.now) {
-            let Some((_, number, report)) = self.reports.pop_front() else { return };
-            let centre = self.engines[number].data_centre;
-            let name = self.engines[number].name.clone();
-            for daemon in 0..self.daemons.len() {
-                if self.daemons[daemon].data_centre == centre {
-                    let policy = &mut self.daemons[daemon].policy;
-                    let effects = policy.report(&name, report, Millis(self.now));
-                    self.carry_out(daemon, effects);
-                }
-            }
-        }
-    }
 }
 
 fn variant(scenario: &Scenario, centre: usize, daemon: usize, seed: u64) -> Variant {
