--- a/components/daemon/src/platform.rs
+++ b/components/daemon/src/platform.rs
@@ -1,12 +1,11 @@
-use crate::attempt::{Shell, carry_out};
-use crate::tables::{InForce, Tables, lock, lock_write};
-use config::Lists;
-use decision::load::{EndpointInfo, EndpointState};
-use serde::Deserialize;
-use std::collections::BTreeSet;
+use crate::attempt::Shell;
+use crate::endpoints::{ListedEndpoint, set_listed};
+use crate::peer::Peer;
+use crate::peers::Peers;
+use decision::load::EndpointState;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use utils::{HttpError, get_json};
@@ -14,13 +13,6 @@
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// An object as the store gives it.
-#[derive(Debug, Deserialize)]
-struct Object<T> {
-    version: u64,
-    value: T,
-}
-
 /// The platform's list of instances.
 #[derive(Debug, Deserialize)]
 struct InstanceList {
@@ -34,68 +26,61 @@
     kind: String,
     address: SocketAddr,
     data_centre: String,
+    #[serde(default)]
+    region: String,
     state: EndpointState,
 }
 
-/// What an endpoint says of itself.
-#[derive(Debug, Deserialize)]
-struct Description {
-    serves: BTreeSet<String>,
-    slots: u32,
-    #[serde(default)]
-    pauses: bool,
+impl Instance {
+    fn into_peer(self) -> Peer {
+        Peer {
+            name: self.name,
+            address: self.address,
+            data_centre: self.data_centre,
+            region: self.region,
+        }
+    }
 }
 
-/// Reads the lists and the instances until the daemon stops.
-pub fn follow(shell: &Shell) {
-    while !shell.tables.stopping.load(Ordering::Relaxed) {
-        if let Err(e) = read_lists(&shell.tables) {
-            log::warn!("lists: {e}");
-        }
-        if let Err(e) = read_instances(shell) {
+/// What a daemon says of itself to another.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct DaemonDescription {
+    /// The identity of the process, 32 hexadecimal digits.
+    pub instance: String,
+    /// Whether it takes new work.
+    pub ready: bool,
+}
+
+/// Reads the instances until the daemon stops.
+pub fn follow(shell: &Shell, peers: &Peers) {
+    while !shell.tables.is_stopping() {
+        if let Err(e) = read_instances(shell, peers) {
             log::warn!("instances: {e}");
         }
         thread::sleep(POLL_INTERVAL);
     }
 }
 
-fn read_lists(tables: &Tables) -> Result<(), HttpError> {
-    let url = format!("http://{}/objects/lists/current", tables.cfg.store);
-    let object: Object<Lists> = get_json(&url, PLATFORM_TIMEOUT)?;
-    let mut in_force = lock_write(&tables.in_force);
-    if object.version > in_force.version {
-        log::info!("lists version={} in force", object.version);
-        *in_force = Arc::new(InForce::new(object.version, object.value));
-    }
-    Ok(())
-}
-
-fn read_instances(shell: &Shell) -> Result<(), HttpError> {
+fn read_instances(shell: &Shell, peers: &Peers) -> Result<(), HttpError> {
     let tables = &shell.tables;
     let url = format!("http://{}/instances", tables.cfg.instances);
     let list: InstanceList = get_json(&url, PLATFORM_TIMEOUT)?;
+    let mut daemons = Vec::new();
+    let mut endpoints = BTreeMap::new();
     for instance in list.instances {
-        if instance.kind == "daemon" || instance.data_centre != tables.cfg.data_centre {
-            continue;
+        if instance.kind == "daemon" {
+            daemons.push(instance.into_peer());
+        } else if instance.data_centre == tables.cfg.data_centre {
+            let endpoint = ListedEndpoint {
+                name: instance.name.clone(),
+                address: instance.address,
+                data_centre: instance.data_centre,
+                state: instance.state,
+            };
+            endpoints.insert(instance.name, endpoint);
         }
-        let url = format!("http://{}/v1/description", instance.address);
-        let description: Description = match get_json(&url, PLATFORM_TIMEOUT) {
-            Ok(description) => description,
-            Err(e) => {
-                log::warn!("endpoint={} {e}", instance.name);
-                continue;
-            }
-        };
-        lock_write(&tables.addresses).insert(instance.name.clone(), instance.address);
-        let info = EndpointInfo {
-            name: instance.name,
-            data_centre: instance.data_centre,
-            serves: description.serves,
-            slots: description.slots,
-            pauses: description.pauses,
-        };
-        let effects = lock(&tables.scheduler).set_endpoint(info, instance.state, tables.now());
-        carry_out(shell, effects);
     }
+    peers.list(daemons);
+    set_listed(shell, endpoints);
     Ok(())
 }
