Keep a listener alive that nobody calls for its read timeout

Cause: utils::listen sets the callers' read timeout on the listening socket, so that connections inherit it; the same timeout ends an idle accept (os error 11), tiny_http then ends its accept thread, incoming_requests ends and the daemon exits. Any daemon that got no connection for 10 s died; found as the surviving one of two daemons in tests/orders.rs. Ruled out: setting the timeout on accepted sockets (tiny_http does not hand them out) and a new server on a clone of the listener (loses requests that are being read). Conclusion: a thread connects to the listener four times a timeout; it ends with the listener.

--- a/components/utils/src/http.rs
+++ b/components/utils/src/http.rs
@@ -6,11 +6,16 @@
 use snafu::{ResultExt, Snafu};
 use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
 use std::io::{self, Read, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
 use std::time::Duration;
 use tiny_http::{Header, Request, Response, Server};
 
 const ACCEPT_BACKLOG: i32 = 1024;
+
+/// Connections to itself by which a listener outlives its read timeout.
+const ACCEPTS_PER_TIMEOUT: u32 = 4;
+
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(10);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 const KEEPALIVE_PROBES: u32 = 3;
@@ -75,7 +80,29 @@
     socket.set_read_timeout(read_timeout)?;
     socket.bind(&address.into())?;
     socket.listen(ACCEPT_BACKLOG)?;
-    Server::from_listener(std::net::TcpListener::from(socket), None).map_err(io::Error::other)
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr()?;
+    let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+    if let Some(timeout) = read_timeout {
+        keep_accepting(address, timeout / ACCEPTS_PER_TIMEOUT)?;
+    }
+    Ok(server)
+}
+
+/// Connects to a listener again and again until it is closed.
+///
+/// The read timeout of a listener also ends an `accept` that nobody calls, and the server with it.
+fn keep_accepting(address: SocketAddr, interval: Duration) -> io::Result<()> {
+    let connect = move || {
+        let refused = io::ErrorKind::ConnectionRefused;
+        loop {
+            match TcpStream::connect_timeout(&address, interval) {
+                Err(e) if e.kind() == refused => return,
+                _ => thread::sleep(interval),
+            }
+        }
+    };
+    thread::Builder::new().name("accept".to_string()).spawn(connect).map(|_| ())
 }
 
 /// Prepares a request that follows no redirect, uses no proxy and is sent once.
