Let one daemon of each data centre give the orders to its engines

Cause: the lease and the placement were pure code that nothing drove. Ruled out: every daemon asking for the lease (120 reads a second at 360 daemons); the three first in rank by rendezvous ask, the others leave the store alone. Conclusion: server.rs starts one more thread (models). A new holder shows each engine its number by an order that changes nothing; a model moves after two minutes of surplus only.

--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 mod job;
 mod lists;
 mod measures;
+mod orders;
 mod outcome;
 mod peer;
 mod peers;
--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -4,6 +4,7 @@
 use crate::control::send_order;
 use crate::endpoints::probe_endpoints;
 use crate::exchange::exchange_loads;
+use crate::orders::order_models;
 use crate::peer::{FORWARD_PATH, serve_forward};
 use crate::peers::{Peers, open_socket};
 use crate::platform::{DaemonDescription, follow};
@@ -113,6 +114,8 @@
         spawn("loads", move || exchange_loads(&load_shell, &load_peers))?;
         let probe_shell = shell.clone();
         spawn("probes", move || probe_endpoints(&probe_shell))?;
+        let order_shell = shell.clone();
+        spawn("models", move || order_models(&order_shell))?;
         let sweep_shell = shell.clone();
         spawn("sweep", move || sweep_records(&sweep_shell))?;
         let tick_shell = shell.clone();
--- a/components/daemon/src/sweep.rs
+++ b/components/daemon/src/sweep.rs
@@ -1,5 +1,5 @@
 use crate::attempt::Shell;
-use crate::duty::Duty;
+use crate::duty::{Duty, Members};
 use crate::tables::Tables;
 use decision::Millis;
 use decision::execution::Sweep;
@@ -17,14 +17,13 @@
 /// Deletes the records of keys that no daemon takes any more, while this daemon has the duty.
 pub fn sweep_records(shell: &Shell) {
     let tables = &shell.tables;
-    // Each daemon reads the lease once an interval, so a long one keeps a large fleet cheap.
     let cfg = LeaseConfig {
         term: Millis(120_000),
         interval: Millis(30_000),
         drift: Millis(2_000),
         ..LeaseConfig::default()
     };
-    let mut duty = Duty::new(tables, "sweep", cfg);
+    let mut duty = Duty::new(tables, "sweep", cfg, Members::All);
     let mut sweep = Sweep::default();
     while !tables.is_stopping() {
         duty.step(tables);
--- a/components/utils/tests/listen.rs
+++ b/components/utils/tests/listen.rs
@@ -1,3 +1,5 @@
+//! The listener that daemons and stand-ins share.
+
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
