Tell a repeated call may_have_run also when every worker is busy

Cause: the listener refused each request as not_run when no worker was free, also a call whose earlier attempt may have run at another daemon. Ruled out: reading the record for such a call; there is no worker to do it. Conclusion: one line in server.rs asks service::unserved.

--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -10,7 +10,7 @@
 use crate::platform::{DaemonDescription, follow};
 use crate::reply::respond_refusal;
 use crate::resume::{expire, serve_request_path};
-use crate::service::serve_call;
+use crate::service::{serve_call, unserved};
 use crate::spans::start_export;
 use crate::stop::stop_gracefully;
 use crate::sweep::sweep_records;
@@ -163,7 +163,8 @@
             let refused = if is_control(req.url()) { control.run(req) } else { callers.run(req) };
             if let Err(req) = refused {
                 let refusal = Refusal::not_run(Reason::Overloaded, "every worker is busy");
-                log_failure(respond_refusal(req, "", &refusal.retry_after(1_000)));
+                let refusal = unserved(&req, refusal.retry_after(1_000));
+                log_failure(respond_refusal(req, "", &refusal));
             }
         }
         Ok(())
--- a/components/daemon/src/service.rs
+++ b/components/daemon/src/service.rs
@@ -62,13 +62,15 @@
 /// Serves a call to a plain service.
 pub fn serve_call(shell: &Shell, mut req: Request) -> io::Result<()> {
     let (number, id) = shell.tables.new_request();
-    let first = is_first_attempt(&req);
     let prepared = prepare(shell, &mut req, number, &id).and_then(|call| {
         let key = caller_key(&req, &call)?;
         Ok((call, key))
     });
     match prepared {
-        Err(refusal) => respond_refusal(req, &id, &refusal_of_attempt(refusal, first)),
+        Err(refusal) => {
+            let refusal = unserved(&req, refusal);
+            respond_refusal(req, &id, &refusal)
+        }
         Ok((call, None)) => respond(req, &id, run_repeatable(shell, &call)),
         Ok((call, Some(key))) => {
             let mut result = Ok(());
@@ -78,6 +80,11 @@
     }
 }
 
+/// Weakens the refusal of a call that is not looked at, unless it is its caller's first attempt.
+pub fn unserved(req: &Request, refusal: Refusal) -> Refusal {
+    refusal_of_attempt(refusal, is_first_attempt(req))
+}
+
 /// Returns whether no earlier attempt at the call can have run it.
 fn is_first_attempt(req: &Request) -> bool {
     header(req, KEY_HEADER).is_none() || header(req, ATTEMPT_HEADER) == Some("1")
