Show that a store outage leaves repeatable calls untouched

Ruled out: nothing; no code changes. Figures: ten repeatable calls over three daemons are answered while the store is down and the service loses one answer; a booking is refused as store_unavailable.

--- a/tests/execution.rs
+++ b/tests/execution.rs
@@ -26,6 +26,11 @@
     let mut lists = simple_lists(&sha256_hex("key-1"));
     lists["plans"]["accounts"]["bothy"] =
         json!({"plan": "gold", "key_sha256": sha256_hex("key-2")});
+    let grants = &mut lists["grants"];
+    grants["classes"]["lookup"] = grants["classes"]["booking"].clone();
+    grants["classes"]["lookup"]["repeatable"] = json!(true);
+    grants["plans"]["gold"]["classes"]["lookup"] =
+        grants["plans"]["gold"]["classes"]["booking"].clone();
     Site::start(&lists, &members).unwrap()
 }
 
@@ -38,9 +43,19 @@
 }
 
 fn book(at: SocketAddr, account_key: &str, key: &str, attempt: usize, patience: Duration) -> Told {
+    call(at, (account_key, "booking"), key, attempt, patience)
+}
+
+fn call(
+    at: SocketAddr,
+    (account_key, class): (&str, &str),
+    key: &str,
+    attempt: usize,
+    patience: Duration,
+) -> Told {
     let sent = client(attohttpc::post(format!("http://{at}/v1/call")), patience)
         .header("authorization", format!("Bearer {account_key}"))
-        .header("x-request-class", "booking")
+        .header("x-request-class", class)
         .header("idempotency-key", key)
         .header("idempotency-attempt", attempt.to_string())
         .text("{\"door\":7}")
@@ -165,6 +180,20 @@
     assert_eq!(told, Told::Outcome(json!({"ran": key, "run": 1})));
 }
 
+#[test]
+fn can_answer_calls_that_may_be_repeated_while_the_store_is_down() {
+    let site = start_site();
+    set_faults(site.store.address, json!({"down": true}));
+    set_faults(site.address("booking-1"), json!({"lose_answers": 1}));
+    for run in 2..12 {
+        let at = site.address(DAEMONS[run % 3]);
+        let told = call(at, ("key-1", "lookup"), "again", 1, PATIENCE);
+        assert_eq!(told, Told::Outcome(json!({"ran": "again", "run": run})));
+    }
+    let told = book(site.address("daemon-1"), "key-1", &new_key("down"), 2, PATIENCE);
+    assert_eq!(told, refused("may_have_run", "store_unavailable"));
+}
+
 fn signal(site: &Site, name: &str, signal: &str) {
     let id = site.process(name).id().to_string();
     assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
