Test the cluster under lost packets, pauses and cuts

Cause: with each taken out in turn, seven mechanisms still passed all tests: the late tick, the final probe, indirect probes, asking again for chunks, the packet limit, the probe of listed daemons, giving up a stalled fetch. Conclusion: each has a test of its own.

--- /dev/null
+++ b/components/decision/tests/cluster_faults.rs
@@ -0,0 +1,142 @@
+//! The cluster state machine under lost packets, pauses and cuts.
+
+use decision::Millis;
+use decision::cluster::{
+    Cluster, ClusterConfig, Effect, Event, Identity, MemberState, Scope, Seed, packet_size,
+};
+use messages::cluster::{Packet, PacketKind};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use std::net::SocketAddr;
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number as u8], 7_000))
+}
+
+fn daemon(number: usize) -> Cluster {
+    let cfg = ClusterConfig {
+        address: address(number),
+        check_invariants: true,
+        ..ClusterConfig::default()
+    };
+    let rng = Pcg64::seed_from_u64(number as u64);
+    Cluster::new(cfg, Identity(number as u128), rng, Millis(0))
+}
+
+fn list(daemon: &mut Cluster, count: usize, now: u64) {
+    let seed = |i| Seed { address: address(i), data_centre: "local".to_string() };
+    daemon.handle(Event::Instances((0..count).map(seed).collect()), Millis(now));
+}
+
+/// Ticks daemons and delivers every packet that `passes`, which sees sender and receiver.
+fn run(
+    daemons: &mut [Cluster],
+    (from, until): (u64, u64),
+    passes: impl Fn(usize, usize, &Packet) -> bool,
+) {
+    for now in (from..until).step_by(50).map(Millis) {
+        for i in 0..daemons.len() {
+            let effects = daemons[i].handle(Event::Tick, now);
+            let mut queue: Vec<_> = effects.into_iter().map(|effect| (i, effect)).collect();
+            while let Some((from, effect)) = queue.pop() {
+                let Effect::Send { to, packet } = effect else { continue };
+                let Some(to) = (0..daemons.len()).find(|i| address(*i) == to) else { continue };
+                if passes(from, to, &packet) {
+                    let event = Event::Packet { from: address(from), packet };
+                    let effects = daemons[to].handle(event, now);
+                    queue.extend(effects.into_iter().map(|effect| (to, effect)));
+                }
+            }
+        }
+    }
+}
+
+fn joined(count: usize) -> Vec<Cluster> {
+    let mut daemons: Vec<Cluster> = (0..count).map(daemon).collect();
+    daemons.iter_mut().for_each(|daemon| list(daemon, count, 0));
+    run(&mut daemons, (0, 4_000), |_, _, _| true);
+    daemons
+}
+
+fn lists(revision: u64) -> Event {
+    Event::Lists { version: revision, revision, text: format!("lists {revision}") }
+}
+
+#[test]
+fn can_suspect_nobody_after_a_pause_with_a_probe_in_the_air() {
+    let mut daemons = joined(2);
+    run(&mut daemons, (4_000, 5_500), |_, _, _| false);
+    let suspected = daemons[0].counters().suspected;
+    daemons[0].handle(Event::Tick, Millis(60_000));
+    assert_eq!(daemons[0].counters().suspected, suspected);
+    assert!(daemons[0].members().get(Identity(1)).is_some());
+}
+
+#[test]
+fn can_reach_a_member_through_others_when_one_direction_is_cut() {
+    let mut daemons = joined(4);
+    run(&mut daemons, (4_000, 20_000), |from, to, _| (from, to) != (0, 1));
+    assert_eq!(daemons[0].counters().suspected, 0);
+    let state = daemons[0].members().get(Identity(1)).map(|member| member.state);
+    assert_eq!(state, Some(MemberState::Live));
+}
+
+#[test]
+fn can_probe_once_more_before_a_suspected_member_counts_as_dead() {
+    let mut daemons = joined(2);
+    let silent = |from, _, _: &Packet| from != 1;
+    run(&mut daemons, (4_000, 7_000), silent);
+    assert!(daemons[0].counters().suspected > 0);
+    // From here on only the answer to a probe passes, no news.
+    run(&mut daemons, (7_000, 12_000), |from, _, p| from != 1 || p.kind == PacketKind::Ack);
+    assert!(daemons[0].members().get(Identity(1)).is_some());
+}
+
+#[test]
+fn can_ask_again_for_a_lost_chunk() {
+    let mut daemons = joined(2);
+    daemons[0].handle(lists(5), Millis(4_000));
+    run(&mut daemons, (4_000, 4_100), |_, _, packet| packet.kind != PacketKind::Want);
+    assert_eq!(daemons[1].in_force().number, 0);
+    // No announcement repeats from here on.
+    run(&mut daemons, (4_100, 4_600), |_, _, p| p.kind == PacketKind::Want || !p.chunks.is_empty());
+    assert_eq!(daemons[1].in_force().number, 5);
+}
+
+#[test]
+fn can_give_up_a_revision_that_nobody_serves() {
+    let mut daemons = joined(3);
+    daemons[2].handle(lists(9), Millis(4_000));
+    run(&mut daemons, (4_000, 4_500), |_, _, packet| packet.chunks.is_empty());
+    daemons.pop();
+    daemons[0].handle(lists(8), Millis(4_500));
+    run(&mut daemons, (4_500, 15_000), |_, _, _| true);
+    assert_eq!(daemons[1].in_force().number, 8);
+}
+
+#[test]
+fn can_find_a_listed_daemon_after_both_joined_alone() {
+    let mut daemons = vec![daemon(0), daemon(1)];
+    daemons.iter_mut().for_each(|daemon| list(daemon, 2, 0));
+    run(&mut daemons, (0, 5_000), |_, _, _| false);
+    assert!(daemons[0].members().is_empty());
+    run(&mut daemons, (5_000, 10_000), |_, _, _| true);
+    assert!(daemons[0].members().get(Identity(1)).is_some());
+    assert!(daemons[1].members().get(Identity(0)).is_some());
+}
+
+#[test]
+fn can_keep_every_packet_within_its_limit() {
+    let mut daemons = joined(2);
+    for i in 0..200 {
+        let (key, ttl) = (format!("endpoint/{i}"), Millis(60_000));
+        let values = vec![u64::MAX; 4];
+        let event = Event::Publish { key, scope: Scope::DataCentre, ttl, values };
+        daemons[0].handle(event, Millis(4_000));
+    }
+    let limit = ClusterConfig::default().packet_limit;
+    run(&mut daemons, (4_000, 8_000), |_, _, packet| {
+        assert!(packet_size(packet) <= limit);
+        true
+    });
+}
