--- a/components/decision/tests/cluster_faults.rs
+++ b/components/decision/tests/cluster_faults.rs
@@ -82,7 +82,7 @@
 }
 
 #[test]
-fn can_probe_once_more_before_a_suspected_member_counts_as_dead() {
+fn can_keep_a_suspected_member_that_answers_a_probe() {
     let mut daemons = joined(2);
     let silent = |from, _, _: &Packet| from != 1;
     run(&mut daemons, (4_000, 7_000), silent);
