Measure a narrow link and test the budgets switched off

Cause: the link's budget and the retry budget made no difference in any workload, as 30 Mbit/s and 50 retries are never reached there; nothing showed them at work. Ruled out: taking them out (both are bounds that the users ask for). Figures: with 80 failed attempts at once 50 are retried with the budget and 80 without. Conclusion: both are shown by tests, and the link by a workload of 300 kbit/s as well.

--- a/components/decision/tests/load.rs
+++ b/components/decision/tests/load.rs
@@ -20,7 +20,11 @@
 }
 
 fn with_endpoints(count: u32, slots: u32, pauses: bool) -> Scheduler {
-    let mut scheduler = scheduler(Mechanisms::default());
+    with_mechanisms(Mechanisms::default(), count, slots, pauses)
+}
+
+fn with_mechanisms(mechanisms: Mechanisms, count: u32, slots: u32, pauses: bool) -> Scheduler {
+    let mut scheduler = scheduler(mechanisms);
     for number in 0..count {
         let info = EndpointInfo {
             name: format!("runner-{number}"),
@@ -288,3 +292,32 @@
     assert_eq!(scheduler.endpoints()["runner-0"].outstanding, 0);
     assert_eq!(scheduler.endpoints()["runner-1"].outstanding, 8);
 }
+
+#[rstest]
+#[case::with_budget(true, 50)]
+#[case::without_budget(false, 80)]
+fn can_bound_retries_by_a_budget(#[case] retry_budget: bool, #[case] retried: usize) {
+    let mechanisms = Mechanisms { retry_budget, ..Mechanisms::default() };
+    let mut scheduler = with_mechanisms(mechanisms, 2, 100, true);
+    for request in 1..=80 {
+        let patient = Arrival { first_token: Millis(0), finish: Millis(0), ..arrival(request, 1) };
+        scheduler.arrive(patient, Millis(0));
+    }
+    let failed = Outcome::Failed(Verdict::MayHaveRun);
+    let refused = (1..=80).filter(|request| {
+        let effects = scheduler.finish(*request, failed, Millis(1));
+        refusal(&effects).is_some_and(|r| r.reason == Reason::EndpointFailed)
+    });
+    assert_eq!(80 - refused.count(), retried);
+}
+
+#[test]
+fn can_admit_beyond_the_limit_when_limits_are_off() {
+    let mechanisms = Mechanisms { limits: false, ..Mechanisms::default() };
+    let mut scheduler = with_mechanisms(mechanisms, 4, 16, true);
+    let limits = AccountLimits { streams: 3, ..AccountLimits::default() };
+    let of_one = |request| Arrival { account: "depot".to_string(), limits, ..arrival(request, 1) };
+    let effects: Vec<_> =
+        (1..=10).flat_map(|request| scheduler.arrive(of_one(request), Millis(0))).collect();
+    assert_eq!(dispatched(&effects).len(), 10);
+}
--- a/components/workload/src/main.rs
+++ b/components/workload/src/main.rs
@@ -38,6 +38,7 @@
         name: variant.daemon.clone(),
         data_centre: variant.data_centre.clone(),
         region: variant.region.clone(),
+        link_bytes_per_second: variant.link_bytes_per_second,
         seed: variant.seed,
         mechanisms,
         check_invariants: check,
--- a/components/workload/src/policy.rs
+++ b/components/workload/src/policy.rs
@@ -88,6 +88,8 @@
     pub region: String,
     /// Daemons in all.
     pub daemons: usize,
+    /// Bytes a second between the regions, each way.
+    pub link_bytes_per_second: u64,
     /// The seed for what it draws.
     pub seed: u64,
 }
--- a/components/workload/src/scenario.rs
+++ b/components/workload/src/scenario.rs
@@ -87,6 +87,11 @@
         scenario
     }
 
+    /// The storm over a link of a hundredth of today's width.
+    pub fn narrow() -> Scenario {
+        Scenario { name: "narrow", link_bits: 300_000, ..Scenario::storm() }
+    }
+
     /// The dawn burst with faults.
     pub fn dawn_with(name: &'static str, faults: &[Fault]) -> Scenario {
         let mut scenario = Scenario { name, ..Scenario::dawn() };
@@ -133,6 +138,7 @@
     pub fn by_name(name: &str) -> Option<Scenario> {
         let mut all = Scenario::workloads();
         all.append(&mut Scenario::faults());
+        all.push(Scenario::narrow());
         all.push(Scenario::full());
         all.push(Scenario::random(0));
         all.into_iter().find(|s| s.name == name)
--- a/components/workload/src/world.rs
+++ b/components/workload/src/world.rs
@@ -244,6 +244,7 @@
         data_centre: site.data_centres[centre].name.to_string(),
         region: format!("region-{}", site.data_centres[centre].region),
         daemons: site.data_centres[centre].daemons,
+        link_bytes_per_second: scenario.link_bits / 8,
         seed: seed.wrapping_mul(1_000).wrapping_add(daemon as u64),
     }
 }
