Name the guard against a restored store by what it does

Cause: decision::cluster has a StoreWatch that plans the watching of the store; the execution records had another type of that name. Ruled out: one type for both; the cluster's plans calls, this one judges the versions of writes. Conclusion: execution::RestoreGuard.

--- a/components/daemon/src/records.rs
+++ b/components/daemon/src/records.rs
@@ -2,7 +2,7 @@
 use crate::tables::lock;
 use decision::Millis;
 use decision::execution::{
-    IdempotencyKey, KeyPolicy, ReadAnswer, Record, StoreWatch, Sweep, WriteAnswer,
+    IdempotencyKey, KeyPolicy, ReadAnswer, Record, RestoreGuard, Sweep, WriteAnswer,
 };
 use serde::de::IgnoredAny;
 use std::net::SocketAddr;
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 pub struct Records {
     store: Store,
-    watch: Mutex<StoreWatch>,
+    guard: Mutex<RestoreGuard>,
     skew: Millis,
 }
 
@@ -42,17 +42,17 @@
     /// Creates a client for the records.
     pub fn new(address: SocketAddr) -> Records {
         let store = Store::new(address, STORE_TIMEOUT);
-        Records { store, watch: Mutex::default(), skew: KeyPolicy::default().skew }
+        Records { store, guard: Mutex::default(), skew: KeyPolicy::default().skew }
     }
 
     /// Returns the highest version seen in the store.
     pub fn seen(&self) -> u64 {
-        lock(&self.watch).seen()
+        lock(&self.guard).seen()
     }
 
     /// Returns how long keys may be used.
     pub fn keys(&self) -> KeyPolicy {
-        let issued_from = lock(&self.watch).issued_from();
+        let issued_from = lock(&self.guard).issued_from();
         KeyPolicy { skew: self.skew, issued_from, ..KeyPolicy::default() }
     }
 
@@ -62,7 +62,7 @@
         match self.store.put(&name.kind, &name.name, record, expected) {
             Ok(version) => {
                 let now = Millis(wall_clock());
-                if !lock(&self.watch).observe_write(version, seen, now, self.skew) {
+                if !lock(&self.guard).observe_write(version, seen, now, self.skew) {
                     log::error!("the store went back from version {seen} to {version}");
                 }
                 WriteAnswer::Written(version)
--- a/components/decision/src/execution/mod.rs
+++ b/components/decision/src/execution/mod.rs
@@ -7,7 +7,7 @@
 mod attempt;
 mod key;
 mod record;
-mod store_watch;
+mod restore_guard;
 mod sweep;
 
 pub use attempt::{
@@ -15,5 +15,5 @@
 };
 pub use key::{IdempotencyKey, KeyError, KeyPolicy};
 pub use record::{Outcome, Record, RunState};
-pub use store_watch::StoreWatch;
+pub use restore_guard::RestoreGuard;
 pub use sweep::Sweep;
--- a/components/decision/src/execution/store_watch.rs
+++ b/components/decision/src/execution/restore_guard.rs
@@ -3,12 +3,12 @@
 
 /// Notices that the store was restored to an older state, which may lack execution records.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct StoreWatch {
+pub struct RestoreGuard {
     seen: u64,
     issued_from: Millis,
 }
 
-impl StoreWatch {
+impl RestoreGuard {
     /// Returns the highest version seen since the store last went back.
     pub fn seen(&self) -> u64 {
         self.seen
--- a/components/decision/tests/execution/keys.rs
+++ b/components/decision/tests/execution/keys.rs
@@ -1,5 +1,5 @@
 use decision::Millis;
-use decision::execution::{IdempotencyKey, KeyError, KeyPolicy, StoreWatch, Sweep};
+use decision::execution::{IdempotencyKey, KeyError, KeyPolicy, RestoreGuard, Sweep};
 use rstest::rstest;
 
 const HOUR: u64 = 3_600_000;
@@ -33,18 +33,18 @@
 
 #[test]
 fn errors_when_the_store_may_have_lost_the_record_of_a_key() {
-    let mut watch = StoreWatch::default();
+    let mut guard = RestoreGuard::default();
     let skew = KeyPolicy::default().skew;
-    let before = watch.seen();
-    assert!(watch.observe_write(7, before, Millis(50_000), skew));
-    let (first, second) = (watch.seen(), watch.seen());
-    assert!(watch.observe_write(9, first, Millis(50_001), skew));
-    assert!(watch.observe_write(8, second, Millis(50_002), skew), "answers may cross");
-    assert_eq!(watch.issued_from(), Millis(0));
-    let before = watch.seen();
-    assert!(!watch.observe_write(3, before, Millis(60_000), skew));
-    assert_eq!((watch.seen(), watch.issued_from()), (3, Millis(60_000) + skew));
-    let policy = KeyPolicy { issued_from: watch.issued_from(), ..KeyPolicy::default() };
+    let before = guard.seen();
+    assert!(guard.observe_write(7, before, Millis(50_000), skew));
+    let (first, second) = (guard.seen(), guard.seen());
+    assert!(guard.observe_write(9, first, Millis(50_001), skew));
+    assert!(guard.observe_write(8, second, Millis(50_002), skew), "answers may cross");
+    assert_eq!(guard.issued_from(), Millis(0));
+    let before = guard.seen();
+    assert!(!guard.observe_write(3, before, Millis(60_000), skew));
+    assert_eq!((guard.seen(), guard.issued_from()), (3, Millis(60_000) + skew));
+    let policy = KeyPolicy { issued_from: guard.issued_from(), ..KeyPolicy::default() };
     let key = IdempotencyKey { issued: Millis(60_000), random: "k".to_string() };
     let result = policy.check(&key, Millis(60_001));
     assert_eq!(result, Err(KeyError::Forgotten { random: "k".to_string() }));
