Go on listening after an error of the listener

Cause: the read timeout that accepted connections inherit also limits accept() on the listener. After 10 s without a new connection it fails with EAGAIN, tiny_http ends its accept thread, incoming_requests() ends and the daemon exits with status 0. Any other accept error, such as too many open files, did the same. Ruled out: no read timeout (a half-sent header would hold a thread for good); a connection to oneself every few seconds (a daemon paused for longer than the timeout would still die when woken). Touches components/daemon/src/server.rs (the type's name) and src/bin/chervilspurd.rs (tiny_http's own log lines are left out).

--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -26,8 +26,8 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
-use tiny_http::{Request, Response, Server};
-use utils::{Pool, listen, respond_json};
+use tiny_http::{Request, Response};
+use utils::{HttpServer, Pool, listen, respond_json};
 
 const CALLER_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Free ports that are tried until one is free for TCP and UDP.
@@ -78,7 +78,7 @@
 
 /// A daemon that listens.
 pub struct Daemon {
-    server: Arc<Server>,
+    server: Arc<HttpServer>,
     address: SocketAddr,
     shell: Shell,
     peers: Arc<Peers>,
@@ -168,7 +168,7 @@
 }
 
 /// Listens for callers and opens the socket for other daemons at the same port.
-fn open(address: SocketAddr) -> Result<(Server, UdpSocket), StartError> {
+fn open(address: SocketAddr) -> Result<(HttpServer, UdpSocket), StartError> {
     let mut tries = if address.port() == 0 { PORT_TRIES } else { 1 };
     loop {
         tries -= 1;
--- a/components/utils/src/http.rs
+++ b/components/utils/src/http.rs
@@ -4,20 +4,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
-use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
 use std::io::{self, Read, Write};
-use std::net::SocketAddr;
 use std::time::Duration;
-use tiny_http::{Header, Request, Response, Server};
-
-const ACCEPT_BACKLOG: i32 = 1024;
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(10);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
-const KEEPALIVE_PROBES: u32 = 3;
-/// Bytes of an answer that the kernel holds for a slow reader; Linux doubles the figure.
-const SEND_BUFFER: usize = 16 << 10;
-
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(30);
+use tiny_http::{Header, Request, Response};
 
 /// A failed exchange with another process.
 #[derive(Debug, Snafu)]
@@ -60,24 +49,6 @@
     }
 }
 
-/// Opens a listener whose connections are found dead when their other end goes silent.
-pub fn listen(address: SocketAddr, read_timeout: Option<Duration>) -> io::Result<Server> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_reuse_address(true)?;
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
-    socket.set_tcp_nodelay(true)?;
-    socket.set_send_buffer_size(SEND_BUFFER)?;
-    socket.set_read_timeout(read_timeout)?;
-    socket.bind(&address.into())?;
-    socket.listen(ACCEPT_BACKLOG)?;
-    Server::from_listener(std::net::TcpListener::from(socket), None).map_err(io::Error::other)
-}
-
 /// Prepares a request that follows no redirect, uses no proxy and is sent once.
 pub fn client(req: RequestBuilder, timeout: Duration) -> RequestBuilder {
     req.follow_redirects(false)
--- a/src/bin/chervilspurd.rs
+++ b/src/bin/chervilspurd.rs
@@ -2,7 +2,7 @@
 
 use config::{BAD_SETTING, LogLevel, Settings, SettingsFlags, process_flags, process_variable};
 use daemon::Daemon;
-use simplelog::{ColorChoice, Config, LevelFilter, TermLogger, TerminalMode};
+use simplelog::{ColorChoice, ConfigBuilder, LevelFilter, TermLogger, TerminalMode};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -19,7 +19,9 @@
     };
     let mode = TerminalMode::Stderr;
     let level = level_filter(cfg.log_level);
-    let _ = TermLogger::init(level, Config::default(), mode, ColorChoice::Never);
+    // The HTTP library reports each time without a connection as an error.
+    let log_cfg = ConfigBuilder::new().add_filter_ignore_str("tiny_http").build();
+    let _ = TermLogger::init(level, log_cfg, mode, ColorChoice::Never);
     let daemon = match Daemon::start(cfg) {
         Ok(daemon) => daemon,
         Err(e) => {
