--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -152,9 +152,8 @@
         let (caller_shell, control_shell) = (self.shell.clone(), self.shell.clone());
         let limit = self.shell.tables.cfg.callers;
         let callers = Pool::new("caller", limit, move |req| {
-            caller_shell.tables.serving.fetch_add(1, Ordering::Relaxed);
+            let _serving = Serving::new(&caller_shell.tables);
             serve_request(&caller_shell, req);
-            caller_shell.tables.serving.fetch_sub(1, Ordering::Relaxed);
         });
         let control =
             Pool::new("control", CONTROL_WORKERS, move |req| serve_request(&control_shell, req));
@@ -187,6 +186,22 @@
     }
 }
 
+/// Counts a request that is served until it is dropped, also by a panic.
+struct Serving<'a>(&'a Tables);
+
+impl Serving<'_> {
+    fn new(tables: &Tables) -> Serving<'_> {
+        tables.serving.fetch_add(1, Ordering::Relaxed);
+        Serving(tables)
+    }
+}
+
+impl Drop for Serving<'_> {
+    fn drop(&mut self) {
+        self.0.serving.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 fn start_attempts(shell: &Shell, rx: Receiver<Attempt>) -> Result<(), StartError> {
     let (work_shell, shell) = (shell.clone(), shell.clone());
     // Abandoned requests may still hold a worker while new ones start.
