Tell by the watchers whether the store answers

Cause: only the two watchers of a data centre call the store, so all other daemons said in status that it does not answer. Ruled out: a probe of the store by each daemon, which grows with the fleet. Conclusion: notes of ended watchers are passed over.

--- a/components/daemon/src/peers/lists.rs
+++ b/components/daemon/src/peers/lists.rs
@@ -1,16 +1,21 @@
 use super::Peers;
 use config::{LISTS_KIND, LISTS_NAME, Lists, Manifest, Published, Reader};
 use crossbeam::channel::Receiver;
-use decision::cluster::{Event, StoreCall, StoreOutcome};
+use decision::Millis;
+use decision::cluster::{Event, Scope, StoreCall, StoreOutcome};
 use serde::{Deserialize, Serialize};
 use std::fmt::Display;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use store::{Change, Changes, Object, Store, StoreError};
 
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 const WATCH_LIMIT: Duration = Duration::from_secs(30);
 
+/// The key under which the watchers of a data centre tell whether the store answers.
+pub(super) const STORE_KEY: &str = "store";
+/// The time for which that holds; each watch ends sooner.
+const STORE_TTL: Millis = Millis(45_000);
+
 /// The lists as the daemons pass them on.
 #[derive(Deserialize, Serialize)]
 pub(super) struct Document {
@@ -27,8 +32,13 @@
     for call in calls {
         let event = make(&store, &mut reader, call);
         let reachable = event != Event::Store(StoreOutcome::Failed);
-        peers.tables.store_reachable.store(reachable, Ordering::Relaxed);
         peers.tell(event);
+        peers.tell(Event::Publish {
+            key: STORE_KEY.to_string(),
+            scope: Scope::DataCentre,
+            ttl: STORE_TTL,
+            values: vec![u64::from(reachable)],
+        });
     }
 }
 
--- a/components/daemon/src/peers/mod.rs
+++ b/components/daemon/src/peers/mod.rs
@@ -12,7 +12,7 @@
     Cluster, ClusterConfig, Effect, Event, Identity, Member, MemberState, Revision, Scope, Seed,
     StoreCall,
 };
-use lists::{Document, follow_store};
+use lists::{Document, STORE_KEY, follow_store};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 pub use socket::open_socket;
@@ -91,6 +91,18 @@
         self.update_peers();
     }
 
+    /// Notes whether the store answers a watcher of this data centre.
+    fn update_store(&self) {
+        let now = self.tables.now();
+        let cluster = lock(&self.cluster);
+        let lives = |id| id == cluster.me().identity || cluster.members().get(id).is_some();
+        let answers = cluster
+            .entries(now)
+            .any(|entry| entry.key == STORE_KEY && entry.values == [1] && lives(entry.origin));
+        drop(cluster);
+        self.tables.store_reachable.store(answers, Ordering::Relaxed);
+    }
+
     /// Spreads a small value to every daemon.
     pub fn publish(&self, key: String, ttl: Millis, values: Vec<u64>) {
         self.tell(Event::Publish { key, scope: Scope::Fleet, ttl, values });
--- a/components/daemon/src/peers/socket.rs
+++ b/components/daemon/src/peers/socket.rs
@@ -44,6 +44,7 @@
         if now >= next_tick {
             next_tick = now + TICK_INTERVAL;
             peers.tell(Event::Tick);
+            peers.update_store();
             continue;
         }
         if let Err(e) = peers.socket.set_read_timeout(Some(next_tick - now)) {
--- a/tests/cut_data_centre.rs
+++ b/tests/cut_data_centre.rs
@@ -178,6 +178,9 @@
     site.wait("everybody knows six others", |all| {
         all.iter().all(|(_, status)| count_members(status, "live") == 6)
     });
+    site.wait("the store answers everybody's data centre", |all| {
+        all.iter().all(|(_, status)| status["store"]["reachable"] == true)
+    });
     site.cut.open();
     site.publish_lists(2);
     site.wait("revision 2 outside the cut", |all| {
@@ -196,6 +199,9 @@
         outside && all[6].1["revision"] == 1
     });
     assert_eq!(site.daemons[5].revision, 1);
+    site.wait("the cut-off data centre says so", |all| {
+        all.iter().all(|(dc, s)| (*dc == CUT_OFF) != (s["store"]["reachable"] == true))
+    });
 
     site.cut.heal();
     site.wait("revision 3 everywhere", all_at(3));
