Refuse keys after the store went back, seen with processes

Cause: the guard was shown in the search only, and reads did not feed it. Ruled out: feeding it from the lists' object, whose version stands still between edits.

--- a/components/daemon/src/records.rs
+++ b/components/daemon/src/records.rs
@@ -93,7 +93,10 @@
     /// Reads a record.
     pub fn read(&self, name: &RecordName) -> ReadAnswer {
         match self.store.get::<Record>(&name.kind, &name.name) {
-            Ok(Some(object)) => ReadAnswer::Found(object.version, object.value),
+            Ok(Some(object)) => {
+                lock(&self.guard).observe_read(object.version);
+                ReadAnswer::Found(object.version, object.value)
+            }
             Ok(None) => ReadAnswer::Missing,
             Err(e) => {
                 log::warn!("record {}: {e}", name.name);
--- a/components/decision/src/execution/restore_guard.rs
+++ b/components/decision/src/execution/restore_guard.rs
@@ -19,6 +19,11 @@
         self.issued_from
     }
 
+    /// Takes in the version of an object that was read.
+    pub fn observe_read(&mut self, version: u64) {
+        self.seen = self.seen.max(version);
+    }
+
     /// Takes in the version that a write got; `seen` is what was seen before the write began.
     ///
     /// Returns whether the store went on from there.
--- a/tests/execution.rs
+++ b/tests/execution.rs
@@ -194,6 +194,26 @@
     assert_eq!(told, refused("may_have_run", "store_unavailable"));
 }
 
+#[test]
+fn errors_when_the_store_has_lost_the_record_of_a_run() {
+    let site = start_site();
+    let at = site.address("daemon-1");
+    let url = format!("http://{}/objects/lists/current", site.store.address);
+    let version = get_json::<Value>(&url, PATIENCE).unwrap()["version"].clone();
+    let keys: Vec<String> = (0..10).map(|i| new_key(&format!("restore-{i}"))).collect();
+    for key in &keys {
+        let told = book(at, "key-1", key, 1, PATIENCE);
+        assert_eq!(told, Told::Outcome(json!({"ran": key, "run": 1})));
+    }
+    let restore = format!("http://{}/restore", site.store.address);
+    let _: Value = post_json(&restore, &json!({"version": version}), PATIENCE).unwrap();
+    let told = book(at, "key-1", &keys[0], 2, PATIENCE);
+    assert_eq!(told, refused("may_have_run", "store_unavailable"));
+    let told = book(at, "key-1", &keys[1], 2, PATIENCE);
+    assert_eq!(told, refused("may_have_run", "bad_idempotency_key"));
+    assert!(runs(&site).values().all(|count| *count == 1));
+}
+
 fn signal(site: &Site, name: &str, signal: &str) {
     let id = site.process(name).id().to_string();
     assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
