--- a/components/utils/src/http.rs
+++ b/components/utils/src/http.rs
@@ -4,25 +4,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
-use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::thread;
 use std::time::Duration;
-use tiny_http::{Header, Request, Response, Server};
-
-const ACCEPT_BACKLOG: i32 = 1024;
-
-/// Connections to itself by which a listener outlives its read timeout.
-const ACCEPTS_PER_TIMEOUT: u32 = 4;
-
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(10);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
-const KEEPALIVE_PROBES: u32 = 3;
-/// Bytes of an answer that the kernel holds for a slow reader; Linux doubles the figure.
-const SEND_BUFFER: usize = 16 << 10;
-
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(30);
+use tiny_http::{Header, Request, Response};
 
 /// A failed exchange with another process.
 #[derive(Debug, Snafu)]
@@ -65,46 +49,6 @@
     }
 }
 
-/// Opens a listener whose connections are found dead when their other end goes silent.
-pub fn listen(address: SocketAddr, read_timeout: Option<Duration>) -> io::Result<Server> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_reuse_address(true)?;
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
-    socket.set_tcp_nodelay(true)?;
-    socket.set_send_buffer_size(SEND_BUFFER)?;
-    socket.set_read_timeout(read_timeout)?;
-    socket.bind(&address.into())?;
-    socket.listen(ACCEPT_BACKLOG)?;
-    let listener = TcpListener::from(socket);
-    let address = listener.local_addr()?;
-    let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-    if let Some(timeout) = read_timeout {
-        keep_accepting(address, timeout / ACCEPTS_PER_TIMEOUT)?;
-    }
-    Ok(server)
-}
-
-/// Connects to a listener again and again until it is closed.
-///
-/// The read timeout of a listener also ends an `accept` that nobody calls, and the server with it.
-fn keep_accepting(address: SocketAddr, interval: Duration) -> io::Result<()> {
-    let connect = move || {
-        let refused = io::ErrorKind::ConnectionRefused;
-        loop {
-            match TcpStream::connect_timeout(&address, interval) {
-                Err(e) if e.kind() == refused => return,
-                _ => thread::sleep(interval),
-            }
-        }
-    };
-    thread::Builder::new().name("accept".to_string()).spawn(connect).map(|_| ())
-}
-
 /// Prepares a request that follows no redirect, uses no proxy and is sent once.
 pub fn client(req: RequestBuilder, timeout: Duration) -> RequestBuilder {
     req.follow_redirects(false)
