--- a/components/decision/src/cluster/membership.rs
+++ b/components/decision/src/cluster/membership.rs
@@ -1,11 +1,10 @@
 //! Joining, learning of members, leaving, and being taken for dead.
 
-use super::identity::mix;
 use super::spread::News;
 use super::state::Cluster;
-use super::{Effect, Identity, Member, MemberChange, MemberState, Merge, Scope, Seed};
+use super::{Effect, Identity, Member, MemberChange, MemberState, Merge, Seed};
 use crate::Millis;
-use messages::cluster::{Bucket, Packet, PacketKind};
+use messages::cluster::{Packet, PacketKind};
 use rand::seq::{IndexedRandom, IteratorRandom};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -16,14 +15,6 @@
 const JOIN_ANSWERS: u32 = 2;
 /// The time between two probes of listed daemons that are no members.
 const SEED_INTERVAL: Millis = Millis(2_000);
-/// The time between two exchanges of a bucket.
-const EXCHANGE_INTERVAL: Millis = Millis(1_000);
-/// The time between two notes of the data centres that a bridge reaches.
-const REACH_INTERVAL: Millis = Millis(10_000);
-/// The time for which such a note holds.
-const REACH_TTL: Millis = Millis(25_000);
-/// The key of such a note.
-const REACH_KEY: &str = "reach";
 
 impl Cluster {
     pub(super) fn learn_all(
@@ -242,116 +233,6 @@
         effects.push(Effect::Send { to, packet });
     }
 
-    /// Tells a daemon that joins all members and all values that reach it.
-    pub(super) fn introduce(
-        &mut self,
-        joiner: Identity,
-        to: SocketAddr,
-        now: Millis,
-        effects: &mut Vec<Effect>,
-    ) {
-        let is_local = self
-            .members
-            .get(joiner)
-            .is_some_and(|member| member.data_centre == self.cfg.data_centre);
-        let others = self.members.iter().filter(|member| member.identity != joiner);
-        let records = others.map(Member::to_record).collect();
-        let visible = self.table.iter(now).filter(|e| is_local || e.scope == Scope::Fleet);
-        let entries = visible.map(|entry| entry.to_wire(now)).collect();
-        self.send_all(to, records, entries, effects);
-    }
-
-    /// Sends the records of a bucket whose digest differs from the other daemon's.
-    pub(super) fn compare_bucket(
-        &mut self,
-        to: SocketAddr,
-        bucket: &Bucket,
-        now: Millis,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Bucket { bits, index, digest } = *bucket;
-        if bits > 16 || self.bucket_digest(bits, index) == digest || now < self.due.exchange {
-            return;
-        }
-        self.due.exchange = now + EXCHANGE_INTERVAL;
-        let mut packet = self.packet(PacketKind::Exchange, 0);
-        packet.bucket = Bucket { bits, index, digest: self.bucket_digest(bits, index) };
-        let records: Vec<_> = self.bucket(bits, index).into_iter().map(Member::to_record).collect();
-        let count = records.len();
-        for record in records.into_iter().sample(&mut self.rng, count) {
-            packet.members.push(record);
-            if super::packet_size(&packet) > self.cfg.packet_limit {
-                packet.members.pop();
-                break;
-            }
-        }
-        effects.push(Effect::Send { to, packet });
-    }
-
-    /// Answers an exchange with the records that the other daemon lacks.
-    pub(super) fn complete_exchange(
-        &mut self,
-        to: SocketAddr,
-        packet: &Packet,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Bucket { bits, index, .. } = packet.bucket;
-        if bits > 16 {
-            return;
-        }
-        let has = |member: &Member| {
-            let same = packet.members.iter().find(|r| Identity::from(&r.id) == member.identity);
-            same.is_some_and(|record| record.sequence >= member.sequence)
-        };
-        let lacking: Vec<_> = self
-            .bucket(bits, index)
-            .into_iter()
-            .filter(|member| !has(member))
-            .map(Member::to_record)
-            .collect();
-        if !lacking.is_empty() {
-            self.send_all(to, lacking, Vec::new(), effects);
-        }
-    }
-
-    /// Notes which data centres can be reached, by this daemon or by the bridges of its own.
-    pub(super) fn update_reach(&mut self, now: Millis, effects: &mut Vec<Effect>) {
-        let others = self.members.iter().filter(|m| m.data_centre != self.cfg.data_centre);
-        let names: BTreeSet<String> = others.map(|m| m.data_centre.clone()).collect();
-        self.reachable.retain(|name, _| names.contains(name));
-        let noted: BTreeSet<u64> = self
-            .table
-            .iter(now)
-            .filter(|entry| entry.key == REACH_KEY && entry.origin != self.me.identity)
-            .flat_map(|entry| entry.values.iter().copied())
-            .collect();
-        let mut heard = Vec::new();
-        for name in names {
-            let at = self.heard.get(&name).copied();
-            let hears = at.is_some_and(|at| now.since(at) < self.cfg.unreachable_after);
-            if hears {
-                heard.push(data_centre_number(&name));
-            }
-            let reachable = hears || noted.contains(&data_centre_number(&name));
-            if self.reachable.insert(name.clone(), reachable) != Some(reachable) {
-                effects.push(Effect::DataCentre { name, reachable });
-            }
-        }
-        self.note_reach(heard, now);
-    }
-
-    fn note_reach(&mut self, heard: Vec<u64>, now: Millis) {
-        let noted = self.table.get(self.me.identity, REACH_KEY).map(|entry| &entry.values);
-        let is_new = noted.map_or(!heard.is_empty(), |noted| *noted != heard);
-        // A member that stops being a bridge lets its note lapse unless it changes.
-        let has_none = heard.is_empty() && noted.is_none();
-        if !self.is_bridge || has_none || (!is_new && now < self.due.reach) {
-            return;
-        }
-        self.due.reach = now + REACH_INTERVAL;
-        self.publish(String::from(REACH_KEY), Scope::DataCentre, REACH_TTL, heard, now);
-    }
-
     /// Leaves the cluster.
     pub(super) fn leave(&mut self, _now: Millis, effects: &mut Vec<Effect>) {
         self.leaving = true;
@@ -392,8 +273,3 @@
         addresses
     }
 }
-
-/// Returns the number that stands for a data centre in a note.
-fn data_centre_number(name: &str) -> u64 {
-    name.bytes().fold(0, |hash, byte| mix(hash, u64::from(byte) + 1))
-}
--- a/components/decision/src/cluster/mod.rs
+++ b/components/decision/src/cluster/mod.rs
@@ -2,6 +2,7 @@
 
 mod chunks;
 mod event;
+mod exchange;
 mod following;
 mod identity;
 mod lists;
@@ -11,6 +12,7 @@
 mod packets;
 mod prober;
 mod probing;
+mod reach;
 mod rendezvous;
 mod settings;
 mod spread;
--- a/components/fleet/src/driver.rs
+++ b/components/fleet/src/driver.rs
@@ -1,8 +1,7 @@
 use crate::{Invariants, Store, Times, Traffic};
 use decision::Millis;
 use decision::cluster::{
-    Cluster, ClusterConfig, Effect, Event, Identity, MemberChange, Seed, StoreCall, StoreOutcome,
-    packet_size,
+    Cluster, ClusterConfig, Effect, Event, Identity, MemberChange, Seed, packet_size,
 };
 use messages::{open, seal};
 use rand::{RngExt, SeedableRng};
@@ -17,10 +16,7 @@
 const UDP_AND_IP_HEADERS: usize = 28;
 const INSTANCE_LIST_INTERVAL: Millis = Millis(2_000);
 const INSTANCE_LIST_LAG: Millis = Millis(5_000);
-const STORE_LATENCY: Millis = Millis(3);
 const DATA_CENTRES: usize = 4;
-/// Stands for the end of a watch in place of a version.
-const DEADLINE: u64 = u64::MAX;
 
 /// Settings of a measured fleet.
 #[derive(Clone, Debug)]
@@ -54,7 +50,7 @@
 
 /// What happens to a node.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Action {
+pub(crate) enum Action {
     Start,
     Tick { incarnation: u64 },
     Arrive { from: usize, buf: Vec<u8> },
@@ -150,6 +146,11 @@
         self.nodes.get(node)?.cluster.as_ref()
     }
 
+    /// Returns how often a node has started.
+    pub(crate) fn incarnation(&self, node: usize) -> u64 {
+        self.nodes[node].incarnation
+    }
+
     /// Returns the nodes that run.
     pub fn live(&self) -> Vec<usize> {
         (0..self.nodes.len()).filter(|node| self.nodes[*node].cluster.is_some()).collect()
@@ -187,27 +188,11 @@
         self.nodes[node].paused_until = self.now + time;
     }
 
-    /// Puts new lists into the store and wakes its watches.
-    pub fn change_lists(&mut self, revision: u64, text: String) {
-        self.store.put(revision, text);
-        for (node, incarnation, _) in std::mem::take(&mut self.store.waiting) {
-            self.answer_store(node, incarnation, Some(self.store.version));
-        }
-    }
-
     /// Loses this many packets in a thousand from now on.
     pub fn set_loss(&mut self, permille: u32) {
         self.cfg.loss_permille = permille;
     }
 
-    /// Takes the store down, which ends its watches, or up again.
-    pub fn set_store_down(&mut self, is_down: bool) {
-        self.store.is_down = is_down;
-        for (node, incarnation, _) in std::mem::take(&mut self.store.waiting) {
-            self.answer_store(node, incarnation, None);
-        }
-    }
-
     /// Runs until `until`.
     pub fn run(&mut self, until: Millis) {
         while let Some(Reverse((at, _, _, _))) = self.heap.peek() {
@@ -341,56 +326,7 @@
         self.schedule(self.now + Millis(delay), to, Action::Arrive { from, buf });
     }
 
-    fn call_store(&mut self, node: usize, call: StoreCall) {
-        self.store.calls += 1;
-        let incarnation = self.nodes[node].incarnation;
-        if self.store.is_down || self.store_cuts.contains(&Fleet::data_centre(node)) {
-            return self.answer_store(node, incarnation, None);
-        }
-        if self.store.answers(call) {
-            return self.answer_store(node, incarnation, Some(self.store.version));
-        }
-        let deadline = self.now + crate::store::WATCH_LIMIT;
-        self.store.waiting.push((node, incarnation, deadline));
-        self.schedule(deadline, node, Action::StoreAnswer { incarnation, call: Some(DEADLINE) });
-    }
-
-    fn answer_store(&mut self, node: usize, incarnation: u64, call: Option<u64>) {
-        let at = self.now + STORE_LATENCY;
-        self.schedule(at, node, Action::StoreAnswer { incarnation, call });
-    }
-
-    fn tell_store(&mut self, node: usize, call: Option<u64>) {
-        let cut = self.store_cuts.contains(&Fleet::data_centre(node));
-        let event = match call {
-            Some(DEADLINE) => {
-                let now = self.now;
-                let waits = |w: &&(usize, u64, Millis)| w.0 == node && w.2 <= now;
-                if self.store.waiting.iter().find(waits).is_none() {
-                    return;
-                }
-                self.store.waiting.retain(|w| w.0 != node);
-                Event::Store(StoreOutcome::Unchanged { version: self.store.version })
-            }
-            Some(_) if !cut && !self.store.is_down && self.store.version > 0 => Event::Lists {
-                version: self.store.version,
-                revision: self.store.revision,
-                text: self.store.text.clone(),
-            },
-            Some(_) if !cut && !self.store.is_down => {
-                Event::Store(StoreOutcome::Unchanged { version: self.store.version })
-            }
-            _ => Event::Store(StoreOutcome::Failed),
-        };
-        self.tell(node, event);
-    }
-
-    fn expire_watches(&mut self) {
-        let now = self.now;
-        self.store.waiting.retain(|w| w.2 >= now);
-    }
-
-    fn schedule(&mut self, at: Millis, node: usize, action: Action) {
+    pub(crate) fn schedule(&mut self, at: Millis, node: usize, action: Action) {
         self.sequence += 1;
         self.heap.push(Reverse((at, self.sequence, node, action)));
     }
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -1,5 +1,6 @@
 //! Many copies of the cluster state machine in virtual time, with messages as values.
 
+mod calls;
 mod driver;
 mod invariants;
 mod measures;
