--- /dev/null
+++ b/tests/daemon/main.rs
@@ -0,0 +1,8 @@
+//! Streams, stops, spans and metrics of daemons, shown with real processes.
+
+mod observe;
+mod script;
+mod stop;
+mod streams;
+mod support;
+mod wrong;
--- /dev/null
+++ b/tests/daemon/observe.rs
@@ -0,0 +1,1 @@
+//! Spans, metrics and what operators are told.
--- /dev/null
+++ b/tests/daemon/script.rs
@@ -0,0 +1,67 @@
+//! An engine that sends given lines.
+
+use fakes::Site;
+use serde_json::{Value, json};
+use std::io::Read;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use utils::{ChunkWriter, get_json, listen, post_json, respond_json};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A thread that answers as an engine with one slot.
+pub struct ScriptedEngine {
+    address: SocketAddr,
+}
+
+impl ScriptedEngine {
+    /// Starts an engine that answers each request with the lines that `script` gives.
+    pub fn start(script: fn(&str) -> Vec<String>) -> ScriptedEngine {
+        let server = listen("127.0.0.1:0".parse().unwrap(), None).unwrap();
+        let address = server.server_addr().to_ip().unwrap();
+        thread::spawn(move || {
+            for mut req in server.incoming_requests() {
+                let sent = match req.url() {
+                    "/v1/description" => {
+                        let body = json!({"serves": ["campo-8b"], "slots": 1, "incarnation": "1"});
+                        respond_json(req, 200, &body)
+                    }
+                    "/v1/chat/completions" => {
+                        // The answer does not depend on the body.
+                        let _ = req.as_reader().read_to_end(&mut Vec::new());
+                        let header = req.headers().iter().find(|h| h.field.equiv("x-request-id"));
+                        let lines = script(header.unwrap().value.as_str());
+                        ChunkWriter::start(req, "200 OK", &[]).and_then(|mut writer| {
+                            for line in lines {
+                                writer.send(format!("{line}\n\n").as_bytes())?;
+                            }
+                            writer.close()
+                        })
+                    }
+                    _ => respond_json(req, 404, &Value::Null),
+                };
+                // A daemon may close the connection before the end.
+                drop(sent);
+            }
+        });
+        ScriptedEngine { address }
+    }
+
+    /// Puts the engine into the instance list of a site.
+    pub fn join(&self, site: &Site) {
+        let url = format!("http://{}/instances", site.instances.address);
+        let mut list: Value = get_json(&url, TIMEOUT).unwrap();
+        list["instances"].as_array_mut().unwrap().push(json!({
+            "name": "scripted", "kind": "engine", "address": self.address,
+            "data_centre": "aburra-norte", "region": "valle-aburra", "state": "live",
+        }));
+        let _: Value = post_json(&url, &list, TIMEOUT).unwrap();
+    }
+}
+
+/// Returns the line of one token.
+pub fn event(id: &str, attempt: u32, offset: u64, token: &str) -> String {
+    let event = json!({"request": id, "attempt": attempt, "offset": offset, "token": token});
+    format!("data: {event}")
+}
