--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -27,8 +27,8 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
-use tiny_http::{Request, Response, Server};
-use utils::{Pool, listen, respond_json};
+use tiny_http::{Request, Response};
+use utils::{HttpServer, Pool, listen, respond_json};
 
 const CALLER_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Free ports that are tried until one is free for TCP and UDP.
@@ -79,7 +79,7 @@
 
 /// A daemon that listens.
 pub struct Daemon {
-    server: Arc<Server>,
+    server: Arc<HttpServer>,
     address: SocketAddr,
     shell: Shell,
     peers: Arc<Peers>,
@@ -152,9 +152,8 @@
         let (caller_shell, control_shell) = (self.shell.clone(), self.shell.clone());
         let limit = self.shell.tables.cfg.callers;
         let callers = Pool::new("caller", limit, move |req| {
-            caller_shell.tables.serving.fetch_add(1, Ordering::Relaxed);
+            let _serving = Serving::new(&caller_shell.tables);
             serve_request(&caller_shell, req);
-            caller_shell.tables.serving.fetch_sub(1, Ordering::Relaxed);
         });
         let control =
             Pool::new("control", CONTROL_WORKERS, move |req| serve_request(&control_shell, req));
@@ -172,7 +171,7 @@
 }
 
 /// Listens for callers and opens the socket for other daemons at the same port.
-fn open(address: SocketAddr) -> Result<(Server, UdpSocket), StartError> {
+fn open(address: SocketAddr) -> Result<(HttpServer, UdpSocket), StartError> {
     let mut tries = if address.port() == 0 { PORT_TRIES } else { 1 };
     loop {
         tries -= 1;
@@ -187,6 +186,22 @@
     }
 }
 
+/// Counts a request that is served until it is dropped, also by a panic.
+struct Serving<'a>(&'a Tables);
+
+impl Serving<'_> {
+    fn new(tables: &Tables) -> Serving<'_> {
+        tables.serving.fetch_add(1, Ordering::Relaxed);
+        Serving(tables)
+    }
+}
+
+impl Drop for Serving<'_> {
+    fn drop(&mut self) {
+        self.0.serving.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 fn start_attempts(shell: &Shell, rx: Receiver<Attempt>) -> Result<(), StartError> {
     let (work_shell, shell) = (shell.clone(), shell.clone());
     // Abandoned requests may still hold a worker while new ones start.
