--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -4,12 +4,13 @@
 use crate::control::send_order;
 use crate::endpoints::probe_endpoints;
 use crate::exchange::exchange_loads;
+use crate::orders::order_models;
 use crate::peer::{FORWARD_PATH, serve_forward};
 use crate::peers::{Peers, open_socket};
 use crate::platform::{DaemonDescription, follow};
 use crate::reply::respond_refusal;
 use crate::resume::{expire, serve_request_path};
-use crate::service::serve_call;
+use crate::service::{serve_call, unserved};
 use crate::spans::start_export;
 use crate::stop::stop_gracefully;
 use crate::sweep::sweep_records;
@@ -113,6 +114,8 @@
         spawn("loads", move || exchange_loads(&load_shell, &load_peers))?;
         let probe_shell = shell.clone();
         spawn("probes", move || probe_endpoints(&probe_shell))?;
+        let order_shell = shell.clone();
+        spawn("models", move || order_models(&order_shell))?;
         let sweep_shell = shell.clone();
         spawn("sweep", move || sweep_records(&sweep_shell))?;
         let tick_shell = shell.clone();
@@ -160,7 +163,8 @@
             let refused = if is_control(req.url()) { control.run(req) } else { callers.run(req) };
             if let Err(req) = refused {
                 let refusal = Refusal::not_run(Reason::Overloaded, "every worker is busy");
-                log_failure(respond_refusal(req, "", &refusal.retry_after(1_000)));
+                let refusal = unserved(&req, refusal.retry_after(1_000));
+                log_failure(respond_refusal(req, "", &refusal));
             }
         }
         Ok(())
