--- a/components/utils/src/server.rs
+++ b/components/utils/src/server.rs
@@ -84,6 +84,11 @@
         self.rx.iter().map_while(|message| message)
     }
 
+    /// Waits at most `timeout` for a request.
+    pub fn recv_timeout(&self, timeout: Duration) -> Option<Request> {
+        self.rx.recv_timeout(timeout).ok().flatten()
+    }
+
     /// Ends one iteration over the requests.
     pub fn unblock(&self) {
         // The receiver lives as long as the server.
