Hold calls of plain services to the limits of their account

Cause: calls of plain services do not pass the scheduler's queue, and so the account limits (requests, calls at once) were never asked; a class that a model answers could be marked as not repeatable although no record guards it. Ruled out: sending calls through the queue (they take no slot of an engine); a record for chat requests too (a caller that lost its stream comes back by id, and what may not be repeated is a call of a plain service). Conclusion: refusals of calls are now counted by reason as well.

--- a/components/config/src/check.rs
+++ b/components/config/src/check.rs
@@ -76,6 +76,9 @@
         if class.model.is_empty() == class.service.is_empty() {
             found.push((key.clone(), Problem::Serves));
         }
+        if class.service.is_empty() && !class.repeatable {
+            found.push((format!("{key}.repeatable"), Problem::NotRepeatable));
+        }
         target_problems(&key, class, &mut found);
         if thousandths(class.floor).is_none() {
             let floor = class.floor.to_string();
--- a/components/config/src/problem.rs
+++ b/components/config/src/problem.rs
@@ -64,6 +64,9 @@
     /// A class names no model and no plain service, or both.
     #[snafu(display("either model or service must be set"))]
     Serves,
+    /// A model's answers can be had again, so nothing records that one was made.
+    #[snafu(display("a class that a model answers must be repeatable"))]
+    NotRepeatable,
     /// A class lacks a target.
     #[snafu(display("the target is missing; it must be at least 1 ms"))]
     NoTarget,
--- a/components/config/tests/lists.rs
+++ b/components/config/tests/lists.rs
@@ -116,6 +116,11 @@
     "repeatable = false\nfloor = 0.5",
     "22: classes.booking.floor: the floor needs requests_per_minute in pools.booking"
 )]
+#[case(
+    "repeatable = true",
+    "repeatable = false",
+    "6: classes.plan.repeatable: a class that a model"
+)]
 #[case("repeatable = true\n", "", "4: classes.plan: missing field `repeatable`")]
 #[case(
     "[classes.plan]",
--- a/components/daemon/src/service.rs
+++ b/components/daemon/src/service.rs
@@ -2,10 +2,10 @@
 use crate::callers::{header, permit, read_body};
 use crate::execution::{CallerKey, refusal_of_attempt, run_once};
 use crate::reply::respond_refusal;
-use crate::tables::{lock, lock_read};
+use crate::tables::{Tables, lock, lock_read};
 use decision::Millis;
 use decision::execution::{Answer, EndpointAnswer, Outcome};
-use decision::load::EndpointState;
+use decision::load::{Arrival, EndpointState};
 use errors::{Reason, Refusal};
 use std::io;
 use std::net::SocketAddr;
@@ -22,6 +22,25 @@
 /// The attempts at a call that may be repeated.
 const REPEATABLE_TRIES: u64 = 3;
 
+/// Charges a call to its account's limits until it is dropped, also by a panic.
+struct Charge<'a> {
+    tables: &'a Tables,
+    arrival: Arrival,
+}
+
+impl<'a> Charge<'a> {
+    fn new(tables: &'a Tables, arrival: Arrival) -> Result<Charge<'a>, Refusal> {
+        lock(&tables.scheduler).start_call(&arrival, tables.now())?;
+        Ok(Charge { tables, arrival })
+    }
+}
+
+impl Drop for Charge<'_> {
+    fn drop(&mut self) {
+        lock(&self.tables.scheduler).end_call(&self.arrival);
+    }
+}
+
 /// A caller's call to a plain service.
 #[derive(Clone, Debug)]
 pub struct ServiceCall {
@@ -62,22 +81,21 @@
 /// Serves a call to a plain service.
 pub fn serve_call(shell: &Shell, mut req: Request) -> io::Result<()> {
     let (number, id) = shell.tables.new_request();
-    let prepared = prepare(shell, &mut req, number, &id).and_then(|call| {
-        let key = caller_key(&req, &call)?;
-        Ok((call, key))
-    });
-    match prepared {
+    let (call, _charge, key) = match prepare(shell, &mut req, number, &id) {
+        Ok(prepared) => prepared,
         Err(refusal) => {
+            let class = header(&req, "x-request-class").unwrap_or_default();
+            if refusal.reason != Reason::UnknownClass {
+                shell.tables.measures.add_refusal(class, &refusal);
+            }
             let refusal = unserved(&req, refusal);
-            respond_refusal(req, &id, &refusal)
-        }
-        Ok((call, None)) => respond(req, &id, run_repeatable(shell, &call)),
-        Ok((call, Some(key))) => {
-            let mut result = Ok(());
-            run_once(shell, &call, key, |answer| result = respond(req, &id, answer));
-            result
+            return respond_refusal(req, &id, &refusal);
         }
-    }
+    };
+    let Some(key) = key else { return respond(req, &id, run_repeatable(shell, &call)) };
+    let mut result = Ok(());
+    run_once(shell, &call, key, |answer| result = respond(req, &id, answer));
+    result
 }
 
 /// Weakens the refusal of a call that is not looked at, unless it is its caller's first attempt.
@@ -90,19 +108,19 @@
     header(req, KEY_HEADER).is_none() || header(req, ATTEMPT_HEADER) == Some("1")
 }
 
-fn prepare(
-    shell: &Shell,
+fn prepare<'a>(
+    shell: &'a Shell,
     req: &mut Request,
     number: u64,
     id: &str,
-) -> Result<ServiceCall, Refusal> {
+) -> Result<(ServiceCall, Charge<'a>, Option<CallerKey>), Refusal> {
     let in_force = shell.tables.lists();
     let arrival = permit(&shell.tables, &in_force, req)?.arrival(number, "");
     let call = ServiceCall {
         number,
         id: id.to_string(),
-        account: arrival.account,
-        service: arrival.serves,
+        account: arrival.account.clone(),
+        service: arrival.serves.clone(),
         repeatable: arrival.repeatable,
         finish: arrival.finish,
         key: header(req, KEY_HEADER).unwrap_or_default().to_string(),
@@ -112,7 +130,9 @@
         let text = format!("no endpoint serves {}", call.service);
         return Err(Refusal::not_run(Reason::NoEndpoint, text).retry_after(1_000));
     }
-    Ok(call)
+    let key = caller_key(req, &call)?;
+    let charge = Charge::new(&shell.tables, arrival)?;
+    Ok((call, charge, key))
 }
 
 fn caller_key(req: &Request, call: &ServiceCall) -> Result<Option<CallerKey>, Refusal> {
--- /dev/null
+++ b/components/decision/src/load/call.rs
@@ -0,0 +1,45 @@
+use super::{Arrival, Scheduler};
+use crate::Millis;
+use errors::{Reason, Refusal};
+
+/// Calls of plain services, which take no slot of an engine but count against account limits.
+impl Scheduler {
+    /// Charges a call to its account, or refuses it.
+    pub fn start_call(&mut self, arrival: &Arrival, now: Millis) -> Result<(), Refusal> {
+        if !self.cfg.mechanisms.limits {
+            return Ok(());
+        }
+        self.charge_account(arrival, 0, now).map_err(|ms| limit_reached(arrival, ms))?;
+        self.calls += 1;
+        Ok(())
+    }
+
+    /// Notes that a call that was charged has ended.
+    pub fn end_call(&mut self, arrival: &Arrival) {
+        if !self.cfg.mechanisms.limits {
+            return;
+        }
+        self.calls -= 1;
+        self.limits.release(&arrival.account, &arrival.class, 0, 0);
+    }
+
+    /// Charges one request and its tokens; returns the time to come back, in milliseconds, when
+    /// they do not fit.
+    pub(super) fn charge_account(
+        &mut self,
+        arrival: &Arrival,
+        tokens: u32,
+        now: Millis,
+    ) -> Result<(), u64> {
+        let (daemons, _) = self.peers.of(&self.cfg.data_centre, "");
+        let share = self.cfg.limit_share / f64::from(daemons + 1);
+        let key = (arrival.account.as_str(), arrival.class.as_str());
+        self.limits.charge(key, arrival.limits, share, tokens, now)
+    }
+}
+
+/// Refuses a request beyond the limits of its account.
+pub(super) fn limit_reached(arrival: &Arrival, wait_ms: u64) -> Refusal {
+    let text = format!("account {} class {}", arrival.account, arrival.class);
+    Refusal::not_run(Reason::LimitReached, text).retry_after(wait_ms)
+}
--- a/components/decision/src/load/invariant.rs
+++ b/components/decision/src/load/invariant.rs
@@ -57,6 +57,7 @@
         let held: usize = pools().flat_map(|p| p.paused.iter()).map(|p| p.len()).sum();
         assert_eq!(paused, held, "paused requests against the pools");
         let charged = self.entries.values().filter(|e| e.is_charged).count() as u64;
+        let charged = charged + self.calls;
         assert_eq!(charged, self.limits.streams(), "charged streams against the entries");
     }
 
--- a/components/decision/src/load/mod.rs
+++ b/components/decision/src/load/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod arrival;
 mod bucket;
+mod call;
 mod choice;
 mod config;
 mod dispatch;
--- a/components/decision/src/load/scheduler.rs
+++ b/components/decision/src/load/scheduler.rs
@@ -1,3 +1,4 @@
+use super::call::limit_reached;
 use super::choice::hash_names;
 use super::entry::{Entry, Place};
 use super::length::LengthBook;
@@ -29,6 +30,8 @@
     pub(super) pools: BTreeMap<String, Pool>,
     pub(super) peers: Peers,
     pub(super) limits: Limits,
+    /// Calls of plain services that are charged to the limits.
+    pub(super) calls: u64,
     pub(super) lengths: LengthBook,
     pub(super) retries: RetryBudget,
     pub(super) link: Link,
@@ -52,6 +55,7 @@
             pools: BTreeMap::new(),
             peers: Peers::default(),
             limits: Limits::default(),
+            calls: 0,
             lengths: LengthBook::default(),
             retries: RetryBudget::default(),
             link: Link::default(),
@@ -110,9 +114,7 @@
         }
         let mut entry = Entry::new(arrival, now);
         if let Err(wait_ms) = self.charge(&mut entry, now) {
-            let arrival = &entry.arrival;
-            let text = format!("account {} class {}", arrival.account, arrival.class);
-            let refusal = Refusal::not_run(Reason::LimitReached, text).retry_after(wait_ms);
+            let refusal = limit_reached(&entry.arrival, wait_ms);
             return vec![Effect::Refuse { request, refusal }];
         }
         if is_local { self.admit(entry, now) } else { self.send_elsewhere(entry, now) }
@@ -143,13 +145,10 @@
         if entry.arrival.forwarded || !self.cfg.mechanisms.limits {
             return Ok(());
         }
-        let (daemons, _) = self.peers.of(&self.cfg.data_centre, "");
-        let share = self.cfg.limit_share / f64::from(daemons + 1);
         let arrival = &entry.arrival;
         let answer = self.lengths.remaining(&arrival.class, &arrival.account, 0, 0.5);
         let tokens = arrival.prompt_tokens + answer;
-        let key = (arrival.account.as_str(), arrival.class.as_str());
-        self.limits.charge(key, arrival.limits, share, tokens, now)?;
+        self.charge_account(arrival, tokens, now)?;
         entry.charged = tokens;
         entry.is_charged = true;
         Ok(())
