--- a/components/workload/src/scenario.rs
+++ b/components/workload/src/scenario.rs
@@ -83,7 +83,7 @@
         for phase in &mut scenario.phases {
             (phase.from, phase.until) = (0, 8_000);
         }
-        scenario.until = 12_000;
+        scenario.until = 36_000;
         scenario
     }
 
