--- a/examples/local/samples.rs
+++ b/examples/local/samples.rs
@@ -6,11 +6,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-/// Tokens that a sample asks for at most.
 const MAX_TOKENS: u64 = 64;
-
-/// Characters of an answer that are shown.
-const SHOWN: usize = 60;
+const SHOWN_CHARACTERS: usize = 60;
 
 type Text = &'static str;
 
@@ -97,11 +94,15 @@
     Caller { address, key: format!("key-{}", sample.account), class: sample.class.to_string() }
 }
 
-/// Finds the engines that ran a request.
+/// Finds the other daemons that know a request and the engines that ran it.
 fn path(site: &Site, sample: &Sample, answer: &Answer) -> Vec<String> {
-    let ran = |name: &&str| site.get(name, "/counts").is_ok_and(|c| !c[&answer.request].is_null());
+    let id = &answer.request;
+    let ran = |name: &&str| site.get(name, "/counts").is_ok_and(|counts| !counts[id].is_null());
+    let knows = |name: &&str| site.get(name, &format!("/admin/explain/{id}")).is_ok();
+    let daemons = site.names(InstanceKind::Daemon).into_iter();
+    let others = daemons.filter(|name| *name != sample.daemon).filter(knows);
     let engines = site.names(InstanceKind::Engine).into_iter().filter(ran);
-    [sample.daemon].into_iter().chain(engines).map(str::to_string).collect()
+    [sample.daemon].into_iter().chain(others).chain(engines).map(str::to_string).collect()
 }
 
 /// Returns how many calls each service ran.
@@ -112,15 +113,14 @@
         let total = counts.as_object().map(|c| c.values().filter_map(Value::as_u64).sum());
         runs.insert(name.to_string(), total.unwrap_or(0));
     }
-    runs.retain(|_, total| *total > 0);
-    runs
+    runs.into_iter().filter(|(_, total)| *total > 0).collect()
 }
 
 fn shorten(answer: &Answer) -> String {
     if let Some(refusal) = &answer.refusal {
         return format!("status {} {refusal}", answer.status);
     }
-    let shown: String = answer.text.chars().take(SHOWN).collect();
+    let shown: String = answer.text.chars().take(SHOWN_CHARACTERS).collect();
     format!("{shown}... ({} tokens)", answer.text.split_whitespace().count())
 }
 
