Read any bytes, tell operators what the cluster found, cross data centres

Cause: nothing sent the daemon's readers bytes that they do not expect; /admin/status kept cut-off data centres, an older store and two lists of one revision to the log; spans that a collector refused were not counted. Before: a dead collector left no note.

--- a/components/daemon/src/admin.rs
+++ b/components/daemon/src/admin.rs
@@ -12,14 +12,6 @@
 pub fn status(tables: &Tables) -> DaemonStatus {
     let in_force = tables.lists();
     let reachable = tables.store_reachable.load(Ordering::Relaxed);
-    let mut notes = Vec::new();
-    if !reachable {
-        notes.push("the store does not answer".to_string());
-    }
-    let unexported = tables.spans.unexported();
-    if tables.cfg.spans.is_some() && unexported > 0 {
-        notes.push(format!("{unexported} spans were not exported"));
-    }
     DaemonStatus {
         instance: instance_text(tables.instance),
         name: tables.cfg.name.clone(),
@@ -29,13 +21,29 @@
         digest: in_force.digest.clone(),
         ready: tables.is_ready(),
         stopping: tables.is_stopping(),
-        store: StoreStatus { reachable, answered_ms_ago: None, revision: None },
+        store: StoreStatus {
+            reachable,
+            answered_ms_ago: None,
+            revision: tables.notices.older_store(in_force.revision),
+        },
         members: members(tables),
         endpoints: endpoints(tables),
         classes: classes(tables),
         admission: BTreeMap::new(),
-        notes,
+        notes: notes(tables, in_force.revision, reachable),
+    }
+}
+
+fn notes(tables: &Tables, revision: u64, reachable: bool) -> Vec<String> {
+    let mut notes = tables.notices.texts(revision);
+    if !reachable {
+        notes.push("the store does not answer".to_string());
+    }
+    let unexported = tables.spans.unexported();
+    if tables.cfg.spans.is_some() && unexported > 0 {
+        notes.push(format!("{unexported} spans were not exported"));
     }
+    notes
 }
 
 /// Describes the way of a request by its spans.
--- a/components/daemon/src/engine.rs
+++ b/components/daemon/src/engine.rs
@@ -171,7 +171,7 @@
 }
 
 /// Reads a line of bounded length, or the end.
-fn read_line<R: BufRead>(reader: &mut R) -> io::Result<Option<String>> {
+pub fn read_line<R: BufRead>(reader: &mut R) -> io::Result<Option<String>> {
     let mut line = String::new();
     if reader.by_ref().take(LINE_LIMIT).read_line(&mut line)? == 0 {
         return Ok(None);
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 mod job;
 mod lists;
 mod measures;
+mod notices;
 mod orders;
 mod outcome;
 mod peer;
@@ -34,5 +35,6 @@
 mod stream;
 mod sweep;
 mod tables;
+pub mod wire;
 
 pub use server::{Daemon, StartError};
--- a/components/daemon/src/peers/mod.rs
+++ b/components/daemon/src/peers/mod.rs
@@ -141,12 +141,15 @@
                 let _ = self.calls.send(call);
             }
             Effect::StoreOlder { store, in_force } => {
+                self.tables.notices.set_older_store(store, in_force);
                 log::error!("the store has revision {store} and {in_force} is in force");
             }
             Effect::RevisionConflict { revision } => {
+                self.tables.notices.set_conflict(revision);
                 log::error!("two lists have revision {revision}; apply one again");
             }
             Effect::DataCentre { name, reachable } => {
+                self.tables.notices.set_reachable(&name, reachable);
                 log::warn!("data centre {name} reachable={reachable}");
                 self.update_peers();
             }
--- a/components/daemon/src/spans/export.rs
+++ b/components/daemon/src/spans/export.rs
@@ -1,7 +1,6 @@
-use super::Span;
+use super::{ExportQueue, Span};
 use async_trait::async_trait;
 use bytes::Bytes;
-use crossbeam::channel::Receiver;
 use futures_executor::block_on;
 use http::{Request, Response};
 use opentelemetry::trace::{
@@ -12,6 +11,7 @@
 use opentelemetry_otlp::{ExporterBuildError, SpanExporter, WithExportConfig, WithHttpConfig};
 use opentelemetry_sdk::trace::{SpanData, SpanEvents, SpanExporter as Export, SpanLinks};
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use utils::client;
 
@@ -39,19 +39,18 @@
 }
 
 /// Exports the spans of the queue to a collector until the queue is closed.
-pub fn start_export(
-    queue: Receiver<Span>,
-    collector: SocketAddr,
-) -> Result<(), ExporterBuildError> {
+pub fn start_export(queue: ExportQueue, collector: SocketAddr) -> Result<(), ExporterBuildError> {
     let exporter = SpanExporter::builder()
         .with_http()
         .with_http_client(Client)
         .with_endpoint(format!("http://{collector}/v1/traces"))
         .build()?;
-    while let Ok(span) = queue.recv() {
+    while let Ok(span) = queue.rx.recv() {
         let mut batch = vec![span_data(span)];
-        batch.extend(queue.try_iter().take(BATCH_LIMIT - 1).map(span_data));
+        batch.extend(queue.rx.try_iter().take(BATCH_LIMIT - 1).map(span_data));
+        let len = batch.len() as u64;
         if let Err(e) = block_on(exporter.export(batch)) {
+            queue.unexported.fetch_add(len, Ordering::Relaxed);
             log::warn!("spans to {collector}: {e}");
         }
     }
--- a/components/daemon/src/spans/mod.rs
+++ b/components/daemon/src/spans/mod.rs
@@ -5,5 +5,5 @@
 mod trace;
 
 pub use export::start_export;
-pub use table::{Span, SpanTable};
+pub use table::{ExportQueue, Span, SpanTable};
 pub use trace::Trace;
--- a/components/daemon/src/spans/table.rs
+++ b/components/daemon/src/spans/table.rs
@@ -3,8 +3,8 @@
 use crate::tables::lock;
 use crossbeam::channel::{Receiver, Sender, bounded};
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime};
 
 /// Requests whose spans are kept for `explain`.
@@ -69,19 +69,28 @@
     oldest: VecDeque<String>,
 }
 
+/// The spans that wait for export.
+#[derive(Debug)]
+pub struct ExportQueue {
+    /// The spans.
+    pub rx: Receiver<Span>,
+    /// Spans that were lost.
+    pub unexported: Arc<AtomicU64>,
+}
+
 /// The spans of the newest requests, and the way to the exporter.
 #[derive(Debug)]
 pub struct SpanTable {
     kept: Mutex<Kept>,
     tx: Sender<Span>,
     rx: Receiver<Span>,
-    unexported: AtomicU64,
+    unexported: Arc<AtomicU64>,
 }
 
 impl Default for SpanTable {
     fn default() -> SpanTable {
         let (tx, rx) = bounded(EXPORT_QUEUE);
-        SpanTable { kept: Mutex::default(), tx, rx, unexported: AtomicU64::new(0) }
+        SpanTable { kept: Mutex::default(), tx, rx, unexported: Arc::default() }
     }
 }
 
@@ -92,11 +101,11 @@
     }
 
     /// Returns the queue of the exporter.
-    pub fn queue(&self) -> Receiver<Span> {
-        self.rx.clone()
+    pub fn queue(&self) -> ExportQueue {
+        ExportQueue { rx: self.rx.clone(), unexported: Arc::clone(&self.unexported) }
     }
 
-    /// Returns how many spans found the exporter's queue full.
+    /// Returns how many spans found the exporter's queue full or the collector failing.
     pub fn unexported(&self) -> u64 {
         self.unexported.load(Ordering::Relaxed)
     }
--- a/components/daemon/src/tables.rs
+++ b/components/daemon/src/tables.rs
@@ -3,6 +3,7 @@
 use crate::job::Job;
 use crate::lists::InForce;
 use crate::measures::Measures;
+use crate::notices::Notices;
 use crate::peer::Peer;
 use crate::records::Records;
 use crate::spans::SpanTable;
@@ -53,6 +54,8 @@
     pub spans: SpanTable,
     /// The measures by class.
     pub measures: Measures,
+    /// What operators have to know.
+    pub notices: Notices,
     /// Whether new work is refused because the daemon stops.
     pub stopping: AtomicBool,
     /// Whether this daemon has joined the others.
@@ -91,6 +94,7 @@
             records: Records::new(cfg.store),
             spans: SpanTable::default(),
             measures: Measures::new(cfg.metrics)?,
+            notices: Notices::default(),
             stopping: AtomicBool::new(false),
             joined: AtomicBool::new(false),
             store_reachable: AtomicBool::new(false),
--- /dev/null
+++ b/components/daemon/src/wire.rs
@@ -0,0 +1,8 @@
+//! How the daemon reads bytes from outside, for the tests that send it any.
+
+pub use crate::auth::{code, is_code};
+pub use crate::completion::ChatBody;
+pub use crate::engine::read_line;
+pub use crate::frame::read_frame;
+pub use crate::spans::Trace;
+pub use crate::stream::{End, Piece};
--- /dev/null
+++ b/components/daemon/tests/bytes.rs
@@ -0,0 +1,150 @@
+//! Everything that reads bytes from outside, given any bytes: errors, never a panic.
+
+use config::{Lists, Manifest, Source};
+use daemon::wire::{ChatBody, End, Piece, Trace, code, is_code, read_frame, read_line};
+use decision::execution::IdempotencyKey;
+use errors::Refusal;
+use messages::forward::{ForwardFrame, ForwardRequest};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::io::Read;
+
+const CASES: u32 = 512;
+const SEED: u64 = 20_261_203;
+
+/// The longest line of an engine, in bytes.
+const LINE_BYTES: usize = 1 << 20;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Changes some bytes of a text, which then mostly still looks like one.
+fn changed(text: &'static str) -> impl Strategy<Value = Vec<u8>> {
+    let changes = vec((0..text.len(), any::<u8>()), 0..4);
+    (changes, 0..=text.len()).prop_map(move |(changes, len)| {
+        let mut bytes = text.as_bytes().to_vec();
+        changes.into_iter().for_each(|(i, byte)| bytes[i] = byte);
+        bytes.truncate(len.max(text.len() / 2));
+        bytes
+    })
+}
+
+fn frame(body: &[u8]) -> Vec<u8> {
+    [&(body.len() as u32).to_be_bytes(), body].concat()
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn errors_or_reads_any_bytes_as_a_frame(bytes in vec(any::<u8>(), 0..4_096)) {
+        let _ = read_frame(&mut &bytes[..]);
+        let _ = read_frame(&mut &frame(&bytes)[..]);
+        let _ = rmp_serde::from_slice::<ForwardRequest>(&bytes);
+        let _ = messages::open(b"key", &bytes);
+    }
+
+    #[test]
+    fn can_read_each_frame_that_is_written(
+        tokens in vec("\\PC{0,8}", 0..8), ended in any::<bool>(), cut in 1usize..64,
+    ) {
+        let sent = ForwardFrame { tokens: tokens.clone(), ended, refusal: String::new() };
+        let bytes = frame(&rmp_serde::to_vec(&sent).unwrap());
+        let (piece, len) = read_frame(&mut &bytes[..]).unwrap();
+        prop_assert_eq!(piece, Piece { tokens, end: ended.then_some(End::Whole) });
+        prop_assert_eq!(len, bytes.len() as u64);
+        let short = bytes.len().saturating_sub(cut);
+        prop_assert!(read_frame(&mut &bytes[..short]).is_err(), "a cut frame is no frame");
+    }
+
+    #[test]
+    fn errors_or_reads_any_packet_of_a_daemon_with_the_key(bytes in vec(any::<u8>(), 0..2_048)) {
+        let code = code("key", "/peer/forward", &bytes);
+        prop_assert!(is_code("key", "/peer/forward", &bytes, &code));
+        prop_assert!(!is_code("other", "/peer/forward", &bytes, &code));
+        prop_assert!(!is_code("key", "/peer/forward", &bytes, &code[1..]));
+    }
+
+    #[test]
+    fn errors_or_reads_any_code(code in "\\PC{0,80}") {
+        prop_assert!(!is_code("key", "/peer/forward", b"", &code));
+    }
+
+    #[test]
+    fn can_go_on_with_any_traceparent(
+        any in "\\PC{0,80}",
+        near in changed("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"),
+    ) {
+        for text in [any, String::from_utf8_lossy(&near).to_string()] {
+            let trace = Trace::from_header(Some(&text));
+            let header = trace.header(1);
+            prop_assert_eq!(header.len(), 55);
+            prop_assert_ne!(trace.trace_id, 0);
+            let goes_on = trace.parent != 0;
+            prop_assert!(!goes_on || text.get(3..35) == header.get(3..35), "{}", text);
+        }
+    }
+
+    #[test]
+    fn errors_or_reads_any_line_of_an_engine(bytes in vec(any::<u8>(), 0..4_096)) {
+        let mut reader = &bytes[..];
+        while let Ok(Some(line)) = read_line(&mut reader) {
+            prop_assert!(!line.ends_with(['\r', '\n']));
+        }
+    }
+
+    #[test]
+    fn errors_or_reads_any_text_of_a_caller(
+        any in "\\PC{0,200}",
+        chat in changed(r#"{"messages":[{"role":"user","content":"route"}],"stream":true}"#),
+        key in changed("1764800000000-abc"),
+        refusal in changed(r#"{"verdict":"not_run","reason":"overloaded","message":"m"}"#),
+    ) {
+        let _ = serde_json::from_str::<ChatBody>(&any);
+        let _ = serde_json::from_slice::<ChatBody>(&chat).map(|body| body.prompt());
+        let _ = any.parse::<IdempotencyKey>();
+        let _ = String::from_utf8_lossy(&key).parse::<IdempotencyKey>();
+        let _ = serde_json::from_slice::<Refusal>(&refusal);
+    }
+
+    #[test]
+    fn errors_or_reads_any_list(
+        any in "\\PC{0,200}",
+        plans in changed("[accounts.campo]\nplan = \"gold\"\nkey_sha256 = \"00\"\n"),
+        manifest in changed(r#"{"revision":1,"digest":"00","parts":["00"]}"#),
+    ) {
+        for text in [any, String::from_utf8_lossy(&plans).to_string()] {
+            let _ = Source { file: "plans.toml", text: &text }.parse::<config::Plans>().is_ok();
+            let _ = Source { file: "grants.toml", text: &text }.parse::<config::Grants>().is_ok();
+            let _ = serde_json::from_str::<Lists>(&text);
+        }
+        let _ = serde_json::from_slice::<Manifest>(&manifest);
+    }
+}
+
+#[test]
+fn errors_when_a_line_has_no_end() {
+    let mut endless = std::io::BufReader::new(std::io::repeat(b'x'));
+    assert!(read_line(&mut endless).is_err());
+    let mut longest = std::io::repeat(b'x').take(LINE_BYTES as u64 - 1).chain(&b"\n"[..]);
+    let mut buffered = std::io::BufReader::new(&mut longest);
+    assert!(read_line(&mut buffered).is_err());
+}
+
+#[test]
+fn errors_when_a_frame_says_that_it_is_huge() {
+    for length in [u32::MAX, (4 << 20) + 1] {
+        assert!(
+            read_frame(&mut std::io::repeat(0xff).take(8).chain(&length.to_be_bytes()[..]))
+                .is_err()
+        );
+        assert!(read_frame(&mut &length.to_be_bytes()[..]).is_err());
+    }
+}
--- a/tests/daemon/main.rs
+++ b/tests/daemon/main.rs
@@ -1,5 +1,6 @@
 //! Streams, stops, spans and metrics of daemons, shown with real processes.
 
+mod centres;
 mod observe;
 mod script;
 mod stop;
--- a/tests/daemon/observe.rs
+++ b/tests/daemon/observe.rs
@@ -16,6 +16,9 @@
 const TRACE: &str = "4bf92f3577b34da6a3ce929d0e0e4736";
 const CALLER_SPAN: &str = "00f067aa0ba902b7";
 
+/// An address at which nobody listens.
+const NO_COLLECTOR: &str = "127.0.0.1:1";
+
 /// Listens as a collector of spans; gives the body of each export.
 fn start_collector() -> (SocketAddr, Receiver<Vec<u8>>) {
     let server = listen("127.0.0.1:0".parse().unwrap(), None).unwrap();
@@ -131,7 +134,7 @@
 #[test]
 fn can_tell_operators_of_store_admission_and_members() {
     let mut site = start(&[
-        daemon("daemon-1", PLACE, &[]),
+        daemon("daemon-1", PLACE, &["--spans", NO_COLLECTOR]),
         daemon("daemon-2", PLACE, &[]),
         Member::new("engine-1", Engine, PLACE, &["--token-ms", "1"]),
     ]);
@@ -139,8 +142,12 @@
     let told = status(&site, "daemon-1");
     assert_eq!(told["members"][0]["state"], "live", "{told}");
     assert_eq!(told["classes"]["plan"]["attained"], 1, "{told}");
-    assert!(told["store"]["reachable"].as_bool().unwrap());
-    assert_eq!(told["notes"], json!([]));
+    wait_until(|| status(&site, "daemon-1")["store"]["reachable"] == true);
+    assert_eq!(status(&site, "daemon-2")["notes"], json!([]));
+    wait_until(|| {
+        let notes = status(&site, "daemon-1")["notes"].clone();
+        notes[0].as_str().is_some_and(|note| note.ends_with("spans were not exported"))
+    });
     site.store.kill().unwrap();
     wait_until(|| {
         let notes = status(&site, "daemon-1")["notes"].clone();
