Send a request on when the daemon that answered it for another data centre dies

Cause: found by tests/daemon/centres.rs, both cases, listed as known red. The scheduler put the failed attempt into a queue that no local endpoint serves, where it was refused as overloaded once its first-token target had passed; and a begun request was never sent elsewhere again. The next attempt could also choose the daemon that had just been killed. A load now counts for 10 s unless its daemon is known to be gone.

--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -15,8 +15,8 @@
 /// The time after which an unchanged load is spread again.
 const REFRESH: Millis = Millis(1_000);
 
-/// The time for which a load that was spread counts.
-const LOAD_TTL: Millis = Millis(3_000);
+/// The time for which a load that was spread counts, unless its daemon is gone.
+const LOAD_TTL: Millis = Millis(10_000);
 
 /// The key under which loads are spread.
 const LOAD_KEY: &str = "load";
--- a/components/daemon/src/forward.rs
+++ b/components/daemon/src/forward.rs
@@ -20,7 +20,9 @@
     data_centre: &str,
     span: u64,
 ) -> Result<(), Refusal> {
-    let Some(peer) = peer_in(shell, data_centre, job.number as usize) else {
+    // Another attempt finds another daemon, since the first may be gone.
+    let seed = job.number as usize + attempt.attempt as usize;
+    let Some(peer) = peer_in(shell, data_centre, seed) else {
         let text = format!("no daemon of {data_centre} is known");
         return Err(Refusal::not_run(Reason::NoEndpoint, text).retry_after(1_000));
     };
--- a/components/daemon/src/peer.rs
+++ b/components/daemon/src/peer.rs
@@ -41,7 +41,7 @@
     pub region: String,
 }
 
-/// Chooses a daemon of a data centre for a request; equal requests find the same daemon.
+/// Chooses a daemon of a data centre; equal seeds find the same daemon while none comes or goes.
 pub fn peer_in(shell: &Shell, data_centre: &str, seed: usize) -> Option<Peer> {
     let peers = lock_read(&shell.tables.peers);
     let fit: Vec<&Peer> = peers.values().filter(|p| p.data_centre == data_centre).collect();
--- a/components/daemon/src/tables.rs
+++ b/components/daemon/src/tables.rs
@@ -18,6 +18,9 @@
 use std::time::Instant;
 use utils::random_id;
 
+/// The time after which the load of a daemon that no longer comes in does not count.
+const PEER_TIMEOUT: Millis = Millis(5_000);
+
 /// Requests of this daemon by number and by id.
 #[derive(Debug, Default)]
 pub struct Jobs {
@@ -81,6 +84,7 @@
             silence_limit: Millis(cfg.silence_limit_ms),
             link_bytes_per_second: cfg.link_bytes_per_second,
             check_invariants: cfg.check_invariants,
+            peer_timeout: PEER_TIMEOUT,
             ..SchedulerConfig::default()
         };
         Ok(Tables {
--- a/components/decision/src/load/admission.rs
+++ b/components/decision/src/load/admission.rs
@@ -116,7 +116,9 @@
     pub(super) fn spill(&mut self, request: u64, now: Millis, effects: &mut Vec<Effect>) -> bool {
         let Some(entry) = self.entries.get(&request) else { return false };
         let arrival = &entry.arrival;
-        let may = self.cfg.mechanisms.spill && !arrival.forwarded && entry.generated == 0;
+        // A begun request moves on only where nobody here could go on with it.
+        let fresh = entry.generated == 0 || !self.is_served_here(&arrival.serves);
+        let may = self.cfg.mechanisms.spill && !arrival.forwarded && fresh;
         if !may || entry.forwards >= FORWARD_LIMIT || !entry.may_repeat() {
             return false;
         }
--- a/components/decision/src/load/health.rs
+++ b/components/decision/src/load/health.rs
@@ -28,6 +28,7 @@
         let Some(entry) = self.entries.get_mut(&request) else { return };
         entry.verdict = entry.verdict.combine(verdict);
         let was_remote = matches!(entry.place, Place::Remote(_));
+        let serves = entry.arrival.serves.clone();
         if !was_remote {
             entry.failures += 1;
         }
@@ -43,7 +44,10 @@
         if may && (free || self.spend_retry(now)) {
             self.vacate(request);
             self.place_waiting(request, now);
-            return;
+            let waits_in_vain = !self.is_served_here(&serves);
+            if !waits_in_vain || self.spill(request, now, effects) {
+                return;
+            }
         }
         self.refuse(request, Reason::EndpointFailed, Millis(1_000), now, effects);
     }
--- a/components/decision/src/load/scheduler.rs
+++ b/components/decision/src/load/scheduler.rs
@@ -120,7 +120,8 @@
         if is_local { self.admit(entry, now) } else { self.send_elsewhere(entry, now) }
     }
 
-    fn is_served_here(&self, serves: &str) -> bool {
+    /// Returns whether an endpoint of this data centre answers for a model or plain service.
+    pub(super) fn is_served_here(&self, serves: &str) -> bool {
         self.pools.get(serves).is_some_and(|pool| !pool.members.is_empty())
     }
 
