--- a/components/daemon/src/peers/mod.rs
+++ b/components/daemon/src/peers/mod.rs
@@ -91,16 +91,18 @@
         self.update_peers();
     }
 
-    /// Notes whether the store answers a watcher of this data centre.
+    /// Notes whether the store answers a watcher of this data centre; nothing changes until one
+    /// has told.
     fn update_store(&self) {
         let now = self.tables.now();
         let cluster = lock(&self.cluster);
         let lives = |id| id == cluster.me().identity || cluster.members().get(id).is_some();
-        let answers = cluster
-            .entries(now)
-            .any(|entry| entry.key == STORE_KEY && entry.values == [1] && lives(entry.origin));
+        let notes = cluster.entries(now).filter(|e| e.key == STORE_KEY && lives(e.origin));
+        let answers: Vec<bool> = notes.map(|entry| entry.values == [1]).collect();
         drop(cluster);
-        self.tables.store_reachable.store(answers, Ordering::Relaxed);
+        if !answers.is_empty() {
+            self.tables.store_reachable.store(answers.contains(&true), Ordering::Relaxed);
+        }
     }
 
     /// Spreads a small value to every daemon.
--- a/components/daemon/src/tables.rs
+++ b/components/daemon/src/tables.rs
@@ -57,7 +57,7 @@
     pub stopping: AtomicBool,
     /// Whether this daemon has joined the others.
     pub joined: AtomicBool,
-    /// Whether the last call to the store went well.
+    /// Whether the last call to the store by this data centre went well, or none has ended yet.
     pub store_reachable: AtomicBool,
     /// Requests of callers and peers that are being served.
     pub serving: AtomicUsize,
@@ -93,7 +93,7 @@
             measures: Measures::new(cfg.metrics)?,
             stopping: AtomicBool::new(false),
             joined: AtomicBool::new(false),
-            store_reachable: AtomicBool::new(false),
+            store_reachable: AtomicBool::new(true),
             serving: AtomicUsize::new(0),
             next_request: AtomicU64::new(1),
             started: Instant::now(),
