--- a/tests/daemon/observe.rs
+++ b/tests/daemon/observe.rs
@@ -143,7 +143,7 @@
     assert_eq!(told["members"][0]["state"], "live", "{told}");
     assert_eq!(told["classes"]["plan"]["attained"], 1, "{told}");
     wait_until(|| status(&site, "daemon-1")["store"]["reachable"] == true);
-    assert_eq!(status(&site, "daemon-2")["notes"], json!([]));
+    wait_until(|| status(&site, "daemon-2")["notes"] == json!([]));
     wait_until(|| {
         let notes = status(&site, "daemon-1")["notes"].clone();
         notes[0].as_str().is_some_and(|note| note.ends_with("spans were not exported"))
