--- a/examples/local/samples.rs
+++ b/examples/local/samples.rs
@@ -8,9 +8,7 @@
 
 const MAX_TOKENS: u64 = 64;
 const SHOWN_CHARACTERS: usize = 60;
-
 type Text = &'static str;
-
 /// A sample request.
 pub struct Sample {
     /// The client account.
