--- a/components/daemon/src/attempt.rs
+++ b/components/daemon/src/attempt.rs
@@ -1,13 +1,12 @@
-use crate::control::{Order, OrderKind};
 use crate::engine::run_attempt;
 use crate::forward::run_forward;
-use crate::job::{Job, Place};
+use crate::job::Job;
 use crate::outcome::end_job;
+use crate::shell::{Shell, carry_out};
 use crate::spans::Span;
 use crate::stream::End;
-use crate::tables::{Tables, lock};
-use crossbeam::channel::Sender;
-use decision::load::{Effect, Outcome};
+use crate::tables::lock;
+use decision::load::Outcome;
 use errors::{Refusal, Verdict};
 use std::sync::Arc;
 
@@ -34,63 +33,6 @@
 /// The number of the attempt by which a stopping daemon hands over a waiting request.
 pub const HANDOVER_ATTEMPT: u32 = u32::MAX;
 
-/// The shared tables and the ways to start attempts and orders.
-#[derive(Clone)]
-pub struct Shell {
-    /// The shared tables.
-    pub tables: Arc<Tables>,
-    /// Starts attempts.
-    pub attempts: Sender<Attempt>,
-    /// Starts orders to running attempts.
-    pub orders: Sender<Order>,
-}
-
-/// Does what the scheduler decided.
-pub fn carry_out(shell: &Shell, effects: Vec<Effect>) {
-    for effect in effects {
-        match effect {
-            Effect::Dispatch { request, attempt, endpoint } => {
-                start(shell, Attempt { request, attempt, target: Target::Endpoint(endpoint) });
-            }
-            Effect::Forward { request, attempt, data_centre } => {
-                start(shell, Attempt { request, attempt, target: Target::DataCentre(data_centre) });
-            }
-            Effect::Refuse { request, refusal } => refuse(&shell.tables, request, refusal),
-            Effect::Pause { request } => order(shell, request, OrderKind::Pause),
-            Effect::Resume { request } => order(shell, request, OrderKind::Resume),
-            Effect::Cancel { request } => order(shell, request, OrderKind::Cancel),
-        }
-    }
-}
-
-/// Makes an attempt the live one and hands it to a worker.
-pub fn start(shell: &Shell, attempt: Attempt) {
-    let Some(job) = shell.tables.job(attempt.request) else { return };
-    job.stream.begin(attempt.attempt);
-    let place = Place { attempt: attempt.attempt, target: attempt.target.clone() };
-    *lock(&job.place) = Some(place);
-    // The receiver lives as long as the daemon.
-    let _ = shell.attempts.send(attempt);
-}
-
-/// Sends an order to the running attempt; a cancelled one is no longer live from now on.
-pub fn order(shell: &Shell, request: u64, kind: OrderKind) {
-    let Some(job) = shell.tables.job(request) else { return };
-    let place = lock(&job.place).clone();
-    let Some(place) = place else { return };
-    if kind == OrderKind::Cancel && !job.stream.release(place.attempt) {
-        return;
-    }
-    // The receiver lives as long as the daemon.
-    let _ = shell.orders.send(Order { id: job.id.clone(), kind, target: place.target });
-}
-
-fn refuse(tables: &Tables, request: u64, refusal: Refusal) {
-    let Some(job) = tables.job(request) else { return };
-    log::info!("request={} refused {refusal}", job.id);
-    end_job(tables, &job, End::Refused(refusal));
-}
-
 /// Runs one attempt and tells the scheduler how it ended.
 pub fn work(shell: &Shell, attempt: &Attempt) {
     let Some(job) = shell.tables.job(attempt.request) else { return };
--- a/components/daemon/src/chat.rs
+++ b/components/daemon/src/chat.rs
@@ -1,10 +1,10 @@
-use crate::attempt::{Shell, carry_out};
 use crate::callers::{header, permit, read_body};
 use crate::completion::{ChatBody, ChatMessage, Completion, CompletionChoice};
 use crate::events::stream_answer;
 use crate::job::{Counters, Job, Origin};
 use crate::lists::InForce;
 use crate::reply::respond_refusal;
+use crate::shell::{Shell, carry_out};
 use crate::spans::Trace;
 use crate::stream::{End, Stream};
 use crate::tables::lock;
--- a/components/daemon/src/control.rs
+++ b/components/daemon/src/control.rs
@@ -1,5 +1,6 @@
-use crate::attempt::{Shell, Target};
+use crate::attempt::Target;
 use crate::endpoints::address_of;
+use crate::shell::Shell;
 use std::time::Duration;
 use utils::client;
 
--- a/components/daemon/src/endpoints.rs
+++ b/components/daemon/src/endpoints.rs
@@ -1,4 +1,4 @@
-use crate::attempt::{Shell, carry_out};
+use crate::shell::{Shell, carry_out};
 use crate::tables::{lock, lock_read, lock_write};
 use decision::load::{EndpointInfo, EndpointReport, EndpointState};
 use serde::Deserialize;
--- a/components/daemon/src/engine.rs
+++ b/components/daemon/src/engine.rs
@@ -1,8 +1,9 @@
-use crate::attempt::{Attempt, Shell, Target};
+use crate::attempt::{Attempt, Target};
 use crate::control::{Order, OrderKind, send_order};
 use crate::endpoints::address_of;
 use crate::hold::{is_behind, wait_for_reader};
 use crate::job::Job;
+use crate::shell::{Shell, carry_out};
 use crate::tables::lock;
 use errors::{Reason, Refusal, Verdict};
 use serde::Deserialize;
@@ -169,7 +170,7 @@
         let (tables, job) = (&self.shell.tables, self.job);
         job.counters.add_token(tables.now());
         let effects = lock(&tables.scheduler).progress(job.number, 1, tables.now());
-        crate::attempt::carry_out(self.shell, effects);
+        carry_out(self.shell, effects);
     }
 
     /// Pauses the endpoint while the caller is too far behind.
--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -1,6 +1,6 @@
 use crate::admin::instance_text;
-use crate::attempt::{Shell, carry_out};
 use crate::peers::Peers;
+use crate::shell::{Shell, carry_out};
 use crate::tables::{Tables, lock, lock_read};
 use decision::Millis;
 use decision::load::{DaemonLoad, PoolLoad, TIERS};
--- a/components/daemon/src/execution.rs
+++ b/components/daemon/src/execution.rs
@@ -1,6 +1,6 @@
-use crate::attempt::Shell;
 use crate::records::RecordName;
 use crate::service::{ServiceCall, send_call};
+use crate::shell::Shell;
 use decision::Millis;
 use decision::execution::{
     Answer, Attempt, AttemptConfig, Call, Effect, EndpointAnswer, Event, IdempotencyKey,
--- a/components/daemon/src/hold.rs
+++ b/components/daemon/src/hold.rs
@@ -1,5 +1,5 @@
-use crate::attempt::Shell;
 use crate::job::Job;
+use crate::shell::Shell;
 use crate::tables::lock;
 use decision::Millis;
 use std::time::Duration;
--- a/components/daemon/src/orders.rs
+++ b/components/daemon/src/orders.rs
@@ -1,5 +1,5 @@
-use crate::attempt::Shell;
 use crate::duty::{Duty, Members};
+use crate::shell::Shell;
 use crate::tables::{Tables, lock_read};
 use decision::load::EndpointReport;
 use decision::orders::{
--- a/components/daemon/src/peer.rs
+++ b/components/daemon/src/peer.rs
@@ -1,10 +1,10 @@
-use crate::attempt::{Shell, carry_out};
 use crate::auth::{CODE_HEADER, is_code};
 use crate::callers::{grant_for, header};
 use crate::frame::FrameWriter;
 use crate::job::{Counters, Job, Origin};
 use crate::reply::respond_refusal;
 use crate::resume::cancel;
+use crate::shell::{Shell, carry_out};
 use crate::spans::Trace;
 use crate::stream::Stream;
 use crate::tables::{lock, lock_read};
--- a/components/daemon/src/platform.rs
+++ b/components/daemon/src/platform.rs
@@ -1,7 +1,7 @@
-use crate::attempt::Shell;
 use crate::endpoints::{ListedEndpoint, set_listed};
 use crate::peer::Peer;
 use crate::peers::Peers;
+use crate::shell::Shell;
 use decision::load::EndpointState;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
--- a/components/daemon/src/resume.rs
+++ b/components/daemon/src/resume.rs
@@ -1,10 +1,10 @@
-use crate::attempt::{Shell, carry_out, order};
 use crate::callers::{account_of, header};
 use crate::control::OrderKind;
 use crate::events::stream_answer;
 use crate::job::Job;
 use crate::outcome::end_job;
 use crate::reply::respond_refusal;
+use crate::shell::{Shell, carry_out, order};
 use crate::stream::End;
 use crate::tables::{Tables, lock, lock_read};
 use errors::{Reason, Refusal, Verdict};
--- /dev/null
+++ b/components/daemon/src/routes.rs
@@ -0,0 +1,59 @@
+use crate::admin::{explain, instance_text, status};
+use crate::chat::serve_chat;
+use crate::peer::{FORWARD_PATH, serve_forward};
+use crate::platform::DaemonDescription;
+use crate::reply::respond_refusal;
+use crate::resume::serve_request_path;
+use crate::service::serve_call;
+use crate::shell::Shell;
+use errors::{Reason, Refusal};
+use std::io;
+use tiny_http::{Request, Response};
+use utils::respond_json;
+
+/// Returns whether a request is served apart from those of callers.
+pub fn is_control(url: &str) -> bool {
+    ["/healthz", "/readyz", "/admin/", "/peer/description"].iter().any(|p| url.starts_with(p))
+}
+
+/// Serves a request by its path.
+pub fn serve_request(shell: &Shell, req: Request) {
+    let path = req.url().split('?').next().unwrap_or_default().to_string();
+    let tables = &shell.tables;
+    let result = match path.as_str() {
+        "/v1/chat/completions" => serve_chat(shell, req),
+        "/v1/call" => serve_call(shell, req),
+        FORWARD_PATH => serve_forward(shell, req),
+        "/peer/description" => {
+            let instance = instance_text(tables.instance);
+            respond_json(req, 200, &DaemonDescription { instance, ready: tables.is_ready() })
+        }
+        "/admin/status" => respond_json(req, 200, &status(tables)),
+        "/healthz" => req.respond(Response::from_string("ok")),
+        "/readyz" => {
+            let status = if tables.is_ready() { 200 } else { 503 };
+            req.respond(Response::from_string("").with_status_code(status))
+        }
+        _ => serve_by_id(shell, req, &path),
+    };
+    log_failure(result);
+}
+
+fn serve_by_id(shell: &Shell, req: Request, path: &str) -> io::Result<()> {
+    if path.starts_with("/v1/requests/") {
+        return serve_request_path(shell, req, path);
+    }
+    let id = path.strip_prefix("/admin/explain/").unwrap_or_default();
+    if let Some(explanation) = explain(&shell.tables, id) {
+        return respond_json(req, 200, &explanation);
+    }
+    let refusal = Refusal::not_run(Reason::UnknownRequest, format!("nothing is known at {path}"));
+    respond_refusal(req, id, &refusal)
+}
+
+/// Notes that an answer did not reach its caller.
+pub fn log_failure(result: io::Result<()>) {
+    if let Err(e) = result {
+        log::info!("a caller's connection broke: {e}");
+    }
+}
--- a/components/daemon/src/service.rs
+++ b/components/daemon/src/service.rs
@@ -1,7 +1,7 @@
-use crate::attempt::Shell;
 use crate::callers::{header, permit, read_body};
 use crate::execution::{CallerKey, refusal_of_attempt, run_once};
 use crate::reply::respond_refusal;
+use crate::shell::Shell;
 use crate::tables::{Tables, lock, lock_read};
 use decision::Millis;
 use decision::execution::{Answer, EndpointAnswer, Outcome};
--- a/components/daemon/src/stop.rs
+++ b/components/daemon/src/stop.rs
@@ -1,5 +1,6 @@
-use crate::attempt::{Attempt, HANDOVER_ATTEMPT, Shell, Target, start};
+use crate::attempt::{Attempt, HANDOVER_ATTEMPT, Target};
 use crate::resume::is_owed;
+use crate::shell::{Shell, start};
 use crate::tables::{lock, lock_read};
 use std::sync::atomic::Ordering;
 use std::thread;
--- a/components/daemon/src/sweep.rs
+++ b/components/daemon/src/sweep.rs
@@ -1,5 +1,5 @@
-use crate::attempt::Shell;
 use crate::duty::{Duty, Members};
+use crate::shell::Shell;
 use crate::tables::Tables;
 use decision::Millis;
 use decision::execution::Sweep;
