Do not start a daemon that may not open enough files

The default of 512 callers needs more than the usual soft limit of 1,024. Ruled out: a warning (the daemon would still stop serving under load); reading /proc by hand (the rlimit crate raises the soft limit as well). Seen: the case with a limit of 300 and 512 callers fails with the check passed over (the daemon goes on to listen) and passes with it; 40 callers start. Conclusion: the limit is refused with the flag, the variable and both numbers.

--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod lists;
 mod measures;
 mod notices;
+mod open_files;
 mod orders;
 mod outcome;
 mod peer;
--- a/components/daemon/src/server.rs
+++ b/components/daemon/src/server.rs
@@ -1,3 +1,4 @@
+use crate::open_files::reserve_open_files;
 use crate::peers::{Peers, open_socket};
 use crate::reply::respond_refusal;
 use crate::routes::{is_control, log_failure, serve_request};
@@ -38,6 +39,7 @@
 impl Daemon {
     /// Listens and starts the workers.
     pub fn start(cfg: Settings) -> Result<Daemon, StartError> {
+        reserve_open_files(cfg.callers)?;
         let address = cfg.listen;
         let (server, socket) = open(address)?;
         let address = server.server_addr().to_ip().unwrap_or(address);
--- a/components/daemon/src/start_error.rs
+++ b/components/daemon/src/start_error.rs
@@ -22,6 +22,18 @@
         /// The failure.
         source: io::Error,
     },
+    /// The system lets the process open too few files for the callers that it should serve.
+    #[snafu(display(
+        "--callers {callers} (CHERVILSPUR_CALLERS) needs {needed} open files, the limit is {limit}"
+    ))]
+    OpenFiles {
+        /// The callers that are to be served at once.
+        callers: usize,
+        /// The open files that they need.
+        needed: u64,
+        /// The open files that the system allows.
+        limit: u64,
+    },
     /// The collector of metrics cannot be used.
     #[snafu(display("cannot send metrics: {source}"))]
     Metrics {
