Say in explain why an attempt runs where it does, and mend two counts of status

Cause: explain showed where a request went but not why; `failed` of a class was too low, since refusals beyond an account's limits were subtracted from requests that do not count them; answered_ms_ago of the store was never set. Ruled out: a reason inside the scheduler's effects (each of its callers and the driver would carry it); the shell can tell it from the scheduler's tables. Seen: tests/daemon/centres.rs asks for "no endpoint of aburra-norte serves campo-8b" and passes; observe asks for answered_ms_ago and passes. Neither was run before the change; the attribute and the value did not exist. Conclusion: the reason names what was known when the attempt started.

--- a/components/daemon/src/admin.rs
+++ b/components/daemon/src/admin.rs
@@ -1,6 +1,7 @@
 use crate::measures::ClassMeasure;
 use crate::spans::Span;
 use crate::tables::{Tables, lock, lock_read};
+use decision::Millis;
 use messages::status::{
     ClassStatus, DaemonStatus, EndpointStatus, Explanation, MemberStatus, StoreStatus,
 };
@@ -23,7 +24,7 @@
         stopping: tables.is_stopping(),
         store: StoreStatus {
             reachable,
-            answered_ms_ago: None,
+            answered_ms_ago: answered_ms_ago(tables),
             revision: tables.notices.older_store(in_force.revision),
         },
         members: members(tables),
@@ -35,6 +36,12 @@
     }
 }
 
+/// Returns the time since the store answered this daemon; only those that watch it call it.
+fn answered_ms_ago(tables: &Tables) -> Option<u64> {
+    let answered = tables.store_answered.load(Ordering::Relaxed).checked_sub(1)?;
+    Some(tables.now().since(Millis(answered)).0)
+}
+
 fn admission(tables: &Tables) -> BTreeMap<String, u8> {
     lock(&tables.scheduler).admitted_tiers(tables.now())
 }
@@ -106,12 +113,11 @@
 }
 
 fn class_status(measure: &ClassMeasure) -> ClassStatus {
-    let refused = measure.refused_not_run;
     ClassStatus {
         requests: measure.requests,
         attained: measure.attained,
-        refused,
-        failed: measure.requests.saturating_sub(measure.whole + refused),
+        refused: measure.refused_not_run,
+        failed: measure.requests.saturating_sub(measure.whole + measure.not_run),
     }
 }
 
--- a/components/daemon/src/attempt.rs
+++ b/components/daemon/src/attempt.rs
@@ -2,6 +2,7 @@
 use crate::forward::run_forward;
 use crate::job::Job;
 use crate::outcome::end_job;
+use crate::reason::reason_of;
 use crate::shell::{Shell, carry_out};
 use crate::spans::Span;
 use crate::stream::End;
@@ -43,6 +44,8 @@
     let mut span = Span::start("attempt", &job.trace);
     span.set("attempt", attempt.attempt);
     span.set("offset", job.stream.offset());
+    span.set("reason", reason_of(shell, &job, attempt));
+    span.set("waited_ms", shell.tables.now().since(job.arrived).0);
     let result = match &attempt.target {
         Target::Endpoint(name) => {
             span.set("endpoint", name);
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -27,6 +27,7 @@
 mod peer;
 mod peers;
 mod platform;
+mod reason;
 mod records;
 mod reply;
 mod resume;
--- a/components/daemon/src/measures.rs
+++ b/components/daemon/src/measures.rs
@@ -24,6 +24,8 @@
     pub whole: bool,
     /// Whether the answer was whole and met the target of its class.
     pub attained: bool,
+    /// Whether the request was refused as not run.
+    pub not_run: bool,
     /// Tokens that the caller got.
     pub tokens: u64,
     /// Tokens that were generated and that no caller got.
@@ -49,7 +51,9 @@
     pub wasted_tokens: u64,
     /// Bytes that crossed the link between regions.
     pub link_bytes: u64,
-    /// Requests refused as not run.
+    /// Requests refused as not run, among those that ended.
+    pub not_run: u64,
+    /// Requests refused as not run, also those beyond their account's limits.
     pub refused_not_run: u64,
     /// Refusals by reason.
     pub refusals: BTreeMap<String, u64>,
@@ -69,6 +73,7 @@
             tokens: 0,
             wasted_tokens: 0,
             link_bytes: 0,
+            not_run: 0,
             refused_not_run: 0,
             refusals: BTreeMap::new(),
             first_token_ms,
@@ -105,6 +110,7 @@
         measure.requests += 1;
         measure.whole += u64::from(ending.whole);
         measure.attained += u64::from(ending.attained);
+        measure.not_run += u64::from(ending.not_run);
         measure.tokens += ending.tokens;
         measure.wasted_tokens += ending.wasted_tokens;
         measure.link_bytes += ending.link_bytes;
--- a/components/daemon/src/outcome.rs
+++ b/components/daemon/src/outcome.rs
@@ -3,7 +3,7 @@
 use crate::spans::Span;
 use crate::stream::End;
 use crate::tables::{Tables, lock};
-use errors::Reason;
+use errors::{Reason, Verdict};
 
 /// Ends a request: its readers get the end, and its measures and span are kept.
 pub fn end_job(tables: &Tables, job: &Job, end: End) {
@@ -37,6 +37,7 @@
         first_token_ms: first_token.map(|t| t.0),
         whole,
         attained: whole && in_time,
+        not_run: matches!(end, End::Refused(refusal) if refusal.verdict == Verdict::NotRun),
         tokens,
         wasted_tokens: job.counters.generated().saturating_sub(tokens),
         link_bytes: job.counters.link_bytes(),
--- a/components/daemon/src/peers/lists.rs
+++ b/components/daemon/src/peers/lists.rs
@@ -5,6 +5,7 @@
 use decision::cluster::{Event, Scope, StoreCall, StoreOutcome};
 use serde::{Deserialize, Serialize};
 use std::fmt::Display;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use store::{Change, Changes, Object, Store, StoreError};
 
@@ -32,6 +33,10 @@
     for call in calls {
         let event = make(&store, &mut reader, call);
         let reachable = event != Event::Store(StoreOutcome::Failed);
+        if reachable {
+            let answered = peers.tables.now().0 + 1;
+            peers.tables.store_answered.store(answered, Ordering::Relaxed);
+        }
         peers.tell(event);
         peers.tell(Event::Publish {
             key: STORE_KEY.to_string(),
--- /dev/null
+++ b/components/daemon/src/reason.rs
@@ -0,0 +1,31 @@
+use crate::attempt::{Attempt, HANDOVER_ATTEMPT, Target};
+use crate::job::Job;
+use crate::shell::Shell;
+use crate::tables::lock;
+use decision::load::{Endpoint, EndpointState};
+
+/// Says why an attempt runs where it runs, for `explain`.
+pub fn reason_of(shell: &Shell, job: &Job, attempt: &Attempt) -> String {
+    let tables = &shell.tables;
+    let (data_centre, serves) = (&tables.cfg.data_centre, &job.arrival.serves);
+    let scheduler = lock(&tables.scheduler);
+    let endpoints = scheduler.endpoints();
+    let fits = |e: &&Endpoint| e.state == EndpointState::Live && e.info.serves.contains(serves);
+    let usable = endpoints.values().filter(fits).count();
+    match &attempt.target {
+        Target::DataCentre(_) if attempt.attempt == HANDOVER_ATTEMPT => {
+            "this daemon stops".to_string()
+        }
+        Target::DataCentre(_) if usable == 0 => {
+            format!("no endpoint of {data_centre} serves {serves}")
+        }
+        Target::DataCentre(_) => format!("it would be late at the endpoints of {data_centre}"),
+        Target::Endpoint(name) => {
+            let outstanding = endpoints.get(name).map_or(0, |e| e.outstanding);
+            let before = if attempt.attempt > 1 { "an attempt ended before; " } else { "" };
+            format!(
+                "{before}one of {usable} endpoints that serve {serves}, {outstanding} outstanding there"
+            )
+        }
+    }
+}
--- a/components/daemon/src/tables.rs
+++ b/components/daemon/src/tables.rs
@@ -65,6 +65,8 @@
     pub joined: AtomicBool,
     /// Whether the last call to the store by this data centre went well, or none has ended yet.
     pub store_reachable: AtomicBool,
+    /// The time of the store's last answer plus one, in milliseconds; 0 before it.
+    pub store_answered: AtomicU64,
     /// Requests of callers and peers that are being served.
     pub serving: AtomicUsize,
     next_request: AtomicU64,
@@ -102,6 +104,7 @@
             stopping: AtomicBool::new(false),
             joined: AtomicBool::new(false),
             store_reachable: AtomicBool::new(true),
+            store_answered: AtomicU64::new(0),
             serving: AtomicUsize::new(0),
             next_request: AtomicU64::new(1),
             started: Instant::now(),
--- a/tests/daemon/centres.rs
+++ b/tests/daemon/centres.rs
@@ -31,6 +31,9 @@
         let answer = caller(&site, "daemon-1").chat("", "route", LONG);
         assert!(answer.is_whole(LONG), "{answer:?}");
         assert_eq!(runs(&site, &answer.request), 1);
+        let explained = site.get("daemon-1", &format!("/admin/explain/{}", answer.request));
+        let reason = &explained.unwrap()["spans"][1]["attributes"]["reason"];
+        assert_eq!(reason, "no endpoint of aburra-norte serves campo-8b");
     }
 }
 
--- a/tests/daemon/observe.rs
+++ b/tests/daemon/observe.rs
@@ -143,6 +143,8 @@
     assert_eq!(told["members"][0]["state"], "live", "{told}");
     assert_eq!(told["classes"]["plan"]["attained"], 1, "{told}");
     wait_until(|| status(&site, "daemon-1")["store"]["reachable"] == true);
+    // Of two daemons both watch the store.
+    wait_until(|| status(&site, "daemon-1")["store"]["answered_ms_ago"].is_u64());
     wait_until(|| status(&site, "daemon-2")["notes"] == json!([]));
     wait_until(|| {
         let notes = status(&site, "daemon-1")["notes"].clone();
