--- a/components/decision/src/lib.rs
+++ b/components/decision/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod execution;
 pub mod load;
 pub mod orders;
+pub mod routing;
 mod time;
 
 pub use time::Millis;
--- /dev/null
+++ b/components/decision/src/routing/retry_budget.rs
@@ -0,0 +1,73 @@
+use crate::Millis;
+use std::collections::{BTreeMap, VecDeque};
+
+/// How many requests may go to a second endpoint, over all daemons together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetTerms {
+    /// Second sends as a share of the requests of the window.
+    pub ratio: f64,
+    /// The window.
+    pub window: Millis,
+    /// Second sends in a window beyond the share, of all daemons together.
+    pub extra: f64,
+}
+
+impl Default for BudgetTerms {
+    /// The share that common retry budgets use.
+    fn default() -> BudgetTerms {
+        BudgetTerms { ratio: 0.2, window: Millis(10_000), extra: 10.0 }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Window {
+    requests: VecDeque<Millis>,
+    repeats: VecDeque<Millis>,
+}
+
+impl Window {
+    fn forget(&mut self, before: Millis) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|at| *at < before) {
+                times.pop_front();
+            }
+        }
+    }
+}
+
+/// The part of a shared retry budget that one daemon may use.
+///
+/// Each daemon uses the share of its own requests and an equal part of the extra sends, so the sum
+/// stays within the terms without any exchange.
+#[derive(Clone, Debug, Default)]
+pub struct RetryBudget {
+    terms: BudgetTerms,
+    services: BTreeMap<String, Window>,
+}
+
+impl RetryBudget {
+    /// Creates a budget.
+    pub fn new(terms: BudgetTerms) -> RetryBudget {
+        RetryBudget { terms, services: BTreeMap::new() }
+    }
+
+    /// Counts a request for a service.
+    pub fn count(&mut self, service: &str, now: Millis) {
+        let window = self.services.entry(service.to_owned()).or_default();
+        window.forget(now - self.terms.window);
+        window.requests.push_back(now);
+    }
+
+    /// Takes a second send from the budget; `daemons` share it.
+    pub fn take(&mut self, service: &str, daemons: usize, now: Millis) -> bool {
+        let window = self.services.entry(service.to_owned()).or_default();
+        window.forget(now - self.terms.window);
+        let share = self.terms.ratio * window.requests.len() as f64;
+        let extra = self.terms.extra / daemons.max(1) as f64;
+        if (window.repeats.len() + 1) as f64 > share + extra {
+            return false;
+        }
+        window.repeats.push_back(now);
+        true
+    }
+}
--- /dev/null
+++ b/components/gateway/src/answer.rs
@@ -0,0 +1,105 @@
+use bytes::Bytes;
+use errors::{Reason, Verdict};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+use snafu::Snafu;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::sync::mpsc::Receiver;
+
+/// An answer that ends without being whole, so that its connection must show it.
+#[derive(Clone, Copy, Debug, Snafu)]
+#[snafu(display("the endpoint's answer broke off"))]
+pub(crate) struct BrokenAnswer;
+
+/// The body of an answer to a client.
+#[derive(Debug)]
+pub(crate) enum AnswerBody {
+    /// A body that is known whole.
+    Whole(Option<Bytes>),
+    /// A body that comes from an endpoint.
+    Relayed(Receiver<Result<Bytes, BrokenAnswer>>),
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenAnswer;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
+        match self.get_mut() {
+            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            AnswerBody::Relayed(rx) => {
+                rx.poll_recv(cx).map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, AnswerBody::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            AnswerBody::Relayed(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// A whole answer of an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct WholeAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl WholeAnswer {
+    pub(crate) fn into_response(self) -> Response<AnswerBody> {
+        let body = Some(self.body).filter(|b| !b.is_empty());
+        let mut response = Response::new(AnswerBody::Whole(body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
+
+/// Why a request is refused, and when its client may come back.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refused {
+    pub(crate) status: StatusCode,
+    pub(crate) reason: Reason,
+    pub(crate) verdict: Verdict,
+    /// Seconds after which the client may come back.
+    pub(crate) retry_after: Option<f64>,
+}
+
+impl Refused {
+    pub(crate) fn new(reason: Reason, verdict: Verdict) -> Refused {
+        let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+        Refused { status, reason, verdict, retry_after: None }
+    }
+
+    pub(crate) fn into_response(self) -> Response<AnswerBody> {
+        let text = format!(
+            "{{\"error\":\"{}\",\"verdict\":\"{}\"}}",
+            self.reason.as_str(),
+            self.verdict.as_str()
+        );
+        let mut response = Response::new(AnswerBody::Whole(Some(Bytes::from(text))));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(seconds) = self.retry_after {
+            let value = HeaderValue::from_str(&format!("{seconds:.3}"));
+            headers.extend(value.ok().map(|value| (RETRY_AFTER, value)));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/components/gateway/src/attempt.rs
@@ -0,0 +1,313 @@
+use crate::adapter::{Adapter, Forwarded};
+use crate::answer::WholeAnswer;
+use crate::clock::now;
+use crate::connection::{Connection, ConnectionError};
+use crate::gateway::Gateway;
+use crate::job::Job;
+use crate::metrics::AttemptLabels;
+use crate::work::Work;
+use bytes::Bytes;
+use decision::Millis;
+use decision::routing::{Choice, Outcome};
+use errors::Verdict;
+use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// The longest wait for a new connection to an endpoint: several round trips between regions.
+const CONNECT_LIMIT: Millis = Millis(600);
+/// Time beyond a request's limit in which an endpoint's own answer to it may still arrive.
+const LATE_ANSWER: Millis = Millis(150);
+/// The header in which a server states how long it keeps an idle connection.
+const KEEP_ALIVE: &str = "keep-alive";
+/// The largest answer that is not a stream, in bytes.
+const MOST_ANSWER_BYTES: usize = 16 << 20;
+
+/// An answer of an endpoint.
+#[derive(Debug)]
+pub(crate) enum Answer<A: Adapter> {
+    /// An answer that is whole.
+    Whole(WholeAnswer),
+    /// A stream that has begun.
+    Streaming(Box<Streaming<A>>),
+}
+
+/// A stream of events that an endpoint has begun.
+#[derive(Debug)]
+pub(crate) struct Streaming<A: Adapter> {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Incoming,
+    pub(crate) held: Held<A>,
+}
+
+/// A connection with a request on it, and the work that it stands for.
+#[derive(Debug)]
+pub(crate) struct Held<A: Adapter> {
+    pub(crate) work: Work<A>,
+    connection: Connection,
+    address: SocketAddr,
+    kept_for: Option<Millis>,
+    closes: bool,
+}
+
+impl<A: Adapter> Held<A> {
+    /// Ends the work and keeps the connection, after a whole answer.
+    pub(crate) fn close(self, gateway: &Gateway<A>, outcome: Outcome) {
+        self.work.close(outcome);
+        if !self.closes {
+            let mut pool = gateway.pool.borrow_mut();
+            pool.put(self.address, self.connection, self.kept_for, now());
+        }
+    }
+}
+
+/// An attempt without an answer that the client can have.
+#[derive(Debug)]
+pub(crate) struct AttemptFailure {
+    pub(crate) verdict: Verdict,
+    /// Whether the endpoint got the request.
+    pub(crate) sent: bool,
+    /// The endpoint's own answer, when it failed the request.
+    pub(crate) answer: Option<WholeAnswer>,
+    /// Whether the time of the request ran out.
+    pub(crate) timed_out: bool,
+    pub(crate) text: String,
+}
+
+impl AttemptFailure {
+    fn of(e: &ConnectionError) -> AttemptFailure {
+        AttemptFailure {
+            verdict: if e.is_unsent() { Verdict::NotRun } else { Verdict::MayHaveRun },
+            sent: !e.is_unsent(),
+            answer: None,
+            timed_out: matches!(e, ConnectionError::AnswerTimeout { .. }),
+            text: e.to_string(),
+        }
+    }
+
+    fn spoiled(text: String) -> AttemptFailure {
+        let verdict = Verdict::MayHaveRun;
+        AttemptFailure { verdict, sent: true, answer: None, timed_out: false, text }
+    }
+}
+
+/// Sends a request to one endpoint, and writes the outcome to the log.
+pub(crate) async fn attempt<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    job: &Job,
+    choice: &Choice,
+    last_event: Option<&str>,
+) -> Result<Answer<A>, AttemptFailure> {
+    let started = now();
+    let work = Work::start(gateway, choice, job);
+    let result = run(gateway, job, work, last_event).await;
+    let (outcome, text) = match &result {
+        Ok(Answer::Whole(answer)) => ("answered", answer.status.to_string()),
+        Ok(Answer::Streaming(streaming)) => ("streaming", streaming.status.to_string()),
+        Err(failure) => (failure.verdict.as_str(), failure.text.clone()),
+    };
+    let labels = AttemptLabels { service: job.service.clone(), outcome };
+    gateway.metrics.attempts.get_or_create(&labels).inc();
+    if gateway.quota.borrow_mut().admits(now()) {
+        tracing::info!(
+            event = "attempt",
+            request = %job.id(),
+            endpoint = %choice.id,
+            outcome,
+            text,
+            expected_ms = choice.expected_ms as u64,
+            unread_tokens = choice.unread_tokens,
+            took_ms = now().since(started).0,
+        );
+    }
+    result
+}
+
+async fn run<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    job: &Job,
+    work: Work<A>,
+    last_event: Option<&str>,
+) -> Result<Answer<A>, AttemptFailure> {
+    let (sent, address, connection) = match send(gateway, job, &work, last_event).await {
+        Ok(sent) => sent,
+        Err(e) => {
+            let failure = AttemptFailure::of(&e);
+            work.close(judge(&e, job, now()));
+            return Err(failure);
+        }
+    };
+    work.first_byte(job);
+    let (head, body) = sent.into_parts();
+    let kept_for = kept_for(&head.headers);
+    let closes = says_close(&head.headers);
+    let held = Held { work, connection, address, kept_for, closes };
+    let said = gateway.adapter.read_answer(head.status, &head.headers);
+    if said.request_id != job.request_id {
+        held.work.close(Outcome::Failed);
+        return Err(AttemptFailure::spoiled("the answer names another request".to_owned()));
+    }
+    let headers = client_headers(&head.headers);
+    if head.status.is_success() {
+        if !said.sealed || headers.contains_key(CONTENT_ENCODING) {
+            held.work.close(Outcome::Failed);
+            return Err(AttemptFailure::spoiled("the answer is not vouched for".to_owned()));
+        }
+        if job.streamed {
+            let streaming = Streaming { status: head.status, headers, body, held };
+            return Ok(Answer::Streaming(Box::new(streaming)));
+        }
+    }
+    let body = match collect(body, job, now()).await {
+        Ok(body) => body,
+        Err(text) if said.not_run => {
+            held.work.close(Outcome::Rejected);
+            return Err(rejected(head.status, text));
+        }
+        Err(text) => {
+            held.work.close(Outcome::Failed);
+            return Err(AttemptFailure::spoiled(text));
+        }
+    };
+    if said.not_run {
+        held.close(gateway, Outcome::Rejected);
+        return Err(rejected(head.status, String::from("it did not run the request")));
+    }
+    let answer = WholeAnswer { status: head.status, headers, body };
+    if head.status.is_server_error() {
+        held.close(gateway, Outcome::Failed);
+        return Err(failed(answer));
+    }
+    held.close(gateway, Outcome::Answered);
+    Ok(Answer::Whole(answer))
+}
+
+fn rejected(status: StatusCode, text: String) -> AttemptFailure {
+    let text = format!("{status}: {text}");
+    AttemptFailure { verdict: Verdict::NotRun, sent: true, answer: None, timed_out: false, text }
+}
+
+/// Returns the failure of a request that the endpoint ran and failed.
+fn failed(answer: WholeAnswer) -> AttemptFailure {
+    let text = format!("the endpoint answered {}", answer.status);
+    // These statuses would tell the client that the request has not run, which the endpoint did
+    // not say.
+    let misleads = matches!(answer.status.as_u16(), 503);
+    let answer = (!misleads).then_some(answer);
+    AttemptFailure { verdict: Verdict::MayHaveRun, sent: true, answer, timed_out: false, text }
+}
+
+/// Returns what a connection's failure says about its endpoint.
+fn judge(e: &ConnectionError, job: &Job, now: Millis) -> Outcome {
+    match e {
+        ConnectionError::Connect { .. } | ConnectionError::ConnectTimeout { .. } => Outcome::Silent,
+        ConnectionError::AnswerTimeout { .. } if now >= job.due => Outcome::Silent,
+        ConnectionError::AnswerTimeout { .. } => Outcome::Abandoned,
+        ConnectionError::Unsent { .. } => Outcome::Abandoned,
+        ConnectionError::Broken { .. } | ConnectionError::Body { .. } => Outcome::Failed,
+    }
+}
+
+async fn send<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    job: &Job,
+    work: &Work<A>,
+    last_event: Option<&str>,
+) -> Result<(Response<Incoming>, SocketAddr, Connection), ConnectionError> {
+    let unlisted = || ConnectionError::Body {
+        address: SocketAddr::from(([0, 0, 0, 0], 0)),
+        limit: 0,
+        text: String::from("the endpoint left the registry"),
+    };
+    let registered = gateway.directory().get(work.endpoint()).map(|r| r.address.clone());
+    let address: SocketAddr =
+        registered.and_then(|address| address.parse().ok()).ok_or_else(unlisted)?;
+    loop {
+        let recent = !job.repeat.may_run_again();
+        let kept = gateway.pool.borrow_mut().take(address, recent, now());
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => {
+                gateway.metrics.connections_opened.inc();
+                let limit = CONNECT_LIMIT.min(job.left(now()));
+                Connection::open(address, limit).await?
+            }
+        };
+        let was_kept = !connection.is_new;
+        let req = request(gateway, job, work, last_event);
+        match connection.send(req, job.left(now()) + LATE_ANSWER).await {
+            Err(ConnectionError::Unsent { .. }) if was_kept => {}
+            Err(e) => return Err(e),
+            Ok(response) => return Ok((response, address, connection)),
+        }
+    }
+}
+
+fn request<A: Adapter>(
+    gateway: &Gateway<A>,
+    job: &Job,
+    work: &Work<A>,
+    last_event: Option<&str>,
+) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(job.body.clone()));
+    *req.method_mut() = job.method.clone();
+    *req.uri_mut() = job.target.clone();
+    *req.headers_mut() = job.headers.clone();
+    let forwarded = Forwarded {
+        endpoint: work.endpoint(),
+        remaining: job.left(now()),
+        account: job.account.as_deref(),
+        urgency: job.prompt.as_ref().map(|_| job.priority.min(9)),
+        last_event: last_event.or(job.last_event.as_deref()),
+    };
+    gateway.adapter.write_request(req.headers_mut(), &forwarded);
+    req
+}
+
+async fn collect(body: Incoming, job: &Job, now: Millis) -> Result<Bytes, String> {
+    let limit = job.left(now) + LATE_ANSWER;
+    let whole = Limited::new(body, MOST_ANSWER_BYTES).collect();
+    match timeout(Duration::from_millis(limit.0), whole).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(e)) => Err(format!("the answer broke off: {e}")),
+        Err(_) => Err(format!("the answer was not whole within {} ms", limit.0)),
+    }
+}
+
+/// Returns whether a header concerns one connection alone.
+pub(crate) fn is_hop_header(name: &HeaderName) -> bool {
+    *name == CONNECTION
+        || name.as_str() == KEEP_ALIVE
+        || *name == TRANSFER_ENCODING
+        || *name == CONTENT_LENGTH
+        || matches!(
+            name.as_str(),
+            "proxy-connection" | "proxy-authorization" | "te" | "trailer" | "upgrade" | "expect"
+        )
+}
+
+fn client_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers.iter().filter(|(name, _)| !is_hop_header(name)) {
+        kept.append(name.clone(), value.clone());
+    }
+    kept
+}
+
+fn says_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(CONNECTION);
+    values.iter().any(|v| v.to_str().is_ok_and(|v| v.to_ascii_lowercase().contains("close")))
+}
+
+/// Returns how long the endpoint keeps an idle connection, from a header like `timeout=5`.
+fn kept_for(headers: &HeaderMap) -> Option<Millis> {
+    let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let seconds = text.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse::<u64>().ok().map(|s| Millis(s * 1000))
+}
--- /dev/null
+++ b/components/gateway/src/connection.rs
@@ -0,0 +1,146 @@
+use bytes::Bytes;
+use decision::Millis;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use snafu::{ResultExt, Snafu};
+use socket2::{SockRef, TcpKeepalive};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// Time without an acknowledged byte after which a connection is taken for dead: several round
+/// trips between regions, and well under the objectives of requests.
+const DEAD_AFTER: Duration = Duration::from_millis(1_500);
+/// Idle time of a connection before it is probed.
+const PROBE_AFTER: Duration = Duration::from_secs(2);
+/// Time between probes of an idle connection; the kernel's smallest unit is a second.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is taken for dead.
+const PROBES: u32 = 2;
+
+/// A failure of a connection.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum ConnectionError {
+    #[snafu(display("{address}: cannot connect: {source}"))]
+    Connect { address: SocketAddr, source: std::io::Error },
+    #[snafu(display("{address}: no connection within {} ms", limit.0))]
+    ConnectTimeout { address: SocketAddr, limit: Millis },
+    #[snafu(display("{address}: the connection closed before the request was sent"))]
+    Unsent { address: SocketAddr },
+    #[snafu(display("{address}: {source}"))]
+    Broken { address: SocketAddr, source: hyper::Error },
+    #[snafu(display("{address}: no answer within {} ms", limit.0))]
+    AnswerTimeout { address: SocketAddr, limit: Millis },
+    #[snafu(display("{address}: the answer is over {limit} bytes or broke off: {text}"))]
+    Body { address: SocketAddr, limit: usize, text: String },
+}
+
+impl ConnectionError {
+    /// Returns whether no byte of the request left.
+    pub(crate) fn is_unsent(&self) -> bool {
+        use ConnectionError::{Connect, ConnectTimeout, Unsent};
+        matches!(self, Connect { .. } | ConnectTimeout { .. } | Unsent { .. })
+    }
+}
+
+/// A kept HTTP/1.1 connection, with one request at a time.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    /// Whether no request was sent on it yet.
+    pub(crate) is_new: bool,
+}
+
+impl Connection {
+    pub(crate) async fn open(
+        address: SocketAddr,
+        limit: Millis,
+    ) -> Result<Connection, ConnectionError> {
+        let limit_time = Duration::from_millis(limit.0);
+        let stream = match timeout(limit_time, TcpStream::connect(address)).await {
+            Ok(connected) => connected.context(ConnectSnafu { address })?,
+            Err(_) => return ConnectTimeoutSnafu { address, limit }.fail(),
+        };
+        set_options(&stream, DEAD_AFTER).context(ConnectSnafu { address })?;
+        let (sender, driver) =
+            http1::handshake(TokioIo::new(stream)).await.context(BrokenSnafu { address })?;
+        spawn_local(async move {
+            if let Err(e) = driver.await {
+                tracing::debug!(event = "connection_ended", %address, error = %e);
+            }
+        });
+        Ok(Connection { address, sender, is_new: true })
+    }
+
+    /// Returns whether a request can be sent now.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request and waits for the head of the answer. Dropping the future closes the
+    /// connection.
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+        limit: Millis,
+    ) -> Result<Response<Incoming>, ConnectionError> {
+        let address = self.address;
+        self.is_new = false;
+        let sent = self.sender.try_send_request(req);
+        match timeout(Duration::from_millis(limit.0), sent).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(mut e)) => match e.take_message() {
+                Some(_) => UnsentSnafu { address }.fail(),
+                None => Err(e.into_error()).context(BrokenSnafu { address }),
+            },
+            Err(_) => AnswerTimeoutSnafu { address, limit }.fail(),
+        }
+    }
+
+    /// Sends a GET and reads the whole answer.
+    pub(crate) async fn get(
+        &mut self,
+        host: &str,
+        target: &str,
+        limit: Millis,
+        most_bytes: usize,
+    ) -> Result<(StatusCode, Bytes), ConnectionError> {
+        let address = self.address;
+        let req = Request::get(target)
+            .header(http::header::HOST, host)
+            .body(Full::new(Bytes::new()))
+            .map_err(|e| ConnectionError::Body { address, limit: 0, text: e.to_string() })?;
+        let whole = async {
+            let response = self.send(req, limit).await?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), most_bytes).collect().await;
+            let body = body.map_err(|e| ConnectionError::Body {
+                address,
+                limit: most_bytes,
+                text: e.to_string(),
+            })?;
+            Ok((status, body.to_bytes()))
+        };
+        match timeout(Duration::from_millis(limit.0), whole).await {
+            Ok(answer) => answer,
+            Err(_) => AnswerTimeoutSnafu { address, limit }.fail(),
+        }
+    }
+}
+
+/// Makes silent loss of a connection show within seconds.
+pub(crate) fn set_options(stream: &TcpStream, dead_after: Duration) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes =
+        TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_EVERY).with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(dead_after))
+}
--- /dev/null
+++ b/components/gateway/src/feed.rs
@@ -0,0 +1,190 @@
+use crate::adapter::{Adapter, Changes, Item, Kind, Page};
+use crate::gateway::Gateway;
+use decision::Millis;
+use decision::routing::{Catalog, Configuration, Registration};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// What is done with the objects of one kind.
+pub(crate) trait Feed {
+    /// The value of an object.
+    type Value;
+
+    /// The kind.
+    const KIND: Kind;
+    /// How long a watch waits for a change.
+    const WAIT: Millis;
+
+    /// Reads a list.
+    fn read_page<A: Adapter>(adapter: &A, body: &[u8]) -> Result<Page<Self::Value>, String>;
+
+    /// Reads the answer to a watch.
+    fn read_changes<A: Adapter>(adapter: &A, body: &[u8]) -> Result<Changes<Self::Value>, String>;
+
+    /// Takes all objects of the kind, read by a call sent at `sent`.
+    fn replace<A: Adapter>(
+        gateway: &Gateway<A>,
+        items: Vec<Item<Self::Value>>,
+        after_outage: bool,
+        now: Millis,
+    );
+
+    /// Takes one change.
+    fn change<A: Adapter>(
+        gateway: &Gateway<A>,
+        item: Item<Self::Value>,
+        after_outage: bool,
+        now: Millis,
+    );
+
+    /// Takes the proof that all changes up to `sent` are known.
+    fn prove<A: Adapter>(gateway: &Gateway<A>, sent: Millis);
+}
+
+/// The name of the object that holds the newest configuration.
+const NEWEST: &str = "main";
+
+/// The operators' configuration.
+pub(crate) struct Configurations;
+
+impl Feed for Configurations {
+    type Value = Configuration;
+
+    const KIND: Kind = Kind::Configuration;
+    /// A third of a revocation bound of five seconds, and over the second in which a store that
+    /// drops its history may hold changes back.
+    const WAIT: Millis = Millis(1_500);
+
+    fn read_page<A: Adapter>(adapter: &A, body: &[u8]) -> Result<Page<Configuration>, String> {
+        adapter.read_configurations(body)
+    }
+
+    fn read_changes<A: Adapter>(
+        adapter: &A,
+        body: &[u8],
+    ) -> Result<Changes<Configuration>, String> {
+        adapter.read_configuration_changes(body)
+    }
+
+    fn replace<A: Adapter>(
+        gateway: &Gateway<A>,
+        items: Vec<Item<Configuration>>,
+        after_outage: bool,
+        now: Millis,
+    ) {
+        for item in items {
+            Self::change(gateway, item, after_outage, now);
+        }
+    }
+
+    fn change<A: Adapter>(
+        gateway: &Gateway<A>,
+        item: Item<Configuration>,
+        _after_outage: bool,
+        _now: Millis,
+    ) {
+        if item.name != NEWEST {
+            return;
+        }
+        match item.value {
+            Some(Ok(configuration)) => put_in_force(gateway, configuration),
+            Some(Err(text)) => {
+                tracing::error!(event = "configuration_unreadable", name = %item.name, text);
+            }
+            None => tracing::warn!(event = "configuration_deleted", name = %item.name),
+        }
+    }
+
+    fn prove<A: Adapter>(gateway: &Gateway<A>, sent: Millis) {
+        gateway.freshness.borrow_mut().prove(sent);
+    }
+}
+
+fn put_in_force<A: Adapter>(gateway: &Gateway<A>, configuration: Configuration) {
+    let version = configuration.version;
+    let before = gateway.catalog().map(|catalog| catalog.configuration().version);
+    if before.is_some_and(|before| version <= before) {
+        if before != Some(version) {
+            tracing::warn!(event = "configuration_older", version, in_force = before);
+        }
+        return;
+    }
+    tracing::info!(
+        event = "configuration_in_force",
+        version,
+        before,
+        routes = configuration.routes.len(),
+        accounts = configuration.accounts.as_ref().map_or(0, Vec::len),
+    );
+    gateway.metrics.configuration_version.set(version as i64);
+    gateway.catalog.replace(Some(Rc::new(Catalog::new(configuration))));
+}
+
+/// The registry of endpoints.
+pub(crate) struct Endpoints;
+
+impl Feed for Endpoints {
+    type Value = Registration;
+
+    const KIND: Kind = Kind::Endpoints;
+    /// Changes come at once; the wait only bounds how long a dead watch goes unnoticed.
+    const WAIT: Millis = Millis(5_000);
+
+    fn read_page<A: Adapter>(adapter: &A, body: &[u8]) -> Result<Page<Registration>, String> {
+        adapter.read_registrations(body)
+    }
+
+    fn read_changes<A: Adapter>(adapter: &A, body: &[u8]) -> Result<Changes<Registration>, String> {
+        adapter.read_registration_changes(body)
+    }
+
+    fn replace<A: Adapter>(
+        gateway: &Gateway<A>,
+        items: Vec<Item<Registration>>,
+        after_outage: bool,
+        now: Millis,
+    ) {
+        let mut entries = BTreeMap::new();
+        for item in items {
+            match item.value {
+                Some(Ok(registration)) => {
+                    entries.insert(item.name, registration);
+                }
+                Some(Err(text)) => log_malformed(&item.name, &text),
+                None => {}
+            }
+        }
+        let changes = gateway.directory.borrow_mut().replace(entries, after_outage, now);
+        gateway.note_changes(&changes);
+        gateway.registry_known.set(true);
+    }
+
+    fn change<A: Adapter>(
+        gateway: &Gateway<A>,
+        item: Item<Registration>,
+        after_outage: bool,
+        now: Millis,
+    ) {
+        let mut directory = gateway.directory.borrow_mut();
+        let change = match item.value {
+            Some(Ok(registration)) => directory.put(&item.name, registration),
+            Some(Err(text)) => {
+                log_malformed(&item.name, &text);
+                directory.remove(&item.name)
+            }
+            None if after_outage => {
+                directory.mark_missing(&item.name, now);
+                None
+            }
+            None => directory.remove(&item.name),
+        };
+        drop(directory);
+        gateway.note_changes(change.as_slice());
+    }
+
+    fn prove<A: Adapter>(_gateway: &Gateway<A>, _sent: Millis) {}
+}
+
+fn log_malformed(id: &str, text: &str) {
+    tracing::warn!(event = "endpoint_unreadable", endpoint = %id, text);
+}
--- /dev/null
+++ b/components/gateway/src/follow.rs
@@ -0,0 +1,189 @@
+use crate::adapter::Adapter;
+use crate::clock::now;
+use crate::connection::{Connection, ConnectionError};
+use crate::feed::Feed;
+use crate::gateway::Gateway;
+use crate::metrics::StoreLabels;
+use bytes::Bytes;
+use decision::Millis;
+use decision::routing::REAPPEAR;
+use http::StatusCode;
+use rand::RngExt;
+use snafu::Snafu;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// The longest wait for an answer to a read: a store that answers sixty times as slowly as usual.
+const READ_LIMIT: Millis = Millis(2_000);
+/// The longest wait for a connection to the store.
+const CONNECT_LIMIT: Millis = Millis(1_000);
+/// The largest answer of the store, in bytes: a page of 1 MB with its encoding.
+const MOST_BYTES: usize = 4 << 20;
+/// The first pause after a failed call; it doubles up to [`PAUSE_LIMIT`].
+const PAUSE: Millis = Millis(150);
+/// The longest pause, so that keys work again within a second of the store's return.
+const PAUSE_LIMIT: Millis = Millis(800);
+
+/// A call to the store that did not give what was asked.
+#[derive(Debug, Snafu)]
+enum CallError {
+    #[snafu(display("{text}"))]
+    Unreachable { text: String },
+    #[snafu(display("{target}: the store answered {status}"))]
+    Status { target: String, status: StatusCode },
+    #[snafu(display("{target}: the history is gone"))]
+    HistoryGone { target: String },
+    #[snafu(display("{target}: unreadable answer: {text}"))]
+    Unreadable { target: String, text: String },
+}
+
+impl From<ConnectionError> for CallError {
+    fn from(e: ConnectionError) -> CallError {
+        CallError::Unreachable { text: e.to_string() }
+    }
+}
+
+/// How this daemon stands with the store.
+struct Follower<A> {
+    gateway: Rc<Gateway<A>>,
+    connection: Option<Connection>,
+    /// The revision from which to watch.
+    revision: Option<u64>,
+    lost_at: Option<Millis>,
+    regained_at: Option<Millis>,
+    pause: Millis,
+}
+
+/// Follows one kind of object for as long as the daemon runs.
+pub(crate) async fn follow<A: Adapter, F: Feed>(gateway: Rc<Gateway<A>>) {
+    let mut follower = Follower {
+        gateway,
+        connection: None,
+        revision: None,
+        lost_at: None,
+        regained_at: None,
+        pause: PAUSE,
+    };
+    loop {
+        match follower.step::<F>().await {
+            Ok(()) => follower.regain::<F>(),
+            Err(e) => follower.lose::<F>(&e).await,
+        }
+    }
+}
+
+impl<A: Adapter> Follower<A> {
+    async fn step<F: Feed>(&mut self) -> Result<(), CallError> {
+        match self.revision {
+            Some(since) => self.watch::<F>(since).await,
+            None => self.list::<F>().await,
+        }
+    }
+
+    async fn list<F: Feed>(&mut self) -> Result<(), CallError> {
+        let sent = now();
+        let mut items = Vec::new();
+        let mut revision = None;
+        loop {
+            let after = items.last().map(|item: &crate::adapter::Item<F::Value>| &*item.name);
+            let target = self.gateway.adapter.list_target(F::KIND, after);
+            let body = self.get::<F>(&target, READ_LIMIT).await?;
+            let page = F::read_page(&self.gateway.adapter, &body)
+                .map_err(|text| CallError::Unreadable { target, text })?;
+            // Changes made while later pages were read show in the watch from the first one.
+            revision.get_or_insert(page.revision);
+            let is_last = !page.more || page.items.is_empty();
+            items.extend(page.items);
+            if is_last {
+                break;
+            }
+        }
+        F::replace(&self.gateway, items, self.is_after_outage(now()), now());
+        F::prove(&self.gateway, sent);
+        self.revision = revision;
+        Ok(())
+    }
+
+    async fn watch<F: Feed>(&mut self, since: u64) -> Result<(), CallError> {
+        let sent = now();
+        let target = self.gateway.adapter.watch_target(F::KIND, since, F::WAIT);
+        let body = match self.get::<F>(&target, F::WAIT + READ_LIMIT).await {
+            Ok(body) => body,
+            Err(CallError::HistoryGone { target }) => {
+                self.revision = None;
+                tracing::info!(event = "history_gone", kind = F::KIND.as_str(), target);
+                return Ok(());
+            }
+            Err(e) => return Err(e),
+        };
+        let changes = F::read_changes(&self.gateway.adapter, &body)
+            .map_err(|text| CallError::Unreadable { target, text })?;
+        let after_outage = self.is_after_outage(now());
+        for item in changes.items {
+            F::change(&self.gateway, item, after_outage, now());
+        }
+        F::prove(&self.gateway, sent);
+        self.revision = Some(changes.revision);
+        Ok(())
+    }
+
+    /// Returns whether entries may be missing only because the store was away.
+    fn is_after_outage(&self, now: Millis) -> bool {
+        self.lost_at.is_some() || self.regained_at.is_some_and(|at| now.since(at) < REAPPEAR)
+    }
+
+    async fn get<F: Feed>(&mut self, target: &str, limit: Millis) -> Result<Bytes, CallError> {
+        let result = self.call(target, limit).await;
+        let text = match &result {
+            Ok((status, _)) if status.is_success() => "ok",
+            Ok(_) => "refused",
+            Err(_) => "unreachable",
+        };
+        let labels = StoreLabels { kind: F::KIND.as_str(), result: text };
+        self.gateway.metrics.store_calls.get_or_create(&labels).inc();
+        let target = target.to_owned();
+        match result? {
+            (StatusCode::OK, body) => Ok(body),
+            (StatusCode::GONE, _) => Err(CallError::HistoryGone { target }),
+            (status, _) => Err(CallError::Status { target, status }),
+        }
+    }
+
+    async fn call(
+        &mut self,
+        target: &str,
+        limit: Millis,
+    ) -> Result<(StatusCode, Bytes), ConnectionError> {
+        let address = self.gateway.settings().store;
+        let mut connection = match self.connection.take().filter(Connection::is_ready) {
+            Some(connection) => connection,
+            None => Connection::open(address, CONNECT_LIMIT).await?,
+        };
+        let host = address.to_string();
+        let answer = connection.get(&host, target, limit, MOST_BYTES).await?;
+        self.connection = Some(connection);
+        Ok(answer)
+    }
+
+    fn regain<F: Feed>(&mut self) {
+        self.pause = PAUSE;
+        if let Some(lost_at) = self.lost_at.take() {
+            let after_ms = now().since(lost_at).0;
+            tracing::info!(event = "store_regained", kind = F::KIND.as_str(), after_ms);
+            self.regained_at = Some(now());
+        }
+    }
+
+    async fn lose<F: Feed>(&mut self, e: &CallError) {
+        self.connection = None;
+        if self.lost_at.is_none() {
+            self.lost_at = Some(now());
+            tracing::warn!(event = "store_lost", kind = F::KIND.as_str(), error = %e);
+        }
+        let spread: f64 = self.gateway.random.borrow_mut().random();
+        let pause = self.pause.0 as f64 * (0.75 + spread / 2.0);
+        sleep(Duration::from_millis(pause as u64)).await;
+        self.pause = (self.pause + self.pause).min(PAUSE_LIMIT);
+    }
+}
--- /dev/null
+++ b/components/gateway/src/job.rs
@@ -0,0 +1,60 @@
+use bytes::Bytes;
+use decision::Millis;
+use decision::routing::{Caller, Catalog, Prompt, Repeat, Route};
+use http::{HeaderMap, Method, Uri};
+
+/// A request of a client, read whole and allowed.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    /// The id, for logs and to match answers.
+    pub(crate) request_id: Option<String>,
+    pub(crate) method: Method,
+    /// The path and query.
+    pub(crate) target: Uri,
+    /// The headers that go on to the endpoint.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: String,
+    pub(crate) service: String,
+    pub(crate) account: Option<String>,
+    pub(crate) repeat: Repeat,
+    pub(crate) streamed: bool,
+    pub(crate) attempts: u32,
+    pub(crate) priority: u8,
+    pub(crate) prompt: Option<Prompt>,
+    pub(crate) last_event: Option<String>,
+    pub(crate) arrived: Millis,
+    /// The time by which the client has its whole answer.
+    pub(crate) deadline: Millis,
+    /// The time by which the first byte is on time.
+    pub(crate) due: Millis,
+}
+
+impl Job {
+    /// Returns the id for logs.
+    pub(crate) fn id(&self) -> &str {
+        self.request_id.as_deref().unwrap_or("-")
+    }
+
+    /// Returns the time that is left.
+    pub(crate) fn left(&self, now: Millis) -> Millis {
+        self.deadline - now
+    }
+}
+
+/// Returns the rank of a request: that of its client account before that of its route.
+pub(crate) fn priority(route: &Route, caller: Caller<'_>) -> u8 {
+    match caller {
+        Caller::Known(account) => account.priority.unwrap_or(route.priority),
+        Caller::Anonymous | Caller::Unknown => route.priority,
+    }
+}
+
+/// Returns the service of a request, chosen by weight from its id.
+pub(crate) fn destination<'a>(route: &'a Route, catalog: &Catalog, id: &str) -> Option<&'a str> {
+    let hash = id.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3)
+    });
+    let name = route.destination((hash ^ (hash >> 32)) & 0xffff_ffff)?;
+    catalog.service(name).map(|_| name)
+}
--- /dev/null
+++ b/components/gateway/src/lib.rs
@@ -0,0 +1,33 @@
+//! The data path between clients and endpoints, on one event loop.
+//!
+//! Decisions are made in `decision::routing`. An [`Adapter`] says how requests, answers and the
+//! objects of a store look on the wire of one platform.
+
+mod adapter;
+mod answer;
+mod attempt;
+mod clock;
+mod connection;
+mod events;
+mod feed;
+mod follow;
+mod gateway;
+mod job;
+mod listener;
+mod log;
+mod metrics;
+mod observe;
+mod pool;
+mod relay;
+mod request;
+mod run;
+mod serve;
+mod settings;
+mod stop;
+mod work;
+
+pub use adapter::{Adapter, AnswerHead, Changes, Forwarded, Item, Kind, Page, RequestHead};
+pub use events::EventSplitter;
+pub use log::LogQuota;
+pub use run::{RunError, run};
+pub use settings::{Reload, Settings};
--- /dev/null
+++ b/components/gateway/src/listener.rs
@@ -0,0 +1,145 @@
+use crate::adapter::Adapter;
+use crate::answer::AnswerBody;
+use crate::clock::now;
+use crate::connection::set_options;
+use crate::gateway::Gateway;
+use crate::observe::observe;
+use crate::serve::serve;
+use decision::Millis;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::{Domain, Socket, Type};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Connections that wait to be accepted: a burst of returning clients.
+const BACKLOG: i32 = 1_024;
+/// Time without an acknowledged byte after which a client is taken for gone.
+const CLIENT_DEAD_AFTER: Duration = Duration::from_secs(5);
+/// The smallest buffer that the HTTP library takes, in bytes.
+const LEAST_HEADER_BYTES: usize = 8_192;
+/// Open files that are not for clients: endpoints, the store and the files of the process.
+const RESERVED_FILES: u32 = 900;
+/// Pause after a failed accept, in which open files may be freed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Role {
+    /// Requests of clients.
+    Clients,
+    /// Questions about the daemon itself.
+    Observers,
+}
+
+/// Opens a listening socket.
+pub(crate) fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Accepts connections for as long as the daemon runs.
+pub(crate) async fn accept<A: Adapter>(gateway: Rc<Gateway<A>>, listener: TcpListener, role: Role) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let most = gateway.settings().open_files.saturating_sub(RESERVED_FILES).max(64);
+                if gateway.metrics.clients.get() < i64::from(most) {
+                    spawn_local(talk(gateway.clone(), stream, role));
+                } else {
+                    tracing::warn!(event = "connection_refused", most, "too many connections");
+                }
+            }
+            Err(e) => {
+                tracing::warn!(event = "accept_failed", error = %e);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Whether a connection has a request, and since when it has none.
+#[derive(Debug)]
+struct Activity {
+    requests: Cell<u32>,
+    idle_since: Cell<Millis>,
+}
+
+async fn talk<A: Adapter>(gateway: Rc<Gateway<A>>, stream: TcpStream, role: Role) {
+    if let Err(e) = set_options(&stream, CLIENT_DEAD_AFTER) {
+        tracing::debug!(event = "client_lost", error = %e);
+        return;
+    }
+    gateway.metrics.clients.inc();
+    let activity = Activity { requests: Cell::new(0), idle_since: Cell::new(now()) };
+    converse(&gateway, stream, role, &activity).await;
+    gateway.metrics.clients.dec();
+}
+
+async fn converse<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    stream: TcpStream,
+    role: Role,
+    activity: &Activity,
+) {
+    let limits = gateway.catalog().map(|c| c.configuration().limits).unwrap_or_default();
+    let service = service_fn(|req| answer(gateway, req, role, activity));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .max_buf_size(limits.header_bytes.max(LEAST_HEADER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut served = pin!(served);
+    loop {
+        let idle_end = activity.idle_since.get() + limits.idle_time;
+        let wait = match activity.requests.get() {
+            0 => idle_end.since(now()),
+            _ => limits.idle_time,
+        };
+        tokio::select! {
+            result = served.as_mut() => {
+                if let Err(e) = result {
+                    tracing::debug!(event = "client_connection_ended", error = %e);
+                }
+                return;
+            }
+            () = sleep(Duration::from_millis(wait.0.max(1))) => {}
+            () = gateway.stop.changed() => {}
+        }
+        let is_idle = activity.requests.get() == 0;
+        let is_over = now() >= activity.idle_since.get() + limits.idle_time;
+        if is_idle && (is_over || gateway.stop.closes_idle()) {
+            served.as_mut().graceful_shutdown();
+        }
+    }
+}
+
+async fn answer<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    req: Request<Incoming>,
+    role: Role,
+    activity: &Activity,
+) -> Result<Response<AnswerBody>, Infallible> {
+    activity.requests.set(activity.requests.get() + 1);
+    let response = match role {
+        Role::Clients => serve(gateway, req).await,
+        Role::Observers => observe(gateway, req).await,
+    };
+    activity.requests.set(activity.requests.get() - 1);
+    activity.idle_since.set(now());
+    Ok(response)
+}
--- /dev/null
+++ b/components/gateway/src/metrics.rs
@@ -0,0 +1,114 @@
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Bounds of the latency histograms, in seconds: 5 ms to 10 s, doubling.
+const LATENCY_BOUNDS: [f64; 12] =
+    [0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.28, 2.56, 5.12, 10.24];
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct RouteLabels {
+    pub(crate) route: String,
+    pub(crate) result: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ServiceLabels {
+    pub(crate) service: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct AttemptLabels {
+    pub(crate) service: String,
+    pub(crate) outcome: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct StoreLabels {
+    pub(crate) kind: &'static str,
+    pub(crate) result: &'static str,
+}
+
+fn latencies() -> Histogram {
+    Histogram::new(LATENCY_BOUNDS)
+}
+
+/// Counters and histograms of a gateway.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) requests: Family<RouteLabels, Counter>,
+    pub(crate) attempts: Family<AttemptLabels, Counter>,
+    pub(crate) store_calls: Family<StoreLabels, Counter>,
+    pub(crate) connections_opened: Counter,
+    pub(crate) clients: Gauge,
+    pub(crate) idle_connections: Gauge,
+    pub(crate) configuration_version: Gauge,
+    pub(crate) first_byte: Family<ServiceLabels, Histogram, fn() -> Histogram>,
+    pub(crate) whole_answer: Family<ServiceLabels, Histogram, fn() -> Histogram>,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("chervilspur"),
+            requests: Family::default(),
+            attempts: Family::default(),
+            store_calls: Family::default(),
+            connections_opened: Counter::default(),
+            clients: Gauge::default(),
+            idle_connections: Gauge::default(),
+            configuration_version: Gauge::default(),
+            first_byte: Family::new_with_constructor(latencies as fn() -> Histogram),
+            whole_answer: Family::new_with_constructor(latencies as fn() -> Histogram),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("requests", "Requests of clients by result", self.requests.clone());
+        r.register("attempts", "Sends to endpoints by outcome", self.attempts.clone());
+        r.register("store_calls", "Calls to the store by result", self.store_calls.clone());
+        r.register(
+            "connections_opened",
+            "Connections opened to endpoints",
+            self.connections_opened.clone(),
+        );
+        r.register("clients", "Open connections of clients", self.clients.clone());
+        r.register(
+            "idle_connections",
+            "Kept connections to endpoints",
+            self.idle_connections.clone(),
+        );
+        r.register(
+            "configuration_version",
+            "Version of the configuration in force",
+            self.configuration_version.clone(),
+        );
+        r.register(
+            "first_byte_seconds",
+            "Time from a request to the head of its answer",
+            self.first_byte.clone(),
+        );
+        r.register(
+            "whole_answer_seconds",
+            "Time from a request to the end of its answer",
+            self.whole_answer.clone(),
+        );
+    }
+
+    /// Returns the metrics in the text format of OpenMetrics.
+    pub(crate) fn text(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/components/gateway/src/observe.rs
@@ -0,0 +1,46 @@
+use crate::adapter::Adapter;
+use crate::answer::AnswerBody;
+use crate::clock::now;
+use crate::gateway::Gateway;
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use std::rc::Rc;
+
+/// The path that says whether this daemon takes connections.
+const READY_PATH: &str = "/readiness";
+/// The format of the metrics.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+fn plain(status: StatusCode, text: String) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Whole(Some(Bytes::from(text))));
+    *response.status_mut() = status;
+    response
+}
+
+/// Answers questions about the daemon itself.
+pub(crate) async fn observe<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    req: Request<Incoming>,
+) -> Response<AnswerBody> {
+    if req.uri().path() == READY_PATH {
+        return if gateway.is_ready(now()) {
+            plain(StatusCode::OK, String::from("ready\n"))
+        } else {
+            plain(StatusCode::SERVICE_UNAVAILABLE, String::from("not ready\n"))
+        };
+    }
+    if req.uri().path() != gateway.settings().metrics_path {
+        return plain(StatusCode::NOT_FOUND, String::from("no such page\n"));
+    }
+    match gateway.metrics.text() {
+        Ok(text) => {
+            let mut response = plain(StatusCode::OK, text);
+            let format = HeaderValue::from_static(METRICS_TYPE);
+            response.headers_mut().insert(CONTENT_TYPE, format);
+            response
+        }
+        Err(e) => plain(StatusCode::INTERNAL_SERVER_ERROR, format!("{e}\n")),
+    }
+}
--- /dev/null
+++ b/components/gateway/src/relay.rs
@@ -0,0 +1,151 @@
+use crate::adapter::Adapter;
+use crate::answer::{AnswerBody, BrokenAnswer};
+use crate::attempt::{Answer, Held, Streaming, attempt};
+use crate::clock::now;
+use crate::events::EventSplitter;
+use crate::gateway::Gateway;
+use crate::job::Job;
+use crate::request::choose;
+use crate::serve::finish;
+use bytes::Bytes;
+use decision::routing::{Outcome, Repeat};
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{Sender, channel};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// Pieces of an answer that wait for a slow client before the endpoint is no longer read.
+const WAITING_PIECES: usize = 8;
+
+/// How the reading of one endpoint's stream ended.
+enum End {
+    /// The endpoint ended the stream.
+    Whole,
+    /// The stream broke off or fell silent until its time was over.
+    Broken(String),
+    /// The client left.
+    ClientLeft,
+}
+
+/// Answers a client with a stream, whose events pass on from a task of their own.
+pub(crate) fn relay<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    job: Job,
+    streaming: Streaming<A>,
+    tried: BTreeSet<String>,
+    sends: u32,
+) -> Response<AnswerBody> {
+    let (tx, rx) = channel(WAITING_PIECES);
+    let mut response = Response::new(AnswerBody::Relayed(rx));
+    *response.status_mut() = streaming.status;
+    *response.headers_mut() = streaming.headers;
+    let relay = Relay {
+        gateway: gateway.clone(),
+        job,
+        tx,
+        splitter: EventSplitter::default(),
+        tried,
+        sends,
+    };
+    spawn_local(relay.run(streaming.body, streaming.held));
+    response
+}
+
+struct Relay<A: Adapter> {
+    gateway: Rc<Gateway<A>>,
+    job: Job,
+    tx: Sender<Result<Bytes, BrokenAnswer>>,
+    splitter: EventSplitter,
+    tried: BTreeSet<String>,
+    sends: u32,
+}
+
+impl<A: Adapter> Relay<A> {
+    async fn run(mut self, mut body: Incoming, mut held: Held<A>) {
+        loop {
+            let text = match self.pass_on(&mut body).await {
+                End::Whole => {
+                    held.close(&self.gateway, Outcome::Answered);
+                    return self.end("answered", "");
+                }
+                End::ClientLeft => {
+                    held.work.close(Outcome::Abandoned);
+                    return self.end("client_left", "");
+                }
+                End::Broken(text) => text,
+            };
+            held.work.close(Outcome::Failed);
+            drop(body);
+            match self.resume().await {
+                Some(next) => (body, held) = (next.body, next.held),
+                None => {
+                    // The client is gone if the error has no receiver.
+                    let _ = self.tx.send(Err(BrokenAnswer)).await;
+                    return self.end("broken", &text);
+                }
+            }
+        }
+    }
+
+    /// Passes events on as they come, until the stream ends in some way.
+    async fn pass_on(&mut self, body: &mut Incoming) -> End {
+        loop {
+            let left = Duration::from_millis(self.job.left(now()).0);
+            let frame = tokio::select! {
+                frame = timeout(left, body.frame()) => frame,
+                () = self.tx.closed() => return End::ClientLeft,
+            };
+            let piece = match frame {
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(Some(Err(e))) => return End::Broken(e.to_string()),
+                Ok(None) => return self.finish_whole().await,
+                Err(_) => return End::Broken(String::from("its time was over")),
+            };
+            if let Some(events) = self.splitter.push(&piece)
+                && self.tx.send(Ok(events)).await.is_err()
+            {
+                return End::ClientLeft;
+            }
+        }
+    }
+
+    async fn finish_whole(&mut self) -> End {
+        if self.splitter.has_partial() && self.job.repeat == Repeat::Resumable {
+            return End::Broken(String::from("it ended within an event"));
+        }
+        let rest = self.splitter.take_partial();
+        if !rest.is_empty() && self.tx.send(Ok(rest)).await.is_err() {
+            return End::ClientLeft;
+        }
+        End::Whole
+    }
+
+    /// Continues the stream at another endpoint after its last whole event.
+    async fn resume(&mut self) -> Option<Streaming<A>> {
+        self.splitter.take_partial();
+        let job = &self.job;
+        while job.repeat == Repeat::Resumable && self.sends < job.attempts && now() < job.deadline {
+            let choice = choose(&self.gateway, job, &self.tried, now())?;
+            let daemons = self.gateway.settings().daemons;
+            if !self.gateway.budget.borrow_mut().take(&job.service, daemons, now()) {
+                return None;
+            }
+            self.sends += 1;
+            self.tried.insert(choice.id.clone());
+            let last = self.splitter.last_id().or(job.last_event.as_deref());
+            if let Ok(Answer::Streaming(next)) = attempt(&self.gateway, job, &choice, last).await {
+                return Some(*next);
+            }
+        }
+        None
+    }
+
+    fn end(self, result: &str, text: &str) {
+        finish(&self.gateway, &self.job, result, text, self.sends);
+    }
+}
--- /dev/null
+++ b/components/gateway/src/request.rs
@@ -0,0 +1,116 @@
+use crate::adapter::Adapter;
+use crate::answer::{AnswerBody, Refused};
+use crate::attempt::{Answer, AttemptFailure, attempt};
+use crate::clock::now;
+use crate::gateway::Gateway;
+use crate::job::Job;
+use crate::relay::relay;
+use crate::serve::{finish, refuse};
+use decision::Millis;
+use decision::routing::{Candidate, Choice, Demand};
+use errors::{Reason, Verdict};
+use http::{Response, StatusCode};
+use rand::RngExt;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+/// Time left under which a further attempt cannot end well.
+const LEAST_TIME: Millis = Millis(50);
+/// The shortest time after which a refused client may return, in seconds.
+const RETRY_AFTER_LEAST: f64 = 0.2;
+/// The time over which returning clients are spread, in seconds, so that they come back apart.
+const RETRY_AFTER_SPREAD: f64 = 0.6;
+
+/// Chooses the endpoint of a request among those that were not tried yet.
+pub(crate) fn choose<A: Adapter>(
+    gateway: &Gateway<A>,
+    job: &Job,
+    tried: &BTreeSet<String>,
+    now: Millis,
+) -> Option<Choice> {
+    let catalog = gateway.catalog()?;
+    let engine = catalog.service(&job.service)?.engine;
+    let directory = gateway.directory();
+    let candidates = directory.of_service(&job.service).filter(|(id, _)| !tried.contains(*id)).map(
+        |(id, registration)| Candidate {
+            id,
+            distance: gateway.adapter.distance(&registration.data_centre),
+            slots: registration.slots,
+            cache_tokens: engine.map_or(0, |engine| engine.cache_tokens),
+        },
+    );
+    let demand = Demand {
+        prompt: job.prompt.as_ref().filter(|_| engine.is_some()),
+        daemons: gateway.settings().daemons,
+        draw: gateway.random.borrow_mut().random(),
+    };
+    gateway.loads.borrow().choose(candidates, &demand, now)
+}
+
+/// Runs a request at endpoints until one answers or no further attempt is allowed.
+pub(crate) async fn run<A: Adapter>(gateway: &Rc<Gateway<A>>, job: Job) -> Response<AnswerBody> {
+    gateway.budget.borrow_mut().count(&job.service, now());
+    let mut tried = BTreeSet::new();
+    let mut sends = 0;
+    let mut verdict = Verdict::NotRun;
+    let mut last: Option<AttemptFailure> = None;
+    while let Some(choice) = choose(gateway, &job, &tried, now()) {
+        let is_repeat = sends > 0;
+        let daemons = gateway.settings().daemons;
+        if is_repeat && !gateway.budget.borrow_mut().take(&job.service, daemons, now()) {
+            break;
+        }
+        tried.insert(choice.id.clone());
+        match attempt(gateway, &job, &choice, None).await {
+            Ok(Answer::Whole(answer)) => {
+                finish(gateway, &job, "answered", answer.status.as_str(), sends + 1);
+                return answer.into_response();
+            }
+            Ok(Answer::Streaming(streaming)) => {
+                return relay(gateway, job, *streaming, tried, sends + 1);
+            }
+            Err(failure) => {
+                sends += u32::from(failure.sent);
+                verdict = verdict.combine(failure.verdict);
+                let repeatable = failure.verdict == Verdict::NotRun || job.repeat.may_run_again();
+                let in_time = job.left(now()) > LEAST_TIME;
+                last = Some(failure);
+                if !repeatable || !in_time || sends >= job.attempts {
+                    break;
+                }
+            }
+        }
+    }
+    give_up(gateway, &job, verdict, last, sends)
+}
+
+fn give_up<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    job: &Job,
+    verdict: Verdict,
+    last: Option<AttemptFailure>,
+    sends: u32,
+) -> Response<AnswerBody> {
+    let text = last.as_ref().map_or("no endpoint is listed", |failure| &failure.text).to_owned();
+    if verdict == Verdict::NotRun {
+        let reason = if last.is_some() { Reason::Overloaded } else { Reason::NoEndpoint };
+        return refuse(gateway, job.id(), &job.route, not_run(gateway, reason), &text);
+    }
+    let timed_out = last.as_ref().is_some_and(|failure| failure.timed_out);
+    if let Some(answer) = last.and_then(|failure| failure.answer) {
+        finish(gateway, job, "endpoint_failed", answer.status.as_str(), sends);
+        return answer.into_response();
+    }
+    let mut refused = Refused::new(Reason::EndpointFailed, verdict);
+    if timed_out {
+        refused.status = StatusCode::GATEWAY_TIMEOUT;
+    }
+    refuse(gateway, job.id(), &job.route, refused, &text)
+}
+
+/// Returns the refusal of a request that did not run, with a time to come back.
+pub(crate) fn not_run<A: Adapter>(gateway: &Gateway<A>, reason: Reason) -> Refused {
+    let spread: f64 = gateway.random.borrow_mut().random();
+    let retry_after = Some(RETRY_AFTER_LEAST + spread * RETRY_AFTER_SPREAD);
+    Refused { retry_after, ..Refused::new(reason, Verdict::NotRun) }
+}
--- /dev/null
+++ b/components/gateway/src/run.rs
@@ -0,0 +1,171 @@
+use crate::adapter::Adapter;
+use crate::clock::now;
+use crate::feed::{Configurations, Endpoints};
+use crate::follow::follow;
+use crate::gateway::Gateway;
+use crate::listener::{Role, accept, bind};
+use crate::log;
+use crate::settings::{Reload, Settings};
+use decision::Millis;
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+use tracing_subscriber::filter::LevelFilter;
+
+/// Time between two rounds of housekeeping.
+const HOUSEKEEPING: Duration = Duration::from_millis(250);
+/// Rounds of housekeeping between two looks at the settings file.
+const ROUNDS_PER_RELOAD: u32 = 4;
+/// Time after a stop signal in which idle connections stay open and new ones are taken: the
+/// balancer notices within two seconds that this daemon is not ready.
+const LINGER: Millis = Millis(3_000);
+/// Time that is left for the end of the process itself.
+const LAST_MOMENT: Millis = Millis(300);
+
+/// Why a gateway did not start.
+#[derive(Debug, Snafu)]
+pub enum RunError {
+    /// An address cannot be listened on.
+    #[snafu(display("{address}: cannot listen: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The event loop or a signal handler cannot be set up.
+    #[snafu(display("cannot set up the event loop: {source}"))]
+    EventLoop {
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// Serves until a stop signal has been carried out.
+pub fn run<A: Adapter>(
+    adapter: A,
+    settings: Settings,
+    reload: Option<Reload>,
+    seed: u64,
+    level: LevelFilter,
+) -> Result<(), RunError> {
+    let guard = log::start(level);
+    let runtime = Builder::new_current_thread().enable_all().build().context(EventLoopSnafu)?;
+    let gateway = Rc::new(Gateway::new(adapter, settings, seed));
+    let result = LocalSet::new().block_on(&runtime, serve(gateway, reload));
+    drop(guard);
+    result
+}
+
+async fn serve<A: Adapter>(
+    gateway: Rc<Gateway<A>>,
+    reload: Option<Reload>,
+) -> Result<(), RunError> {
+    let mut terminate = signal(SignalKind::terminate()).context(EventLoopSnafu)?;
+    let hangup = signal(SignalKind::hangup()).context(EventLoopSnafu)?;
+    let settings = gateway.settings();
+    listen(&gateway, settings.listen, Role::Clients)?;
+    for address in settings.listen_ready.iter().chain(&settings.listen_metrics) {
+        listen(&gateway, *address, Role::Observers)?;
+    }
+    spawn_local(follow::<A, Configurations>(gateway.clone()));
+    spawn_local(follow::<A, Endpoints>(gateway.clone()));
+    spawn_local(housekeep(gateway.clone(), reload, hangup));
+    tracing::info!(event = "started", name = %settings.name, listen = %settings.listen,
+        store = %settings.store);
+    terminate.recv().await;
+    stop(&gateway).await;
+    Ok(())
+}
+
+fn listen<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    address: SocketAddr,
+    role: Role,
+) -> Result<(), RunError> {
+    let listener = bind(address).context(ListenSnafu { address })?;
+    spawn_local(accept(gateway.clone(), listener, role));
+    Ok(())
+}
+
+/// Lets requests end, then closes connections.
+async fn stop<A: Adapter>(gateway: &Rc<Gateway<A>>) {
+    let started = now();
+    let end = started + gateway.settings().stop_time - LAST_MOMENT;
+    tracing::info!(event = "stopping", clients = gateway.metrics.clients.get());
+    gateway.stop.start();
+    while now() < end {
+        sleep(HOUSEKEEPING / 4).await;
+        if now().since(started) < LINGER {
+            continue;
+        }
+        gateway.stop.close_idle();
+        // The connection that asks whether this daemon is ready may stay.
+        if gateway.metrics.clients.get() == 0 {
+            break;
+        }
+    }
+    tracing::info!(
+        event = "stopped",
+        clients = gateway.metrics.clients.get(),
+        after_ms = now().since(started).0,
+    );
+}
+
+async fn housekeep<A: Adapter>(
+    gateway: Rc<Gateway<A>>,
+    reload: Option<Reload>,
+    mut hangup: Signal,
+) {
+    let mut rounds = 0;
+    let mut text = String::new();
+    loop {
+        let signalled = timeout(HOUSEKEEPING, hangup.recv()).await.is_ok();
+        gateway.housekeep(now());
+        rounds = (rounds + 1) % ROUNDS_PER_RELOAD;
+        if let Some(reload) = &reload
+            && (signalled || rounds == 0)
+        {
+            read_again(&gateway, reload, &mut text, signalled);
+        }
+    }
+}
+
+fn read_again<A: Adapter>(
+    gateway: &Gateway<A>,
+    reload: &Reload,
+    known: &mut String,
+    signalled: bool,
+) {
+    let path = reload.path.display();
+    let text = match std::fs::read_to_string(&reload.path) {
+        Ok(text) => text,
+        Err(e) => {
+            if signalled {
+                tracing::error!(event = "settings_unreadable", %path, error = %e);
+            }
+            return;
+        }
+    };
+    if text == *known {
+        return;
+    }
+    match (reload.read)(&text) {
+        Ok(read) => {
+            // The address of the metrics comes from a flag.
+            let listen_metrics = gateway.settings().listen_metrics;
+            let settings = Settings { listen_metrics, ..read };
+            if settings != *gateway.settings() {
+                tracing::info!(event = "settings_reloaded", %path, signalled);
+                gateway.settings.replace(Rc::new(settings));
+            }
+        }
+        Err(error) => tracing::error!(event = "settings_wrong", %path, error),
+    }
+    *known = text;
+}
--- /dev/null
+++ b/components/gateway/src/serve.rs
@@ -0,0 +1,206 @@
+use crate::adapter::Adapter;
+use crate::answer::{AnswerBody, Refused};
+use crate::attempt::is_hop_header;
+use crate::clock::now;
+use crate::gateway::Gateway;
+use crate::job::{Job, destination, priority};
+use crate::metrics::{RouteLabels, ServiceLabels};
+use crate::request::{not_run, run};
+use bytes::Bytes;
+use decision::Millis;
+use decision::routing::{Caller, Catalog};
+use errors::{Reason, Verdict};
+use http::header::{CONNECTION, HOST};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Answers one request of a client.
+pub(crate) async fn serve<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    req: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let mut response = match accept(gateway, req, now()).await {
+        Ok(job) => run(gateway, job).await,
+        Err(response) => response,
+    };
+    if gateway.stop.is_stopping() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Reads a request whole and decides whether it is allowed.
+async fn accept<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    req: Request<Incoming>,
+    arrived: Millis,
+) -> Result<Job, Response<AnswerBody>> {
+    let (parts, body) = req.into_parts();
+    let head = gateway.adapter.read_request(&parts.headers);
+    let id = head.request_id.as_deref().unwrap_or("-").to_owned();
+    let body = read_body(gateway, &id, body).await?;
+    let refuse_as = |refused, text: &str| Err(refuse(gateway, &id, "-", refused, text));
+    let Some(catalog) = gateway.catalog() else {
+        return refuse_as(not_run(gateway, Reason::NotReady), "no configuration is known");
+    };
+    let Some(route) = catalog.route(host(&parts), parts.uri.path()) else {
+        let mut refused = Refused::new(Reason::UnknownClass, Verdict::NotRun);
+        refused.status = StatusCode::NOT_FOUND;
+        return refuse_as(refused, &format!("no route in version {}", version(&catalog)));
+    };
+    let caller = catalog.caller(route, head.key.as_deref());
+    if caller != Caller::Anonymous && !gateway.keys_are_fresh(now()) {
+        let age = gateway.freshness.borrow().age(now()).map_or(0, |age| age.0);
+        let text = format!("keys were last proved {age} ms ago");
+        return refuse_as(not_run(gateway, Reason::StoreUnavailable), &text);
+    }
+    let account = match caller {
+        Caller::Unknown => {
+            let refused = Refused::new(Reason::UnknownAccount, Verdict::NotRun);
+            return refuse_as(refused, &format!("no key in version {}", version(&catalog)));
+        }
+        Caller::Known(account) => Some(account.name.clone()),
+        Caller::Anonymous => None,
+    };
+    let Some(service) = destination(route, &catalog, &id) else {
+        return refuse_as(not_run(gateway, Reason::NoEndpoint), "the route has no service");
+    };
+    let limit = head.remaining.map_or(route.timeout, |remaining| remaining.min(route.timeout));
+    Ok(Job {
+        request_id: head.request_id,
+        method: parts.method.clone(),
+        target: origin_form(&parts.uri),
+        headers: forwarded_headers(gateway, &parts.headers),
+        body,
+        route: route.name.clone(),
+        service: service.to_owned(),
+        account,
+        repeat: route.repeat,
+        streamed: route.streamed,
+        attempts: route.attempts.max(1),
+        priority: priority(route, caller),
+        prompt: head.prompt,
+        last_event: head.last_event,
+        arrived,
+        deadline: arrived + limit,
+        due: arrived + route.objective.min(limit),
+    })
+}
+
+fn version(catalog: &Catalog) -> u64 {
+    catalog.configuration().version
+}
+
+async fn read_body<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    id: &str,
+    body: Incoming,
+) -> Result<Bytes, Response<AnswerBody>> {
+    let limits = gateway.catalog().map(|c| c.configuration().limits).unwrap_or_default();
+    let whole = Limited::new(body, limits.body_bytes).collect();
+    let error = match timeout(Duration::from_millis(limits.idle_time.0), whole).await {
+        Ok(Ok(whole)) => return Ok(whole.to_bytes()),
+        Ok(Err(e)) => e,
+        Err(_) => {
+            let mut refused = Refused::new(Reason::MalformedRequest, Verdict::NotRun);
+            refused.status = StatusCode::REQUEST_TIMEOUT;
+            return Err(refuse(gateway, id, "-", refused, "the body did not come in time"));
+        }
+    };
+    let reason = match error.downcast_ref::<LengthLimitError>() {
+        Some(_) => Reason::BodyTooLarge,
+        None => Reason::MalformedRequest,
+    };
+    let refused = Refused::new(reason, Verdict::NotRun);
+    let mut response = refuse(gateway, id, "-", refused, &error.to_string());
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    Err(response)
+}
+
+/// Returns the host that a request names, without a port.
+fn host(parts: &Parts) -> &str {
+    let named = parts.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = parts.uri.host().or(named).unwrap_or("");
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    let target = uri.path_and_query().cloned();
+    target.map_or_else(|| Uri::from_static("/"), Uri::from)
+}
+
+fn forwarded_headers<A: Adapter>(gateway: &Gateway<A>, headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let concerns_connection = is_hop_header(name) || named.iter().any(|n| n == name.as_str());
+        if !concerns_connection && gateway.adapter.passes_on(name) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+/// Refuses a request and writes why to the log.
+pub(crate) fn refuse<A: Adapter>(
+    gateway: &Gateway<A>,
+    id: &str,
+    route: &str,
+    refused: Refused,
+    text: &str,
+) -> Response<AnswerBody> {
+    let result = refused.reason.as_str();
+    let labels = RouteLabels { route: route.to_owned(), result: result.to_owned() };
+    gateway.metrics.requests.get_or_create(&labels).inc();
+    if gateway.quota.borrow_mut().admits(now()) {
+        tracing::info!(
+            event = "refused",
+            request = %id,
+            route,
+            status = refused.status.as_u16(),
+            reason = result,
+            verdict = refused.verdict.as_str(),
+            retry_after_s = refused.retry_after,
+            text,
+        );
+    }
+    refused.into_response()
+}
+
+/// Counts a request that ended with an endpoint's answer, and writes it to the log.
+pub(crate) fn finish<A: Adapter>(
+    gateway: &Gateway<A>,
+    job: &Job,
+    result: &str,
+    text: &str,
+    sends: u32,
+) {
+    let labels = RouteLabels { route: job.route.clone(), result: result.to_owned() };
+    gateway.metrics.requests.get_or_create(&labels).inc();
+    let took = now().since(job.arrived);
+    let service = ServiceLabels { service: job.service.clone() };
+    let seconds = took.0 as f64 / 1000.0;
+    gateway.metrics.whole_answer.get_or_create(&service).observe(seconds);
+    if gateway.quota.borrow_mut().admits(now()) {
+        tracing::info!(
+            event = "finished",
+            request = %job.id(),
+            route = %job.route,
+            result,
+            text,
+            sends,
+            took_ms = took.0,
+        );
+    }
+}
--- /dev/null
+++ b/components/gateway/src/settings.rs
@@ -0,0 +1,61 @@
+use decision::Millis;
+use decision::routing::BudgetTerms;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// The settings of a gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The name of this instance.
+    pub name: String,
+    /// The address for clients.
+    pub listen: SocketAddr,
+    /// The address that answers whether this daemon takes connections.
+    pub listen_ready: Option<SocketAddr>,
+    /// The address that serves metrics.
+    pub listen_metrics: Option<SocketAddr>,
+    /// The path under which metrics are served.
+    pub metrics_path: String,
+    /// The address of the store.
+    pub store: SocketAddr,
+    /// The time within which a key that was taken away stops working, also when cut off.
+    pub revocation: Option<Millis>,
+    /// The time from a stop signal to the end of the process.
+    pub stop_time: Millis,
+    /// The retry budget that all daemons share.
+    pub budget: BudgetTerms,
+    /// Daemons that share the endpoints.
+    pub daemons: usize,
+    /// The memory of this process, in bytes.
+    pub memory_bytes: u64,
+    /// The most open files of this process.
+    pub open_files: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            name: "gateway".to_owned(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            listen_ready: None,
+            listen_metrics: None,
+            metrics_path: "/metrics".to_owned(),
+            store: SocketAddr::from(([127, 0, 0, 1], 0)),
+            revocation: None,
+            stop_time: Millis(8_000),
+            budget: BudgetTerms::default(),
+            daemons: 7,
+            memory_bytes: 128 << 20,
+            open_files: 1024,
+        }
+    }
+}
+
+/// A settings file that is read again while the daemon runs.
+#[derive(Clone, Debug)]
+pub struct Reload {
+    /// The file.
+    pub path: PathBuf,
+    /// Reads settings from the text of the file, or says all that is wrong with it.
+    pub read: fn(&str) -> Result<Settings, String>,
+}
