Run streams with short pauses on engines of their own, and sessions at one home

Change: engines of a service are ranked alike by all daemons; the first few, by the interactive requests that run, take the streams with short pauses. A session's home is one engine over all regions.

--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -14,7 +14,7 @@
 pub use directory::{Directory, DirectoryChange, REAPPEAR, Registration};
 pub use freshness::Freshness;
 pub use placement::{
-    Candidate, Choice, Demand, Distance, Lease, LoadTable, Outcome, PlacementTerms,
+    Candidate, Choice, Demand, Distance, Lane, Lease, LoadTable, Outcome, PlacementTerms,
 };
 pub use prompt::{Prompt, PromptPart};
 pub use retry_budget::{BudgetTerms, RetryBudget};
--- a/components/decision/src/routing/placement.rs
+++ b/components/decision/src/routing/placement.rs
@@ -1,6 +1,6 @@
 use super::prompt::Prompt;
 use crate::Millis;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Figures of the choice that no endpoint states.
 #[derive(Clone, Copy, Debug)]
@@ -13,6 +13,10 @@
     pub data_centre_ms: f64,
     /// Round trip to an endpoint of another region, in milliseconds.
     pub region_ms: f64,
+    /// Added for an engine outside the lane of a request, in milliseconds.
+    pub lane_ms: f64,
+    /// Interactive requests on an engine that leave each of them its pace, as a share of its slots.
+    pub lane_fill: f64,
     /// Added per failed answer of an endpoint, as a share of its answers, in milliseconds.
     pub failure_ms: f64,
     /// Time after which a part that was read is taken for evicted.
@@ -26,8 +30,10 @@
         PlacementTerms {
             read_rate: 40.0,
             call_ms: 20.0,
-            data_centre_ms: 10.0,
-            region_ms: 150.0,
+            data_centre_ms: 5.0,
+            region_ms: 60.0,
+            lane_ms: 400.0,
+            lane_fill: 0.4,
             failure_ms: 400.0,
             cache_time: Millis(20_000),
         }
@@ -59,11 +65,27 @@
     pub cache_tokens: u64,
 }
 
+/// Which engines of a service a request prefers.
+///
+/// An engine reads prompts in chunks between the tokens of all that run beside them, so a row of
+/// long prompts makes each running stream pause for several chunks. Streams that allow only short
+/// pauses therefore run on engines of their own.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Lane {
+    /// Requests that bear the pauses of long prompts.
+    #[default]
+    Bulk,
+    /// Streams with short pauses.
+    Interactive,
+}
+
 /// What a request asks of an endpoint.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Demand<'a> {
     /// The prompt, for a model engine.
     pub prompt: Option<&'a Prompt>,
+    /// The engines that the request prefers.
+    pub lane: Lane,
     /// Daemons that share the endpoints.
     pub daemons: usize,
     /// A number drawn for this request, which breaks ties.
@@ -107,6 +129,7 @@
     unread_tokens: u32,
     held_tokens: u32,
     answering: bool,
+    lane: Lane,
 }
 
 /// Failures in a row after which an endpoint gets no requests for a while.
@@ -123,6 +146,13 @@
 const PATIENCE_MS: f64 = 300.0;
 /// Part of an unknown prompt that the endpoint preferred for its session is expected to hold.
 const LIKELY_CACHED: f64 = 0.8;
+/// Engines of a service from which they are divided into lanes.
+const LEAST_FOR_LANES: usize = 4;
+/// Ranks engines for the interactive lane alike at all daemons.
+const LANE_SEED: u64 = 0x1a9e;
+/// Time in which a peak of interactive requests fades to a third, in milliseconds: longer than a
+/// wave of arrivals, shorter than a burst's aftermath.
+const INTERACTIVE_FADE_MS: f64 = 5_000.0;
 
 #[derive(Clone, Debug, Default)]
 struct Endpoint {
@@ -164,6 +194,10 @@
     terms: PlacementTerms,
     endpoints: BTreeMap<String, Endpoint>,
     next: u64,
+    /// Interactive requests at engines, with a peak that fades.
+    interactive: f64,
+    interactive_now: u32,
+    interactive_at: Millis,
 }
 
 impl LoadTable {
@@ -193,11 +227,14 @@
         now: Millis,
     ) -> Option<Choice> {
         let candidates: Vec<Candidate<'a>> = candidates.collect();
-        let nearest = candidates.iter().map(|c| c.distance).min()?;
-        let home = home(&candidates, nearest, demand);
+        let lane = self.lane(&candidates, demand);
+        let home = home(&candidates, &lane, demand);
         let mut best: Option<(f64, Choice)> = None;
         for candidate in &candidates {
-            let (cost, choice) = self.estimate(candidate, demand, home, now);
+            let (mut cost, choice) = self.estimate(candidate, demand, home, now);
+            if !lane.is_empty() && !lane.contains(candidate.id) {
+                cost += self.terms.lane_ms;
+            }
             let tie = draw(candidate.id, demand.draw) as f64 / u64::MAX as f64;
             let cost = cost + tie;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
@@ -207,6 +244,30 @@
         best.map(|(_, choice)| choice)
     }
 
+    /// Returns the engines of the demand's lane; none when the engines are too few to divide. All
+    /// daemons rank the engines alike, so their lanes differ at most in length.
+    fn lane<'a>(&self, candidates: &[Candidate<'a>], demand: &Demand<'_>) -> BTreeSet<&'a str> {
+        if demand.prompt.is_none() || candidates.len() < LEAST_FOR_LANES {
+            return BTreeSet::new();
+        }
+        let mut ranked: Vec<&Candidate<'a>> = candidates.iter().collect();
+        ranked.sort_by_key(|c| draw(c.id, LANE_SEED));
+        let interactive = self.interactive_engines(candidates, demand);
+        let lane = match demand.lane {
+            Lane::Interactive => &ranked[..interactive],
+            Lane::Bulk => &ranked[interactive..],
+        };
+        lane.iter().map(|c| c.id).collect()
+    }
+
+    fn interactive_engines(&self, candidates: &[Candidate<'_>], demand: &Demand<'_>) -> usize {
+        let running = self.interactive * demand.daemons.max(1) as f64;
+        let slots = candidates.iter().map(|c| f64::from(c.slots)).sum::<f64>();
+        let comfortable = (slots / candidates.len() as f64 * self.terms.lane_fill).max(1.0);
+        let needed = (running / comfortable).ceil() as usize;
+        needed.clamp(candidates.len().div_ceil(6), candidates.len() / 2)
+    }
+
     fn estimate(
         &self,
         candidate: &Candidate<'_>,
@@ -265,8 +326,10 @@
     }
 
     /// Takes work to an endpoint.
-    pub fn start(&mut self, choice: &Choice, prompt: Option<&Prompt>, now: Millis) -> Lease {
+    pub fn start(&mut self, choice: &Choice, demand: &Demand<'_>, now: Millis) -> Lease {
         self.next += 1;
+        let prompt = demand.prompt;
+        self.count_interactive(demand.lane, 1, now);
         let lease = Lease(self.next);
         let endpoint = self.endpoints.entry(choice.id.clone()).or_default();
         let held_tokens = prompt.map_or(0, |p| p.tokens + p.answer_tokens / 2);
@@ -276,11 +339,23 @@
             unread_tokens: choice.unread_tokens,
             held_tokens,
             answering: false,
+            lane: demand.lane,
         };
         endpoint.work.insert(lease, work);
         lease
     }
 
+    fn count_interactive(&mut self, lane: Lane, change: i32, now: Millis) {
+        if lane == Lane::Bulk {
+            return;
+        }
+        self.interactive_now = self.interactive_now.saturating_add_signed(change);
+        let age = now.since(self.interactive_at).0 as f64;
+        let faded = self.interactive * (-age / INTERACTIVE_FADE_MS).exp();
+        self.interactive = faded.max(f64::from(self.interactive_now));
+        self.interactive_at = now;
+    }
+
     /// Notes the first byte of an answer, from which the endpoint's speed is learned.
     pub fn first_byte(&mut self, id: &str, lease: Lease, prompt: Option<&Prompt>, now: Millis) {
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
@@ -302,7 +377,10 @@
     /// Ends work at an endpoint.
     pub fn end(&mut self, id: &str, lease: Lease, outcome: Outcome, now: Millis) {
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
-        endpoint.work.remove(&lease);
+        let ended = endpoint.work.remove(&lease);
+        let lane = ended.map_or(Lane::Bulk, |work| work.lane);
+        self.count_interactive(lane, -1, now);
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         let failed = match outcome {
             Outcome::Answered => 0.0,
             Outcome::Failed | Outcome::Silent => 1.0,
@@ -323,17 +401,16 @@
     }
 }
 
-/// Returns the endpoint at which all daemons of a region prefer to run a session.
+/// Returns the endpoint at which all daemons prefer to run a session.
 fn home<'a>(
     candidates: &[Candidate<'a>],
-    nearest: Distance,
+    lane: &BTreeSet<&str>,
     demand: &Demand<'_>,
 ) -> Option<&'a str> {
     let session = demand.prompt?.session()?;
-    let reach = nearest.max(Distance::Region);
     candidates
         .iter()
-        .filter(|c| c.distance <= reach)
+        .filter(|c| lane.is_empty() || lane.contains(c.id))
         .max_by_key(|c| draw(c.id, session))
         .map(|c| c.id)
 }
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -1,6 +1,6 @@
 use bytes::Bytes;
 use decision::Millis;
-use decision::routing::{Caller, Catalog, Prompt, Repeat, Route};
+use decision::routing::{Caller, Catalog, Demand, Lane, Prompt, Repeat, Route};
 use http::{HeaderMap, Method, Uri};
 
 /// A request of a client, read whole and allowed.
@@ -22,6 +22,7 @@
     pub(crate) attempts: u32,
     pub(crate) priority: u8,
     pub(crate) prompt: Option<Prompt>,
+    pub(crate) lane: Lane,
     pub(crate) last_event: Option<String>,
     pub(crate) arrived: Millis,
     /// The time by which the client has its whole answer.
@@ -36,12 +37,29 @@
         self.request_id.as_deref().unwrap_or("-")
     }
 
+    /// Returns what the request asks of an endpoint.
+    pub(crate) fn demand(&self, daemons: usize, draw: u64) -> Demand<'_> {
+        Demand { prompt: self.prompt.as_ref(), lane: self.lane, daemons, draw }
+    }
+
     /// Returns the time that is left.
     pub(crate) fn left(&self, now: Millis) -> Millis {
         self.deadline - now
     }
 }
 
+/// Pause between events that a stream bears on an engine that reads long prompts: an event of five
+/// tokens, with a chunk of some 90 ms read between any two.
+const BULK_PAUSE: Millis = Millis(400);
+
+/// Returns the lane of requests on a route.
+pub(crate) fn lane(route: &Route) -> Lane {
+    match route.pause_objective {
+        Some(pause) if pause < BULK_PAUSE => Lane::Interactive,
+        _ => Lane::Bulk,
+    }
+}
+
 /// Returns the rank of a request: that of its client account before that of its route.
 pub(crate) fn priority(route: &Route, caller: Caller<'_>) -> u8 {
     match caller {
--- a/components/gateway/src/listener.rs
+++ b/components/gateway/src/listener.rs
@@ -84,10 +84,11 @@
         tracing::debug!(event = "client_lost", error = %e);
         return;
     }
-    gateway.metrics.clients.inc();
     let activity = Activity { requests: Cell::new(0), idle_since: Cell::new(now()) };
+    let counted = i64::from(role == Role::Clients);
+    gateway.metrics.clients.inc_by(counted);
     converse(&gateway, stream, role, &activity).await;
-    gateway.metrics.clients.dec();
+    gateway.metrics.clients.dec_by(counted);
 }
 
 async fn converse<A: Adapter>(
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -7,7 +7,7 @@
 use crate::relay::relay;
 use crate::serve::{finish, refuse};
 use decision::Millis;
-use decision::routing::{Candidate, Choice, Demand};
+use decision::routing::{Candidate, Choice};
 use errors::{Reason, Verdict};
 use http::{Response, StatusCode};
 use rand::RngExt;
@@ -39,11 +39,9 @@
             cache_tokens: engine.map_or(0, |engine| engine.cache_tokens),
         },
     );
-    let demand = Demand {
-        prompt: job.prompt.as_ref().filter(|_| engine.is_some()),
-        daemons: gateway.settings().daemons,
-        draw: gateway.random.borrow_mut().random(),
-    };
+    let draw = gateway.random.borrow_mut().random();
+    let mut demand = job.demand(gateway.settings().daemons, draw);
+    demand.prompt = demand.prompt.filter(|_| engine.is_some());
     gateway.loads.borrow().choose(candidates, &demand, now)
 }
 
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -105,7 +105,6 @@
             continue;
         }
         gateway.stop.close_idle();
-        // The connection that asks whether this daemon is ready may stay.
         if gateway.metrics.clients.get() == 0 {
             break;
         }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::attempt::is_hop_header;
 use crate::clock::now;
 use crate::gateway::Gateway;
-use crate::job::{Job, destination, priority};
+use crate::job::{Job, destination, lane, priority};
 use crate::metrics::{RouteLabels, ServiceLabels};
 use crate::request::{not_run, run};
 use bytes::Bytes;
@@ -59,6 +59,10 @@
         let text = format!("keys were last proved {age} ms ago");
         return refuse_as(not_run(gateway, Reason::StoreUnavailable), &text);
     }
+    if route.streamed && gateway.stop.closes_idle() {
+        let refused = not_run(gateway, Reason::NotReady);
+        return refuse_as(refused, "the daemon stops before a stream would end");
+    }
     let account = match caller {
         Caller::Unknown => {
             let refused = Refused::new(Reason::UnknownAccount, Verdict::NotRun);
@@ -85,6 +89,7 @@
         attempts: route.attempts.max(1),
         priority: priority(route, caller),
         prompt: head.prompt,
+        lane: lane(route),
         last_event: head.last_event,
         arrived,
         deadline: arrived + limit,
