Place by observed waits and keep sessions at their homes

One unread prompt of a daemon, times the number of daemons, made its home look 1.6 s busy, and bulk requests spilled into the interactive lane, where chats waited 1.75 s. Change: the wait at an endpoint is that of the daemon's own requests, unanswered and lately answered, by rank; reading again weighs six times its time; a bulk request leaves its lane only for a wait of seconds.

--- a/components/decision/src/routing/placement.rs
+++ b/components/decision/src/routing/placement.rs
@@ -13,8 +13,12 @@
     pub data_centre_ms: f64,
     /// Round trip to an endpoint of another region, in milliseconds.
     pub region_ms: f64,
-    /// Added for an engine outside the lane of a request, in milliseconds.
-    pub lane_ms: f64,
+    /// Weight of reading again what another engine holds, against waiting as long.
+    pub read_again: f64,
+    /// Added for a bulk engine on which an interactive request would pause, in milliseconds.
+    pub bulk_engine_ms: f64,
+    /// Added for an interactive engine that a bulk request would make pause, in milliseconds.
+    pub interactive_engine_ms: f64,
     /// Interactive requests on an engine that leave each of them its pace, as a share of its slots.
     pub lane_fill: f64,
     /// Added per failed answer of an endpoint, as a share of its answers, in milliseconds.
@@ -32,7 +36,9 @@
             call_ms: 20.0,
             data_centre_ms: 5.0,
             region_ms: 60.0,
-            lane_ms: 400.0,
+            read_again: 6.0,
+            bulk_engine_ms: 400.0,
+            interactive_engine_ms: 3_000.0,
             lane_fill: 0.4,
             failure_ms: 400.0,
             cache_time: Millis(20_000),
@@ -88,6 +94,8 @@
     pub lane: Lane,
     /// Daemons that share the endpoints.
     pub daemons: usize,
+    /// The rank; 0 is served first.
+    pub priority: u8,
     /// A number drawn for this request, which breaks ties.
     pub draw: u64,
 }
@@ -125,8 +133,10 @@
 #[derive(Clone, Debug)]
 struct Work {
     since: Millis,
-    expected_ms: f64,
+    /// The time that the endpoint needs without any wait.
+    work_ms: f64,
     unread_tokens: u32,
+    priority: u8,
     held_tokens: u32,
     answering: bool,
     lane: Lane,
@@ -140,12 +150,19 @@
 const EJECTION_LIMIT: Millis = Millis(4_000);
 /// Weight of the newest answer in the averages of an endpoint.
 const NEWEST: f64 = 0.1;
-/// A delay factor is kept within this factor of 1 both ways.
-const FACTOR_LIMIT: f64 = 8.0;
-/// Time beyond the expected one after which a silent request counts against its endpoint.
-const PATIENCE_MS: f64 = 300.0;
-/// Part of an unknown prompt that the endpoint preferred for its session is expected to hold.
-const LIKELY_CACHED: f64 = 0.8;
+/// Part of a session's prompt that its first and second home are expected to hold.
+const LIKELY_CACHED: [f64; 2] = [0.9, 0.4];
+/// Cost of memory that is full, in milliseconds: a preempted request is read again.
+const MEMORY_MS: f64 = 1_000.0;
+/// Share of an engine's memory from which more work may preempt.
+const MEMORY_FILL: f64 = 0.7;
+/// Cost of an endpoint that just failed, in milliseconds: above all waits that clients accept.
+const EJECTED_MS: f64 = 10_000.0;
+/// Time in which the wait last seen at an endpoint fades to a third, in milliseconds: about as long
+/// as the queue that it was seen in takes to pass.
+const WAIT_FADE_MS: f64 = 1_500.0;
+/// Weight of the newest wait in the average.
+const NEWEST_WAIT: f64 = 0.4;
 /// Engines of a service from which they are divided into lanes.
 const LEAST_FOR_LANES: usize = 4;
 /// Ranks engines for the interactive lane alike at all daemons.
@@ -154,38 +171,41 @@
 /// wave of arrivals, shorter than a burst's aftermath.
 const INTERACTIVE_FADE_MS: f64 = 5_000.0;
 
+/// The average wait at an endpoint, which fades when nothing is heard.
+#[derive(Clone, Copy, Debug, Default)]
+struct Wait {
+    average_ms: f64,
+    noted: Millis,
+}
+
+impl Wait {
+    fn at(&self, now: Millis) -> f64 {
+        self.average_ms * (-(now.since(self.noted).0 as f64) / WAIT_FADE_MS).exp()
+    }
+
+    fn note(&mut self, wait_ms: f64, now: Millis) {
+        let before = self.at(now);
+        self.average_ms = before + (wait_ms - before) * NEWEST_WAIT;
+        self.noted = now;
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Endpoint {
     work: BTreeMap<Lease, Work>,
     parts: BTreeMap<u64, Millis>,
+    /// Waits by rank.
+    waits: BTreeMap<u8, Wait>,
     failed_share: f64,
-    factor: f64,
     failures: u32,
     ejected_until: Millis,
     ejection: Millis,
 }
 
 impl Endpoint {
-    fn unread(&self) -> f64 {
-        self.work.values().filter(|w| !w.answering).map(|w| f64::from(w.unread_tokens)).sum()
-    }
-
     fn held(&self) -> f64 {
         self.work.values().map(|w| f64::from(w.held_tokens)).sum()
     }
-
-    /// Returns how long the slowest unanswered request is over its expected time.
-    fn overdue_ms(&self, now: Millis) -> f64 {
-        self.work
-            .values()
-            .filter(|w| !w.answering)
-            .map(|w| now.since(w.since).0 as f64 - w.expected_ms - PATIENCE_MS)
-            .fold(0.0, f64::max)
-    }
-
-    fn factor(&self) -> f64 {
-        if self.factor == 0.0 { 1.0 } else { self.factor }
-    }
 }
 
 /// What this daemon knows of the load of each endpoint, from its own requests.
@@ -228,12 +248,15 @@
     ) -> Option<Choice> {
         let candidates: Vec<Candidate<'a>> = candidates.collect();
         let lane = self.lane(&candidates, demand);
-        let home = home(&candidates, &lane, demand);
+        let homes = homes(&candidates, &lane, demand);
         let mut best: Option<(f64, Choice)> = None;
         for candidate in &candidates {
-            let (mut cost, choice) = self.estimate(candidate, demand, home, now);
+            let (mut cost, choice) = self.estimate(candidate, demand, &homes, now);
             if !lane.is_empty() && !lane.contains(candidate.id) {
-                cost += self.terms.lane_ms;
+                cost += match demand.lane {
+                    Lane::Interactive => self.terms.bulk_engine_ms,
+                    Lane::Bulk => self.terms.interactive_engine_ms,
+                };
             }
             let tie = draw(candidate.id, demand.draw) as f64 / u64::MAX as f64;
             let cost = cost + tie;
@@ -272,7 +295,7 @@
         &self,
         candidate: &Candidate<'_>,
         demand: &Demand<'_>,
-        home: Option<&str>,
+        homes: &[&str],
         now: Millis,
     ) -> (f64, Choice) {
         let unknown = Endpoint::default();
@@ -282,47 +305,70 @@
             Distance::Region => self.terms.data_centre_ms,
             Distance::Far => self.terms.region_ms,
         };
-        let (unread, wait_ms, work_ms) = match demand.prompt {
+        let (unread_tokens, work_ms, again_ms) = match demand.prompt {
             Some(prompt) => {
-                let unread = self.unread(endpoint, prompt, home == Some(candidate.id), now);
-                let waiting = endpoint.unread() * demand.daemons.max(1) as f64;
-                (unread, waiting / self.terms.read_rate, f64::from(unread) / self.terms.read_rate)
+                let rank = homes.iter().position(|id| *id == candidate.id);
+                let unread = self.unread(endpoint, prompt, rank, now);
+                let own = prompt.tokens.saturating_sub(prompt.shared_tokens());
+                let again = unread.saturating_sub(own);
+                let again_ms = f64::from(again) * (self.terms.read_again - 1.0);
+                (unread, self.read_ms(unread), again_ms / self.terms.read_rate)
             }
             None => {
                 let ahead = endpoint.work.len() as f64 / f64::from(candidate.slots.max(1));
-                (0, ahead * self.terms.call_ms, self.terms.call_ms)
+                (0, self.terms.call_ms * (1.0 + ahead), 0.0)
             }
         };
-        let expected_ms = (wait_ms + work_ms) * endpoint.factor();
-        let mut cost = expected_ms + away_ms + endpoint.failed_share * self.terms.failure_ms;
-        cost += endpoint.overdue_ms(now);
+        let wait_ms = self.wait_ms(endpoint, demand.priority, now);
+        let expected_ms = wait_ms + work_ms;
+        let mut cost = expected_ms + again_ms + away_ms;
+        cost += endpoint.failed_share * self.terms.failure_ms;
         if candidate.cache_tokens > 0 {
             let held = endpoint.held() * demand.daemons.max(1) as f64;
-            cost += 1000.0 * (held / candidate.cache_tokens as f64 - 0.7).max(0.0);
+            cost += MEMORY_MS * (held / candidate.cache_tokens as f64 - MEMORY_FILL).max(0.0);
         }
         if endpoint.ejected_until > now {
-            cost += 10_000.0;
+            cost += EJECTED_MS;
         }
-        (cost, Choice { id: candidate.id.to_owned(), expected_ms, unread_tokens: unread })
+        (cost, Choice { id: candidate.id.to_owned(), expected_ms, unread_tokens })
+    }
+
+    fn read_ms(&self, tokens: u32) -> f64 {
+        f64::from(tokens) / self.terms.read_rate
+    }
+
+    /// Returns how long a request of a rank waits at an endpoint, from this daemon's own requests:
+    /// those that are not answered yet, and those that were answered lately.
+    fn wait_ms(&self, endpoint: &Endpoint, priority: u8, now: Millis) -> f64 {
+        let ahead = || endpoint.work.values().filter(|w| !w.answering && w.priority <= priority);
+        let own_ms: f64 = ahead().map(|w| self.read_ms(w.unread_tokens)).sum();
+        let oldest_ms =
+            ahead().map(|w| now.since(w.since).0 as f64 - w.work_ms).fold(0.0, f64::max);
+        let seen = endpoint.waits.range(..=priority);
+        let seen_ms = seen.map(|(_, wait)| wait.at(now)).fold(0.0, f64::max);
+        (own_ms + seen_ms).max(oldest_ms)
     }
 
-    fn unread(&self, endpoint: &Endpoint, prompt: &Prompt, home: bool, now: Millis) -> u32 {
-        let mut read = 0;
-        let shared = prompt.parts.len().saturating_sub(1);
-        for part in &prompt.parts[..shared] {
-            let known = endpoint
-                .parts
-                .get(&part.id)
-                .is_some_and(|used| now.since(*used) < self.terms.cache_time);
-            if known {
-                read += part.tokens;
-            } else if home {
-                read += (f64::from(part.tokens) * LIKELY_CACHED) as u32;
-            } else {
+    /// Returns the tokens of a prompt that an endpoint would read; `rank` is its place among the
+    /// homes of the session.
+    fn unread(
+        &self,
+        endpoint: &Endpoint,
+        prompt: &Prompt,
+        rank: Option<usize>,
+        now: Millis,
+    ) -> u32 {
+        let likely = rank.and_then(|rank| LIKELY_CACHED.get(rank)).copied().unwrap_or(0.0);
+        let mut read = 0.0;
+        for part in prompt.shared() {
+            let used = endpoint.parts.get(&part.id);
+            let known = used.is_some_and(|used| now.since(*used) < self.terms.cache_time);
+            if !known && likely == 0.0 {
                 break;
             }
+            read += f64::from(part.tokens) * if known { 1.0 } else { likely };
         }
-        prompt.tokens.saturating_sub(read).max(1)
+        prompt.tokens.saturating_sub(read as u32).max(1)
     }
 
     /// Takes work to an endpoint.
@@ -331,17 +377,17 @@
         let prompt = demand.prompt;
         self.count_interactive(demand.lane, 1, now);
         let lease = Lease(self.next);
-        let endpoint = self.endpoints.entry(choice.id.clone()).or_default();
         let held_tokens = prompt.map_or(0, |p| p.tokens + p.answer_tokens / 2);
         let work = Work {
             since: now,
-            expected_ms: choice.expected_ms,
+            work_ms: prompt.map_or(self.terms.call_ms, |_| self.read_ms(choice.unread_tokens)),
             unread_tokens: choice.unread_tokens,
+            priority: demand.priority,
             held_tokens,
             answering: false,
             lane: demand.lane,
         };
-        endpoint.work.insert(lease, work);
+        self.endpoints.entry(choice.id.clone()).or_default().work.insert(lease, work);
         lease
     }
 
@@ -368,10 +414,9 @@
             return;
         }
         work.answering = true;
-        let took = now.since(work.since).0 as f64;
-        let ratio = (took / (work.expected_ms + 5.0)).clamp(1.0 / FACTOR_LIMIT, FACTOR_LIMIT);
-        let factor = endpoint.factor();
-        endpoint.factor = (factor * ratio.powf(NEWEST)).clamp(1.0 / FACTOR_LIMIT, FACTOR_LIMIT);
+        let wait_ms = (now.since(work.since).0 as f64 - work.work_ms).max(0.0);
+        let priority = work.priority;
+        endpoint.waits.entry(priority).or_default().note(wait_ms, now);
     }
 
     /// Ends work at an endpoint.
@@ -401,18 +446,20 @@
     }
 }
 
-/// Returns the endpoint at which all daemons prefer to run a session.
-fn home<'a>(
+/// Returns the endpoints at which all daemons prefer to run a session, best first.
+fn homes<'a>(
     candidates: &[Candidate<'a>],
     lane: &BTreeSet<&str>,
     demand: &Demand<'_>,
-) -> Option<&'a str> {
-    let session = demand.prompt?.session()?;
-    candidates
-        .iter()
-        .filter(|c| lane.is_empty() || lane.contains(c.id))
-        .max_by_key(|c| draw(c.id, session))
-        .map(|c| c.id)
+) -> Vec<&'a str> {
+    let Some(session) = demand.prompt.and_then(Prompt::session) else {
+        return Vec::new();
+    };
+    let is_fit = |c: &&Candidate<'a>| lane.is_empty() || lane.contains(c.id);
+    let mut ranked: Vec<&str> = candidates.iter().filter(is_fit).map(|c| c.id).collect();
+    ranked.sort_by_key(|id| std::cmp::Reverse(draw(id, session)));
+    ranked.truncate(LIKELY_CACHED.len());
+    ranked
 }
 
 /// Returns a number that depends on both arguments alone (FNV-1a with a final mix).
--- a/components/decision/src/routing/prompt.rs
+++ b/components/decision/src/routing/prompt.rs
@@ -19,9 +19,18 @@
 }
 
 impl Prompt {
-    /// Returns the part by which requests of one session are kept together: the last but one.
+    /// Returns the parts that other requests may share: all but the last.
+    pub fn shared(&self) -> &[PromptPart] {
+        &self.parts[..self.parts.len().saturating_sub(1)]
+    }
+
+    /// Returns the tokens of the parts that other requests may share.
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared().iter().map(|part| part.tokens).sum()
+    }
+
+    /// Returns the part by which requests of one session are kept together: the last shared one.
     pub fn session(&self) -> Option<u64> {
-        let shared = self.parts.len().checked_sub(2)?;
-        Some(self.parts[shared].id)
+        self.shared().last().map(|part| part.id)
     }
 }
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -39,7 +39,8 @@
 
     /// Returns what the request asks of an endpoint.
     pub(crate) fn demand(&self, daemons: usize, draw: u64) -> Demand<'_> {
-        Demand { prompt: self.prompt.as_ref(), lane: self.lane, daemons, draw }
+        let prompt = self.prompt.as_ref();
+        Demand { prompt, lane: self.lane, daemons, priority: self.priority, draw }
     }
 
     /// Returns the time that is left.
