Let one daemon of a data centre read the store for the others, and exchange loads

Change: daemons write a record each ten seconds; those of a data centre rank alike, follow the first over HTTP with rmp-serde (changes, proof of freshness, loads both ways) and read the store when none can be followed. Readers exchange the loads of their data centres. The retry budget is divided by the live records.

--- a/components/decision/src/routing/directory.rs
+++ b/components/decision/src/routing/directory.rs
@@ -22,6 +22,8 @@
     pub draining: bool,
     /// When it started, in milliseconds of Unix time; tells two lives under one id apart.
     pub started: u64,
+    /// Counts its heartbeats; starts anew with a new life.
+    pub heartbeats: u64,
 }
 
 impl Registration {
@@ -29,6 +31,7 @@
         self.started == other.started
             && self.address == other.address
             && self.service == other.service
+            && self.heartbeats <= other.heartbeats
     }
 }
 
@@ -123,14 +126,19 @@
         self.listed.get(id).map(|l| &l.registration).filter(|r| !r.draining)
     }
 
+    /// Returns all endpoints that take new requests.
+    pub fn usable(&self) -> impl Iterator<Item = (&str, &Registration)> {
+        self.listed
+            .iter()
+            .map(|(id, listed)| (id.as_str(), &listed.registration))
+            .filter(|(_, r)| !r.draining)
+    }
+
     /// Returns the endpoints of a service that take new requests.
     pub fn of_service<'a>(
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = (&'a str, &'a Registration)> {
-        self.listed
-            .iter()
-            .map(|(id, listed)| (id.as_str(), &listed.registration))
-            .filter(move |(_, r)| r.service == service && !r.draining)
+        self.usable().filter(move |(_, r)| r.service == service)
     }
 }
--- /dev/null
+++ b/components/decision/src/routing/journal.rs
@@ -0,0 +1,38 @@
+use std::collections::VecDeque;
+
+/// The newest changes in order, from which followers catch up.
+#[derive(Clone, Debug)]
+pub struct Journal<T> {
+    changes: VecDeque<T>,
+    /// The number of the last change.
+    last: u64,
+    limit: usize,
+}
+
+impl<T> Journal<T> {
+    /// Creates a journal that keeps at most `limit` changes.
+    pub fn new(limit: usize) -> Journal<T> {
+        Journal { changes: VecDeque::new(), last: 0, limit }
+    }
+
+    /// Adds a change.
+    pub fn push(&mut self, change: T) {
+        self.last += 1;
+        self.changes.push_back(change);
+        if self.changes.len() > self.limit {
+            self.changes.pop_front();
+        }
+    }
+
+    /// Returns the number of the last change.
+    pub fn last(&self) -> u64 {
+        self.last
+    }
+
+    /// Returns the changes after a number, or nothing when some of them are no longer kept.
+    pub fn since(&self, sequence: u64) -> Option<impl Iterator<Item = &T>> {
+        let missing = self.last.checked_sub(sequence)?;
+        let skipped = self.changes.len().checked_sub(usize::try_from(missing).ok()?)?;
+        Some(self.changes.iter().skip(skipped))
+    }
+}
--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -2,7 +2,10 @@
 
 mod catalog;
 mod directory;
+mod exchange;
 mod freshness;
+mod journal;
+mod members;
 mod placement;
 mod prompt;
 mod retry_budget;
@@ -12,7 +15,10 @@
     Service,
 };
 pub use directory::{Directory, DirectoryChange, REAPPEAR, Registration};
+pub use exchange::{Exchange, add_up};
 pub use freshness::Freshness;
+pub use journal::Journal;
+pub use members::{DaemonRecord, Members};
 pub use placement::{
     Candidate, Choice, Demand, Distance, Lane, Lease, LoadTable, Outcome, PlacementTerms,
 };
--- a/components/decision/src/routing/placement.rs
+++ b/components/decision/src/routing/placement.rs
@@ -1,5 +1,7 @@
+use super::exchange::add_up;
 use super::prompt::Prompt;
 use crate::Millis;
+use messages::feed::EndpointLoad;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Figures of the choice that no endpoint states.
@@ -92,8 +94,6 @@
     pub prompt: Option<&'a Prompt>,
     /// The engines that the request prefers.
     pub lane: Lane,
-    /// Daemons that share the endpoints.
-    pub daemons: usize,
     /// The rank; 0 is served first.
     pub priority: u8,
     /// A number drawn for this request, which breaks ties.
@@ -158,6 +158,8 @@
 const MEMORY_FILL: f64 = 0.7;
 /// Cost of an endpoint that just failed, in milliseconds: above all waits that clients accept.
 const EJECTED_MS: f64 = 10_000.0;
+/// Age at which what other daemons told of their work is no longer used: a few of their reports.
+const SHARED_TIME: Millis = Millis(2_000);
 /// Time in which the wait last seen at an endpoint fades to a third, in milliseconds: about as long
 /// as the queue that it was seen in takes to pass.
 const WAIT_FADE_MS: f64 = 1_500.0;
@@ -202,6 +204,19 @@
     ejection: Millis,
 }
 
+impl Work {
+    fn row(&self, id: &str) -> EndpointLoad {
+        EndpointLoad {
+            endpoint: id.to_owned(),
+            priority: self.priority,
+            running: 1,
+            unread_tokens: if self.answering { 0 } else { u64::from(self.unread_tokens) },
+            held_tokens: u64::from(self.held_tokens),
+            interactive: u32::from(self.lane == Lane::Interactive),
+        }
+    }
+}
+
 impl Endpoint {
     fn held(&self) -> f64 {
         self.work.values().map(|w| f64::from(w.held_tokens)).sum()
@@ -218,6 +233,18 @@
     interactive: f64,
     interactive_now: u32,
     interactive_at: Millis,
+    /// What other daemons have at the endpoints, as last told.
+    shared: BTreeMap<String, Shared>,
+    shared_interactive: u32,
+    shared_at: Millis,
+}
+
+/// The load of other daemons at an endpoint.
+#[derive(Clone, Debug, Default)]
+struct Shared {
+    unread_by_rank: BTreeMap<u8, u64>,
+    held_tokens: u64,
+    running: u32,
 }
 
 impl LoadTable {
@@ -239,6 +266,34 @@
         self.endpoints.retain(|id, endpoint| !endpoint.work.is_empty() || is_listed(id));
     }
 
+    /// Returns the work of this daemon at each endpoint, by rank.
+    pub fn own_loads(&self) -> Vec<EndpointLoad> {
+        let rows: Vec<EndpointLoad> = self
+            .endpoints
+            .iter()
+            .flat_map(|(id, endpoint)| endpoint.work.values().map(|work| work.row(id)))
+            .collect();
+        add_up(rows.iter())
+    }
+
+    /// Takes the work of all other daemons.
+    pub fn set_shared(&mut self, rows: &[EndpointLoad], now: Millis) {
+        self.shared.clear();
+        self.shared_interactive = rows.iter().map(|row| row.interactive).sum();
+        self.shared_at = now;
+        for row in rows {
+            let shared = self.shared.entry(row.endpoint.clone()).or_default();
+            *shared.unread_by_rank.entry(row.priority).or_default() += row.unread_tokens;
+            shared.held_tokens += row.held_tokens;
+            shared.running += row.running;
+        }
+    }
+
+    /// Returns the work of other daemons at an endpoint, unless what was told is too old.
+    fn shared(&self, id: &str, now: Millis) -> Option<&Shared> {
+        self.shared.get(id).filter(|_| now.since(self.shared_at) < SHARED_TIME)
+    }
+
     /// Chooses the endpoint with the shortest expected time to the first byte.
     pub fn choose<'a>(
         &self,
@@ -275,7 +330,7 @@
         }
         let mut ranked: Vec<&Candidate<'a>> = candidates.iter().collect();
         ranked.sort_by_key(|c| draw(c.id, LANE_SEED));
-        let interactive = self.interactive_engines(candidates, demand);
+        let interactive = self.interactive_engines(candidates);
         let lane = match demand.lane {
             Lane::Interactive => &ranked[..interactive],
             Lane::Bulk => &ranked[interactive..],
@@ -283,8 +338,8 @@
         lane.iter().map(|c| c.id).collect()
     }
 
-    fn interactive_engines(&self, candidates: &[Candidate<'_>], demand: &Demand<'_>) -> usize {
-        let running = self.interactive * demand.daemons.max(1) as f64;
+    fn interactive_engines(&self, candidates: &[Candidate<'_>]) -> usize {
+        let running = self.interactive + f64::from(self.shared_interactive);
         let slots = candidates.iter().map(|c| f64::from(c.slots)).sum::<f64>();
         let comfortable = (slots / candidates.len() as f64 * self.terms.lane_fill).max(1.0);
         let needed = (running / comfortable).ceil() as usize;
@@ -305,6 +360,8 @@
             Distance::Region => self.terms.data_centre_ms,
             Distance::Far => self.terms.region_ms,
         };
+        let shared = self.shared(candidate.id, now);
+        let shared_running = shared.map_or(0.0, |s| f64::from(s.running));
         let (unread_tokens, work_ms, again_ms) = match demand.prompt {
             Some(prompt) => {
                 let rank = homes.iter().position(|id| *id == candidate.id);
@@ -315,16 +372,17 @@
                 (unread, self.read_ms(unread), again_ms / self.terms.read_rate)
             }
             None => {
-                let ahead = endpoint.work.len() as f64 / f64::from(candidate.slots.max(1));
+                let running = endpoint.work.len() as f64 + shared_running;
+                let ahead = running / f64::from(candidate.slots.max(1));
                 (0, self.terms.call_ms * (1.0 + ahead), 0.0)
             }
         };
-        let wait_ms = self.wait_ms(endpoint, demand.priority, now);
+        let wait_ms = self.wait_ms(endpoint, shared, demand.priority, now);
         let expected_ms = wait_ms + work_ms;
         let mut cost = expected_ms + again_ms + away_ms;
         cost += endpoint.failed_share * self.terms.failure_ms;
         if candidate.cache_tokens > 0 {
-            let held = endpoint.held() * demand.daemons.max(1) as f64;
+            let held = endpoint.held() + shared.map_or(0.0, |s| s.held_tokens as f64);
             cost += MEMORY_MS * (held / candidate.cache_tokens as f64 - MEMORY_FILL).max(0.0);
         }
         if endpoint.ejected_until > now {
@@ -337,16 +395,24 @@
         f64::from(tokens) / self.terms.read_rate
     }
 
-    /// Returns how long a request of a rank waits at an endpoint, from this daemon's own requests:
-    /// those that are not answered yet, and those that were answered lately.
-    fn wait_ms(&self, endpoint: &Endpoint, priority: u8, now: Millis) -> f64 {
+    /// Returns how long a request of a rank waits at an endpoint: from this daemon's requests that
+    /// are not answered yet, and from those answered lately or what other daemons told.
+    fn wait_ms(
+        &self,
+        endpoint: &Endpoint,
+        shared: Option<&Shared>,
+        priority: u8,
+        now: Millis,
+    ) -> f64 {
         let ahead = || endpoint.work.values().filter(|w| !w.answering && w.priority <= priority);
         let own_ms: f64 = ahead().map(|w| self.read_ms(w.unread_tokens)).sum();
         let oldest_ms =
             ahead().map(|w| now.since(w.since).0 as f64 - w.work_ms).fold(0.0, f64::max);
         let seen = endpoint.waits.range(..=priority);
         let seen_ms = seen.map(|(_, wait)| wait.at(now)).fold(0.0, f64::max);
-        (own_ms + seen_ms).max(oldest_ms)
+        let told = shared.map_or(0, |s| s.unread_by_rank.range(..=priority).map(|(_, t)| t).sum());
+        let told_ms = told as f64 / self.terms.read_rate;
+        (own_ms + seen_ms.max(told_ms)).max(oldest_ms)
     }
 
     /// Returns the tokens of a prompt that an endpoint would read; `rank` is its place among the
@@ -463,7 +529,7 @@
 }
 
 /// Returns a number that depends on both arguments alone (FNV-1a with a final mix).
-fn draw(id: &str, seed: u64) -> u64 {
+pub(super) fn draw(id: &str, seed: u64) -> u64 {
     let mut hash = 0xcbf2_9ce4_8422_2325 ^ seed;
     for byte in id.bytes() {
         hash = (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
--- a/components/decision/src/routing/retry_budget.rs
+++ b/components/decision/src/routing/retry_budget.rs
@@ -58,12 +58,13 @@
         window.requests.push_back(now);
     }
 
-    /// Takes a second send from the budget; `daemons` share it.
-    pub fn take(&mut self, service: &str, daemons: usize, now: Millis) -> bool {
+    /// Takes a second send from the budget, which `daemons` share. While their number is not known,
+    /// only the share of the daemon's own requests is used.
+    pub fn take(&mut self, service: &str, daemons: Option<usize>, now: Millis) -> bool {
         let window = self.services.entry(service.to_owned()).or_default();
         window.forget(now - self.terms.window);
         let share = self.terms.ratio * window.requests.len() as f64;
-        let extra = self.terms.extra / daemons.max(1) as f64;
+        let extra = daemons.map_or(0.0, |daemons| self.terms.extra / daemons.max(1) as f64);
         if (window.repeats.len() + 1) as f64 > share + extra {
             return false;
         }
--- a/components/gateway/src/adapter.rs
+++ b/components/gateway/src/adapter.rs
@@ -1,5 +1,5 @@
 use decision::Millis;
-use decision::routing::{Configuration, Prompt, Registration};
+use decision::routing::{Configuration, DaemonRecord, Prompt, Registration};
 use http::{HeaderMap, HeaderName, StatusCode};
 
 /// What the head of a client's request says beside its request line.
@@ -50,6 +50,8 @@
     Configuration,
     /// The registry of endpoints.
     Endpoints,
+    /// The records of the daemons themselves.
+    Daemons,
 }
 
 impl Kind {
@@ -58,6 +60,7 @@
         match self {
             Kind::Configuration => "configuration",
             Kind::Endpoints => "endpoints",
+            Kind::Daemons => "daemons",
         }
     }
 }
@@ -105,8 +108,18 @@
     /// Reads the head of an endpoint's answer.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 
-    /// Returns the request target that lists a kind from after a name.
-    fn list_target(&self, kind: Kind, after: Option<&str>) -> String;
+    /// Returns the request target that lists a kind from after a name; with `stale`, the answer may
+    /// be seconds old.
+    fn list_target(&self, kind: Kind, after: Option<&str>, stale: bool) -> String;
+
+    /// Returns the request target of an object, or of all objects of a kind.
+    fn object_target(&self, kind: Kind, name: Option<&str>) -> String;
+
+    /// Writes a daemon's record as an object.
+    fn write_daemon(&self, name: &str, record: &DaemonRecord) -> String;
+
+    /// Reads a list of daemons' records.
+    fn read_daemons(&self, body: &[u8]) -> Result<Page<DaemonRecord>, String>;
 
     /// Returns the request target that waits for changes of a kind after a revision.
     fn watch_target(&self, kind: Kind, since: u64, wait: Millis) -> String;
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -117,6 +117,17 @@
             .header(http::header::HOST, host)
             .body(Full::new(Bytes::new()))
             .map_err(|e| ConnectionError::Body { address, limit: 0, text: e.to_string() })?;
+        self.exchange(req, limit, most_bytes).await
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub(crate) async fn exchange(
+        &mut self,
+        req: Request<Full<Bytes>>,
+        limit: Millis,
+        most_bytes: usize,
+    ) -> Result<(StatusCode, Bytes), ConnectionError> {
+        let address = self.address;
         let whole = async {
             let response = self.send(req, limit).await?;
             let status = response.status();
--- a/components/gateway/src/feed.rs
+++ b/components/gateway/src/feed.rs
@@ -1,7 +1,8 @@
 use crate::adapter::{Adapter, Changes, Item, Kind, Page};
-use crate::gateway::Gateway;
+use crate::gateway::{Change, Gateway};
 use decision::Millis;
 use decision::routing::{Catalog, Configuration, Registration};
+use serde::Serialize;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -51,9 +52,10 @@
     type Value = Configuration;
 
     const KIND: Kind = Kind::Configuration;
-    /// A third of a revocation bound of five seconds, and over the second in which a store that
-    /// drops its history may hold changes back.
-    const WAIT: Millis = Millis(1_500);
+    /// Over the second in which a store that drops its history may hold changes back. Two waits in
+    /// a row, and those of a daemon that follows this one, stay within a revocation bound of five
+    /// seconds.
+    const WAIT: Millis = Millis(1_100);
 
     fn read_page<A: Adapter>(adapter: &A, body: &[u8]) -> Result<Page<Configuration>, String> {
         adapter.read_configurations(body)
@@ -100,7 +102,8 @@
     }
 }
 
-fn put_in_force<A: Adapter>(gateway: &Gateway<A>, configuration: Configuration) {
+/// Takes a configuration, unless a newer one is in force.
+pub(crate) fn put_in_force<A: Adapter>(gateway: &Gateway<A>, configuration: Configuration) {
     let version = configuration.version;
     let before = gateway.catalog().map(|catalog| catalog.configuration().version);
     if before.is_some_and(|before| version <= before) {
@@ -118,6 +121,7 @@
     );
     gateway.metrics.configuration_version.set(version as i64);
     gateway.catalog.replace(Some(Rc::new(Catalog::new(configuration))));
+    gateway.tell(Change::Configuration);
 }
 
 /// The registry of endpoints.
@@ -188,3 +192,14 @@
 fn log_malformed(id: &str, text: &str) {
     tracing::warn!(event = "endpoint_unreadable", endpoint = %id, text);
 }
+
+/// Encodes a value for another daemon.
+pub(crate) fn to_json<T: Serialize>(value: &T) -> Option<String> {
+    match serde_json::to_string(value) {
+        Ok(text) => Some(text),
+        Err(e) => {
+            tracing::error!(event = "value_not_encoded", error = %e);
+            None
+        }
+    }
+}
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -4,6 +4,7 @@
 use crate::feed::Feed;
 use crate::gateway::Gateway;
 use crate::metrics::StoreLabels;
+use crate::source::Source;
 use bytes::Bytes;
 use decision::Millis;
 use decision::routing::REAPPEAR;
@@ -65,8 +66,17 @@
         regained_at: None,
         pause: PAUSE,
     };
+    let gateway = follower.gateway.clone();
     loop {
-        match follower.step::<F>().await {
+        gateway.source.until(Source::Store).await;
+        let result = tokio::select! {
+            result = follower.step::<F>() => result,
+            () = gateway.source.until(Source::Peer) => {
+                follower.rest();
+                continue;
+            }
+        };
+        match result {
             Ok(()) => follower.regain::<F>(),
             Err(e) => follower.lose::<F>(&e).await,
         }
@@ -87,7 +97,7 @@
         let mut revision = None;
         loop {
             let after = items.last().map(|item: &crate::adapter::Item<F::Value>| &*item.name);
-            let target = self.gateway.adapter.list_target(F::KIND, after);
+            let target = self.gateway.adapter.list_target(F::KIND, after, false);
             let body = self.get::<F>(&target, READ_LIMIT).await?;
             let page = F::read_page(&self.gateway.adapter, &body)
                 .map_err(|text| CallError::Unreadable { target, text })?;
@@ -166,6 +176,15 @@
         Ok(answer)
     }
 
+    /// Stops reading while another daemon is followed.
+    fn rest(&mut self) {
+        self.connection = None;
+        self.revision = None;
+        self.lost_at = None;
+        self.regained_at = Some(now());
+        self.pause = PAUSE;
+    }
+
     fn regain<F: Feed>(&mut self) {
         self.pause = PAUSE;
         if let Some(lost_at) = self.lost_at.take() {
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -1,17 +1,34 @@
 use crate::adapter::Adapter;
+use crate::feed::to_json;
 use crate::log::LogQuota;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::settings::Settings;
+use crate::source::CurrentSource;
 use crate::stop::Stop;
 use decision::Millis;
 use decision::routing::{
-    Catalog, Directory, DirectoryChange, Freshness, LoadTable, PlacementTerms, RetryBudget,
+    Catalog, Directory, DirectoryChange, Exchange, Freshness, Journal, LoadTable, Members,
+    PlacementTerms, RetryBudget,
 };
+use messages::feed::EndpointChange;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Changes that a daemon keeps for those that follow it: some seconds of a registry in turmoil.
+const KEPT_CHANGES: usize = 1_000;
+
+/// A change that other daemons are told.
+#[derive(Clone, Debug)]
+pub(crate) enum Change {
+    /// Another configuration is in force.
+    Configuration,
+    /// The registry changed.
+    Endpoint(EndpointChange),
+}
 
 /// All that the tasks of a gateway share. They run on one thread, and no borrow is held across an
 /// `await`, so there are no locks and no order of locks.
@@ -30,6 +47,16 @@
     pub(crate) quota: RefCell<LogQuota>,
     pub(crate) metrics: Metrics,
     pub(crate) stop: Stop,
+    /// Tells this start of the daemon from others.
+    pub(crate) incarnation: u64,
+    pub(crate) journal: RefCell<Journal<Change>>,
+    /// Word of each change in the journal.
+    pub(crate) changed: Notify,
+    pub(crate) members: RefCell<Members>,
+    /// Word of each look at the members.
+    pub(crate) members_changed: Notify,
+    pub(crate) exchange: RefCell<Exchange>,
+    pub(crate) source: CurrentSource,
 }
 
 impl<A: Adapter> Gateway<A> {
@@ -48,6 +75,13 @@
             quota: RefCell::default(),
             metrics: Metrics::default(),
             stop: Stop::default(),
+            incarnation: seed,
+            journal: RefCell::new(Journal::new(KEPT_CHANGES)),
+            changed: Notify::new(),
+            members: RefCell::default(),
+            members_changed: Notify::new(),
+            exchange: RefCell::default(),
+            source: CurrentSource::default(),
         }
     }
 
@@ -80,19 +114,33 @@
         self.directory.borrow()
     }
 
-    /// Writes what changed in the registry to the log and forgets what was known of endpoints that
-    /// start anew.
+    /// Tells daemons that follow this one of a change.
+    pub(crate) fn tell(&self, change: Change) {
+        self.journal.borrow_mut().push(change);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns how many daemons share the endpoints, if that is known.
+    pub(crate) fn daemons(&self, now: Millis) -> Option<usize> {
+        self.members.borrow().count(now)
+    }
+
+    /// Writes what changed in the registry to the log, tells other daemons, and forgets what was
+    /// known of endpoints that start anew.
     pub(crate) fn note_changes(&self, changes: &[DirectoryChange]) {
         for change in changes {
-            match change {
+            let (endpoint, registration) = match change {
                 DirectoryChange::Joined(id) => {
                     self.loads.borrow_mut().reset(id);
                     tracing::info!(event = "endpoint_joined", endpoint = %id);
+                    (id.clone(), self.directory().get(id).and_then(to_json))
                 }
                 DirectoryChange::Left(id) => {
-                    tracing::info!(event = "endpoint_left", endpoint = %id)
+                    tracing::info!(event = "endpoint_left", endpoint = %id);
+                    (id.clone(), None)
                 }
-            }
+            };
+            self.tell(Change::Endpoint(EndpointChange { endpoint, registration }));
         }
     }
 
@@ -103,6 +151,7 @@
         self.pool.borrow_mut().sweep(now);
         let directory = self.directory.borrow();
         self.loads.borrow_mut().retain(|id| directory.get(id).is_some());
+        self.exchange.borrow_mut().expire(now);
         self.quota.borrow_mut().report(now);
         self.metrics.idle_connections.set(self.pool.borrow().len() as i64);
     }
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -38,9 +38,9 @@
     }
 
     /// Returns what the request asks of an endpoint.
-    pub(crate) fn demand(&self, daemons: usize, draw: u64) -> Demand<'_> {
+    pub(crate) fn demand(&self, draw: u64) -> Demand<'_> {
         let prompt = self.prompt.as_ref();
-        Demand { prompt, lane: self.lane, daemons, priority: self.priority, draw }
+        Demand { prompt, lane: self.lane, priority: self.priority, draw }
     }
 
     /// Returns the time that is left.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -17,12 +17,16 @@
 mod log;
 mod metrics;
 mod observe;
+mod peer_feed;
+mod peers;
 mod pool;
+mod presence;
 mod relay;
 mod request;
 mod run;
 mod serve;
 mod settings;
+mod source;
 mod stop;
 mod work;
 
--- a/components/gateway/src/listener.rs
+++ b/components/gateway/src/listener.rs
@@ -4,6 +4,7 @@
 use crate::connection::set_options;
 use crate::gateway::Gateway;
 use crate::observe::observe;
+use crate::peers;
 use crate::serve::serve;
 use decision::Millis;
 use http::{Request, Response};
@@ -40,6 +41,8 @@
     Clients,
     /// Questions about the daemon itself.
     Observers,
+    /// Other daemons.
+    Peers,
 }
 
 /// Opens a listening socket.
@@ -139,6 +142,7 @@
     let response = match role {
         Role::Clients => serve(gateway, req).await,
         Role::Observers => observe(gateway, req).await,
+        Role::Peers => peers::answer(gateway, req).await,
     };
     activity.requests.set(activity.requests.get() - 1);
     activity.idle_since.set(now());
--- /dev/null
+++ b/components/gateway/src/peer_feed.rs
@@ -0,0 +1,223 @@
+use crate::adapter::{Adapter, Item};
+use crate::clock::now;
+use crate::connection::Connection;
+use crate::feed::{Endpoints, Feed, put_in_force};
+use crate::gateway::Gateway;
+use crate::source::Source;
+use bytes::Bytes;
+use decision::Millis;
+use decision::routing::{Configuration, Registration};
+use http::header::HOST;
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use messages::feed::{EndpointLoad, FeedAnswer, FeedPosition, FeedRequest};
+use serde::de::DeserializeOwned;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// How long a followed daemon may hold an answer back; loads are exchanged as often.
+const WAIT: Millis = Millis(400);
+/// The longest time to an answer beyond the wait, within a data centre.
+const ANSWER_LIMIT: Millis = Millis(400);
+/// The longest wait for a connection within a data centre.
+const CONNECT_LIMIT: Millis = Millis(300);
+/// Time between two exchanges of loads with another data centre.
+const EXCHANGE_PERIOD: Duration = Duration::from_millis(500);
+/// The longest time to an answer of another data centre: several round trips between regions.
+const FAR_LIMIT: Millis = Millis(800);
+/// Time in which a daemon that could not be followed is not tried again.
+const AVOID: Millis = Millis(5_000);
+/// Part of the revocation bound up to which a followed daemon's proof is fresh enough.
+const PROOF_SHARE: f64 = 0.6;
+/// The largest answer, in bytes: a configuration of 1 MB and the registry.
+const MOST_BYTES: usize = 8 << 20;
+/// The path that other daemons ask.
+pub(crate) const PATH: &str = "/feed";
+
+/// Follows the best daemon of the data centre that can be followed, and reads the store when there
+/// is none, for as long as the daemon runs.
+pub(crate) async fn follow<A: Adapter>(gateway: Rc<Gateway<A>>) {
+    let mut avoided: BTreeMap<String, Millis> = BTreeMap::new();
+    loop {
+        avoided.retain(|_, until| now() < *until);
+        let settings = gateway.settings();
+        let before = gateway.members.borrow().before(&settings.name, &settings.data_centre, now());
+        let fit = before.into_iter().find(|(name, _)| !avoided.contains_key(name));
+        let Some((name, address)) = fit else {
+            gateway.source.set(Source::Store);
+            let pause = Duration::from_millis(AVOID.0 / 5);
+            // Without word of a change the members are looked at again all the same.
+            let _ = timeout(pause, gateway.members_changed.notified()).await;
+            continue;
+        };
+        let text = follow_one(&gateway, &name, &address).await;
+        tracing::info!(event = "peer_lost", peer = %name, text);
+        avoided.insert(name, now() + AVOID);
+    }
+}
+
+/// Follows one daemon until it cannot be followed, and returns why.
+async fn follow_one<A: Adapter>(gateway: &Rc<Gateway<A>>, name: &str, address: &str) -> String {
+    let address: SocketAddr = match address.parse() {
+        Ok(address) => address,
+        Err(e) => return format!("{address}: {e}"),
+    };
+    let mut from: Option<FeedPosition> = None;
+    let mut kept = None;
+    loop {
+        let sent = now();
+        let loads = gateway.loads.borrow().own_loads();
+        let loads = gateway.exchange.borrow().data_centre(&loads, "");
+        let asked = request(gateway, from.clone(), loads, false);
+        let limit = WAIT + ANSWER_LIMIT;
+        let answer = match ask(&mut kept, address, &asked, CONNECT_LIMIT, limit).await {
+            Ok(answer) => answer,
+            Err(text) => return text,
+        };
+        if let Err(text) = check_proof(gateway, &answer) {
+            return text;
+        }
+        if from.is_none() {
+            tracing::info!(event = "peer_followed", peer = %name);
+        }
+        from = Some(answer.position.clone());
+        apply(gateway, answer, sent);
+        gateway.source.set(Source::Peer);
+    }
+}
+
+/// Exchanges loads with the other data centres, while this daemon reads the store for its own.
+pub(crate) async fn exchange<A: Adapter>(gateway: Rc<Gateway<A>>) {
+    let mut connections: BTreeMap<String, Option<Connection>> = BTreeMap::new();
+    loop {
+        sleep(EXCHANGE_PERIOD).await;
+        if gateway.source.get() == Source::Peer {
+            connections.clear();
+            continue;
+        }
+        for (data_centre, address) in partners(&gateway) {
+            let own = gateway.loads.borrow().own_loads();
+            let loads = gateway.exchange.borrow().data_centre(&own, "");
+            let asked = request(&gateway, None, loads, true);
+            let kept = connections.entry(data_centre.clone()).or_default();
+            match ask(kept, address, &asked, FAR_LIMIT, FAR_LIMIT).await {
+                Ok(answer) => {
+                    let mut exchange = gateway.exchange.borrow_mut();
+                    exchange.put_data_centre(&data_centre, answer.loads, now());
+                }
+                Err(text) => {
+                    tracing::debug!(event = "loads_not_exchanged", data_centre, text);
+                }
+            }
+        }
+        take_shared(&gateway);
+    }
+}
+
+/// Returns the readers of the data centres that this one asks: of two, the one whose name is less.
+fn partners<A: Adapter>(gateway: &Gateway<A>) -> Vec<(String, SocketAddr)> {
+    let own = gateway.settings().data_centre.clone();
+    let members = gateway.members.borrow();
+    let others = members.data_centres(now()).into_iter().filter(|other| *other > own);
+    let reader = |data_centre: String| {
+        let address = members.ranked(&data_centre, now()).first()?.1.address.parse().ok()?;
+        Some((data_centre, address))
+    };
+    others.filter_map(reader).collect()
+}
+
+/// Takes the load that the other daemons told, at a daemon that reads the store.
+fn take_shared<A: Adapter>(gateway: &Gateway<A>) {
+    let rows = gateway.exchange.borrow().all(&[], "");
+    gateway.loads.borrow_mut().set_shared(&rows, now());
+}
+
+fn request<A: Adapter>(
+    gateway: &Gateway<A>,
+    from: Option<FeedPosition>,
+    loads: Vec<EndpointLoad>,
+    whole_data_centre: bool,
+) -> FeedRequest {
+    let settings = gateway.settings();
+    FeedRequest {
+        name: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        whole_data_centre,
+        from,
+        wait_ms: WAIT.0,
+        loads,
+    }
+}
+
+async fn ask(
+    kept: &mut Option<Connection>,
+    address: SocketAddr,
+    asked: &FeedRequest,
+    connect_limit: Millis,
+    limit: Millis,
+) -> Result<FeedAnswer, String> {
+    let body = rmp_serde::to_vec_named(asked).map_err(|e| e.to_string())?;
+    let mut connection = match kept.take().filter(Connection::is_ready) {
+        Some(connection) => connection,
+        None => Connection::open(address, connect_limit).await.map_err(|e| e.to_string())?,
+    };
+    let mut req = Request::new(Full::new(Bytes::from(body)));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = http::Uri::from_static(PATH);
+    req.headers_mut().extend(address.to_string().parse().ok().map(|host| (HOST, host)));
+    let (status, body) =
+        connection.exchange(req, limit, MOST_BYTES).await.map_err(|e| e.to_string())?;
+    if status != StatusCode::OK {
+        return Err(format!("{address}: answered {status}"));
+    }
+    *kept = Some(connection);
+    rmp_serde::from_slice(&body).map_err(|e| format!("{address}: {e}"))
+}
+
+/// Checks that what a followed daemon knows is new enough to rely on.
+fn check_proof<A: Adapter>(gateway: &Gateway<A>, answer: &FeedAnswer) -> Result<(), String> {
+    let Some(bound) = gateway.settings().revocation else {
+        return answer.proof_age_ms.map(drop).ok_or_else(|| String::from("it knows no store"));
+    };
+    let limit = bound.0 as f64 * PROOF_SHARE;
+    match answer.proof_age_ms {
+        Some(age) if (age as f64) < limit => Ok(()),
+        Some(age) => Err(format!("its proof is {age} ms old")),
+        None => Err(String::from("it has no proof")),
+    }
+}
+
+fn apply<A: Adapter>(gateway: &Gateway<A>, answer: FeedAnswer, sent: Millis) {
+    if let Some(configuration) = from_json::<Configuration>(answer.configuration.as_deref()) {
+        put_in_force(gateway, configuration);
+    }
+    let items = answer.endpoints.into_iter().map(|change| Item {
+        value: from_json::<Registration>(change.registration.as_deref()).map(Ok),
+        name: change.endpoint,
+    });
+    if answer.is_complete {
+        // What this daemon knew beyond that may be newer, so it stays for a while.
+        Endpoints::replace(gateway, items.collect(), true, now());
+    } else {
+        items.for_each(|item| Endpoints::change(gateway, item, false, now()));
+    }
+    if let Some(age) = answer.proof_age_ms {
+        // The proof is as old at the answer's making, which is no earlier than this.
+        let made = sent + Millis(answer.waited_ms);
+        gateway.freshness.borrow_mut().prove(made - Millis(age));
+    }
+    gateway.loads.borrow_mut().set_shared(&answer.loads, now());
+}
+
+fn from_json<T: DeserializeOwned>(text: Option<&str>) -> Option<T> {
+    match serde_json::from_str(text?) {
+        Ok(value) => Some(value),
+        Err(e) => {
+            tracing::error!(event = "peer_answer_unreadable", error = %e);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/peers.rs
@@ -0,0 +1,125 @@
+use crate::adapter::Adapter;
+use crate::answer::AnswerBody;
+use crate::clock::now;
+use crate::feed;
+use crate::gateway::{Change, Gateway};
+use bytes::Bytes;
+use decision::Millis;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use messages::feed::{EndpointChange, FeedAnswer, FeedPosition, FeedRequest};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// The largest request of another daemon, in bytes.
+const MOST_BYTES: usize = 1 << 20;
+/// The longest wait for a change, whatever the other daemon asks for.
+const LONGEST_WAIT: Millis = Millis(5_000);
+
+/// Answers another daemon that follows this one, or that tells the load of its data centre.
+pub(crate) async fn answer<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    req: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = now();
+    match read(req).await {
+        Ok(asked) => respond(gateway, &asked, arrived).await,
+        Err(text) => {
+            tracing::warn!(event = "peer_request_unreadable", text);
+            status(StatusCode::BAD_REQUEST, text)
+        }
+    }
+}
+
+fn status(status: StatusCode, text: String) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Whole(Some(Bytes::from(text))));
+    *response.status_mut() = status;
+    response
+}
+
+async fn read(req: Request<Incoming>) -> Result<FeedRequest, String> {
+    let body = Limited::new(req.into_body(), MOST_BYTES).collect().await;
+    let body = body.map_err(|e| e.to_string())?.to_bytes();
+    rmp_serde::from_slice(&body).map_err(|e| e.to_string())
+}
+
+async fn respond<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    asked: &FeedRequest,
+    arrived: Millis,
+) -> Response<AnswerBody> {
+    let loads = asked.loads.clone();
+    if asked.whole_data_centre {
+        gateway.exchange.borrow_mut().put_data_centre(&asked.data_centre, loads, arrived);
+    } else {
+        gateway.exchange.borrow_mut().put_follower(&asked.name, loads, arrived);
+        wait_for_change(gateway, asked).await;
+    }
+    let answer = feed_answer(gateway, asked, arrived);
+    match rmp_serde::to_vec_named(&answer) {
+        Ok(body) => Response::new(AnswerBody::Whole(Some(Bytes::from(body)))),
+        Err(e) => status(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+    }
+}
+
+async fn wait_for_change<A: Adapter>(gateway: &Gateway<A>, asked: &FeedRequest) {
+    let Some(from) = &asked.from else { return };
+    if from.incarnation != gateway.incarnation || from.sequence != gateway.journal.borrow().last() {
+        return;
+    }
+    let wait = Millis(asked.wait_ms).min(LONGEST_WAIT);
+    // A wait that ends without a change is answered like one with a change.
+    let _ = timeout(Duration::from_millis(wait.0), gateway.changed.notified()).await;
+}
+
+fn feed_answer<A: Adapter>(
+    gateway: &Gateway<A>,
+    asked: &FeedRequest,
+    arrived: Millis,
+) -> FeedAnswer {
+    let own = gateway.loads.borrow().own_loads();
+    let exchange = gateway.exchange.borrow();
+    let journal = gateway.journal.borrow();
+    let position = FeedPosition { incarnation: gateway.incarnation, sequence: journal.last() };
+    let mut answer = FeedAnswer {
+        position,
+        waited_ms: now().since(arrived).0,
+        proof_age_ms: gateway.freshness.borrow().age(now()).map(|age| age.0),
+        is_complete: false,
+        configuration: None,
+        endpoints: Vec::new(),
+        loads: Vec::new(),
+    };
+    if asked.whole_data_centre {
+        answer.loads = exchange.data_centre(&own, "");
+        return answer;
+    }
+    answer.loads = exchange.all(&own, &asked.name);
+    let from = asked.from.as_ref().filter(|from| from.incarnation == gateway.incarnation);
+    match from.and_then(|from| journal.since(from.sequence)) {
+        Some(changes) => {
+            for change in changes {
+                match change {
+                    Change::Configuration => answer.configuration = configuration(gateway),
+                    Change::Endpoint(change) => answer.endpoints.push(change.clone()),
+                }
+            }
+        }
+        None => {
+            answer.is_complete = true;
+            answer.configuration = configuration(gateway);
+            let directory = gateway.directory();
+            answer.endpoints.extend(directory.usable().map(|(id, registration)| EndpointChange {
+                endpoint: id.to_owned(),
+                registration: feed::to_json(registration),
+            }));
+        }
+    }
+    answer
+}
+
+fn configuration<A: Adapter>(gateway: &Gateway<A>) -> Option<String> {
+    gateway.catalog().and_then(|catalog| feed::to_json(catalog.configuration()))
+}
--- /dev/null
+++ b/components/gateway/src/presence.rs
@@ -0,0 +1,146 @@
+use crate::adapter::{Adapter, Kind};
+use crate::clock::now;
+use crate::connection::{Connection, ConnectionError};
+use crate::gateway::Gateway;
+use bytes::Bytes;
+use decision::Millis;
+use decision::routing::DaemonRecord;
+use http::header::{CONTENT_TYPE, HOST};
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Time between two writes of this daemon's record.
+const PERIOD: Duration = Duration::from_secs(10);
+/// Time from the start to the first reads, in which the other daemons of a fleet that starts at
+/// once write their records.
+const FIRST_READS: [Duration; 2] = [Duration::from_millis(700), Duration::from_secs(2)];
+/// The longest wait for an answer of the store.
+const LIMIT: Millis = Millis(2_000);
+/// The largest page of records, in bytes.
+const MOST_BYTES: usize = 4 << 20;
+
+/// Writes this daemon's record and reads those of the others, for as long as the daemon runs.
+pub(crate) async fn keep<A: Adapter>(gateway: Rc<Gateway<A>>) {
+    let mut presence = Presence { gateway, connection: None, beat: 0 };
+    presence.write_and_log().await;
+    for pause in FIRST_READS {
+        sleep(pause).await;
+        presence.read_and_log(false).await;
+    }
+    loop {
+        sleep(PERIOD).await;
+        presence.write_and_log().await;
+        presence.read_and_log(true).await;
+    }
+}
+
+struct Presence<A> {
+    gateway: Rc<Gateway<A>>,
+    connection: Option<Connection>,
+    beat: u64,
+}
+
+impl<A: Adapter> Presence<A> {
+    async fn write_and_log(&mut self) {
+        if let Err(e) = self.write().await {
+            tracing::warn!(event = "presence_not_written", error = e);
+        }
+    }
+
+    async fn read_and_log(&mut self, stale: bool) {
+        if let Err(e) = self.read(stale).await {
+            tracing::warn!(event = "presence_not_read", error = e);
+        }
+    }
+
+    /// Replaces the record, or creates it when there is none.
+    async fn write(&mut self) -> Result<(), String> {
+        let settings = self.gateway.settings();
+        let Some(address) = settings.listen_peers else { return Ok(()) };
+        self.beat += 1;
+        let record = DaemonRecord {
+            data_centre: settings.data_centre.clone(),
+            address: address.to_string(),
+            beat: self.beat,
+        };
+        let adapter = &self.gateway.adapter;
+        let create = (Method::POST, adapter.object_target(Kind::Daemons, None));
+        let replace = (Method::PUT, adapter.object_target(Kind::Daemons, Some(&settings.name)));
+        let body = Bytes::from(adapter.write_daemon(&settings.name, &record));
+        let (first, second) = if self.beat == 1 { (create, replace) } else { (replace, create) };
+        for (method, target) in [first, second] {
+            let (status, _) =
+                self.call(method, &target, body.clone()).await.map_err(|e| e.to_string())?;
+            match status {
+                StatusCode::CONFLICT | StatusCode::NOT_FOUND => {}
+                status if status.is_success() => return Ok(()),
+                status => return Err(format!("{target}: the store answered {status}")),
+            }
+        }
+        Err(String::from("the record was created and removed meanwhile"))
+    }
+
+    async fn read(&mut self, stale: bool) -> Result<(), String> {
+        let mut records = BTreeMap::new();
+        let mut after = None;
+        loop {
+            let adapter = &self.gateway.adapter;
+            let target = adapter.list_target(Kind::Daemons, after.as_deref(), stale);
+            let (status, body) =
+                self.call(Method::GET, &target, Bytes::new()).await.map_err(|e| e.to_string())?;
+            if status != StatusCode::OK {
+                return Err(format!("{target}: the store answered {status}"));
+            }
+            let page = self.gateway.adapter.read_daemons(&body)?;
+            after = page.items.last().map(|item| item.name.clone());
+            for item in page.items {
+                match item.value {
+                    Some(Ok(record)) => {
+                        records.insert(item.name, record);
+                    }
+                    Some(Err(text)) => {
+                        tracing::warn!(event = "daemon_unreadable", name = %item.name, text);
+                    }
+                    None => {}
+                }
+            }
+            if !page.more || after.is_none() {
+                break;
+            }
+        }
+        self.gateway.members.borrow_mut().observe(records, now());
+        self.gateway.members_changed.notify_waiters();
+        let count = self.gateway.members.borrow().count(now());
+        tracing::info!(event = "daemons_counted", count);
+        Ok(())
+    }
+
+    async fn call(
+        &mut self,
+        method: Method,
+        target: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), ConnectionError> {
+        let address = self.gateway.settings().store;
+        let mut connection = match self.connection.take().filter(Connection::is_ready) {
+            Some(connection) => connection,
+            None => Connection::open(address, LIMIT).await?,
+        };
+        let mut req = Request::new(Full::new(body));
+        *req.method_mut() = method;
+        *req.uri_mut() = target.parse().map_err(|e: http::uri::InvalidUri| {
+            ConnectionError::Body { address, limit: 0, text: e.to_string() }
+        })?;
+        let host = address.to_string();
+        req.headers_mut().extend(host.parse().ok().map(|host| (HOST, host)));
+        let json = http::HeaderValue::from_static("application/json");
+        req.headers_mut().insert(CONTENT_TYPE, json);
+        let answer = connection.exchange(req, LIMIT, MOST_BYTES).await?;
+        self.connection = Some(connection);
+        Ok(answer)
+    }
+}
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -131,7 +131,7 @@
         let job = &self.job;
         while job.repeat == Repeat::Resumable && self.sends < job.attempts && now() < job.deadline {
             let choice = choose(&self.gateway, job, &self.tried, now())?;
-            let daemons = self.gateway.settings().daemons;
+            let daemons = self.gateway.daemons(now());
             if !self.gateway.budget.borrow_mut().take(&job.service, daemons, now()) {
                 return None;
             }
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -40,7 +40,7 @@
         },
     );
     let draw = gateway.random.borrow_mut().random();
-    let mut demand = job.demand(gateway.settings().daemons, draw);
+    let mut demand = job.demand(draw);
     demand.prompt = demand.prompt.filter(|_| engine.is_some());
     gateway.loads.borrow().choose(candidates, &demand, now)
 }
@@ -54,7 +54,7 @@
     let mut last: Option<AttemptFailure> = None;
     while let Some(choice) = choose(gateway, &job, &tried, now()) {
         let is_repeat = sends > 0;
-        let daemons = gateway.settings().daemons;
+        let daemons = gateway.daemons(now());
         if is_repeat && !gateway.budget.borrow_mut().take(&job.service, daemons, now()) {
             break;
         }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -4,8 +4,8 @@
 use crate::follow::follow;
 use crate::gateway::Gateway;
 use crate::listener::{Role, accept, bind};
-use crate::log;
 use crate::settings::{Reload, Settings};
+use crate::{log, peer_feed, presence};
 use decision::Millis;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
@@ -75,6 +75,12 @@
     }
     spawn_local(follow::<A, Configurations>(gateway.clone()));
     spawn_local(follow::<A, Endpoints>(gateway.clone()));
+    if let Some(address) = settings.listen_peers {
+        listen(&gateway, address, Role::Peers)?;
+        spawn_local(presence::keep(gateway.clone()));
+        spawn_local(peer_feed::follow(gateway.clone()));
+        spawn_local(peer_feed::exchange(gateway.clone()));
+    }
     spawn_local(housekeep(gateway.clone(), reload, hangup));
     tracing::info!(event = "started", name = %settings.name, listen = %settings.listen,
         store = %settings.store);
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -24,8 +24,10 @@
     pub stop_time: Millis,
     /// The retry budget that all daemons share.
     pub budget: BudgetTerms,
-    /// Daemons that share the endpoints.
-    pub daemons: usize,
+    /// The address for other daemons.
+    pub listen_peers: Option<SocketAddr>,
+    /// The data centre of this instance.
+    pub data_centre: String,
     /// The memory of this process, in bytes.
     pub memory_bytes: u64,
     /// The most open files of this process.
@@ -44,7 +46,8 @@
             revocation: None,
             stop_time: Millis(8_000),
             budget: BudgetTerms::default(),
-            daemons: 7,
+            listen_peers: None,
+            data_centre: "local".to_owned(),
             memory_bytes: 128 << 20,
             open_files: 1024,
         }
--- a/components/messages/src/lib.rs
+++ b/components/messages/src/lib.rs
@@ -9,6 +9,9 @@
 mod envelope;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
+pub mod feed;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
 pub mod forward;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
--- a/components/schema/src/message.rs
+++ b/components/schema/src/message.rs
@@ -27,7 +27,7 @@
 }
 
 /// The schemas of the messages; each gives the module of the same name in the `messages` crate.
-pub const MESSAGE_SCHEMAS: [&str; 3] = ["cluster", "forward", "status"];
+pub const MESSAGE_SCHEMAS: [&str; 4] = ["cluster", "feed", "forward", "status"];
 
 /// Returns Rust code for the definitions of a JSON Schema.
 pub fn message_types(schema: &str) -> Result<String, GenerateError> {
--- a/src/bin/chervilspur-gateway.rs
+++ b/src/bin/chervilspur-gateway.rs
@@ -3,9 +3,11 @@
 use argh::FromArgs;
 use gateway::{Reload, Settings};
 use platform::{Platform, read_settings};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::SystemTime;
 use tracing_subscriber::filter::LevelFilter;
 
 /// The variable that names the settings file.
@@ -51,7 +53,7 @@
     }
     let settings = Settings { listen_metrics: flags.metrics, ..read.settings };
     let reload = Reload { path, read: |text| read_settings(text).map(|read| read.settings) };
-    let seed = u64::from(std::process::id());
+    let seed = start_seed(&settings.name);
     match gateway::run(Platform::new(read.placement), settings, Some(reload), seed, flags.log_level)
     {
         Ok(()) => ExitCode::SUCCESS,
@@ -63,3 +65,12 @@
     eprintln!("chervilspur-gateway: {text}");
     ExitCode::FAILURE
 }
+
+/// Returns a number that differs between instances and between starts of one.
+fn start_seed(name: &str) -> u64 {
+    let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let nanos = started.map_or(0, |time| time.as_nanos() as u64);
+    let mut hasher = DefaultHasher::new();
+    (name, nanos, std::process::id()).hash(&mut hasher);
+    hasher.finish()
+}
