Rank requests by client account and then by route

Change: the route's rank decides among requests of one account rank; engines for short pauses are filled to 0.7 of their slots before the lane grows.

--- a/components/decision/src/routing/placement.rs
+++ b/components/decision/src/routing/placement.rs
@@ -41,7 +41,7 @@
             read_again: 6.0,
             bulk_engine_ms: 400.0,
             interactive_engine_ms: 3_000.0,
-            lane_fill: 0.4,
+            lane_fill: 0.7,
             failure_ms: 400.0,
             cache_time: Millis(20_000),
         }
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -118,6 +118,9 @@
         tracing::info!(
             event = "attempt",
             request = %job.id(),
+            route = %job.route,
+            service = %job.service,
+            priority = job.priority,
             endpoint = %choice.id,
             outcome,
             text,
@@ -263,7 +266,7 @@
         endpoint: work.endpoint(),
         remaining: job.left(now()),
         account: job.account.as_deref(),
-        urgency: job.prompt.as_ref().map(|_| job.priority.min(9)),
+        urgency: job.prompt.as_ref().map(|_| job.priority),
         last_event: last_event.or(job.last_event.as_deref()),
     };
     gateway.adapter.write_request(req.headers_mut(), &forwarded);
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -61,12 +61,20 @@
     }
 }
 
-/// Returns the rank of a request: that of its client account before that of its route.
+/// Ranks of routes that a rank of client accounts leaves room for.
+const ROUTE_RANKS: u8 = 3;
+/// The last rank that endpoints know.
+const LAST_RANK: u8 = 9;
+
+/// Returns the rank of a request: that of its client account before that of its route, which
+/// still decides among requests of one rank.
 pub(crate) fn priority(route: &Route, caller: Caller<'_>) -> u8 {
-    match caller {
+    let first = match caller {
         Caller::Known(account) => account.priority.unwrap_or(route.priority),
         Caller::Anonymous | Caller::Unknown => route.priority,
-    }
+    };
+    let second = route.priority.min(ROUTE_RANKS - 1);
+    first.saturating_mul(ROUTE_RANKS).saturating_add(second).min(LAST_RANK)
 }
 
 /// Returns the service of a request, chosen by weight from its id.
