Hold requests while their engine is saturated, and tell an outage from a change of the source

A daemon that changed from one source of the registry to another kept missing entries for 2.2 s, as after an outage of the store. Change: only a store that did not answer for two seconds counts as out; daemons tell those that follow them whether their registry is settled. Bulk requests never use interactive engines; a request waits in its daemon by rank while even its chosen engine has a second of prompts waiting, a quarter of its objective at most, and is then refused with a time to come back.

--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -9,6 +9,7 @@
 mod placement;
 mod prompt;
 mod retry_budget;
+mod waiting;
 
 pub use catalog::{
     Account, Caller, Catalog, ClientLimits, Configuration, Destination, EngineSize, Repeat, Route,
@@ -20,7 +21,8 @@
 pub use journal::Journal;
 pub use members::{DaemonRecord, Members};
 pub use placement::{
-    Candidate, Choice, Demand, Distance, Lane, Lease, LoadTable, Outcome, PlacementTerms,
+    Candidate, Choice, Demand, Distance, Lane, Lease, LoadTable, Outcome, Placement, PlacementTerms,
 };
 pub use prompt::{Prompt, PromptPart};
 pub use retry_budget::{BudgetTerms, RetryBudget};
+pub use waiting::{QueueKey, Ticket, WaitingRoom, refusal_time};
--- a/components/decision/src/routing/placement.rs
+++ b/components/decision/src/routing/placement.rs
@@ -19,8 +19,9 @@
     pub read_again: f64,
     /// Added for a bulk engine on which an interactive request would pause, in milliseconds.
     pub bulk_engine_ms: f64,
-    /// Added for an interactive engine that a bulk request would make pause, in milliseconds.
-    pub interactive_engine_ms: f64,
+    /// Wait at an engine from which no more prompts are sent there, in milliseconds. Answers of
+    /// an engine that reads without a pause end too late, however early they began.
+    pub saturated_ms: f64,
     /// Interactive requests on an engine that leave each of them its pace, as a share of its slots.
     pub lane_fill: f64,
     /// Added per failed answer of an endpoint, as a share of its answers, in milliseconds.
@@ -40,8 +41,8 @@
             region_ms: 60.0,
             read_again: 6.0,
             bulk_engine_ms: 400.0,
-            interactive_engine_ms: 3_000.0,
-            lane_fill: 0.7,
+            saturated_ms: 1_000.0,
+            lane_fill: 0.4,
             failure_ms: 400.0,
             cache_time: Millis(20_000),
         }
@@ -78,7 +79,7 @@
 /// An engine reads prompts in chunks between the tokens of all that run beside them, so a row of
 /// long prompts makes each running stream pause for several chunks. Streams that allow only short
 /// pauses therefore run on engines of their own.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Lane {
     /// Requests that bear the pauses of long prompts.
     #[default]
@@ -100,6 +101,17 @@
     pub draw: u64,
 }
 
+/// Where a request goes now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Placement {
+    /// To an endpoint.
+    Send(Choice),
+    /// Nowhere: prompts wait at all its engines.
+    Saturated,
+    /// Nowhere: no endpoint is listed.
+    NoEndpoint,
+}
+
 /// The endpoint chosen for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -107,6 +119,8 @@
     pub id: String,
     /// The expected time to the first byte of its answer, in milliseconds.
     pub expected_ms: f64,
+    /// The part of it that the request waits for others.
+    pub wait_ms: f64,
     /// The tokens of the prompt that it is expected to read.
     pub unread_tokens: u32,
 }
@@ -268,11 +282,11 @@
 
     /// Returns the work of this daemon at each endpoint, by rank.
     pub fn own_loads(&self) -> Vec<EndpointLoad> {
-        let rows: Vec<EndpointLoad> = self
+        let work = self
             .endpoints
             .iter()
-            .flat_map(|(id, endpoint)| endpoint.work.values().map(|work| work.row(id)))
-            .collect();
+            .flat_map(|(id, endpoint)| endpoint.work.values().map(|work| work.row(id)));
+        let rows: Vec<EndpointLoad> = work.collect();
         add_up(rows.iter())
     }
 
@@ -294,24 +308,30 @@
         self.shared.get(id).filter(|_| now.since(self.shared_at) < SHARED_TIME)
     }
 
-    /// Chooses the endpoint with the shortest expected time to the first byte.
+    /// Chooses the endpoint with the least cost, unless too many prompts wait even there.
+    ///
+    /// A session is not spread to the engines that are idle now: each would read its prompt again,
+    /// which saturates them in turn.
     pub fn choose<'a>(
         &self,
         candidates: impl Iterator<Item = Candidate<'a>>,
         demand: &Demand<'_>,
         now: Millis,
-    ) -> Option<Choice> {
+    ) -> Placement {
         let candidates: Vec<Candidate<'a>> = candidates.collect();
         let lane = self.lane(&candidates, demand);
         let homes = homes(&candidates, &lane, demand);
         let mut best: Option<(f64, Choice)> = None;
+
         for candidate in &candidates {
             let (mut cost, choice) = self.estimate(candidate, demand, &homes, now);
-            if !lane.is_empty() && !lane.contains(candidate.id) {
-                cost += match demand.lane {
-                    Lane::Interactive => self.terms.bulk_engine_ms,
-                    Lane::Bulk => self.terms.interactive_engine_ms,
-                };
+            let is_outside = !lane.is_empty() && !lane.contains(candidate.id);
+            let is_barred = is_outside && demand.lane == Lane::Bulk;
+            if is_barred {
+                continue;
+            }
+            if is_outside {
+                cost += self.terms.bulk_engine_ms;
             }
             let tie = draw(candidate.id, demand.draw) as f64 / u64::MAX as f64;
             let cost = cost + tie;
@@ -319,7 +339,17 @@
                 best = Some((cost, choice));
             }
         }
-        best.map(|(_, choice)| choice)
+        match best {
+            Some((_, choice)) if demand.prompt.is_some() && self.is_saturated(&choice) => {
+                Placement::Saturated
+            }
+            Some((_, choice)) => Placement::Send(choice),
+            None => Placement::NoEndpoint,
+        }
+    }
+
+    fn is_saturated(&self, choice: &Choice) -> bool {
+        choice.wait_ms > self.terms.saturated_ms
     }
 
     /// Returns the engines of the demand's lane; none when the engines are too few to divide. All
@@ -379,6 +409,7 @@
         };
         let wait_ms = self.wait_ms(endpoint, shared, demand.priority, now);
         let expected_ms = wait_ms + work_ms;
+        let id = candidate.id.to_owned();
         let mut cost = expected_ms + again_ms + away_ms;
         cost += endpoint.failed_share * self.terms.failure_ms;
         if candidate.cache_tokens > 0 {
@@ -388,7 +419,7 @@
         if endpoint.ejected_until > now {
             cost += EJECTED_MS;
         }
-        (cost, Choice { id: candidate.id.to_owned(), expected_ms, unread_tokens })
+        (cost, Choice { id, expected_ms, wait_ms, unread_tokens })
     }
 
     fn read_ms(&self, tokens: u32) -> f64 {
@@ -453,7 +484,8 @@
             answering: false,
             lane: demand.lane,
         };
-        self.endpoints.entry(choice.id.clone()).or_default().work.insert(lease, work);
+        let endpoint = self.endpoints.entry(choice.id.clone()).or_default();
+        endpoint.work.insert(lease, work);
         lease
     }
 
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -125,6 +125,7 @@
             outcome,
             text,
             expected_ms = choice.expected_ms as u64,
+            wait_ms = choice.wait_ms as u64,
             unread_tokens = choice.unread_tokens,
             took_ms = now().since(started).0,
         );
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -1,4 +1,4 @@
-use crate::adapter::Adapter;
+use crate::adapter::{Adapter, Kind};
 use crate::clock::now;
 use crate::connection::{Connection, ConnectionError};
 use crate::feed::Feed;
@@ -21,6 +21,9 @@
 const CONNECT_LIMIT: Millis = Millis(1_000);
 /// The largest answer of the store, in bytes: a page of 1 MB with its encoding.
 const MOST_BYTES: usize = 4 << 20;
+/// Time without an answer of the store from which entries may lapse: two heartbeats of an endpoint
+/// that writes each second, of the three after which an entry lapses.
+const OUTAGE: Millis = Millis(2_000);
 /// The first pause after a failed call; it doubles up to [`PAUSE_LIMIT`].
 const PAUSE: Millis = Millis(150);
 /// The longest pause, so that keys work again within a second of the store's return.
@@ -52,20 +55,13 @@
     /// The revision from which to watch.
     revision: Option<u64>,
     lost_at: Option<Millis>,
-    regained_at: Option<Millis>,
     pause: Millis,
 }
 
 /// Follows one kind of object for as long as the daemon runs.
 pub(crate) async fn follow<A: Adapter, F: Feed>(gateway: Rc<Gateway<A>>) {
-    let mut follower = Follower {
-        gateway,
-        connection: None,
-        revision: None,
-        lost_at: None,
-        regained_at: None,
-        pause: PAUSE,
-    };
+    let mut follower =
+        Follower { gateway, connection: None, revision: None, lost_at: None, pause: PAUSE };
     let gateway = follower.gateway.clone();
     loop {
         gateway.source.until(Source::Store).await;
@@ -140,7 +136,7 @@
 
     /// Returns whether entries may be missing only because the store was away.
     fn is_after_outage(&self, now: Millis) -> bool {
-        self.lost_at.is_some() || self.regained_at.is_some_and(|at| now.since(at) < REAPPEAR)
+        self.was_outage(now) || !self.gateway.is_registry_settled(now)
     }
 
     async fn get<F: Feed>(&mut self, target: &str, limit: Millis) -> Result<Bytes, CallError> {
@@ -181,16 +177,22 @@
         self.connection = None;
         self.revision = None;
         self.lost_at = None;
-        self.regained_at = Some(now());
         self.pause = PAUSE;
     }
 
+    /// Returns whether calls have failed for so long that entries may have lapsed.
+    fn was_outage(&self, now: Millis) -> bool {
+        self.lost_at.is_some_and(|at| now.since(at) >= OUTAGE)
+    }
+
     fn regain<F: Feed>(&mut self) {
         self.pause = PAUSE;
+        if F::KIND == Kind::Endpoints && self.was_outage(now()) {
+            self.gateway.unsettled_until.set(now() + REAPPEAR);
+        }
         if let Some(lost_at) = self.lost_at.take() {
             let after_ms = now().since(lost_at).0;
             tracing::info!(event = "store_regained", kind = F::KIND.as_str(), after_ms);
-            self.regained_at = Some(now());
         }
     }
 
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use decision::Millis;
 use decision::routing::{
     Catalog, Directory, DirectoryChange, Exchange, Freshness, Journal, LoadTable, Members,
-    PlacementTerms, RetryBudget,
+    PlacementTerms, RetryBudget, WaitingRoom,
 };
 use messages::feed::EndpointChange;
 use rand::SeedableRng;
@@ -39,6 +39,8 @@
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) registry_known: Cell<bool>,
+    /// Until when entries that lapsed in an outage of the store may come back.
+    pub(crate) unsettled_until: Cell<Millis>,
     pub(crate) freshness: RefCell<Freshness>,
     pub(crate) loads: RefCell<LoadTable>,
     pub(crate) budget: RefCell<RetryBudget>,
@@ -57,6 +59,9 @@
     pub(crate) members_changed: Notify,
     pub(crate) exchange: RefCell<Exchange>,
     pub(crate) source: CurrentSource,
+    pub(crate) waiting: RefCell<WaitingRoom>,
+    /// Word of each request that an engine began to answer, or that left the queue.
+    pub(crate) progress: Notify,
 }
 
 impl<A: Adapter> Gateway<A> {
@@ -66,6 +71,7 @@
             catalog: RefCell::default(),
             directory: RefCell::default(),
             registry_known: Cell::new(false),
+            unsettled_until: Cell::default(),
             freshness: RefCell::default(),
             loads: RefCell::new(LoadTable::new(PlacementTerms::default())),
             budget: RefCell::new(RetryBudget::new(settings.budget)),
@@ -82,6 +88,8 @@
             members_changed: Notify::new(),
             exchange: RefCell::default(),
             source: CurrentSource::default(),
+            waiting: RefCell::default(),
+            progress: Notify::new(),
         }
     }
 
@@ -120,6 +128,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns whether endpoints without an entry have left.
+    pub(crate) fn is_registry_settled(&self, now: Millis) -> bool {
+        now >= self.unsettled_until.get()
+    }
+
     /// Returns how many daemons share the endpoints, if that is known.
     pub(crate) fn daemons(&self, now: Millis) -> Option<usize> {
         self.members.borrow().count(now)
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod pool;
 mod presence;
+mod queue;
 mod relay;
 mod request;
 mod run;
--- a/components/gateway/src/listener.rs
+++ b/components/gateway/src/listener.rs
@@ -104,7 +104,7 @@
     let service = service_fn(|req| answer(gateway, req, role, activity));
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(None)
+        .header_read_timeout(Duration::from_millis((limits.idle_time + limits.header_time).0))
         .max_buf_size(limits.header_bytes.max(LEAST_HEADER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut served = pin!(served);
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -194,13 +194,15 @@
     if let Some(configuration) = from_json::<Configuration>(answer.configuration.as_deref()) {
         put_in_force(gateway, configuration);
     }
+    if !answer.is_settled {
+        gateway.unsettled_until.set(now() + WAIT + ANSWER_LIMIT);
+    }
     let items = answer.endpoints.into_iter().map(|change| Item {
         value: from_json::<Registration>(change.registration.as_deref()).map(Ok),
         name: change.endpoint,
     });
     if answer.is_complete {
-        // What this daemon knew beyond that may be newer, so it stays for a while.
-        Endpoints::replace(gateway, items.collect(), true, now());
+        Endpoints::replace(gateway, items.collect(), !answer.is_settled, now());
     } else {
         items.for_each(|item| Endpoints::change(gateway, item, false, now()));
     }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -88,6 +88,7 @@
         waited_ms: now().since(arrived).0,
         proof_age_ms: gateway.freshness.borrow().age(now()).map(|age| age.0),
         is_complete: false,
+        is_settled: gateway.is_registry_settled(now()),
         configuration: None,
         endpoints: Vec::new(),
         loads: Vec::new(),
--- /dev/null
+++ b/components/gateway/src/queue.rs
@@ -0,0 +1,67 @@
+use crate::adapter::Adapter;
+use crate::clock::now;
+use crate::gateway::Gateway;
+use crate::job::Job;
+use crate::request::place;
+use decision::routing::{Choice, Placement, QueueKey, Ticket, refusal_time};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Time after which a waiting request looks again without word of progress: waits fade by
+/// themselves, and other daemons tell theirs.
+const LOOK_AGAIN: Duration = Duration::from_millis(40);
+
+/// A place in the queue, left when it is dropped, as when the client leaves.
+struct Place<'a, A> {
+    gateway: &'a Gateway<A>,
+    key: QueueKey,
+    ticket: Ticket,
+}
+
+impl<A> Drop for Place<'_, A> {
+    fn drop(&mut self) {
+        self.gateway.waiting.borrow_mut().leave(&self.key, self.ticket);
+        self.gateway.progress.notify_waiters();
+    }
+}
+
+/// Waits in the order of ranks until an endpoint can take a request. Returns `Saturated` when the
+/// request has waited as long as it should.
+pub(crate) async fn wait_for_endpoint<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    job: &Job,
+    tried: &BTreeSet<String>,
+) -> Placement {
+    let key = (job.service.clone(), job.lane);
+    let ticket = gateway.waiting.borrow_mut().enter(&key, job.priority);
+    let place_in_queue = Place { gateway, key, ticket };
+    let refused_at = refusal_time(job.arrived, job.due);
+    loop {
+        let is_first = gateway.waiting.borrow().is_first(&place_in_queue.key, ticket);
+        if is_first {
+            match place(gateway, job, tried, now()) {
+                Placement::Saturated => {}
+                placement => return placement,
+            }
+        }
+        if now() >= refused_at {
+            return Placement::Saturated;
+        }
+        // Without word of progress the request looks again all the same.
+        let _ = timeout(LOOK_AGAIN, gateway.progress.notified()).await;
+    }
+}
+
+/// Returns an endpoint for a further attempt, without a wait.
+pub(crate) fn endpoint_now<A: Adapter>(
+    gateway: &Gateway<A>,
+    job: &Job,
+    tried: &BTreeSet<String>,
+) -> Option<Choice> {
+    match place(gateway, job, tried, now()) {
+        Placement::Send(choice) => Some(choice),
+        Placement::Saturated | Placement::NoEndpoint => None,
+    }
+}
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -5,7 +5,7 @@
 use crate::events::EventSplitter;
 use crate::gateway::Gateway;
 use crate::job::Job;
-use crate::request::choose;
+use crate::queue::endpoint_now;
 use crate::serve::finish;
 use bytes::Bytes;
 use decision::routing::{Outcome, Repeat};
@@ -130,7 +130,7 @@
         self.splitter.take_partial();
         let job = &self.job;
         while job.repeat == Repeat::Resumable && self.sends < job.attempts && now() < job.deadline {
-            let choice = choose(&self.gateway, job, &self.tried, now())?;
+            let choice = endpoint_now(&self.gateway, job, &self.tried)?;
             let daemons = self.gateway.daemons(now());
             if !self.gateway.budget.borrow_mut().take(&job.service, daemons, now()) {
                 return None;
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -4,10 +4,11 @@
 use crate::clock::now;
 use crate::gateway::Gateway;
 use crate::job::Job;
+use crate::queue::wait_for_endpoint;
 use crate::relay::relay;
 use crate::serve::{finish, refuse};
 use decision::Millis;
-use decision::routing::{Candidate, Choice};
+use decision::routing::{Candidate, Placement};
 use errors::{Reason, Verdict};
 use http::{Response, StatusCode};
 use rand::RngExt;
@@ -21,15 +22,16 @@
 /// The time over which returning clients are spread, in seconds, so that they come back apart.
 const RETRY_AFTER_SPREAD: f64 = 0.6;
 
-/// Chooses the endpoint of a request among those that were not tried yet.
-pub(crate) fn choose<A: Adapter>(
+/// Places a request at one of the endpoints that were not tried yet.
+pub(crate) fn place<A: Adapter>(
     gateway: &Gateway<A>,
     job: &Job,
     tried: &BTreeSet<String>,
     now: Millis,
-) -> Option<Choice> {
-    let catalog = gateway.catalog()?;
-    let engine = catalog.service(&job.service)?.engine;
+) -> Placement {
+    let Some(catalog) = gateway.catalog() else { return Placement::NoEndpoint };
+    let Some(service) = catalog.service(&job.service) else { return Placement::NoEndpoint };
+    let engine = service.engine;
     let directory = gateway.directory();
     let candidates = directory.of_service(&job.service).filter(|(id, _)| !tried.contains(*id)).map(
         |(id, registration)| Candidate {
@@ -52,7 +54,16 @@
     let mut sends = 0;
     let mut verdict = Verdict::NotRun;
     let mut last: Option<AttemptFailure> = None;
-    while let Some(choice) = choose(gateway, &job, &tried, now()) {
+    let mut saturated = false;
+    loop {
+        let choice = match wait_for_endpoint(gateway, &job, &tried).await {
+            Placement::Send(choice) => choice,
+            Placement::Saturated => {
+                saturated = true;
+                break;
+            }
+            Placement::NoEndpoint => break,
+        };
         let is_repeat = sends > 0;
         let daemons = gateway.daemons(now());
         if is_repeat && !gateway.budget.borrow_mut().take(&job.service, daemons, now()) {
@@ -79,7 +90,7 @@
             }
         }
     }
-    give_up(gateway, &job, verdict, last, sends)
+    give_up(gateway, &job, verdict, last, sends, saturated)
 }
 
 fn give_up<A: Adapter>(
@@ -88,10 +99,13 @@
     verdict: Verdict,
     last: Option<AttemptFailure>,
     sends: u32,
+    saturated: bool,
 ) -> Response<AnswerBody> {
-    let text = last.as_ref().map_or("no endpoint is listed", |failure| &failure.text).to_owned();
+    let unsent = if saturated { "all engines are saturated" } else { "no endpoint is listed" };
+    let text = last.as_ref().map_or(unsent, |failure| &failure.text).to_owned();
     if verdict == Verdict::NotRun {
-        let reason = if last.is_some() { Reason::Overloaded } else { Reason::NoEndpoint };
+        let reason =
+            if last.is_some() || saturated { Reason::Overloaded } else { Reason::NoEndpoint };
         return refuse(gateway, job.id(), &job.route, not_run(gateway, reason), &text);
     }
     let timed_out = last.as_ref().is_some_and(|failure| failure.timed_out);
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -1,4 +1,4 @@
-use crate::adapter::Adapter;
+use crate::adapter::{Adapter, RequestHead};
 use crate::answer::{AnswerBody, Refused};
 use crate::attempt::is_hop_header;
 use crate::clock::now;
@@ -19,60 +19,69 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
+/// A request that is refused before it is placed.
+struct Denied {
+    refused: Refused,
+    text: String,
+}
+
+impl Denied {
+    fn new(refused: Refused, text: impl Into<String>) -> Denied {
+        Denied { refused, text: text.into() }
+    }
+}
+
 /// Answers one request of a client.
 pub(crate) async fn serve<A: Adapter>(
     gateway: &Rc<Gateway<A>>,
     req: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let mut response = match accept(gateway, req, now()).await {
+    let arrived = now();
+    let (parts, body) = req.into_parts();
+    let head = gateway.adapter.read_request(&parts.headers);
+    let id = head.request_id.as_deref().unwrap_or("-").to_owned();
+    let accepted = match read_body(gateway, body).await {
+        Ok(body) => accept(gateway, &parts, head, body, arrived),
+        Err(denied) => Err(denied),
+    };
+    let mut response = match accepted {
         Ok(job) => run(gateway, job).await,
-        Err(response) => response,
+        Err(denied) => refuse(gateway, &id, "-", denied.refused, &denied.text),
     };
-    if gateway.stop.is_stopping() {
+    let unread = [StatusCode::PAYLOAD_TOO_LARGE, StatusCode::REQUEST_TIMEOUT];
+    if gateway.stop.is_stopping() || unread.contains(&response.status()) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
 
-/// Reads a request whole and decides whether it is allowed.
-async fn accept<A: Adapter>(
-    gateway: &Rc<Gateway<A>>,
-    req: Request<Incoming>,
+/// Decides whether a request is allowed.
+fn accept<A: Adapter>(
+    gateway: &Gateway<A>,
+    parts: &Parts,
+    head: RequestHead,
+    body: Bytes,
     arrived: Millis,
-) -> Result<Job, Response<AnswerBody>> {
-    let (parts, body) = req.into_parts();
-    let head = gateway.adapter.read_request(&parts.headers);
-    let id = head.request_id.as_deref().unwrap_or("-").to_owned();
-    let body = read_body(gateway, &id, body).await?;
-    let refuse_as = |refused, text: &str| Err(refuse(gateway, &id, "-", refused, text));
+) -> Result<Job, Denied> {
     let Some(catalog) = gateway.catalog() else {
-        return refuse_as(not_run(gateway, Reason::NotReady), "no configuration is known");
+        let refused = not_run(gateway, Reason::NotReady);
+        return Err(Denied::new(refused, "no configuration is known"));
     };
-    let Some(route) = catalog.route(host(&parts), parts.uri.path()) else {
-        let mut refused = Refused::new(Reason::UnknownClass, Verdict::NotRun);
-        refused.status = StatusCode::NOT_FOUND;
-        return refuse_as(refused, &format!("no route in version {}", version(&catalog)));
+    let Some(route) = catalog.route(host(parts), parts.uri.path()) else {
+        let refused = Refused::new(Reason::UnknownClass, Verdict::NotRun);
+        let refused = Refused { status: StatusCode::NOT_FOUND, ..refused };
+        return Err(Denied::new(refused, format!("no route in version {}", version(&catalog))));
     };
-    let caller = catalog.caller(route, head.key.as_deref());
-    if caller != Caller::Anonymous && !gateway.keys_are_fresh(now()) {
-        let age = gateway.freshness.borrow().age(now()).map_or(0, |age| age.0);
-        let text = format!("keys were last proved {age} ms ago");
-        return refuse_as(not_run(gateway, Reason::StoreUnavailable), &text);
-    }
     if route.streamed && gateway.stop.closes_idle() {
         let refused = not_run(gateway, Reason::NotReady);
-        return refuse_as(refused, "the daemon stops before a stream would end");
+        return Err(Denied::new(refused, "the daemon stops before a stream would end"));
     }
-    let account = match caller {
-        Caller::Unknown => {
-            let refused = Refused::new(Reason::UnknownAccount, Verdict::NotRun);
-            return refuse_as(refused, &format!("no key in version {}", version(&catalog)));
-        }
-        Caller::Known(account) => Some(account.name.clone()),
-        Caller::Anonymous => None,
-    };
-    let Some(service) = destination(route, &catalog, &id) else {
-        return refuse_as(not_run(gateway, Reason::NoEndpoint), "the route has no service");
+    let caller = catalog.caller(route, head.key.as_deref());
+    let account = account(gateway, &catalog, caller)?;
+    let id = head.request_id.as_deref().unwrap_or("");
+    let Some(service) = destination(route, &catalog, id) else {
+        let refused = not_run(gateway, Reason::NoEndpoint);
+        return Err(Denied::new(refused, "the route has no service"));
     };
     let limit = head.remaining.map_or(route.timeout, |remaining| remaining.min(route.timeout));
     Ok(Job {
@@ -97,34 +106,53 @@
     })
 }
 
+/// Returns the name of the client account, if the route asks for one.
+fn account<A: Adapter>(
+    gateway: &Gateway<A>,
+    catalog: &Catalog,
+    caller: Caller<'_>,
+) -> Result<Option<String>, Denied> {
+    if caller == Caller::Anonymous {
+        return Ok(None);
+    }
+    if !gateway.keys_are_fresh(now()) {
+        let age = gateway.freshness.borrow().age(now());
+        let text = match age {
+            Some(age) => format!("keys were last proved {} ms ago", age.0),
+            None => String::from("keys were never proved"),
+        };
+        return Err(Denied::new(not_run(gateway, Reason::StoreUnavailable), text));
+    }
+    match caller {
+        Caller::Known(account) => Ok(Some(account.name.clone())),
+        Caller::Anonymous | Caller::Unknown => {
+            let refused = Refused::new(Reason::UnknownAccount, Verdict::NotRun);
+            Err(Denied::new(refused, format!("no key in version {}", version(catalog))))
+        }
+    }
+}
+
 fn version(catalog: &Catalog) -> u64 {
     catalog.configuration().version
 }
 
-async fn read_body<A: Adapter>(
-    gateway: &Rc<Gateway<A>>,
-    id: &str,
-    body: Incoming,
-) -> Result<Bytes, Response<AnswerBody>> {
+async fn read_body<A: Adapter>(gateway: &Gateway<A>, body: Incoming) -> Result<Bytes, Denied> {
     let limits = gateway.catalog().map(|c| c.configuration().limits).unwrap_or_default();
     let whole = Limited::new(body, limits.body_bytes).collect();
     let error = match timeout(Duration::from_millis(limits.idle_time.0), whole).await {
         Ok(Ok(whole)) => return Ok(whole.to_bytes()),
         Ok(Err(e)) => e,
         Err(_) => {
-            let mut refused = Refused::new(Reason::MalformedRequest, Verdict::NotRun);
-            refused.status = StatusCode::REQUEST_TIMEOUT;
-            return Err(refuse(gateway, id, "-", refused, "the body did not come in time"));
+            let refused = Refused::new(Reason::MalformedRequest, Verdict::NotRun);
+            let refused = Refused { status: StatusCode::REQUEST_TIMEOUT, ..refused };
+            return Err(Denied::new(refused, "the body did not come in time"));
         }
     };
     let reason = match error.downcast_ref::<LengthLimitError>() {
         Some(_) => Reason::BodyTooLarge,
         None => Reason::MalformedRequest,
     };
-    let refused = Refused::new(reason, Verdict::NotRun);
-    let mut response = refuse(gateway, id, "-", refused, &error.to_string());
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    Err(response)
+    Err(Denied::new(Refused::new(reason, Verdict::NotRun), error.to_string()))
 }
 
 /// Returns the host that a request names, without a port.
--- a/components/gateway/src/work.rs
+++ b/components/gateway/src/work.rs
@@ -30,6 +30,7 @@
         if let Some(lease) = self.lease {
             let mut loads = self.gateway.loads.borrow_mut();
             loads.first_byte(&self.endpoint, lease, job.prompt.as_ref(), now());
+            self.gateway.progress.notify_waiters();
         }
     }
 
@@ -40,6 +41,7 @@
     fn end(&mut self, outcome: Outcome) {
         if let Some(lease) = self.lease.take() {
             self.gateway.loads.borrow_mut().end(&self.endpoint, lease, outcome, now());
+            self.gateway.progress.notify_waiters();
         }
     }
 }
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -32,6 +32,8 @@
     pub endpoints: ::std::vec::Vec<EndpointChange>,
     ///Whether the endpoints are all that are known, and not only changes.
     pub is_complete: bool,
+    ///Whether endpoints that are not listed have left, and did not only lapse in an outage of the store.
+    pub is_settled: bool,
     pub loads: ::std::vec::Vec<EndpointLoad>,
     pub position: FeedPosition,
     ///The age of the proof that the configuration is the newest; nothing without one.
