--- a/components/decision/src/routing/placement.rs
+++ b/components/decision/src/routing/placement.rs
@@ -162,6 +162,9 @@
 const EJECTION: Millis = Millis(500);
 /// The longest pause of an ejected endpoint: a crashed one is back within seconds.
 const EJECTION_LIMIT: Millis = Millis(4_000);
+/// Time in which failures fade to a third without another answer, in milliseconds: the usual
+/// length of a partial failure.
+const FAILURE_FADE_MS: f64 = 5_000.0;
 /// Weight of the newest answer in the averages of an endpoint.
 const NEWEST: f64 = 0.1;
 /// Part of a session's prompt that its first and second home are expected to hold.
@@ -213,6 +216,7 @@
     /// Waits by rank.
     waits: BTreeMap<u8, Wait>,
     failed_share: f64,
+    judged: Millis,
     failures: u32,
     ejected_until: Millis,
     ejection: Millis,
@@ -232,6 +236,11 @@
 }
 
 impl Endpoint {
+    /// Returns the share of failed answers, which fades so that an endpoint is tried again.
+    fn failed_share(&self, now: Millis) -> f64 {
+        self.failed_share * (-(now.since(self.judged).0 as f64) / FAILURE_FADE_MS).exp()
+    }
+
     fn held(&self) -> f64 {
         self.work.values().map(|w| f64::from(w.held_tokens)).sum()
     }
@@ -411,7 +420,7 @@
         let expected_ms = wait_ms + work_ms;
         let id = candidate.id.to_owned();
         let mut cost = expected_ms + again_ms + away_ms;
-        cost += endpoint.failed_share * self.terms.failure_ms;
+        cost += endpoint.failed_share(now) * self.terms.failure_ms;
         if candidate.cache_tokens > 0 {
             let held = endpoint.held() + shared.map_or(0.0, |s| s.held_tokens as f64);
             cost += MEMORY_MS * (held / candidate.cache_tokens as f64 - MEMORY_FILL).max(0.0);
@@ -529,7 +538,9 @@
             Outcome::Failed | Outcome::Silent => 1.0,
             Outcome::Rejected | Outcome::Abandoned => return,
         };
-        endpoint.failed_share += (failed - endpoint.failed_share) * NEWEST;
+        let before = endpoint.failed_share(now);
+        endpoint.failed_share = before + (failed - before) * NEWEST;
+        endpoint.judged = now;
         if failed == 0.0 {
             endpoint.failures = 0;
             endpoint.ejection = EJECTION;
--- /dev/null
+++ b/components/decision/tests/routing/followers.rs
@@ -0,0 +1,83 @@
+use decision::Millis;
+use decision::routing::{DaemonRecord, Exchange, Journal, Members, add_up};
+use messages::feed::EndpointLoad;
+use std::collections::BTreeMap;
+
+fn records(beat: u64) -> BTreeMap<String, DaemonRecord> {
+    ["a", "b", "c", "d"]
+        .into_iter()
+        .map(|name| {
+            let data_centre = if name == "d" { "nelson" } else { "squamish" };
+            let address = format!("10.0.0.1:{}", name.len());
+            (name.to_owned(), DaemonRecord { data_centre: data_centre.to_owned(), address, beat })
+        })
+        .collect()
+}
+
+#[test]
+fn ranks_the_daemons_of_a_data_centre_without_a_circle() {
+    let mut members = Members::default();
+    members.observe(records(1), Millis(0));
+    let mut ahead: Vec<usize> = ["a", "b", "c"]
+        .into_iter()
+        .map(|name| members.before(name, "squamish", Millis(1)).len())
+        .collect();
+    ahead.sort();
+    assert_eq!(ahead, [0, 1, 2]);
+    assert!(members.before("d", "nelson", Millis(1)).is_empty());
+}
+
+#[test]
+fn counts_only_daemons_whose_records_change() {
+    let mut members = Members::default();
+    assert_eq!(members.count(Millis(0)), None);
+    members.observe(records(1), Millis(0));
+    let mut later = records(2);
+    later.insert("a".to_owned(), records(1)["a"].clone());
+    members.observe(later, Millis(20_000));
+    assert_eq!(members.count(Millis(24_000)), Some(4));
+    assert_eq!(members.count(Millis(26_000)), Some(3));
+}
+
+#[test]
+fn tells_changes_since_a_position_while_they_are_kept() {
+    let mut journal = Journal::new(3);
+    (1..=5).for_each(|change| journal.push(change));
+    let since = |sequence| journal.since(sequence).map(|c| c.copied().collect::<Vec<_>>());
+    assert_eq!(since(5), Some(vec![]));
+    assert_eq!(since(3), Some(vec![4, 5]));
+    assert_eq!(since(2), Some(vec![3, 4, 5]));
+    assert_eq!(since(1), None);
+    assert_eq!(since(6), None);
+}
+
+fn row(endpoint: &str, running: u32) -> EndpointLoad {
+    EndpointLoad {
+        endpoint: endpoint.to_owned(),
+        priority: 1,
+        running,
+        unread_tokens: 100,
+        held_tokens: 200,
+        interactive: 0,
+    }
+}
+
+#[test]
+fn adds_up_the_loads_of_all_daemons_but_the_asker() {
+    let mut exchange = Exchange::default();
+    exchange.put_follower("b", vec![row("e", 2)], Millis(0));
+    exchange.put_follower("c", vec![row("e", 3)], Millis(0));
+    exchange.put_data_centre("nelson", vec![row("e", 5)], Millis(0));
+    let own = [row("e", 1)];
+    assert_eq!(exchange.all(&own, "b")[0].running, 9);
+    assert_eq!(exchange.data_centre(&own, "")[0].running, 6);
+    assert_eq!(add_up(own.iter())[0].unread_tokens, 100);
+}
+
+#[test]
+fn forgets_loads_that_are_no_longer_told() {
+    let mut exchange = Exchange::default();
+    exchange.put_follower("b", vec![row("e", 2)], Millis(0));
+    exchange.expire(Millis(10_000));
+    assert!(exchange.all(&[], "").is_empty());
+}
--- /dev/null
+++ b/components/decision/tests/routing/load.rs
@@ -0,0 +1,206 @@
+//! Each gain of the placement, with the load that it answers and the figure without it.
+
+use super::replay::{Fleet, Outcomes, Request, play};
+use decision::Millis;
+use decision::routing::{
+    Candidate, Choice, Demand, Distance, Lane, LoadTable, Outcome, Placement, PlacementTerms,
+    Prompt, PromptPart,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+
+/// The longest pause that a chat allows, in milliseconds.
+const CHAT_PAUSE: f64 = 300.0;
+/// The time to the first event that a plan allows, in milliseconds.
+const PLAN_FIRST: f64 = 2_000.0;
+
+fn prompt(session: u64, shared: u32, own: u32, number: u64, answer_tokens: u32) -> Prompt {
+    let common = PromptPart { id: 1 + session % 4, tokens: shared * 2 / 5 };
+    let session = PromptPart { id: 1_000 + session, tokens: shared - shared * 2 / 5 };
+    let last = PromptPart { id: 1_000_000 + number, tokens: own };
+    Prompt { parts: vec![common, session, last], tokens: shared + own, answer_tokens }
+}
+
+/// Returns arrivals of plans and chats at rates a second, for ten seconds.
+fn arrivals(plans: f64, chats: f64, sessions: u64, hot: f64, seed: u64) -> Vec<Request> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut requests = Vec::new();
+    for at in (0..10_000).step_by(5) {
+        for number in 0..2_u64 {
+            let (rate, is_chat) = if number == 0 { (plans, false) } else { (chats, true) };
+            if rng.random::<f64>() >= rate * 0.005 {
+                continue;
+            }
+            let number = requests.len() as u64;
+            let is_hot = rng.random::<f64>() < hot;
+            let session = if is_hot { 0 } else { rng.random_range(0..sessions) };
+            requests.push(if is_chat {
+                let prompt = prompt(10_000 + session, 172, 543, number, 280);
+                Request { at, rank: 3, lane: Lane::Interactive, prompt }
+            } else {
+                let prompt = prompt(session, 6_300, 2_890, number, 50);
+                Request { at, rank: 5, lane: Lane::Bulk, prompt }
+            });
+        }
+    }
+    requests
+}
+
+fn late_chats(requests: &[Request], outcomes: &Outcomes) -> f64 {
+    let chats: Vec<usize> =
+        (0..requests.len()).filter(|n| requests[*n].lane == Lane::Interactive).collect();
+    let is_late = |n: &&usize| outcomes.runs[**n].as_ref().is_none_or(|r| r.pause > CHAT_PAUSE);
+    chats.iter().filter(is_late).count() as f64 / chats.len() as f64
+}
+
+fn plans_in_time(requests: &[Request], outcomes: &Outcomes) -> f64 {
+    let plans: Vec<usize> =
+        (0..requests.len()).filter(|n| requests[*n].lane == Lane::Bulk).collect();
+    let is_in_time = |n: &&usize| {
+        let first = outcomes.runs[**n].as_ref().and_then(|run| run.first);
+        first.is_some_and(|first| first - requests[**n].at as f64 <= PLAN_FIRST)
+    };
+    plans.iter().filter(is_in_time).count() as f64 / plans.len() as f64
+}
+
+#[rstest]
+fn keeps_the_pauses_of_chats_short_in_a_burst_of_long_prompts(#[values(1, 2, 3)] seed: u64) {
+    let requests = arrivals(40.0, 25.0, 130, 0.0, seed);
+    let late = late_chats(&requests, &play(&Fleet::default(), &requests, seed));
+    assert!(late < 0.05, "{late}");
+    let undivided: Vec<Request> =
+        requests.iter().map(|r| Request { lane: Lane::Bulk, ..r.clone() }).collect();
+    let mixed = play(&Fleet::default(), &undivided, seed);
+    let late_mixed = late_chats(&requests, &mixed);
+    assert!(late_mixed > 3.0 * late.max(0.05), "{late_mixed} without lanes, {late} with");
+}
+
+#[rstest]
+fn reads_shared_parts_once_in_a_burst_of_long_prompts(#[values(1, 2, 3)] seed: u64) {
+    let requests = arrivals(40.0, 0.0, 130, 0.0, seed);
+    let kept = play(&Fleet::default(), &requests, seed);
+    let terms =
+        PlacementTerms { read_again: 1.0, cache_time: Millis(0), ..PlacementTerms::default() };
+    let spread = play(&Fleet { terms, ..Fleet::default() }, &requests, seed);
+    assert!(kept.read as f64 * 1.15 < spread.read as f64, "{} against {}", kept.read, spread.read);
+    let in_time = plans_in_time(&requests, &kept);
+    assert!(in_time > 0.95, "{in_time}");
+}
+
+#[rstest]
+fn serves_a_session_that_is_hot_in_time(#[values(1, 2, 3)] seed: u64) {
+    let requests = arrivals(35.0, 0.0, 130, 0.3, seed);
+    let in_time = plans_in_time(&requests, &play(&Fleet::default(), &requests, seed));
+    assert!(in_time > 0.95, "{in_time}");
+}
+
+#[rstest]
+fn leaves_engines_that_fall_silent(#[values(1, 2, 3)] seed: u64) {
+    let requests = arrivals(20.0, 20.0, 130, 0.0, seed);
+    let fleet = Fleet { silent: 2, ..Fleet::default() };
+    let outcomes = play(&fleet, &requests, seed);
+    let unanswered = outcomes.runs.iter().filter(|run| run.is_none()).count();
+    // Each daemon may lose a few requests of each lane to each of them before it knows.
+    assert!(unanswered < 7 * 2 * 2 * 3, "{unanswered} of {}", requests.len());
+}
+
+#[rstest]
+fn refuses_what_a_saturated_fleet_cannot_answer_in_time(#[values(1, 2, 3)] seed: u64) {
+    let requests = arrivals(190.0, 0.0, 2_000, 0.0, seed);
+    let held = play(&Fleet::default(), &requests, seed);
+    let terms = PlacementTerms { saturated_ms: 1e9, ..PlacementTerms::default() };
+    let flooded = play(&Fleet { terms, ..Fleet::default() }, &requests, seed);
+    let (with, without) = (plans_in_time(&requests, &held), plans_in_time(&requests, &flooded));
+    assert!(!held.refused.is_empty() && with > without, "{with} against {without}");
+}
+
+#[test]
+fn never_sends_long_prompts_to_interactive_engines() {
+    let table = LoadTable::default();
+    let ids = ["a", "b", "c", "d", "e", "f"];
+    let candidates = || {
+        ids.into_iter().map(|id| Candidate {
+            id,
+            distance: Distance::DataCentre,
+            slots: 64,
+            cache_tokens: 243_776,
+        })
+    };
+    let mut chosen = [Vec::new(), Vec::new()];
+    for draw in 0..200 {
+        let prompt = prompt(draw, 1_000, 500, draw, 10);
+        for (at, lane) in [Lane::Bulk, Lane::Interactive].into_iter().enumerate() {
+            let demand = Demand { prompt: Some(&prompt), lane, priority: 0, draw };
+            match table.choose(candidates(), &demand, Millis(0)) {
+                Placement::Send(choice) => chosen[at].push(choice.id),
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    assert!(chosen[0].iter().all(|id| !chosen[1].contains(id)));
+}
+
+/// Returns how many of 600 calls go to one of three endpoints that fails 45 in 100.
+fn calls_to_failing_endpoint(terms: PlacementTerms) -> u32 {
+    let mut table = LoadTable::new(terms);
+    let ids = ["a", "b", "c"];
+    let candidates = || {
+        ids.into_iter().map(|id| Candidate {
+            id,
+            distance: Distance::DataCentre,
+            slots: 6,
+            cache_tokens: 0,
+        })
+    };
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut to_failing = 0;
+    for number in 0..600_u64 {
+        let now = Millis(number * 20);
+        let demand = Demand { draw: rng.random(), ..Demand::default() };
+        let Placement::Send(choice) = table.choose(candidates(), &demand, now) else {
+            panic!("an endpoint is listed");
+        };
+        let lease = table.start(&choice, &demand, now);
+        let fails = choice.id == "a" && rng.random::<f64>() < 0.45;
+        to_failing += u32::from(choice.id == "a");
+        let outcome = if fails { Outcome::Failed } else { Outcome::Answered };
+        table.first_byte(&choice.id, lease, None, now + Millis(15));
+        table.end(&choice.id, lease, outcome, now + Millis(15));
+    }
+    to_failing
+}
+
+#[test]
+fn avoids_an_endpoint_that_fails_part_of_its_calls() {
+    let avoided = calls_to_failing_endpoint(PlacementTerms::default());
+    let ignored =
+        calls_to_failing_endpoint(PlacementTerms { failure_ms: 0.0, ..PlacementTerms::default() });
+    assert!(avoided * 2 < ignored, "{avoided} calls, {ignored} without the term");
+}
+
+#[test]
+fn comes_back_to_an_endpoint_that_failed_once() {
+    let mut table = LoadTable::default();
+    let candidates = || {
+        ["a", "b"].into_iter().map(|id| Candidate {
+            id,
+            distance: Distance::DataCentre,
+            slots: 6,
+            cache_tokens: 0,
+        })
+    };
+    let choice = Choice { id: "a".to_owned(), expected_ms: 20.0, wait_ms: 0.0, unread_tokens: 0 };
+    let lease = table.start(&choice, &Demand::default(), Millis(0));
+    table.end("a", lease, Outcome::Failed, Millis(10));
+    let mut to_failed = 0;
+    for number in 0..100 {
+        let now = Millis(30_000 + number * 50);
+        let demand = Demand { draw: number, ..Demand::default() };
+        let Placement::Send(choice) = table.choose(candidates(), &demand, now) else {
+            panic!("endpoints are listed");
+        };
+        to_failed += u32::from(choice.id == "a");
+    }
+    assert!(to_failed > 25, "{to_failed} of 100 calls");
+}
