Follow only daemons that rank before one's own, and test the gateway as a process

A daemon whose own record had grown old in an outage took all others for ranked before it; two daemons followed each other and learned of nothing until their proof was 3.3 s old.

--- a/components/decision/src/routing/members.rs
+++ b/components/decision/src/routing/members.rs
@@ -63,15 +63,16 @@
     pub fn ranked(&self, data_centre: &str, now: Millis) -> Vec<(&str, &DaemonRecord)> {
         let mut ranked: Vec<(&str, &DaemonRecord)> =
             self.live(now).filter(|(_, record)| record.data_centre == data_centre).collect();
-        ranked.sort_by_key(|(name, _)| Reverse(draw(name, READER_SEED)));
+        ranked.sort_by_key(|(name, _)| rank(name));
         ranked
     }
 
-    /// Returns the daemons of a data centre that rank before `name`, best first.
+    /// Returns the daemons of a data centre that rank before `name`, best first. The rank does not
+    /// depend on who is live, so no two daemons follow each other.
     pub fn before(&self, name: &str, data_centre: &str, now: Millis) -> Vec<(String, String)> {
         self.ranked(data_centre, now)
             .into_iter()
-            .take_while(|(other, _)| *other != name)
+            .filter(|(other, _)| rank(other) < rank(name))
             .map(|(other, record)| (other.to_owned(), record.address.clone()))
             .collect()
     }
@@ -88,3 +89,7 @@
 
 /// Ranks the daemons of a data centre alike at all of them.
 const READER_SEED: u64 = 0x4ead;
+
+fn rank(name: &str) -> (Reverse<u64>, &str) {
+    (Reverse(draw(name, READER_SEED)), name)
+}
--- a/components/decision/tests/routing/followers.rs
+++ b/components/decision/tests/routing/followers.rs
@@ -27,6 +27,17 @@
     assert!(members.before("d", "nelson", Millis(1)).is_empty());
 }
 
+#[test]
+fn follows_nobody_that_ranks_after_it_though_its_own_record_is_old() {
+    let mut members = Members::default();
+    members.observe(records(1), Millis(0));
+    let first = members.ranked("squamish", Millis(1))[0].0.to_owned();
+    let mut later = records(2);
+    later.insert(first.clone(), records(1)[&first].clone());
+    members.observe(later, Millis(20_000));
+    assert!(members.before(&first, "squamish", Millis(26_000)).is_empty());
+}
+
 #[test]
 fn counts_only_daemons_whose_records_change() {
     let mut members = Members::default();
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -6,6 +6,7 @@
 mod instances;
 mod lagged;
 mod object_api;
+mod platform;
 mod process;
 mod server;
 mod service;
@@ -18,6 +19,10 @@
     Instance, InstanceKind, InstanceList, InstanceState, InstancesConfig, run_instances,
 };
 pub use object_api::{ObjectApiConfig, run_object_api};
+pub use platform::{
+    Arrival, Behaviour, Client, ClientAnswer, GatewayProcess, GatewayTerms, Message, PlatformStore,
+    Runner, StoreMode,
+};
 pub use process::{Process, binary, build_programs};
 pub use service::{ServiceConfig, run_service};
 pub use site::{Member, Site, simple_lists};
--- /dev/null
+++ b/fakes/src/platform/mod.rs
@@ -0,0 +1,14 @@
+//! Stand-ins for the users' platform: its store, its endpoints and its clients, and the gateway
+//! as a process between them.
+
+mod client;
+mod gateway;
+mod runner;
+mod store;
+mod wire;
+
+pub use client::{Client, ClientAnswer};
+pub use gateway::{GatewayProcess, GatewayTerms};
+pub use runner::{Arrival, Behaviour, Runner};
+pub use store::{PlatformStore, StoreMode};
+pub use wire::Message;
--- /dev/null
+++ b/fakes/src/platform/store.rs
@@ -0,0 +1,187 @@
+use super::wire::{Message, read_message};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreMode {
+    /// As it should.
+    #[default]
+    Up,
+    /// With 503.
+    Busy,
+    /// Not at all.
+    Silent,
+    /// By a closed connection.
+    Closed,
+    /// To watches with 410, to all else as it should.
+    HistoryGone,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    mode: StoreMode,
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, Value)>,
+    changes: Vec<(u64, String, String, Option<Value>)>,
+    calls: u64,
+}
+
+/// A stand-in for the platform's store.
+#[derive(Clone, Debug)]
+pub struct PlatformStore {
+    /// Its address.
+    pub address: SocketAddr,
+    shared: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl PlatformStore {
+    /// Starts a store.
+    pub fn start() -> io::Result<PlatformStore> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let state = State { revision: 1, ..State::default() };
+        let shared = Arc::new((Mutex::new(state), Condvar::new()));
+        let store = PlatformStore { address: listener.local_addr()?, shared };
+        let served = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = served.clone();
+                // A broken connection ends its thread and nothing else.
+                thread::spawn(move || store.serve(stream).unwrap_or_default());
+            }
+        });
+        Ok(store)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes how it answers from now on.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.state().mode = mode;
+        self.shared.1.notify_all();
+    }
+
+    /// Returns how many calls it got.
+    pub fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
+    /// Writes an object.
+    pub fn put(&self, kind: &str, name: &str, specification: Value) {
+        let mut state = self.state();
+        state.revision += 1;
+        let revision = state.revision;
+        let object = json!({
+            "metadata": { "name": name, "revision": revision },
+            "specification": specification,
+        });
+        state.objects.insert((kind.to_owned(), name.to_owned()), (revision, object.clone()));
+        state.changes.push((revision, kind.to_owned(), name.to_owned(), Some(object)));
+        self.shared.1.notify_all();
+    }
+
+    /// Removes an object.
+    pub fn delete(&self, kind: &str, name: &str) {
+        let mut state = self.state();
+        if state.objects.remove(&(kind.to_owned(), name.to_owned())).is_some() {
+            state.revision += 1;
+            let revision = state.revision;
+            state.changes.push((revision, kind.to_owned(), name.to_owned(), None));
+            self.shared.1.notify_all();
+        }
+    }
+
+    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        let mut writer = stream.try_clone()?;
+        let mut reader = BufReader::new(stream);
+        while let Some(call) = read_message(&mut reader)? {
+            self.state().calls += 1;
+            let (status, body) = self.answer(&call);
+            let mode = self.state().mode;
+            match mode {
+                StoreMode::Silent => thread::sleep(Duration::from_secs(30)),
+                StoreMode::Closed => return Ok(()),
+                StoreMode::Up | StoreMode::Busy | StoreMode::HistoryGone => {}
+            }
+            let body = body.to_string();
+            write!(
+                writer,
+                "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            )?;
+        }
+        Ok(())
+    }
+
+    fn answer(&self, call: &Message) -> (u16, Value) {
+        let (path, query) = call.word(1).split_once('?').unwrap_or((call.word(1), ""));
+        let mut parts = path.trim_start_matches("/objects/").split('/');
+        let kind = parts.next().unwrap_or("").to_owned();
+        let parameter = |name: &str| {
+            query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+        };
+        let mode = self.state().mode;
+        if mode == StoreMode::Busy {
+            return (503, json!({}));
+        }
+        match (call.word(0), parameter("watch")) {
+            ("GET", Some(since)) if mode == StoreMode::HistoryGone => {
+                (410, json!({ "since": since }))
+            }
+            ("GET", Some(since)) => self.watch(&kind, since, parameter("wait_ms").unwrap_or(0)),
+            ("GET", None) => self.list(&kind),
+            (method, _) => self.write(method, &kind, parts.next(), &call.body),
+        }
+    }
+
+    fn list(&self, kind: &str) -> (u16, Value) {
+        let state = self.state();
+        let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+        let items: Vec<&Value> = of_kind.map(|(_, (_, object))| object).collect();
+        (200, json!({ "items": items, "has_more": false, "at": state.revision }))
+    }
+
+    fn watch(&self, kind: &str, since: u64, wait_ms: u64) -> (u16, Value) {
+        let end = Instant::now() + Duration::from_millis(wait_ms);
+        let mut state = self.state();
+        loop {
+            let changes = state.changes.iter().filter(|(at, k, _, _)| *at > since && k == kind);
+            let events: Vec<Value> = changes
+                .map(|(_, _, name, object)| match object {
+                    Some(object) => json!({ "deleted": false, "object": object }),
+                    None => json!({ "deleted": true, "object": { "metadata": { "name": name } } }),
+                })
+                .collect();
+            let left = end.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() || state.mode != StoreMode::Up {
+                return (200, json!({ "events": events, "at": state.revision }));
+            }
+            let waited = self.shared.1.wait_timeout(state, left);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn write(&self, method: &str, kind: &str, name: Option<&str>, body: &[u8]) -> (u16, Value) {
+        let Ok(object) = serde_json::from_slice::<Value>(body) else {
+            return (400, json!({}));
+        };
+        let named = object["metadata"]["name"].as_str().unwrap_or("").to_owned();
+        let name = name.map_or(named, str::to_owned);
+        let exists = self.state().objects.contains_key(&(kind.to_owned(), name.clone()));
+        match (method, exists) {
+            ("POST", true) => (409, json!({})),
+            ("PUT", false) => (404, json!({})),
+            _ => {
+                self.put(kind, &name, object["specification"].clone());
+                (200, object)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fakes/src/platform/wire.rs
@@ -0,0 +1,77 @@
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufReader, Read};
+use std::net::TcpStream;
+
+/// A request or an answer.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    /// The request line or the status line.
+    pub start: String,
+    /// The headers, their names in lowercase.
+    pub headers: BTreeMap<String, String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// Returns a header.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    /// Returns a word of the start line.
+    pub fn word(&self, at: usize) -> &str {
+        self.start.split_whitespace().nth(at).unwrap_or("")
+    }
+
+    /// Returns the status of an answer.
+    pub fn status(&self) -> u16 {
+        self.word(1).parse().unwrap_or(0)
+    }
+}
+
+/// Reads the head of a message; nothing at the end of the connection.
+pub(super) fn read_head(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+    let mut message = Message::default();
+    let mut line = String::new();
+    if reader.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    message.start = line.trim_end().to_owned();
+    loop {
+        line.clear();
+        if reader.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        message.headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    Ok(Some(message))
+}
+
+/// Reads a message whose body has a length or comes in chunks.
+pub(super) fn read_message(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+    let Some(mut message) = read_head(reader)? else { return Ok(None) };
+    if message.header("transfer-encoding") == "chunked" {
+        while let Some(chunk) = read_chunk(reader)? {
+            message.body.extend(chunk);
+        }
+    } else if let Ok(length) = message.header("content-length").parse::<usize>() {
+        message.body = vec![0; length];
+        reader.read_exact(&mut message.body)?;
+    }
+    Ok(Some(message))
+}
+
+/// Reads a chunk of a body; nothing after the last one.
+pub(super) fn read_chunk(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Vec<u8>>> {
+    let mut line = String::new();
+    if reader.read_line(&mut line)? == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    let length = usize::from_str_radix(line.trim(), 16).map_err(io::Error::other)?;
+    let mut chunk = vec![0; length + 2];
+    reader.read_exact(&mut chunk)?;
+    chunk.truncate(length);
+    Ok((length > 0).then_some(chunk))
+}
--- /dev/null
+++ b/tests/gateway/observe.rs
@@ -0,0 +1,66 @@
+use crate::support::Site;
+use fakes::{Behaviour, Client, StoreMode};
+use std::net::SocketAddr;
+use std::process::Command;
+
+fn get(address: SocketAddr, path: &str) -> (u16, String) {
+    let mut client = Client::connect(address).unwrap();
+    client.send(format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).unwrap();
+    let answer = client.answer().unwrap().message;
+    (answer.status(), String::from_utf8_lossy(&answer.body).into_owned())
+}
+
+#[test]
+fn is_ready_while_it_can_serve() {
+    let site = Site::start();
+    assert_eq!(get(site.gateway.ready, "/readiness").0, 200);
+    site.store.set_mode(StoreMode::Busy);
+    let not_ready = || get(site.gateway.ready, "/readiness").0 == 503;
+    site.gateway.wait_for(not_ready, "it is not ready").unwrap();
+}
+
+#[test]
+fn serves_counters_and_histograms() {
+    let site = Site::start();
+    site.ask("/safe/", "r1");
+    let (status, text) = get(site.gateway.metrics, "/metrics");
+    assert_eq!(status, 200);
+    for name in ["chervilspur_requests_total", "chervilspur_whole_answer_seconds_bucket"] {
+        assert!(text.contains(name), "{name} in {text}");
+    }
+    assert_eq!(get(site.gateway.metrics, "/other").0, 404);
+}
+
+#[test]
+fn explains_each_refusal_by_its_own_line() {
+    let site = Site::start();
+    site.runners.iter().for_each(|runner| runner.set_behaviour(Behaviour::Reject));
+    let targets = ["/nowhere/", "/safe/", "/once/"];
+    for (number, target) in targets.into_iter().enumerate() {
+        let id = format!("refused-{number}");
+        let status = site.ask(target, &id).message.status();
+        let lines = site.gateway.log_with(&["\"event\":\"refused\"", &id]);
+        assert_eq!(lines.len(), 1, "{target}");
+        for word in [&format!("\"status\":{status}"), "\"reason\":", "\"verdict\":\"not_run\""] {
+            assert!(lines[0].contains(word), "{word} in {}", lines[0]);
+        }
+        assert!(lines[0].contains("\"text\":\""), "{}", lines[0]);
+    }
+}
+
+#[test]
+fn names_all_wrong_settings_and_does_not_start() {
+    fakes::build_programs().unwrap();
+    let path = std::env::temp_dir().join(format!("chervilspur-wrong-{}", std::process::id()));
+    std::fs::write(&path, "listen.front=here\n").unwrap();
+    let program = fakes::binary("chervilspur-gateway").unwrap();
+    let output = Command::new(program).arg("--settings").arg(&path).arg("--check").output();
+    std::fs::remove_file(&path).unwrap();
+    let output = output.unwrap();
+    assert!(!output.status.success());
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.contains(&*path.to_string_lossy()), "{text}");
+    for problem in ["listen.front=here", "node is missing", "platform.address is missing"] {
+        assert!(text.contains(problem), "{problem} in {text}");
+    }
+}
--- /dev/null
+++ b/tests/gateway/stops.rs
@@ -0,0 +1,53 @@
+use crate::support::{KEY, Site, text};
+use fakes::{Client, GatewayTerms};
+use std::time::Duration;
+
+#[test]
+fn finishes_streams_and_serves_open_connections_before_it_ends() {
+    let terms = GatewayTerms { grace_s: 6, ..GatewayTerms::default() };
+    let mut site = Site::with(&terms, 20, Duration::from_millis(50));
+    let mut streaming = site.client();
+    streaming.ask("/stream/", "r1", KEY, "").unwrap();
+    assert!(!streaming.first_chunk().unwrap().is_empty());
+    let mut open = site.client();
+    open.ask("/safe/", "r2", KEY, "").unwrap();
+    assert_eq!(open.answer().unwrap().message.status(), 200);
+    site.gateway.signal("TERM").unwrap();
+    site.gateway.wait_for_log(&["stopping"]).unwrap();
+    open.ask("/safe/", "r3", KEY, "").unwrap();
+    let answer = open.answer().unwrap();
+    assert_eq!(answer.message.status(), 200);
+    assert_eq!(answer.message.header("connection"), "close");
+    let mut ready = Client::connect(site.gateway.ready).unwrap();
+    ready.send(b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+    assert_eq!(ready.answer().unwrap().message.status(), 503);
+    assert!(site.gateway.wait().unwrap());
+    let finished = site.gateway.log_with(&["finished", "\"r1\"", "answered"]);
+    assert_eq!(finished.len(), 1);
+}
+
+#[test]
+fn ends_within_its_time_though_a_stream_goes_on() {
+    let terms = GatewayTerms { grace_s: 4, ..GatewayTerms::default() };
+    let mut site = Site::with(&terms, 10_000, Duration::from_millis(20));
+    let mut streaming = site.client();
+    streaming.ask("/stream/", "r1", KEY, "").unwrap();
+    streaming.first_chunk().unwrap();
+    site.gateway.signal("TERM").unwrap();
+    assert!(site.gateway.wait().unwrap());
+    assert!(!streaming.rest());
+}
+
+#[test]
+fn reads_changed_settings_again() {
+    let site = Site::start();
+    site.gateway.change_settings("bounds.grace_s=8", "bounds.grace_s=9").unwrap();
+    site.gateway.signal("HUP").unwrap();
+    site.gateway.wait_for_log(&["settings_reloaded", "\"signalled\":true"]).unwrap();
+    site.gateway.change_settings("bounds.grace_s=9", "bounds.grace_s=7").unwrap();
+    site.gateway.wait_for_log(&["settings_reloaded", "\"signalled\":false"]).unwrap();
+    site.gateway.change_settings("zone=a\n", "").unwrap();
+    site.gateway.wait_for_log(&["settings_wrong", "zone is missing"]).unwrap();
+    let answer = site.ask("/safe/", "r1");
+    assert!(text(&answer).ends_with("to r1"));
+}
