List the registry again when the store is back

Change: a failed call drops the position, so that a list comes first. Figures: test learns_of_the_registry_at_once_when_the_store_is_back failed before (endpoints over two seconds behind the configuration) and passes now.

--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -198,6 +198,8 @@
 
     async fn lose<F: Feed>(&mut self, e: &CallError) {
         self.connection = None;
+        // A list answers at once when the store is back; a watch would wait for a change.
+        self.revision = None;
         if self.lost_at.is_none() {
             self.lost_at = Some(now());
             tracing::warn!(event = "store_lost", kind = F::KIND.as_str(), error = %e);
--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -104,3 +104,25 @@
     site.store.put("config", "main", configuration(11, &[KEY]));
     both[followed].wait_for_log(&["configuration_in_force", "\"version\":11"]).unwrap();
 }
+
+/// Returns how long the store was away for a kind, as the log says.
+fn away_ms(site: &Site, kind: &str) -> i64 {
+    let line = &site.gateway.log_with(&["store_regained", kind])[0];
+    let value: serde_json::Value = serde_json::from_str(line).unwrap();
+    value["after_ms"].as_i64().unwrap()
+}
+
+#[test]
+fn learns_of_the_registry_at_once_when_the_store_is_back() {
+    let site = Site::start();
+    site.store.set_mode(StoreMode::Busy);
+    for kind in ["endpoints", "configuration"] {
+        site.gateway.wait_for_log(&["store_lost", kind]).unwrap();
+    }
+    site.store.set_mode(StoreMode::Up);
+    for kind in ["endpoints", "configuration"] {
+        site.gateway.wait_for_log(&["store_regained", kind]).unwrap();
+    }
+    // The longest pause between two calls is under a second; a watch waits for five.
+    assert!(away_ms(&site, "endpoints") < away_ms(&site, "configuration") + 2_000);
+}
