Add a randomised soak of gateway processes with faults from outside

Cause: the promises were shown under faults one at a time. Change: chervilspur-soak runs gateways between stand-ins, with proxies that delay, reset, cut one way and silence, a store and endpoints that misbehave, and gateways that are paused, killed, stopped and started; it checks runs, refusals and answers from what clients and endpoints saw, and recovery.

--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -20,8 +20,8 @@
 };
 pub use object_api::{ObjectApiConfig, run_object_api};
 pub use platform::{
-    Arrival, Behaviour, Client, ClientAnswer, GatewayProcess, GatewayTerms, Message, PlatformStore,
-    Runner, StoreMode,
+    Arrival, Behaviour, Client, ClientAnswer, GatewayProcess, GatewayTerms, Link, Message,
+    PlatformStore, Proxy, Runner, StoreMode,
 };
 pub use process::{Process, binary, build_programs};
 pub use service::{ServiceConfig, run_service};
--- a/fakes/src/platform/gateway.rs
+++ b/fakes/src/platform/gateway.rs
@@ -2,7 +2,7 @@
 use std::fs;
 use std::io::{self, BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -53,6 +53,29 @@
     TcpListener::bind("127.0.0.1:0")?.local_addr()
 }
 
+/// Starts the program, whose log is added to the lines.
+fn spawn(
+    settings: &Path,
+    metrics: SocketAddr,
+    lines: &Arc<Mutex<Vec<String>>>,
+) -> io::Result<Child> {
+    let mut child = Command::new(binary("chervilspur-gateway")?)
+        .arg("--settings")
+        .arg(settings)
+        .args(["--metrics", &metrics.to_string()])
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .spawn()?;
+    let stdout = child.stdout.take().ok_or_else(|| io::Error::other("no stdout"))?;
+    let kept = lines.clone();
+    thread::spawn(move || {
+        for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+            kept.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+        }
+    });
+    Ok(child)
+}
+
 impl GatewayProcess {
     /// Starts a gateway at a store and waits until it listens.
     pub fn start(store: SocketAddr, terms: &GatewayTerms) -> io::Result<GatewayProcess> {
@@ -76,21 +99,8 @@
             address.port()
         ));
         fs::write(&settings, text)?;
-        let mut child = Command::new(binary("chervilspur-gateway")?)
-            .arg("--settings")
-            .arg(&settings)
-            .args(["--metrics", &metrics.to_string()])
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()?;
-        let stdout = child.stdout.take().ok_or_else(|| io::Error::other("no stdout"))?;
         let lines = Arc::new(Mutex::new(Vec::new()));
-        let kept = lines.clone();
-        thread::spawn(move || {
-            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
-                kept.lock().unwrap_or_else(PoisonError::into_inner).push(line);
-            }
-        });
+        let child = spawn(&settings, metrics, &lines)?;
         let process = GatewayProcess { child, address, ready, metrics, settings, lines };
         process.wait_for(|| TcpStream::connect(address).is_ok(), "it listens")?;
         Ok(process)
@@ -138,6 +148,15 @@
         if sent.success() { Ok(()) } else { Err(io::Error::other(format!("kill -s {name}"))) }
     }
 
+    /// Ends the process with a signal and starts it again with the same settings.
+    pub fn restart(&mut self, signal: &str) -> io::Result<()> {
+        self.signal("CONT")?;
+        self.signal(signal)?;
+        self.child.wait()?;
+        self.child = spawn(&self.settings, self.metrics, &self.lines)?;
+        Ok(())
+    }
+
     /// Waits until the process has ended; returns whether it ended well.
     pub fn wait(&mut self) -> io::Result<bool> {
         self.child.wait().map(|status| status.success())
--- a/fakes/src/platform/mod.rs
+++ b/fakes/src/platform/mod.rs
@@ -3,12 +3,14 @@
 
 mod client;
 mod gateway;
+mod proxy;
 mod runner;
 mod store;
 mod wire;
 
 pub use client::{Client, ClientAnswer};
 pub use gateway::{GatewayProcess, GatewayTerms};
+pub use proxy::{Link, Proxy};
 pub use runner::{Arrival, Behaviour, Runner};
 pub use store::{PlatformStore, StoreMode};
 pub use wire::Message;
