--- a/components/config/src/settings/generated.rs
+++ b/components/config/src/settings/generated.rs
@@ -1,6 +1,6 @@
 use super::check;
 use super::{Secret, SettingError};
-use super::setting::Setting;
+use super::setting::{Problems, Setting};
 use argh::FromArgs;
 use std::net::SocketAddr;
 const BODY_LIMIT_BYTES: Setting = Setting {
@@ -333,121 +333,231 @@
         variable: impl Fn(&str) -> Option<String>,
     ) -> Result<Settings, SettingError> {
         let default = Settings::default();
-        Ok(Settings {
-            body_limit_bytes: BODY_LIMIT_BYTES
-                .optional(
-                    flags.body_limit_bytes.as_deref(),
-                    &variable,
-                    |text| check::integer(text, 1024, 16777216),
-                )?
+        let mut problems = Problems::default();
+        let settings = Settings {
+            body_limit_bytes: problems
+                .keep(
+                    BODY_LIMIT_BYTES
+                        .optional(
+                            flags.body_limit_bytes.as_deref(),
+                            &variable,
+                            |text| check::integer(text, 1024, 16777216),
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.body_limit_bytes),
-            callers: CALLERS
-                .optional(
-                    flags.callers.as_deref(),
-                    &variable,
-                    |text| check::integer(text, 1, 4096),
-                )?
+            callers: problems
+                .keep(
+                    CALLERS
+                        .optional(
+                            flags.callers.as_deref(),
+                            &variable,
+                            |text| check::integer(text, 1, 4096),
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.callers),
-            check_invariants: CHECK_INVARIANTS
-                .optional(flags.check_invariants.as_deref(), &variable, check::boolean)?
+            check_invariants: problems
+                .keep(
+                    CHECK_INVARIANTS
+                        .optional(
+                            flags.check_invariants.as_deref(),
+                            &variable,
+                            check::boolean,
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.check_invariants),
-            data_centre: DATA_CENTRE
-                .optional(
-                    flags.data_centre.as_deref(),
-                    &variable,
-                    |text| check::label(text, 63),
-                )?
+            data_centre: problems
+                .keep(
+                    DATA_CENTRE
+                        .optional(
+                            flags.data_centre.as_deref(),
+                            &variable,
+                            |text| check::label(text, 63),
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.data_centre),
-            instances: INSTANCES
-                .required(flags.instances.as_deref(), &variable, check::socket_address)?,
-            link_bytes_per_second: LINK_BYTES_PER_SECOND
-                .optional(
-                    flags.link_bytes_per_second.as_deref(),
-                    &variable,
-                    |text| check::integer(text, 0, 1000000000),
-                )?
+            instances: problems
+                .keep(
+                    INSTANCES
+                        .required(
+                            flags.instances.as_deref(),
+                            &variable,
+                            check::socket_address,
+                        ),
+                )
+                .unwrap_or(default.instances),
+            link_bytes_per_second: problems
+                .keep(
+                    LINK_BYTES_PER_SECOND
+                        .optional(
+                            flags.link_bytes_per_second.as_deref(),
+                            &variable,
+                            |text| check::integer(text, 0, 1000000000),
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.link_bytes_per_second),
-            listen: LISTEN
-                .optional(flags.listen.as_deref(), &variable, check::socket_address)?
+            listen: problems
+                .keep(
+                    LISTEN
+                        .optional(
+                            flags.listen.as_deref(),
+                            &variable,
+                            check::socket_address,
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.listen),
-            log_level: LOG_LEVEL
-                .optional(flags.log_level.as_deref(), &variable, LogLevel::parse)?
+            log_level: problems
+                .keep(
+                    LOG_LEVEL
+                        .optional(flags.log_level.as_deref(), &variable, LogLevel::parse),
+                )
+                .flatten()
                 .unwrap_or(default.log_level),
-            metrics: METRICS
-                .optional(flags.metrics.as_deref(), &variable, check::socket_address)?,
-            name: NAME
-                .optional(
-                    flags.name.as_deref(),
-                    &variable,
-                    |text| check::label(text, 63),
-                )?
+            metrics: problems
+                .keep(
+                    METRICS
+                        .optional(
+                            flags.metrics.as_deref(),
+                            &variable,
+                            check::socket_address,
+                        ),
+                )
+                .flatten(),
+            name: problems
+                .keep(
+                    NAME
+                        .optional(
+                            flags.name.as_deref(),
+                            &variable,
+                            |text| check::label(text, 63),
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.name),
-            peer_address: PEER_ADDRESS
-                .optional(
-                    flags.peer_address.as_deref(),
-                    &variable,
-                    check::socket_address,
-                )?,
-            peer_key: PEER_KEY
-                .required(
-                    flags.peer_key.as_deref(),
-                    &variable,
-                    |text| check::secret(text, 16, 256),
-                )?,
-            queue_limit: QUEUE_LIMIT
-                .optional(
-                    flags.queue_limit.as_deref(),
-                    &variable,
-                    |text| check::integer(text, 1, 65536),
-                )?
+            peer_address: problems
+                .keep(
+                    PEER_ADDRESS
+                        .optional(
+                            flags.peer_address.as_deref(),
+                            &variable,
+                            check::socket_address,
+                        ),
+                )
+                .flatten(),
+            peer_key: problems
+                .keep(
+                    PEER_KEY
+                        .required(
+                            flags.peer_key.as_deref(),
+                            &variable,
+                            |text| check::secret(text, 16, 256),
+                        ),
+                )
+                .unwrap_or(default.peer_key),
+            queue_limit: problems
+                .keep(
+                    QUEUE_LIMIT
+                        .optional(
+                            flags.queue_limit.as_deref(),
+                            &variable,
+                            |text| check::integer(text, 1, 65536),
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.queue_limit),
-            region: REGION
-                .optional(
-                    flags.region.as_deref(),
-                    &variable,
-                    |text| check::label(text, 63),
-                )?
+            region: problems
+                .keep(
+                    REGION
+                        .optional(
+                            flags.region.as_deref(),
+                            &variable,
+                            |text| check::label(text, 63),
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.region),
-            silence_limit_ms: SILENCE_LIMIT_MS
-                .optional(
-                    flags.silence_limit_ms.as_deref(),
-                    &variable,
-                    |text| check::integer(text, 500, 600000),
-                )?
+            silence_limit_ms: problems
+                .keep(
+                    SILENCE_LIMIT_MS
+                        .optional(
+                            flags.silence_limit_ms.as_deref(),
+                            &variable,
+                            |text| check::integer(text, 500, 600000),
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.silence_limit_ms),
-            spans: SPANS
-                .optional(flags.spans.as_deref(), &variable, check::socket_address)?,
-            stop_timeout_ms: STOP_TIMEOUT_MS
-                .optional(
-                    flags.stop_timeout_ms.as_deref(),
-                    &variable,
-                    |text| check::integer(text, 0, 3600000),
-                )?
+            spans: problems
+                .keep(
+                    SPANS
+                        .optional(
+                            flags.spans.as_deref(),
+                            &variable,
+                            check::socket_address,
+                        ),
+                )
+                .flatten(),
+            stop_timeout_ms: problems
+                .keep(
+                    STOP_TIMEOUT_MS
+                        .optional(
+                            flags.stop_timeout_ms.as_deref(),
+                            &variable,
+                            |text| check::integer(text, 0, 3600000),
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.stop_timeout_ms),
-            store: STORE
-                .required(flags.store.as_deref(), &variable, check::socket_address)?,
-            store_calls_per_minute: STORE_CALLS_PER_MINUTE
-                .optional(
-                    flags.store_calls_per_minute.as_deref(),
-                    &variable,
-                    |text| check::integer(text, 6, 60000),
-                )?
+            store: problems
+                .keep(
+                    STORE
+                        .required(
+                            flags.store.as_deref(),
+                            &variable,
+                            check::socket_address,
+                        ),
+                )
+                .unwrap_or(default.store),
+            store_calls_per_minute: problems
+                .keep(
+                    STORE_CALLS_PER_MINUTE
+                        .optional(
+                            flags.store_calls_per_minute.as_deref(),
+                            &variable,
+                            |text| check::integer(text, 6, 60000),
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.store_calls_per_minute),
-            stream_buffer_tokens: STREAM_BUFFER_TOKENS
-                .optional(
-                    flags.stream_buffer_tokens.as_deref(),
-                    &variable,
-                    |text| check::integer(text, 16, 65536),
-                )?
+            stream_buffer_tokens: problems
+                .keep(
+                    STREAM_BUFFER_TOKENS
+                        .optional(
+                            flags.stream_buffer_tokens.as_deref(),
+                            &variable,
+                            |text| check::integer(text, 16, 65536),
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.stream_buffer_tokens),
-            stream_window_ms: STREAM_WINDOW_MS
-                .optional(
-                    flags.stream_window_ms.as_deref(),
-                    &variable,
-                    |text| check::integer(text, 0, 600000),
-                )?
+            stream_window_ms: problems
+                .keep(
+                    STREAM_WINDOW_MS
+                        .optional(
+                            flags.stream_window_ms.as_deref(),
+                            &variable,
+                            |text| check::integer(text, 0, 600000),
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.stream_window_ms),
-        })
+        };
+        problems.close(settings)
     }
 }
 /// The operators' command-line tool of chervilspur.
@@ -498,22 +608,45 @@
         variable: impl Fn(&str) -> Option<String>,
     ) -> Result<ToolSettings, SettingError> {
         let default = ToolSettings::default();
-        Ok(ToolSettings {
-            instances: INSTANCES
-                .optional(flags.instances.as_deref(), &variable, check::socket_address)?,
-            output: OUTPUT
-                .optional(flags.output.as_deref(), &variable, Output::parse)?
+        let mut problems = Problems::default();
+        let settings = ToolSettings {
+            instances: problems
+                .keep(
+                    INSTANCES
+                        .optional(
+                            flags.instances.as_deref(),
+                            &variable,
+                            check::socket_address,
+                        ),
+                )
+                .flatten(),
+            output: problems
+                .keep(OUTPUT.optional(flags.output.as_deref(), &variable, Output::parse))
+                .flatten()
                 .unwrap_or(default.output),
-            store: STORE
-                .optional(flags.store.as_deref(), &variable, check::socket_address)?,
-            timeout_ms: TIMEOUT_MS
-                .optional(
-                    flags.timeout_ms.as_deref(),
-                    &variable,
-                    |text| check::integer(text, 100, 60000),
-                )?
+            store: problems
+                .keep(
+                    STORE
+                        .optional(
+                            flags.store.as_deref(),
+                            &variable,
+                            check::socket_address,
+                        ),
+                )
+                .flatten(),
+            timeout_ms: problems
+                .keep(
+                    TIMEOUT_MS
+                        .optional(
+                            flags.timeout_ms.as_deref(),
+                            &variable,
+                            |text| check::integer(text, 100, 60000),
+                        ),
+                )
+                .flatten()
                 .unwrap_or(default.timeout_ms),
-        })
+        };
+        problems.close(settings)
     }
     /// Returns the address of the platform's instance list, or says that it is missing.
     pub fn require_instances(&self) -> Result<SocketAddr, SettingError> {
--- a/components/config/src/settings/setting.rs
+++ b/components/config/src/settings/setting.rs
@@ -28,6 +28,43 @@
         /// What may be given.
         allowed: &'static str,
     },
+    /// Several settings cannot be used.
+    #[snafu(display("{}", lines(problems)))]
+    Several {
+        /// What is wrong with each.
+        problems: Vec<SettingError>,
+    },
+}
+
+fn lines(problems: &[SettingError]) -> String {
+    let lines: Vec<String> = problems.iter().map(SettingError::to_string).collect();
+    lines.join("\n")
+}
+
+/// All that is wrong with the settings, so that it is reported at once.
+#[derive(Debug, Default)]
+pub struct Problems(Vec<SettingError>);
+
+impl Problems {
+    /// Returns a value, or keeps the problem.
+    pub fn keep<T>(&mut self, result: Result<T, SettingError>) -> Option<T> {
+        match result {
+            Ok(value) => Some(value),
+            Err(e) => {
+                self.0.push(e);
+                None
+            }
+        }
+    }
+
+    /// Returns the settings if there was no problem.
+    pub fn close<T>(mut self, settings: T) -> Result<T, SettingError> {
+        match self.0.len() {
+            0 => Ok(settings),
+            1 => Err(self.0.remove(0)),
+            _ => Err(SettingError::Several { problems: self.0 }),
+        }
+    }
 }
 
 /// Returns an environment variable of this process.
--- a/components/config/tests/settings.rs
+++ b/components/config/tests/settings.rs
@@ -87,3 +87,13 @@
     let refused = read(&["--peer-key", "too-short"], &[]).unwrap_err();
     assert!(!format!("{refused:?}{refused}").contains("too-short"));
 }
+
+#[test]
+fn names_all_wrong_and_missing_settings_at_once() {
+    let flags = ["--listen", "not-an-address", "--callers", "0"];
+    let flags = SettingsFlags::from_args(&["chervilspurd"], &flags).unwrap();
+    let text = Settings::read(&flags, |_| None).unwrap_err().to_string();
+    for name in ["--listen", "--callers", "--store", "--instances", "--peer-key"] {
+        assert!(text.contains(name), "{name} in {text}");
+    }
+}
--- a/components/schema/src/property.rs
+++ b/components/schema/src/property.rs
@@ -79,15 +79,18 @@
     pub fn read_code(&self, name: &str, required: bool) -> String {
         let check = self.check_code(name);
         let call = |how: &str| {
-            format!("{}.{how}(flags.{name}.as_deref(), &variable, {check})?", constant(name))
+            format!(
+                "problems.keep({}.{how}(flags.{name}.as_deref(), &variable, {check}))",
+                constant(name)
+            )
         };
         if required {
-            return format!("{name}: {},", call("required"));
+            return format!("{name}: {}.unwrap_or(default.{name}),", call("required"));
         }
         if self.is_optional(required) {
-            return format!("{name}: {},", call("optional"));
+            return format!("{name}: {}.flatten(),", call("optional"));
         }
-        format!("{name}: {}.unwrap_or(default.{name}),", call("optional"))
+        format!("{name}: {}.flatten().unwrap_or(default.{name}),", call("optional"))
     }
 
     /// Returns the method that asks for a setting which the program can start without.
--- a/components/schema/src/settings.rs
+++ b/components/schema/src/settings.rs
@@ -55,7 +55,7 @@
 pub fn settings_code(schema: &str) -> Result<String, GenerateError> {
     let schema = parse(schema)?;
     let mut code = String::from(
-        "use super::check;\nuse super::{Secret, SettingError};\nuse super::setting::Setting;\n\
+        "use super::check;\nuse super::{Secret, SettingError};\nuse super::setting::{Problems, Setting};\n\
          use argh::FromArgs;\nuse std::net::SocketAddr;\n",
     );
     for (name, property) in &schema.properties {
@@ -134,7 +134,9 @@
          pub fn read{generics}(flags: &{flags_type}{names}, variable: impl Fn(&str) -> Option<String>) \
          -> Result<{settings}, SettingError> {{\n\
          let default = {settings}::default();\n\
-         Ok({settings} {{ {reads} }}) }}\n{methods} }}\n",
+         let mut problems = Problems::default();\n\
+         let settings = {settings} {{ {reads} }};\n\
+         problems.close(settings) }}\n{methods} }}\n",
         program.title
     )
 }
--- a/fakes/src/soak/check.rs
+++ b/fakes/src/soak/check.rs
@@ -24,7 +24,7 @@
         if !may_repeat && ran > 0 && one.status.is_some_and(|s| NOT_RUN.contains(&s)) {
             return says("ran though it was refused as not run");
         }
-        if matches!(one.status, Some(400..=404 | 405..=407)) {
+        if matches!(one.status, Some(400..=407)) {
             return says("a proper request was denied");
         }
         if one.status == Some(200) && one.is_whole {
