Log the version, the age of the proof and the first cause with each decision

Cause: the line of an attempt did not say which configuration allowed it, and a broken connection was only 'connection error'. Change: version and proof_age_ms in the lines of attempts and refusals; the first cause of a connection's failure in its text.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -120,6 +120,8 @@
             request = %job.id(),
             route = %job.route,
             service = %job.service,
+            version = job.version,
+            proof_age_ms = gateway.freshness.borrow().age(started).map(|age| age.0),
             priority = job.priority,
             endpoint = %choice.id,
             outcome,
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -7,6 +7,7 @@
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
+use std::error::Error;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -33,7 +34,7 @@
     ConnectTimeout { address: SocketAddr, limit: Millis },
     #[snafu(display("{address}: the connection closed before the request was sent"))]
     Unsent { address: SocketAddr },
-    #[snafu(display("{address}: {source}"))]
+    #[snafu(display("{address}: {source}{}", root_cause(source)))]
     Broken { address: SocketAddr, source: hyper::Error },
     #[snafu(display("{address}: no answer within {} ms", limit.0))]
     AnswerTimeout { address: SocketAddr, limit: Millis },
@@ -41,6 +42,12 @@
     Body { address: SocketAddr, limit: usize, text: String },
 }
 
+/// Returns the first cause of an error, if it has one.
+fn root_cause(e: &hyper::Error) -> String {
+    let causes = std::iter::successors(e.source(), |cause| (*cause).source());
+    causes.last().map_or_else(String::new, |cause| format!(": {cause}"))
+}
+
 impl ConnectionError {
     /// Returns whether no byte of the request left.
     pub(crate) fn is_unsent(&self) -> bool {
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -15,6 +15,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) route: String,
+    /// The version of the configuration that allowed the request.
+    pub(crate) version: u64,
     pub(crate) service: String,
     pub(crate) account: Option<String>,
     pub(crate) repeat: Repeat,
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -91,6 +91,7 @@
         headers: forwarded_headers(gateway, &parts.headers),
         body,
         route: route.name.clone(),
+        version: version(&catalog),
         service: service.to_owned(),
         account,
         repeat: route.repeat,
@@ -204,6 +205,8 @@
             status = refused.status.as_u16(),
             reason = result,
             verdict = refused.verdict.as_str(),
+            version = gateway.catalog().map(|catalog| version(&catalog)),
+            proof_age_ms = gateway.freshness.borrow().age(now()).map(|age| age.0),
             retry_after_s = refused.retry_after,
             text,
         );
