--- a/components/decision/src/routing/placement.rs
+++ b/components/decision/src/routing/placement.rs
@@ -19,9 +19,9 @@
     pub read_again: f64,
     /// Added for a bulk engine on which an interactive request would pause, in milliseconds.
     pub bulk_engine_ms: f64,
-    /// Wait at an engine from which no more prompts are sent there, in milliseconds. Answers of
-    /// an engine that reads without a pause end too late, however early they began.
-    pub saturated_ms: f64,
+    /// Wait at an engine, as a share of the time that a request has to begin on time, from which it
+    /// is not sent there.
+    pub wait_share: f64,
     /// Interactive requests on an engine that leave each of them its pace, as a share of its slots.
     pub lane_fill: f64,
     /// Added per failed answer of an endpoint, as a share of its answers, in milliseconds.
@@ -41,7 +41,7 @@
             region_ms: 60.0,
             read_again: 6.0,
             bulk_engine_ms: 400.0,
-            saturated_ms: 1_000.0,
+            wait_share: 1.0,
             lane_fill: 0.4,
             failure_ms: 400.0,
             cache_time: Millis(20_000),
@@ -97,6 +97,8 @@
     pub lane: Lane,
     /// The rank; 0 is served first.
     pub priority: u8,
+    /// The time that is left for the first event to be on time.
+    pub patience: Millis,
     /// A number drawn for this request, which breaks ties.
     pub draw: u64,
 }
@@ -349,7 +351,7 @@
             }
         }
         match best {
-            Some((_, choice)) if demand.prompt.is_some() && self.is_saturated(&choice) => {
+            Some((_, choice)) if demand.prompt.is_some() && self.is_saturated(&choice, demand) => {
                 Placement::Saturated
             }
             Some((_, choice)) => Placement::Send(choice),
@@ -357,8 +359,8 @@
         }
     }
 
-    fn is_saturated(&self, choice: &Choice) -> bool {
-        choice.wait_ms > self.terms.saturated_ms
+    fn is_saturated(&self, choice: &Choice, demand: &Demand<'_>) -> bool {
+        choice.wait_ms > demand.patience.0 as f64 * self.terms.wait_share
     }
 
     /// Returns the engines of the demand's lane; none when the engines are too few to divide. All
--- a/components/decision/tests/routing/load.rs
+++ b/components/decision/tests/routing/load.rs
@@ -109,7 +109,7 @@
 fn refuses_what_a_saturated_fleet_cannot_answer_in_time(#[values(1, 2, 3)] seed: u64) {
     let requests = arrivals(190.0, 0.0, 2_000, 0.0, seed);
     let held = play(&Fleet::default(), &requests, seed);
-    let terms = PlacementTerms { saturated_ms: 1e9, ..PlacementTerms::default() };
+    let terms = PlacementTerms { wait_share: 1e9, ..PlacementTerms::default() };
     let flooded = play(&Fleet { terms, ..Fleet::default() }, &requests, seed);
     let (with, without) = (plans_in_time(&requests, &held), plans_in_time(&requests, &flooded));
     assert!(!held.refused.is_empty() && with > without, "{with} against {without}");
@@ -131,7 +131,8 @@
     for draw in 0..200 {
         let prompt = prompt(draw, 1_000, 500, draw, 10);
         for (at, lane) in [Lane::Bulk, Lane::Interactive].into_iter().enumerate() {
-            let demand = Demand { prompt: Some(&prompt), lane, priority: 0, draw };
+            let patience = Millis(2_000);
+            let demand = Demand { prompt: Some(&prompt), lane, priority: 0, patience, draw };
             match table.choose(candidates(), &demand, Millis(0)) {
                 Placement::Send(choice) => chosen[at].push(choice.id),
                 other => panic!("{other:?}"),
--- a/components/decision/tests/routing/replay.rs
+++ b/components/decision/tests/routing/replay.rs
@@ -12,6 +12,8 @@
 const TICK: u64 = 5;
 /// Time between two exchanges of loads between daemons, in milliseconds.
 const EXCHANGE: u64 = 400;
+/// Time to the first event that requests allow.
+const OBJECTIVE: Millis = Millis(2_000);
 /// Time after the last arrival in which answers may end, in milliseconds.
 const TAIL: u64 = 8_000;
 
@@ -110,6 +112,7 @@
                 prompt: Some(&request.prompt),
                 lane: request.lane,
                 priority: request.rank,
+                patience: OBJECTIVE,
                 draw: rng.random(),
             };
             match tables[daemon].choose(candidates, &demand, Millis(now)) {
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -40,9 +40,10 @@
     }
 
     /// Returns what the request asks of an endpoint.
-    pub(crate) fn demand(&self, draw: u64) -> Demand<'_> {
+    pub(crate) fn demand(&self, draw: u64, now: Millis) -> Demand<'_> {
         let prompt = self.prompt.as_ref();
-        Demand { prompt, lane: self.lane, priority: self.priority, draw }
+        let patience = self.due - now;
+        Demand { prompt, lane: self.lane, priority: self.priority, patience, draw }
     }
 
     /// Returns the time that is left.
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -42,7 +42,7 @@
         },
     );
     let draw = gateway.random.borrow_mut().random();
-    let mut demand = job.demand(draw);
+    let mut demand = job.demand(draw, now);
     demand.prompt = demand.prompt.filter(|_| engine.is_some());
     gateway.loads.borrow().choose(candidates, &demand, now)
 }
--- a/components/gateway/src/work.rs
+++ b/components/gateway/src/work.rs
@@ -16,7 +16,8 @@
 
 impl<A: Adapter> Work<A> {
     pub(crate) fn start(gateway: &Rc<Gateway<A>>, choice: &Choice, job: &Job) -> Work<A> {
-        let lease = gateway.loads.borrow_mut().start(choice, &job.demand(0), now());
+        let now = now();
+        let lease = gateway.loads.borrow_mut().start(choice, &job.demand(0, now), now);
         let gateway = gateway.clone();
         Work { gateway, endpoint: choice.id.clone(), lease: Some(lease) }
     }
