--- a/components/decision/src/routing/placement.rs
+++ b/components/decision/src/routing/placement.rs
@@ -39,7 +39,7 @@
             call_ms: 20.0,
             data_centre_ms: 5.0,
             region_ms: 60.0,
-            read_again: 6.0,
+            read_again: 10.0,
             bulk_engine_ms: 400.0,
             wait_share: 1.0,
             lane_fill: 0.4,
