Say in the line of a refusal which engine was the best and how long its wait is

Cause: 'all engines are saturated' did not show what decided the refusal. Change: the text names the best engine, its wait and the time that was left, or that more urgent requests wait. No decision changes.

--- a/components/decision/src/routing/placement.rs
+++ b/components/decision/src/routing/placement.rs
@@ -108,8 +108,8 @@
 pub enum Placement {
     /// To an endpoint.
     Send(Choice),
-    /// Nowhere: prompts wait at all its engines.
-    Saturated,
+    /// Nowhere: it would begin too late even at its best endpoint.
+    Saturated(Choice),
     /// Nowhere: no endpoint is listed.
     NoEndpoint,
 }
@@ -352,7 +352,7 @@
         }
         match best {
             Some((_, choice)) if demand.prompt.is_some() && self.is_saturated(&choice, demand) => {
-                Placement::Saturated
+                Placement::Saturated(choice)
             }
             Some((_, choice)) => Placement::Send(choice),
             None => Placement::NoEndpoint,
--- a/components/decision/tests/routing/replay.rs
+++ b/components/decision/tests/routing/replay.rs
@@ -122,7 +122,7 @@
                     engines[at].take(next, request.rank, &request.prompt);
                     leases[next] = Some((daemon, at, lease));
                 }
-                Placement::Saturated | Placement::NoEndpoint => outcomes.refused.push(next),
+                Placement::Saturated(_) | Placement::NoEndpoint => outcomes.refused.push(next),
             }
             next += 1;
         }
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -27,33 +27,52 @@
     }
 }
 
-/// Waits in the order of ranks until an endpoint can take a request. Returns `Saturated` when the
-/// request has waited as long as it should.
+/// How the wait of a request for an endpoint ended.
+#[derive(Debug)]
+pub(crate) enum Waited {
+    /// An endpoint can take it.
+    Placed(Choice),
+    /// It has waited as long as it should; the text says for what.
+    TooLong(String),
+    /// No endpoint is listed.
+    NoEndpoint,
+}
+
+/// Waits in the order of ranks until an endpoint can take a request, or for as long as it should.
 pub(crate) async fn wait_for_endpoint<A: Adapter>(
     gateway: &Rc<Gateway<A>>,
     job: &Job,
     tried: &BTreeSet<String>,
-) -> Placement {
+) -> Waited {
     let key = (job.service.clone(), job.lane);
     let ticket = gateway.waiting.borrow_mut().enter(&key, job.priority);
     let place_in_queue = Place { gateway, key, ticket };
     let refused_at = refusal_time(job.arrived, job.due);
+    let mut text = String::from("more urgent requests wait");
     loop {
         let is_first = gateway.waiting.borrow().is_first(&place_in_queue.key, ticket);
         if is_first {
             match place(gateway, job, tried, now()) {
-                Placement::Saturated => {}
-                placement => return placement,
+                Placement::Saturated(best) => text = saturated(job, &best),
+                Placement::Send(choice) => return Waited::Placed(choice),
+                Placement::NoEndpoint => return Waited::NoEndpoint,
             }
         }
         if now() >= refused_at {
-            return Placement::Saturated;
+            return Waited::TooLong(text);
         }
         // Without word of progress the request looks again all the same.
         let _ = timeout(LOOK_AGAIN, gateway.progress.notified()).await;
     }
 }
 
+/// Says why a request waits.
+fn saturated(job: &Job, best: &Choice) -> String {
+    let left = (job.due - now()).0;
+    let wait = best.wait_ms as u64;
+    format!("its best engine {} has {wait} ms of prompts waiting, {left} ms are left", best.id)
+}
+
 /// Returns an endpoint for a further attempt, without a wait.
 pub(crate) fn endpoint_now<A: Adapter>(
     gateway: &Gateway<A>,
@@ -62,6 +81,6 @@
 ) -> Option<Choice> {
     match place(gateway, job, tried, now()) {
         Placement::Send(choice) => Some(choice),
-        Placement::Saturated | Placement::NoEndpoint => None,
+        Placement::Saturated(_) | Placement::NoEndpoint => None,
     }
 }
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -4,7 +4,7 @@
 use crate::clock::now;
 use crate::gateway::Gateway;
 use crate::job::Job;
-use crate::queue::wait_for_endpoint;
+use crate::queue::{Waited, wait_for_endpoint};
 use crate::relay::relay;
 use crate::serve::{finish, refuse};
 use decision::Millis;
@@ -54,15 +54,15 @@
     let mut sends = 0;
     let mut verdict = Verdict::NotRun;
     let mut last: Option<AttemptFailure> = None;
-    let mut saturated = false;
+    let mut saturated = None;
     loop {
         let choice = match wait_for_endpoint(gateway, &job, &tried).await {
-            Placement::Send(choice) => choice,
-            Placement::Saturated => {
-                saturated = true;
+            Waited::Placed(choice) => choice,
+            Waited::TooLong(text) => {
+                saturated = Some(text);
                 break;
             }
-            Placement::NoEndpoint => break,
+            Waited::NoEndpoint => break,
         };
         let is_repeat = sends > 0;
         let daemons = gateway.daemons(now());
@@ -99,13 +99,14 @@
     verdict: Verdict,
     last: Option<AttemptFailure>,
     sends: u32,
-    saturated: bool,
+    saturated: Option<String>,
 ) -> Response<AnswerBody> {
-    let unsent = if saturated { "all engines are saturated" } else { "no endpoint is listed" };
-    let text = last.as_ref().map_or(unsent, |failure| &failure.text).to_owned();
+    let is_saturated = saturated.is_some();
+    let unsent = saturated.unwrap_or_else(|| String::from("no endpoint is listed"));
+    let text = last.as_ref().map_or(unsent, |failure| failure.text.clone());
     if verdict == Verdict::NotRun {
         let reason =
-            if last.is_some() || saturated { Reason::Overloaded } else { Reason::NoEndpoint };
+            if last.is_some() || is_saturated { Reason::Overloaded } else { Reason::NoEndpoint };
         return refuse(gateway, job.id(), &job.route, not_run(gateway, reason), &text);
     }
     let timed_out = last.as_ref().is_some_and(|failure| failure.timed_out);
