Split the placement by subject

Cause: placement.rs held 585 lines: the terms, what a request asks, what is known of an endpoint, the ranking and the table. Change: moved into terms, demand, endpoint and ranking; the judgement of an answer is a method of the endpoint. No decision changes.

--- a/components/decision/src/routing/members.rs
+++ b/components/decision/src/routing/members.rs
@@ -1,4 +1,4 @@
-use super::placement::draw;
+use super::ranking::draw;
 use crate::Millis;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
--- a/components/decision/src/routing/placement.rs
+++ b/components/decision/src/routing/placement.rs
@@ -1,176 +1,13 @@
+use super::demand::{Candidate, Choice, Demand, Distance, Lane, Lease, Outcome, Placement};
+use super::endpoint::{Endpoint, Work};
 use super::exchange::add_up;
 use super::prompt::Prompt;
+use super::ranking::{LIKELY_CACHED, draw, homes};
+use super::terms::PlacementTerms;
 use crate::Millis;
 use messages::feed::EndpointLoad;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Figures of the choice that no endpoint states.
-#[derive(Clone, Copy, Debug)]
-pub struct PlacementTerms {
-    /// Prompt tokens that an engine reads in a millisecond, until its own answers tell.
-    pub read_rate: f64,
-    /// Time that a request without a prompt takes, in milliseconds, until answers tell.
-    pub call_ms: f64,
-    /// Round trip to an endpoint of another data centre of the region, in milliseconds.
-    pub data_centre_ms: f64,
-    /// Round trip to an endpoint of another region, in milliseconds.
-    pub region_ms: f64,
-    /// Weight of reading again what another engine holds, against waiting as long.
-    pub read_again: f64,
-    /// Added for a bulk engine on which an interactive request would pause, in milliseconds.
-    pub bulk_engine_ms: f64,
-    /// Wait at an engine, as a share of the time that a request has to begin on time, from which it
-    /// is not sent there.
-    pub wait_share: f64,
-    /// Interactive requests on an engine that leave each of them its pace, as a share of its slots.
-    pub lane_fill: f64,
-    /// Added per failed answer of an endpoint, as a share of its answers, in milliseconds.
-    pub failure_ms: f64,
-    /// Time after which a part that was read is taken for evicted.
-    pub cache_time: Millis,
-}
-
-impl Default for PlacementTerms {
-    /// Rates of a large model on one accelerator; round trips of two regions on one continent,
-    /// weighted for paid bytes.
-    fn default() -> PlacementTerms {
-        PlacementTerms {
-            read_rate: 40.0,
-            call_ms: 20.0,
-            data_centre_ms: 5.0,
-            region_ms: 60.0,
-            read_again: 10.0,
-            bulk_engine_ms: 400.0,
-            wait_share: 1.0,
-            lane_fill: 0.4,
-            failure_ms: 400.0,
-            cache_time: Millis(20_000),
-        }
-    }
-}
-
-/// How far an endpoint is from this daemon.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Distance {
-    /// The same data centre.
-    #[default]
-    DataCentre,
-    /// Another data centre of the same region.
-    Region,
-    /// Another region.
-    Far,
-}
-
-/// An endpoint that a request may be sent to.
-#[derive(Clone, Copy, Debug)]
-pub struct Candidate<'a> {
-    /// The endpoint's id.
-    pub id: &'a str,
-    /// How far it is.
-    pub distance: Distance,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Tokens that its memory holds; 0 for a plain service.
-    pub cache_tokens: u64,
-}
-
-/// Which engines of a service a request prefers.
-///
-/// An engine reads prompts in chunks between the tokens of all that run beside them, so a row of
-/// long prompts makes each running stream pause for several chunks. Streams that allow only short
-/// pauses therefore run on engines of their own.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Lane {
-    /// Requests that bear the pauses of long prompts.
-    #[default]
-    Bulk,
-    /// Streams with short pauses.
-    Interactive,
-}
-
-/// What a request asks of an endpoint.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Demand<'a> {
-    /// The prompt, for a model engine.
-    pub prompt: Option<&'a Prompt>,
-    /// The engines that the request prefers.
-    pub lane: Lane,
-    /// The rank; 0 is served first.
-    pub priority: u8,
-    /// The time that is left for the first event to be on time.
-    pub patience: Millis,
-    /// A number drawn for this request, which breaks ties.
-    pub draw: u64,
-}
-
-/// Where a request goes now.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Placement {
-    /// To an endpoint.
-    Send(Choice),
-    /// Nowhere: it would begin too late even at its best endpoint.
-    Saturated(Choice),
-    /// Nowhere: no endpoint is listed.
-    NoEndpoint,
-}
-
-/// The endpoint chosen for a request.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Choice {
-    /// The endpoint's id.
-    pub id: String,
-    /// The expected time to the first byte of its answer, in milliseconds.
-    pub expected_ms: f64,
-    /// The part of it that the request waits for others.
-    pub wait_ms: f64,
-    /// The tokens of the prompt that it is expected to read.
-    pub unread_tokens: u32,
-}
-
-/// How a request ended at an endpoint.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Outcome {
-    /// The answer was whole.
-    Answered,
-    /// The endpoint said that it did not run the request.
-    Rejected,
-    /// The endpoint failed, or its answer was cut or not its own.
-    Failed,
-    /// Nothing was heard of the endpoint.
-    Silent,
-    /// The request ended for a reason that says nothing about the endpoint.
-    Abandoned,
-}
-
-/// Work that this daemon has at an endpoint, returned when it ends.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Lease(u64);
-
-#[derive(Clone, Debug)]
-struct Work {
-    since: Millis,
-    /// The time that the endpoint needs without any wait.
-    work_ms: f64,
-    unread_tokens: u32,
-    priority: u8,
-    held_tokens: u32,
-    answering: bool,
-    lane: Lane,
-}
-
-/// Failures in a row after which an endpoint gets no requests for a while.
-const FAILURES_TO_EJECT: u32 = 3;
-/// The first pause of an ejected endpoint; it doubles up to [`EJECTION_LIMIT`].
-const EJECTION: Millis = Millis(500);
-/// The longest pause of an ejected endpoint: a crashed one is back within seconds.
-const EJECTION_LIMIT: Millis = Millis(4_000);
-/// Time in which failures fade to a third without another answer, in milliseconds: the usual
-/// length of a partial failure.
-const FAILURE_FADE_MS: f64 = 5_000.0;
-/// Weight of the newest answer in the averages of an endpoint.
-const NEWEST: f64 = 0.1;
-/// Part of a session's prompt that its first and second home are expected to hold.
-const LIKELY_CACHED: [f64; 2] = [0.9, 0.4];
 /// Cost of memory that is full, in milliseconds: a preempted request is read again.
 const MEMORY_MS: f64 = 1_000.0;
 /// Share of an engine's memory from which more work may preempt.
@@ -179,11 +16,6 @@
 const EJECTED_MS: f64 = 10_000.0;
 /// Age at which what other daemons told of their work is no longer used: a few of their reports.
 const SHARED_TIME: Millis = Millis(2_000);
-/// Time in which the wait last seen at an endpoint fades to a third, in milliseconds: about as long
-/// as the queue that it was seen in takes to pass.
-const WAIT_FADE_MS: f64 = 1_500.0;
-/// Weight of the newest wait in the average.
-const NEWEST_WAIT: f64 = 0.4;
 /// Engines of a service from which they are divided into lanes.
 const LEAST_FOR_LANES: usize = 4;
 /// Ranks engines for the interactive lane alike at all daemons.
@@ -192,62 +24,6 @@
 /// wave of arrivals, shorter than a burst's aftermath.
 const INTERACTIVE_FADE_MS: f64 = 5_000.0;
 
-/// The average wait at an endpoint, which fades when nothing is heard.
-#[derive(Clone, Copy, Debug, Default)]
-struct Wait {
-    average_ms: f64,
-    noted: Millis,
-}
-
-impl Wait {
-    fn at(&self, now: Millis) -> f64 {
-        self.average_ms * (-(now.since(self.noted).0 as f64) / WAIT_FADE_MS).exp()
-    }
-
-    fn note(&mut self, wait_ms: f64, now: Millis) {
-        let before = self.at(now);
-        self.average_ms = before + (wait_ms - before) * NEWEST_WAIT;
-        self.noted = now;
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct Endpoint {
-    work: BTreeMap<Lease, Work>,
-    parts: BTreeMap<u64, Millis>,
-    /// Waits by rank.
-    waits: BTreeMap<u8, Wait>,
-    failed_share: f64,
-    judged: Millis,
-    failures: u32,
-    ejected_until: Millis,
-    ejection: Millis,
-}
-
-impl Work {
-    fn row(&self, id: &str) -> EndpointLoad {
-        EndpointLoad {
-            endpoint: id.to_owned(),
-            priority: self.priority,
-            running: 1,
-            unread_tokens: if self.answering { 0 } else { u64::from(self.unread_tokens) },
-            held_tokens: u64::from(self.held_tokens),
-            interactive: u32::from(self.lane == Lane::Interactive),
-        }
-    }
-}
-
-impl Endpoint {
-    /// Returns the share of failed answers, which fades so that an endpoint is tried again.
-    fn failed_share(&self, now: Millis) -> f64 {
-        self.failed_share * (-(now.since(self.judged).0 as f64) / FAILURE_FADE_MS).exp()
-    }
-
-    fn held(&self) -> f64 {
-        self.work.values().map(|w| f64::from(w.held_tokens)).sum()
-    }
-}
-
 /// What this daemon knows of the load of each endpoint, from its own requests.
 #[derive(Clone, Debug, Default)]
 pub struct LoadTable {
@@ -535,51 +311,6 @@
         let lane = ended.map_or(Lane::Bulk, |work| work.lane);
         self.count_interactive(lane, -1, now);
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
-        let failed = match outcome {
-            Outcome::Answered => 0.0,
-            Outcome::Failed | Outcome::Silent => 1.0,
-            Outcome::Rejected | Outcome::Abandoned => return,
-        };
-        let before = endpoint.failed_share(now);
-        endpoint.failed_share = before + (failed - before) * NEWEST;
-        endpoint.judged = now;
-        if failed == 0.0 {
-            endpoint.failures = 0;
-            endpoint.ejection = EJECTION;
-            return;
-        }
-        endpoint.failures += 1;
-        if outcome == Outcome::Silent || endpoint.failures >= FAILURES_TO_EJECT {
-            endpoint.ejection =
-                (endpoint.ejection + endpoint.ejection).clamp(EJECTION, EJECTION_LIMIT);
-            endpoint.ejected_until = now + endpoint.ejection;
-        }
-    }
-}
-
-/// Returns the endpoints at which all daemons prefer to run a session, best first.
-fn homes<'a>(
-    candidates: &[Candidate<'a>],
-    lane: &BTreeSet<&str>,
-    demand: &Demand<'_>,
-) -> Vec<&'a str> {
-    let Some(session) = demand.prompt.and_then(Prompt::session) else {
-        return Vec::new();
-    };
-    let is_fit = |c: &&Candidate<'a>| lane.is_empty() || lane.contains(c.id);
-    let mut ranked: Vec<&str> = candidates.iter().filter(is_fit).map(|c| c.id).collect();
-    ranked.sort_by_key(|id| std::cmp::Reverse(draw(id, session)));
-    ranked.truncate(LIKELY_CACHED.len());
-    ranked
-}
-
-/// Returns a number that depends on both arguments alone (FNV-1a with a final mix).
-pub(super) fn draw(id: &str, seed: u64) -> u64 {
-    let mut hash = 0xcbf2_9ce4_8422_2325 ^ seed;
-    for byte in id.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
+        endpoint.judge(outcome, now);
     }
-    hash ^= hash >> 32;
-    hash = hash.wrapping_mul(0xd6e8_feb8_6659_fd93);
-    hash ^ (hash >> 32)
 }
--- a/components/decision/src/routing/waiting.rs
+++ b/components/decision/src/routing/waiting.rs
@@ -1,4 +1,4 @@
-use super::placement::Lane;
+use super::demand::Lane;
 use crate::Millis;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -48,7 +48,7 @@
     let ticket = gateway.waiting.borrow_mut().enter(&key, job.priority);
     let place_in_queue = Place { gateway, key, ticket };
     let refused_at = refusal_time(job.arrived, job.due);
-    let mut text = String::from("more urgent requests wait");
+    let mut text = String::from("requests that are older or more urgent wait");
     loop {
         let is_first = gateway.waiting.borrow().is_first(&place_in_queue.key, ticket);
         if is_first {
