Pass on no status that says not run unless the endpoint said so

Cause: an endpoint's 429 or 408 without its own word that nothing ran was passed on, and these statuses promise a client that the request has not run; only 503 was kept back. Change: 408, 421, 429 and 503 without that word count as a failure that may have run: repeated where allowed, else 502.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -186,7 +186,7 @@
         return Err(rejected(head.status, String::from("it did not run the request")));
     }
     let answer = WholeAnswer { status: head.status, headers, body };
-    if head.status.is_server_error() {
+    if head.status.is_server_error() || promises_not_run(head.status) {
         held.close(gateway, Outcome::Failed);
         return Err(failed(answer));
     }
@@ -199,13 +199,16 @@
     AttemptFailure { verdict: Verdict::NotRun, sent: true, answer: None, timed_out: false, text }
 }
 
+/// Returns whether a status tells clients that the request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 /// Returns the failure of a request that the endpoint ran and failed.
 fn failed(answer: WholeAnswer) -> AttemptFailure {
     let text = format!("the endpoint answered {}", answer.status);
-    // These statuses would tell the client that the request has not run, which the endpoint did
-    // not say.
-    let misleads = matches!(answer.status.as_u16(), 503);
-    let answer = (!misleads).then_some(answer);
+    // The endpoint did not say that the request has not run, so the client is not told so either.
+    let answer = (!promises_not_run(answer.status)).then_some(answer);
     AttemptFailure { verdict: Verdict::MayHaveRun, sent: true, answer, timed_out: false, text }
 }
 
--- a/fakes/src/platform/runner.rs
+++ b/fakes/src/platform/runner.rs
@@ -25,8 +25,8 @@
     Cross,
     /// It answers twice.
     Twice,
-    /// It answers 503 without saying that nothing ran.
-    Vague,
+    /// It answers with this status without saying that nothing ran.
+    Vague(u16),
     /// It answers without a signature.
     Unsigned,
 }
@@ -140,8 +140,8 @@
                 writer,
                 "HTTP/1.1 503 X\r\n{echo}x-chervilspur-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
             )?,
-            Behaviour::Vague => {
-                write!(writer, "HTTP/1.1 503 X\r\n{echo}content-length: 0\r\n\r\n")?;
+            Behaviour::Vague(status) => {
+                write!(writer, "HTTP/1.1 {status} X\r\n{echo}content-length: 0\r\n\r\n")?;
             }
             Behaviour::Unsigned => {
                 write!(writer, "HTTP/1.1 200 X\r\n{echo}content-length: 2\r\n\r\nok")?;
--- a/fakes/src/soak/faults.rs
+++ b/fakes/src/soak/faults.rs
@@ -58,7 +58,8 @@
         Behaviour::Hang,
         Behaviour::Cross,
         Behaviour::Twice,
-        Behaviour::Vague,
+        Behaviour::Vague(503),
+        Behaviour::Vague(429),
         Behaviour::Unsigned,
     ];
     let links = [Link::Slow, Link::Reset, Link::OneWay, Link::Silent];
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -47,7 +47,9 @@
 #[case(Behaviour::Cut, 502)]
 #[case(Behaviour::Cross, 502)]
 #[case(Behaviour::Unsigned, 502)]
-#[case(Behaviour::Vague, 502)]
+#[case(Behaviour::Vague(503), 502)]
+#[case(Behaviour::Vague(429), 502)]
+#[case(Behaviour::Vague(408), 502)]
 #[case(Behaviour::Hang, 504)]
 fn runs_a_request_once_that_may_not_be_repeated(#[case] behaviour: Behaviour, #[case] status: u16) {
     let site = Site::start();
@@ -63,7 +65,8 @@
 #[case(Behaviour::Cut)]
 #[case(Behaviour::Cross)]
 #[case(Behaviour::Unsigned)]
-#[case(Behaviour::Vague)]
+#[case(Behaviour::Vague(503))]
+#[case(Behaviour::Vague(429))]
 fn repeats_a_safe_request_at_another_endpoint(#[case] behaviour: Behaviour) {
     let site = Site::start();
     site.runners[0].set_behaviour(behaviour);
