--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -4,8 +4,9 @@
 use crate::follow::follow;
 use crate::gateway::Gateway;
 use crate::listener::{Role, accept, bind};
+use crate::log::{self, Log};
 use crate::settings::{Reload, Settings};
-use crate::{log, peer_feed, presence};
+use crate::{peer_feed, presence};
 use decision::Millis;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
@@ -54,16 +55,18 @@
     seed: u64,
     level: LevelFilter,
 ) -> Result<(), RunError> {
-    let guard = log::start(level);
+    let log = log::start(level).map(Rc::new);
     let runtime = Builder::new_current_thread().enable_all().build().context(EventLoopSnafu)?;
     let gateway = Rc::new(Gateway::new(adapter, settings, seed));
-    let result = LocalSet::new().block_on(&runtime, serve(gateway, reload));
-    drop(guard);
+    let result = LocalSet::new().block_on(&runtime, serve(gateway, log.clone(), reload));
+    drop(runtime);
+    log.and_then(Rc::into_inner).map(Log::close);
     result
 }
 
 async fn serve<A: Adapter>(
     gateway: Rc<Gateway<A>>,
+    log: Option<Rc<Log>>,
     reload: Option<Reload>,
 ) -> Result<(), RunError> {
     let mut terminate = signal(SignalKind::terminate()).context(EventLoopSnafu)?;
@@ -81,7 +84,7 @@
         spawn_local(peer_feed::follow(gateway.clone()));
         spawn_local(peer_feed::exchange(gateway.clone()));
     }
-    spawn_local(housekeep(gateway.clone(), reload, hangup));
+    spawn_local(housekeep(gateway.clone(), log, reload, hangup));
     tracing::info!(event = "started", name = %settings.name, listen = %settings.listen,
         store = %settings.store);
     terminate.recv().await;
@@ -124,6 +127,7 @@
 
 async fn housekeep<A: Adapter>(
     gateway: Rc<Gateway<A>>,
+    log: Option<Rc<Log>>,
     reload: Option<Reload>,
     mut hangup: Signal,
 ) {
@@ -132,6 +136,9 @@
     loop {
         let signalled = timeout(HOUSEKEEPING, hangup.recv()).await.is_ok();
         gateway.housekeep(now());
+        if let Some(log) = &log {
+            log.pass_on();
+        }
         rounds = (rounds + 1) % ROUNDS_PER_RELOAD;
         if let Some(reload) = &reload
             && (signalled || rounds == 0)
--- a/fakes/src/platform/gateway.rs
+++ b/fakes/src/platform/gateway.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -137,7 +137,12 @@
 
     /// Returns the lines of its log.
     pub fn log(&self) -> Vec<String> {
-        self.lines.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.hold_log().clone()
+    }
+
+    /// Stops reading its log until the returned guard is dropped.
+    pub fn hold_log(&self) -> MutexGuard<'_, Vec<String>> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the lines of its log that hold all words.
--- a/tests/gateway/observe.rs
+++ b/tests/gateway/observe.rs
@@ -2,6 +2,7 @@
 use fakes::{Behaviour, Client, StoreMode};
 use std::net::SocketAddr;
 use std::process::Command;
+use std::time::{Duration, Instant};
 
 fn get(address: SocketAddr, path: &str) -> (u16, String) {
     let mut client = Client::connect(address).unwrap();
@@ -49,6 +50,29 @@
     }
 }
 
+#[test]
+fn serves_while_nobody_reads_its_log() {
+    let site = Site::start();
+    let held = site.gateway.hold_log();
+    let started = Instant::now();
+    // Two lines a request fill the pipe of 64 KiB several times over.
+    for number in 0..600 {
+        let answer = site.ask("/safe/", &format!("unread-{number}"));
+        assert_eq!(answer.message.status(), 200);
+    }
+    assert!(started.elapsed() < Duration::from_secs(20), "{:?}", started.elapsed());
+    drop(held);
+    site.gateway.wait_for_log(&["\"event\":\"finished\"", "unread-0\""]).unwrap();
+}
+
+#[test]
+fn writes_its_last_lines_before_it_ends() {
+    let mut site = Site::start();
+    site.gateway.signal("TERM").unwrap();
+    assert!(site.gateway.wait().unwrap());
+    site.gateway.wait_for_log(&["\"event\":\"stopped\""]).unwrap();
+}
+
 #[test]
 fn names_all_wrong_settings_and_does_not_start() {
     fakes::build_programs().unwrap();
