--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -60,7 +60,9 @@
     let gateway = Rc::new(Gateway::new(adapter, settings, seed));
     let result = LocalSet::new().block_on(&runtime, serve(gateway, log.clone(), reload));
     drop(runtime);
-    log.and_then(Rc::into_inner).map(Log::close);
+    if let Some(log) = log.and_then(Rc::into_inner) {
+        log.close();
+    }
     result
 }
 
