Say in each refusal's line why nothing more was tried, and check it

Change: the fields; a quota of its own for failures; `chervilspur refusals` counts refusals in a log and names lines that lack what decided.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 use crate::connection::{Connection, ConnectionError};
 use crate::gateway::Gateway;
 use crate::job::Job;
+use crate::log::LineKind;
 use crate::metrics::AttemptLabels;
 use crate::work::Work;
 use bytes::Bytes;
@@ -114,7 +115,8 @@
     };
     let labels = AttemptLabels { service: job.service.clone(), outcome };
     gateway.metrics.attempts.get_or_create(&labels).inc();
-    if gateway.quota.borrow_mut().admits(now()) {
+    let kind = if result.is_ok() { LineKind::Routine } else { LineKind::Failure };
+    if gateway.quota.borrow_mut().admits(kind, now()) {
         tracing::info!(
             event = "attempt",
             request = %job.id(),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod pool;
 mod presence;
 mod queue;
+mod refusal_line;
 mod relay;
 mod request;
 mod run;
@@ -33,6 +34,7 @@
 
 pub use adapter::{Adapter, AnswerHead, Changes, Forwarded, Item, Kind, Page, RequestHead};
 pub use events::EventSplitter;
-pub use log::LogQuota;
+pub use log::{LeftOut, LineKind, LogQuota};
+pub use refusal_line::RefusalLine;
 pub use run::{RunError, run};
 pub use settings::{Reload, Settings};
--- a/components/gateway/src/log.rs
+++ b/components/gateway/src/log.rs
@@ -5,8 +5,12 @@
 use tracing_subscriber::filter::LevelFilter;
 use tracing_subscriber::fmt::MakeWriter;
 
-/// Lines about single requests in a second; the rest are counted and left out.
-const LINES_PER_SECOND: u32 = 400;
+/// Lines about requests that go well, in a second; the rest are counted and left out. A daemon that
+/// is full serves about 150 requests a second with two lines each.
+const ROUTINE_LINES_PER_SECOND: u32 = 300;
+/// Lines about requests that fail or are refused, in a second: these are the ones that are asked
+/// for later, so routine lines do not take their room.
+const FAILURE_LINES_PER_SECOND: u32 = 600;
 /// The length of the quota's period.
 const SECOND: Millis = Millis(1_000);
 /// Bytes of lines that are passed on without waiting for the next round: about 80 lines.
@@ -14,34 +18,69 @@
 /// Batches that wait for a slow reader of standard output, 2 MiB; the rest are dropped.
 const WAITING_BATCHES: usize = 64;
 
+/// What a line about a single request tells.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LineKind {
+    /// The request goes well.
+    Routine,
+    /// The request failed at an endpoint, or it is refused.
+    Failure,
+}
+
 /// Bounds how many lines about single requests are written.
 #[derive(Clone, Debug, Default)]
 pub struct LogQuota {
     started: Millis,
-    written: u32,
-    left_out: u64,
+    routine: u32,
+    failures: u32,
+    left_out: LeftOut,
+}
+
+/// Lines that were not written.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LeftOut {
+    /// Those about requests that went well.
+    pub routine: u64,
+    /// Those about requests that failed or were refused.
+    pub failures: u64,
 }
 
 impl LogQuota {
     /// Returns whether one more line may be written.
-    pub fn admits(&mut self, now: Millis) -> bool {
+    pub fn admits(&mut self, kind: LineKind, now: Millis) -> bool {
         if now.since(self.started) >= SECOND {
-            self.started = now;
-            self.written = 0;
+            (self.started, self.routine, self.failures) = (now, 0, 0);
         }
-        if self.written >= LINES_PER_SECOND {
-            self.left_out += 1;
+        let (written, limit, left_out) = match kind {
+            LineKind::Routine => {
+                (&mut self.routine, ROUTINE_LINES_PER_SECOND, &mut self.left_out.routine)
+            }
+            LineKind::Failure => {
+                (&mut self.failures, FAILURE_LINES_PER_SECOND, &mut self.left_out.failures)
+            }
+        };
+        if *written >= limit {
+            *left_out += 1;
             return false;
         }
-        self.written += 1;
+        *written += 1;
         true
     }
 
+    /// Returns how many lines were left out since the last call, once their second is over.
+    pub fn take_left_out(&mut self, now: Millis) -> LeftOut {
+        if now.since(self.started) < SECOND {
+            return LeftOut::default();
+        }
+        std::mem::take(&mut self.left_out)
+    }
+
     /// Writes how many lines were left out since the last report.
-    pub fn report(&mut self, now: Millis) {
-        if self.left_out > 0 && now.since(self.started) >= SECOND {
-            tracing::warn!(event = "log_lines_left_out", lines = self.left_out);
-            self.left_out = 0;
+    pub(crate) fn report(&mut self, now: Millis) {
+        let LeftOut { routine, failures } = self.take_left_out(now);
+        if routine + failures > 0 {
+            let lines = routine + failures;
+            tracing::warn!(event = "log_lines_left_out", lines, failures);
         }
     }
 }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -6,7 +6,7 @@
 use crate::gateway::Gateway;
 use crate::job::Job;
 use crate::queue::endpoint_now;
-use crate::serve::finish;
+use crate::serve::{ANSWERED, finish};
 use bytes::Bytes;
 use decision::routing::{Outcome, Repeat};
 use http::Response;
@@ -71,7 +71,7 @@
             let text = match self.pass_on(&mut body).await {
                 End::Whole => {
                     held.close(&self.gateway, Outcome::Answered);
-                    return self.end("answered", "");
+                    return self.end(ANSWERED, "");
                 }
                 End::ClientLeft => {
                     held.work.close(Outcome::Abandoned);
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -6,7 +6,7 @@
 use crate::job::Job;
 use crate::queue::{Waited, wait_for_endpoint};
 use crate::relay::relay;
-use crate::serve::{finish, refuse};
+use crate::serve::{ANSWERED, Subject, finish, refuse};
 use decision::Millis;
 use decision::routing::{Candidate, Placement};
 use errors::{Reason, Verdict};
@@ -47,78 +47,120 @@
     gateway.loads.borrow().choose(candidates, &demand, now)
 }
 
+/// Why a request is not sent to a further endpoint.
+#[derive(Debug)]
+enum GaveUp {
+    /// It would begin too late everywhere; the text names the wait.
+    Saturated(String),
+    NoEndpoint,
+    RetryBudget,
+    MayHaveRun,
+    NoTime(Millis),
+    NoAttempt(u32),
+}
+
+impl GaveUp {
+    fn text(&self) -> String {
+        match self {
+            GaveUp::Saturated(text) => text.clone(),
+            GaveUp::NoEndpoint => String::from("no further endpoint is listed"),
+            GaveUp::RetryBudget => String::from("the retry budget is used up"),
+            GaveUp::MayHaveRun => String::from("it may have run and must not be repeated"),
+            GaveUp::NoTime(left) => format!("{} ms are left", left.0),
+            GaveUp::NoAttempt(attempts) => format!("the route allows {attempts} attempts"),
+        }
+    }
+}
+
+/// What became of the attempts of a request.
+#[derive(Debug)]
+struct Attempts {
+    verdict: Verdict,
+    last: Option<AttemptFailure>,
+    sends: u32,
+}
+
 /// Runs a request at endpoints until one answers or no further attempt is allowed.
 pub(crate) async fn run<A: Adapter>(gateway: &Rc<Gateway<A>>, job: Job) -> Response<AnswerBody> {
     gateway.budget.borrow_mut().count(&job.service, now());
     let mut tried = BTreeSet::new();
-    let mut sends = 0;
-    let mut verdict = Verdict::NotRun;
-    let mut last: Option<AttemptFailure> = None;
-    let mut saturated = None;
-    loop {
+    let mut made = Attempts { verdict: Verdict::NotRun, last: None, sends: 0 };
+    let gave_up = loop {
         let choice = match wait_for_endpoint(gateway, &job, &tried).await {
             Waited::Placed(choice) => choice,
-            Waited::TooLong(text) => {
-                saturated = Some(text);
-                break;
-            }
-            Waited::NoEndpoint => break,
+            Waited::TooLong(text) => break GaveUp::Saturated(text),
+            Waited::NoEndpoint => break GaveUp::NoEndpoint,
         };
-        let is_repeat = sends > 0;
+        let is_repeat = made.sends > 0;
         let daemons = gateway.daemons(now());
         if is_repeat && !gateway.budget.borrow_mut().take(&job.service, daemons, now()) {
-            break;
+            break GaveUp::RetryBudget;
         }
         tried.insert(choice.id.clone());
         match attempt(gateway, &job, &choice, None).await {
             Ok(Answer::Whole(answer)) => {
-                finish(gateway, &job, "answered", answer.status.as_str(), sends + 1);
+                finish(gateway, &job, ANSWERED, answer.status.as_str(), made.sends + 1);
                 return answer.into_response();
             }
             Ok(Answer::Streaming(streaming)) => {
-                return relay(gateway, job, *streaming, tried, sends + 1);
+                return relay(gateway, job, *streaming, tried, made.sends + 1);
             }
             Err(failure) => {
-                sends += u32::from(failure.sent);
-                verdict = verdict.combine(failure.verdict);
-                let repeatable = failure.verdict == Verdict::NotRun || job.repeat.may_run_again();
-                let in_time = job.left(now()) > LEAST_TIME;
-                last = Some(failure);
-                if !repeatable || !in_time || sends >= job.attempts {
-                    break;
+                if let Some(gave_up) = made.note(failure, &job, now()) {
+                    break gave_up;
                 }
             }
         }
+    };
+    give_up(gateway, &job, made, &gave_up)
+}
+
+impl Attempts {
+    /// Takes a failure; returns why no further attempt is allowed, if so.
+    fn note(&mut self, failure: AttemptFailure, job: &Job, now: Millis) -> Option<GaveUp> {
+        self.sends += u32::from(failure.sent);
+        self.verdict = self.verdict.combine(failure.verdict);
+        let may_repeat = failure.verdict == Verdict::NotRun || job.repeat.may_run_again();
+        self.last = Some(failure);
+        let left = job.left(now);
+        if !may_repeat {
+            Some(GaveUp::MayHaveRun)
+        } else if left <= LEAST_TIME {
+            Some(GaveUp::NoTime(left))
+        } else if self.sends >= job.attempts {
+            Some(GaveUp::NoAttempt(job.attempts))
+        } else {
+            None
+        }
     }
-    give_up(gateway, &job, verdict, last, sends, saturated)
 }
 
 fn give_up<A: Adapter>(
     gateway: &Rc<Gateway<A>>,
     job: &Job,
-    verdict: Verdict,
-    last: Option<AttemptFailure>,
-    sends: u32,
-    saturated: Option<String>,
+    made: Attempts,
+    gave_up: &GaveUp,
 ) -> Response<AnswerBody> {
-    let is_saturated = saturated.is_some();
-    let unsent = saturated.unwrap_or_else(|| String::from("no endpoint is listed"));
-    let text = last.as_ref().map_or(unsent, |failure| failure.text.clone());
+    let Attempts { verdict, last, sends } = made;
+    let why = gave_up.text();
+    let text = last.as_ref().map_or(why.clone(), |failure| format!("{}; {why}", failure.text));
+    let subject = Subject { id: job.id(), route: &job.route, arrived: job.arrived, sends };
     if verdict == Verdict::NotRun {
-        let reason =
-            if last.is_some() || is_saturated { Reason::Overloaded } else { Reason::NoEndpoint };
-        return refuse(gateway, job.id(), &job.route, not_run(gateway, reason), &text);
+        let was_full = last.is_some() || matches!(gave_up, GaveUp::Saturated(_));
+        let reason = if was_full { Reason::Overloaded } else { Reason::NoEndpoint };
+        return refuse(gateway, &subject, not_run(gateway, reason), &text);
     }
     let timed_out = last.as_ref().is_some_and(|failure| failure.timed_out);
     if let Some(answer) = last.and_then(|failure| failure.answer) {
-        finish(gateway, job, "endpoint_failed", answer.status.as_str(), sends);
+        let text = format!("{}; {why}", answer.status.as_str());
+        finish(gateway, job, "endpoint_failed", &text, sends);
         return answer.into_response();
     }
     let mut refused = Refused::new(Reason::EndpointFailed, verdict);
     if timed_out {
         refused.status = StatusCode::GATEWAY_TIMEOUT;
     }
-    refuse(gateway, job.id(), &job.route, refused, &text)
+    refuse(gateway, &subject, refused, &text)
 }
 
 /// Returns the refusal of a request that did not run, with a time to come back.
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -4,11 +4,12 @@
 use crate::clock::now;
 use crate::gateway::Gateway;
 use crate::job::{Job, destination, lane, priority};
+use crate::log::LineKind;
 use crate::metrics::{RouteLabels, ServiceLabels};
 use crate::request::{not_run, run};
 use bytes::Bytes;
 use decision::Millis;
-use decision::routing::{Caller, Catalog};
+use decision::routing::{Caller, Catalog, Route};
 use errors::{Reason, Verdict};
 use http::header::{CONNECTION, HOST};
 use http::request::Parts;
@@ -19,18 +20,37 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
+/// The result of a request whose client has the endpoint's whole answer.
+pub(crate) const ANSWERED: &str = "answered";
+
 /// A request that is refused before it is placed.
 struct Denied {
     refused: Refused,
     text: String,
+    /// The route, if it was found.
+    route: Option<String>,
 }
 
 impl Denied {
     fn new(refused: Refused, text: impl Into<String>) -> Denied {
-        Denied { refused, text: text.into() }
+        Denied { refused, text: text.into(), route: None }
+    }
+
+    fn on(self, route: &Route) -> Denied {
+        Denied { route: Some(route.name.clone()), ..self }
     }
 }
 
+/// What the log says of a request that is refused.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Subject<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) route: &'a str,
+    pub(crate) arrived: Millis,
+    /// How often it was sent to an endpoint.
+    pub(crate) sends: u32,
+}
+
 /// Answers one request of a client.
 pub(crate) async fn serve<A: Adapter>(
     gateway: &Rc<Gateway<A>>,
@@ -46,7 +66,11 @@
     };
     let mut response = match accepted {
         Ok(job) => run(gateway, job).await,
-        Err(denied) => refuse(gateway, &id, "-", denied.refused, &denied.text),
+        Err(denied) => {
+            let route = denied.route.as_deref().unwrap_or("-");
+            let subject = Subject { id: &id, route, arrived, sends: 0 };
+            refuse(gateway, &subject, denied.refused, &denied.text)
+        }
     };
     let unread = [StatusCode::PAYLOAD_TOO_LARGE, StatusCode::REQUEST_TIMEOUT];
     if gateway.stop.is_stopping() || unread.contains(&response.status()) {
@@ -74,14 +98,15 @@
     };
     if route.streamed && gateway.stop.closes_idle() {
         let refused = not_run(gateway, Reason::NotReady);
-        return Err(Denied::new(refused, "the daemon stops before a stream would end"));
+        let text = "the daemon stops before a stream would end";
+        return Err(Denied::new(refused, text).on(route));
     }
     let caller = catalog.caller(route, head.key.as_deref());
-    let account = account(gateway, &catalog, caller)?;
+    let account = account(gateway, &catalog, caller).map_err(|denied| denied.on(route))?;
     let id = head.request_id.as_deref().unwrap_or("");
     let Some(service) = destination(route, &catalog, id) else {
         let refused = not_run(gateway, Reason::NoEndpoint);
-        return Err(Denied::new(refused, "the route has no service"));
+        return Err(Denied::new(refused, "the route has no service").on(route));
     };
     let limit = head.remaining.map_or(route.timeout, |remaining| remaining.min(route.timeout));
     Ok(Job {
@@ -189,25 +214,26 @@
 /// Refuses a request and writes why to the log.
 pub(crate) fn refuse<A: Adapter>(
     gateway: &Gateway<A>,
-    id: &str,
-    route: &str,
+    subject: &Subject<'_>,
     refused: Refused,
     text: &str,
 ) -> Response<AnswerBody> {
     let result = refused.reason.as_str();
-    let labels = RouteLabels { route: route.to_owned(), result: result.to_owned() };
+    let labels = RouteLabels { route: subject.route.to_owned(), result: result.to_owned() };
     gateway.metrics.requests.get_or_create(&labels).inc();
-    if gateway.quota.borrow_mut().admits(now()) {
+    if gateway.quota.borrow_mut().admits(LineKind::Failure, now()) {
         tracing::info!(
             event = "refused",
-            request = %id,
-            route,
+            request = %subject.id,
+            route = subject.route,
             status = refused.status.as_u16(),
             reason = result,
             verdict = refused.verdict.as_str(),
             version = gateway.catalog().map(|catalog| version(&catalog)),
             proof_age_ms = gateway.freshness.borrow().age(now()).map(|age| age.0),
             retry_after_s = refused.retry_after,
+            sends = subject.sends,
+            after_ms = now().since(subject.arrived).0,
             text,
         );
     }
@@ -228,7 +254,8 @@
     let service = ServiceLabels { service: job.service.clone() };
     let seconds = took.0 as f64 / 1000.0;
     gateway.metrics.whole_answer.get_or_create(&service).observe(seconds);
-    if gateway.quota.borrow_mut().admits(now()) {
+    let kind = if result == ANSWERED { LineKind::Routine } else { LineKind::Failure };
+    if gateway.quota.borrow_mut().admits(kind, now()) {
         tracing::info!(
             event = "finished",
             request = %job.id(),
--- /dev/null
+++ b/components/gateway/tests/log.rs
@@ -0,0 +1,28 @@
+//! The bounds of the log.
+
+use decision::Millis;
+use gateway::{LeftOut, LineKind, LogQuota};
+
+fn admitted(quota: &mut LogQuota, kind: LineKind, lines: u32, now: Millis) -> u32 {
+    (0..lines).map(|_| u32::from(quota.admits(kind, now))).sum()
+}
+
+#[test]
+fn writes_refusals_beside_a_flood_of_routine_lines() {
+    let mut quota = LogQuota::default();
+    let now = Millis(5_000);
+    assert_eq!(admitted(&mut quota, LineKind::Routine, 5_000, now), 300);
+    assert_eq!(admitted(&mut quota, LineKind::Failure, 400, now), 400);
+}
+
+#[test]
+fn counts_what_is_left_out_and_starts_anew_each_second() {
+    let mut quota = LogQuota::default();
+    admitted(&mut quota, LineKind::Routine, 310, Millis(5_000));
+    assert_eq!(admitted(&mut quota, LineKind::Failure, 650, Millis(5_400)), 600);
+    assert_eq!(quota.take_left_out(Millis(5_900)), LeftOut::default());
+    let left_out = LeftOut { routine: 10, failures: 50 };
+    assert_eq!(quota.take_left_out(Millis(6_000)), left_out);
+    assert_eq!(quota.take_left_out(Millis(6_100)), LeftOut::default());
+    assert!(quota.admits(LineKind::Failure, Millis(6_100)));
+}
--- a/fakes/src/soak/check.rs
+++ b/fakes/src/soak/check.rs
@@ -1,10 +1,48 @@
 use crate::clients::{Seen, TARGETS};
 use fakes::Runner;
-use std::collections::BTreeMap;
+use gateway::RefusalLine;
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
 
 /// Statuses that say that a request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
+/// Time in which a killed gateway loses the lines that it has not passed on, with a margin.
+const LOST_LINES: Duration = Duration::from_millis(400);
+
+/// Checks that each refusal which a client saw has a line that says why, unless the gateway was
+/// killed before it had passed the line on; returns how many refusals there were.
+pub fn check_lines(seen: &[Seen], log: &[String], killed: &[Instant]) -> Result<usize, String> {
+    let lines: Vec<RefusalLine> = log.iter().filter_map(|line| RefusalLine::parse(line)).collect();
+    if let Some(line) = lines.iter().find(|line| !line.missing().is_empty()) {
+        return Err(format!("a refusal's line lacks {:?}: {line:?}", line.missing()));
+    }
+    let explained: BTreeSet<(&str, u16)> =
+        lines.iter().map(|line| (line.request.as_str(), line.status)).collect();
+    let is_lost =
+        |at: Instant| killed.iter().any(|kill| *kill + LOST_LINES > at && at + LOST_LINES > *kill);
+    // An endpoint's own answer is passed on with its seal; it is no refusal.
+    let refused = seen.iter().filter(|one| !one.is_sealed && one.status.is_some_and(|s| s != 200));
+    let refused: Vec<&Seen> = refused.collect();
+    let has_line = |one: &Seen| explained.contains(&(one.id.as_str(), one.status.unwrap_or(0)));
+    let silent = refused.iter().filter(|one| !has_line(one) && !is_lost(one.at));
+    let silent: Vec<&&Seen> = silent.collect();
+    match silent.first() {
+        Some(one) if silent.len() as u64 > left_out(log) => {
+            Err(format!("{} refusals have no line: {one:?}", silent.len()))
+        }
+        _ => Ok(refused.len()),
+    }
+}
+
+/// Returns how many lines about failures the log says were left out.
+fn left_out(log: &[String]) -> u64 {
+    let lines = log.iter().filter(|line| line.contains("log_lines_left_out"));
+    let values = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    values.filter_map(|value| value["failures"].as_u64()).sum()
+}
+
 /// Checks what clients and endpoints saw; returns a summary, or the first promise that broke.
 pub fn check(seen: &[Seen], runners: &[Runner], events: u32) -> Result<String, String> {
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
--- a/fakes/src/soak/clients.rs
+++ b/fakes/src/soak/clients.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The key of the client account.
 pub const KEY: &str = "key";
@@ -26,6 +26,10 @@
     pub status: Option<u16>,
     pub is_whole: bool,
     pub body: String,
+    /// Whether the answer bears an endpoint's seal.
+    pub is_sealed: bool,
+    /// When the answer came.
+    pub at: Instant,
 }
 
 /// Asks until told to stop; an open connection is used until the gateway closes it.
@@ -47,8 +51,15 @@
 }
 
 fn once(kept: &mut Option<Client>, gateway: SocketAddr, target: usize, id: &str) -> Seen {
-    let mut seen =
-        Seen { id: id.to_owned(), target, status: None, is_whole: false, body: String::new() };
+    let mut seen = Seen {
+        id: id.to_owned(),
+        target,
+        status: None,
+        is_whole: false,
+        body: String::new(),
+        is_sealed: false,
+        at: Instant::now(),
+    };
     let Some(mut client) = kept.take().or_else(|| Client::connect(gateway).ok()) else {
         return seen;
     };
@@ -58,6 +69,8 @@
     if let Ok(answer) = client.answer() {
         seen.status = Some(answer.message.status());
         seen.is_whole = answer.is_whole;
+        seen.is_sealed = !answer.message.header("x-chervilspur-server-seal").is_empty();
+        seen.at = Instant::now();
         seen.body = String::from_utf8_lossy(&answer.message.body).into_owned();
         if answer.is_whole && answer.message.header("connection") != "close" {
             *kept = Some(client);
--- a/fakes/src/soak/site.rs
+++ b/fakes/src/soak/site.rs
@@ -1,4 +1,4 @@
-use crate::check::check;
+use crate::check::{check, check_lines};
 use crate::clients::{KEY, TARGETS, ask};
 use crate::faults::{Fault, draw};
 use fakes::{GatewayProcess, GatewayTerms, Link, PlatformStore, Proxy, Runner, StoreMode};
@@ -49,6 +49,7 @@
     links: Vec<Proxy>,
     gateways: Vec<GatewayProcess>,
     version: u64,
+    killed: Vec<Instant>,
 }
 
 impl Site {
@@ -78,7 +79,7 @@
         for gateway in &gateways {
             gateway.wait_for_log(&["daemons_counted"])?;
         }
-        Ok(Site { store, store_link, runners, links, gateways, version: 1 })
+        Ok(Site { store, store_link, runners, links, gateways, version: 1, killed: Vec::new() })
     }
 
     fn strike(&mut self, fault: Fault) -> io::Result<()> {
@@ -89,7 +90,10 @@
             Fault::StoreLink(link) => self.store_link.set(link),
             Fault::Pause(number) => self.gateways[number].signal("STOP")?,
             Fault::Continue(number) => self.gateways[number].signal("CONT")?,
-            Fault::Kill(number) => self.gateways[number].restart("KILL")?,
+            Fault::Kill(number) => {
+                self.killed.push(Instant::now());
+                self.gateways[number].restart("KILL")?;
+            }
             Fault::Terminate(number) => self.gateways[number].restart("TERM")?,
             Fault::Configure => {
                 self.version += 1;
@@ -131,7 +135,9 @@
     struck.map_err(|e| e.to_string())?;
     recover(&mut site, &addresses, seed)?;
     let summary = check(&seen, &site.runners, EVENTS)?;
-    Ok(format!("{summary}, {} faults", faults.len()))
+    let log: Vec<String> = site.gateways.iter().flat_map(GatewayProcess::log).collect();
+    let refusals = check_lines(&seen, &log, &site.killed)?;
+    Ok(format!("{summary}, {refusals} refusals explained, {} faults", faults.len()))
 }
 
 fn strike_all(site: &mut Site, faults: &[(u64, Fault)]) -> io::Result<()> {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,6 @@
 //! Parses the flags, runs the command and prints its result.
 
-use crate::cmd::{Apply, Check, Diff, Explain, Status};
+use crate::cmd::{Apply, Check, Diff, Explain, Refusals, Status};
 use crate::exit::Exit;
 use crate::failure::Failure;
 use argh::FromArgs;
@@ -19,6 +19,7 @@
     Apply(Apply),
     Status(Status),
     Explain(Explain),
+    Refusals(Refusals),
 }
 
 /// The result of a command.
@@ -49,6 +50,7 @@
         Command::Apply(cmd) => finish(output, cmd.run(&cfg)),
         Command::Status(cmd) => finish(output, cmd.run(&cfg)),
         Command::Explain(cmd) => finish(output, cmd.run(&cfg)),
+        Command::Refusals(cmd) => finish(output, cmd.run()),
     }
 }
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,12 +4,14 @@
 mod check;
 mod diff;
 mod explain;
+mod refusals;
 mod status;
 
 pub use apply::{Apply, ApplyReport, Lacking, Waited};
 pub use check::{Check, CheckReport};
 pub use diff::{Diff, DiffReport};
 pub use explain::{Explain, ExplainReport, Step};
+pub use refusals::{Refusals, RefusalsReport};
 pub use status::{ClassReport, DaemonReport, Status, StatusReport, StoreReport};
 
 use config::{SettingError, ToolSettings};
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -21,6 +21,8 @@
     NotEverywhere = 7,
     /// No daemon that was reached knows the request.
     NoRequest = 8,
+    /// A refusal in the log does not say why.
+    Unexplained = 9,
 }
 
 impl From<Exit> for ExitCode {
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -2,7 +2,7 @@
 
 use crate::cmd::{
     ApplyReport, CheckReport, ClassReport, DaemonReport, DiffReport, ExplainReport, Lacking,
-    StatusReport, Step, StoreReport, Waited,
+    RefusalsReport, StatusReport, Step, StoreReport, Waited,
 };
 use config::{Difference, ListError};
 use serde_json::Value;
@@ -50,6 +50,23 @@
     format!("{accounts} client accounts, {plans} plans, {classes} classes; digest {digest}")
 }
 
+/// Counts refusals, and names those whose line does not say why.
+pub fn refusals(report: &RefusalsReport) -> String {
+    let mut lines: Vec<String> =
+        report.counts.iter().map(|(reason, count)| format!("{count:>8} {reason}")).collect();
+    let total: u64 = report.counts.values().sum();
+    let unexplained = report.unexplained.len();
+    lines.push(format!("{total} refusals, {unexplained} without their reason"));
+    if report.left_out > 0 {
+        lines.push(format!("{} lines about requests are not in the log", report.left_out));
+    }
+    let missing = report.unexplained.iter().map(|refusal| {
+        format!("request {:?} lacks {}", refusal.request, refusal.missing.join(", "))
+    });
+    lines.extend(missing);
+    lines.join("\n")
+}
+
 /// Lists the keys that differ, and how to put them in force.
 pub fn differences(report: &DiffReport) -> String {
     let in_force = report.in_force;
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -394,3 +394,31 @@
     assert_eq!(bench.run(&["explain", "request-2"]).code, 8);
     assert_eq!(bench.run(&["explain", "../status"]).code, 8);
 }
+
+#[test]
+fn can_count_the_refusals_in_a_log() {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("refusals.log");
+    let good = json!({
+        "event": "refused", "request": "r1", "route": "plan", "status": 503, "version": 3,
+        "reason": "overloaded", "verdict": "not_run", "retry_after_s": 0.4, "sends": 0,
+        "after_ms": 500, "text": "its best engine a has 900 ms of prompts waiting",
+    });
+    let mut bare = good.clone();
+    bare["request"] = json!("r2");
+    bare["text"] = json!("");
+    bare.as_object_mut().unwrap().remove("retry_after_s");
+    let left_out = json!({"event": "log_lines_left_out", "lines": 7});
+    let other = json!({"event": "finished", "request": "r3"});
+    let lines = [&good, &other, &left_out].map(|line| format!("  12.3 front-1 {line}"));
+    fs::write(&path, lines.join("\n")).unwrap();
+    let run = || outcome(tool().args(["--output", "json", "refusals"]).arg(&path));
+    let explained = run();
+    assert_eq!(explained.code, 0, "{explained:?}");
+    assert_eq!(explained.json()["counts"], json!({"503 overloaded": 1}));
+    assert_eq!(explained.json()["left_out"], 7);
+    fs::write(&path, format!("{good}\n{bare}\n")).unwrap();
+    let unexplained = run();
+    assert_eq!(unexplained.code, 9, "{unexplained:?}");
+    let missing = json!([{"request": "r2", "missing": ["retry_after_s", "text"]}]);
+    assert_eq!(unexplained.json()["unexplained"], missing);
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,7 +3,10 @@
 use std::process::Command;
 
 /// Seeds of each run; a seed that ever failed is added with a line on its cause.
-const SEEDS: [u64; 2] = [1, 2];
+///
+/// 201: the quota of the log left out refusals in a second with many lines about requests that went
+/// well.
+const SEEDS: [u64; 3] = [1, 2, 201];
 
 #[test]
 fn keeps_its_promises_in_a_short_soak() {
