--- a/components/decision/src/routing/catalog.rs
+++ b/components/decision/src/routing/catalog.rs
@@ -86,6 +86,8 @@
     pub slots: u32,
     /// Tokens of running requests and cached prompts together.
     pub cache_tokens: u64,
+    /// Prompt tokens that it can fetch from another engine in a millisecond; 0 if it cannot.
+    pub fetch_rate: u32,
 }
 
 /// A group of endpoints that serve the same requests.
--- a/components/decision/src/routing/demand.rs
+++ b/components/decision/src/routing/demand.rs
@@ -24,6 +24,8 @@
     pub slots: u32,
     /// Tokens that its memory holds; 0 for a plain service.
     pub cache_tokens: u64,
+    /// Prompt tokens that it can fetch from another engine in a millisecond; 0 if it cannot.
+    pub fetch_rate: u32,
 }
 
 /// Which engines of a service a request prefers.
@@ -79,6 +81,8 @@
     pub queued_ms: f64,
     /// The tokens of the prompt that it is expected to read.
     pub unread_tokens: u32,
+    /// The endpoint from which it can fetch what that one has read of the prompt.
+    pub fetch_from: Option<String>,
 }
 
 /// How a request ended at an endpoint.
--- a/components/decision/src/routing/placement.rs
+++ b/components/decision/src/routing/placement.rs
@@ -2,7 +2,7 @@
 use super::endpoint::{Endpoint, Work};
 use super::exchange::add_up;
 use super::prompt::Prompt;
-use super::ranking::{LIKELY_CACHED, draw, homes};
+use super::ranking::{draw, homes, likely};
 use super::terms::PlacementTerms;
 use crate::Millis;
 use messages::feed::EndpointLoad;
@@ -23,6 +23,8 @@
 /// Wait that is added to both sides of the pace, in milliseconds: in a calm time both are small and
 /// say nothing.
 const PACE_BASE_MS: f64 = 100.0;
+/// Tokens from which fetching is worth the call.
+const LEAST_FETCH: u32 = 64;
 /// Engines of a service from which they are divided into lanes.
 const LEAST_FOR_LANES: usize = 4;
 /// Ranks engines for the interactive lane alike at all daemons.
@@ -163,15 +165,43 @@
                 best = Some((cost, choice));
             }
         }
+        let mut best = best.map(|(_, choice)| choice);
+        if let (Some(choice), Some(prompt)) = (&mut best, demand.prompt) {
+            choice.fetch_from = self.source(&candidates, &homes, &choice.id, prompt, now);
+        }
         match best {
-            Some((_, choice)) if demand.prompt.is_some() && self.is_saturated(&choice, demand) => {
+            Some(choice) if demand.prompt.is_some() && self.is_saturated(&choice, demand) => {
                 Placement::Saturated(choice)
             }
-            Some((_, choice)) => Placement::Send(choice),
+            Some(choice) => Placement::Send(choice),
             None => Placement::NoEndpoint,
         }
     }
 
+    /// Returns the endpoint from which the chosen one can fetch most of what it lacks of a prompt.
+    fn source(
+        &self,
+        candidates: &[Candidate<'_>],
+        homes: &[&str],
+        chosen: &str,
+        prompt: &Prompt,
+        now: Millis,
+    ) -> Option<String> {
+        if !candidates.iter().any(|c| c.id == chosen && c.fetch_rate > 0) {
+            return None;
+        }
+        let is_rested =
+            |id: &str| self.endpoints.get(id).is_none_or(|endpoint| endpoint.ejected_until <= now);
+        let others = || candidates.iter().map(|c| c.id).filter(|id| *id != chosen && is_rested(id));
+        let best = |held: &dyn Fn(&str) -> u32| {
+            let best = others().max_by_key(|id| held(id))?;
+            (held(best) >= held(chosen) + LEAST_FETCH).then(|| best.to_owned())
+        };
+        // A home is asked for what it should hold; else any engine for what it is known to hold.
+        best(&|id| self.cached(id, prompt, likely(homes, id), now))
+            .or_else(|| best(&|id| self.cached(id, prompt, 0.0, now)))
+    }
+
     fn is_saturated(&self, choice: &Choice, demand: &Demand<'_>) -> bool {
         choice.wait_ms > demand.patience.0 as f64 * self.terms.wait_share
     }
@@ -217,8 +247,8 @@
         let shared = self.shared(candidate.id, now);
         let (unread_tokens, work_ms, again_ms) = match demand.prompt {
             Some(prompt) => {
-                let rank = homes.iter().position(|id| *id == candidate.id);
-                let unread = self.unread(endpoint, prompt, rank, now);
+                let held = self.cached(candidate.id, prompt, likely(homes, candidate.id), now);
+                let unread = prompt.tokens.saturating_sub(held).max(1);
                 let own = prompt.tokens.saturating_sub(prompt.shared_tokens());
                 let again = unread.saturating_sub(own);
                 let again_ms = f64::from(again) * (self.terms.read_again - 1.0);
@@ -248,7 +278,7 @@
         if endpoint.ejected_until > now {
             cost += EJECTED_MS;
         }
-        (cost, Choice { id, expected_ms, wait_ms, queued_ms, unread_tokens })
+        (cost, Choice { id, expected_ms, wait_ms, queued_ms, unread_tokens, fetch_from: None })
     }
 
     fn read_ms(&self, tokens: u32) -> f64 {
@@ -303,26 +333,20 @@
         f64::from(beyond) / f64::from(slots.max(1)) * hold_ms * self.terms.slot_wait
     }
 
-    /// Returns the tokens of a prompt that an endpoint would read; `rank` is its place among the
-    /// homes of the session.
-    fn unread(
-        &self,
-        endpoint: &Endpoint,
-        prompt: &Prompt,
-        rank: Option<usize>,
-        now: Millis,
-    ) -> u32 {
-        let likely = rank.and_then(|rank| LIKELY_CACHED.get(rank)).copied().unwrap_or(0.0);
-        let mut read = 0.0;
+    /// Returns the tokens of a prompt that an endpoint holds; `likely` is the part that it is
+    /// expected to hold of what this daemon does not know.
+    fn cached(&self, id: &str, prompt: &Prompt, likely: f64, now: Millis) -> u32 {
+        let endpoint = self.endpoints.get(id);
+        let mut held = 0.0;
         for part in prompt.shared() {
-            let used = endpoint.parts.get(&part.id);
+            let used = endpoint.and_then(|endpoint| endpoint.parts.get(&part.id));
             let known = used.is_some_and(|used| now.since(*used) < self.terms.cache_time);
             if !known && likely == 0.0 {
                 break;
             }
-            read += f64::from(part.tokens) * if known { 1.0 } else { likely };
+            held += f64::from(part.tokens) * if known { 1.0 } else { likely };
         }
-        prompt.tokens.saturating_sub(read as u32).max(1)
+        held as u32
     }
 
     /// Takes work to an endpoint.
--- a/components/decision/src/routing/ranking.rs
+++ b/components/decision/src/routing/ranking.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 /// Part of a session's prompt that its first and second home are expected to hold.
-pub(super) const LIKELY_CACHED: [f64; 2] = [0.9, 0.4];
+const LIKELY_CACHED: [f64; 2] = [0.9, 0.4];
 
 /// Returns the endpoints at which all daemons prefer to run a session, best first.
 pub(super) fn homes<'a>(
@@ -22,6 +22,12 @@
     ranked
 }
 
+/// Returns the part of a session's prompt that an endpoint is expected to hold.
+pub(super) fn likely(homes: &[&str], id: &str) -> f64 {
+    let rank = homes.iter().position(|home| *home == id);
+    rank.and_then(|rank| LIKELY_CACHED.get(rank)).copied().unwrap_or(0.0)
+}
+
 /// Returns a number that depends on both arguments alone (FNV-1a with a final mix).
 pub(super) fn draw(id: &str, seed: u64) -> u64 {
     let mut hash = 0xcbf2_9ce4_8422_2325 ^ seed;
--- a/components/decision/tests/routing/load.rs
+++ b/components/decision/tests/routing/load.rs
@@ -165,6 +165,7 @@
                 distance: if id == "a" { Distance::DataCentre } else { Distance::Far },
                 slots: 6,
                 cache_tokens: 0,
+                fetch_rate: 0,
             })
         };
         let demand = Demand::default();
@@ -191,6 +192,7 @@
             distance: Distance::DataCentre,
             slots: 64,
             cache_tokens: 243_776,
+            fetch_rate: 0,
         })
     };
     let mut chosen = [Vec::new(), Vec::new()];
@@ -218,6 +220,7 @@
             distance: Distance::DataCentre,
             slots: 6,
             cache_tokens: 0,
+            fetch_rate: 0,
         })
     };
     let mut rng = Pcg64Mcg::seed_from_u64(1);
@@ -255,6 +258,7 @@
             distance: Distance::DataCentre,
             slots: 6,
             cache_tokens: 0,
+            fetch_rate: 0,
         })
     };
     let choice = Choice {
@@ -263,6 +267,7 @@
         wait_ms: 0.0,
         queued_ms: 0.0,
         unread_tokens: 0,
+        fetch_from: None,
     };
     let lease = table.start(&choice, &Demand::default(), Millis(0));
     table.end("a", lease, Outcome::Failed, Millis(10));
--- a/components/decision/tests/routing/replay.rs
+++ b/components/decision/tests/routing/replay.rs
@@ -112,6 +112,7 @@
                 distance: Distance::DataCentre,
                 slots: fleet.room.slots as u32,
                 cache_tokens: 243_776,
+                fetch_rate: 0,
             });
             let demand = Demand {
                 prompt: Some(&request.prompt),
--- a/components/gateway/src/adapter.rs
+++ b/components/gateway/src/adapter.rs
@@ -30,6 +30,8 @@
     pub urgency: Option<u8>,
     /// The event after which the endpoint continues.
     pub last_event: Option<&'a str>,
+    /// The address of another endpoint that has read a part of the prompt.
+    pub fetch_from: Option<&'a str>,
 }
 
 /// What the head of an endpoint's answer says beside its status.
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -132,6 +132,7 @@
             wait_ms = choice.wait_ms as u64,
             queued_ms = choice.queued_ms as u64,
             unread_tokens = choice.unread_tokens,
+            fetch_from = choice.fetch_from,
             took_ms = now().since(started).0,
         );
     }
@@ -280,12 +281,15 @@
     *req.method_mut() = job.method.clone();
     *req.uri_mut() = job.target.clone();
     *req.headers_mut() = job.headers.clone();
+    let directory = gateway.directory();
+    let source = work.fetch_from().and_then(|id| directory.get(id));
     let forwarded = Forwarded {
         endpoint: work.endpoint(),
         remaining: job.left(now()),
         account: job.account.as_deref(),
         urgency: job.prompt.as_ref().map(|_| job.priority),
         last_event: last_event.or(job.last_event.as_deref()),
+        fetch_from: source.map(|source| &*source.address),
     };
     gateway.adapter.write_request(req.headers_mut(), &forwarded);
     req
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -39,6 +39,7 @@
             distance: gateway.adapter.distance(&registration.data_centre),
             slots: registration.slots,
             cache_tokens: engine.map_or(0, |engine| engine.cache_tokens),
+            fetch_rate: engine.map_or(0, |engine| engine.fetch_rate),
         },
     );
     let draw = gateway.random.borrow_mut().random();
--- a/components/gateway/src/work.rs
+++ b/components/gateway/src/work.rs
@@ -11,6 +11,7 @@
 pub(crate) struct Work<A: Adapter> {
     gateway: Rc<Gateway<A>>,
     endpoint: String,
+    fetch_from: Option<String>,
     lease: Option<Lease>,
 }
 
@@ -19,13 +20,23 @@
         let now = now();
         let lease = gateway.loads.borrow_mut().start(choice, &job.demand(0, now), now);
         let gateway = gateway.clone();
-        Work { gateway, endpoint: choice.id.clone(), lease: Some(lease) }
+        Work {
+            gateway,
+            endpoint: choice.id.clone(),
+            fetch_from: choice.fetch_from.clone(),
+            lease: Some(lease),
+        }
     }
 
     pub(crate) fn endpoint(&self) -> &str {
         &self.endpoint
     }
 
+    /// Returns the endpoint from which a part of the prompt can be fetched.
+    pub(crate) fn fetch_from(&self) -> Option<&str> {
+        self.fetch_from.as_deref()
+    }
+
     /// Notes the first byte of the answer.
     pub(crate) fn first_byte(&self, job: &Job) {
         if let Some(lease) = self.lease {
