--- a/components/decision/tests/routing/load.rs
+++ b/components/decision/tests/routing/load.rs
@@ -155,6 +155,52 @@
     assert!(weighed * 2 < ignored, "{weighed} against {ignored} rejected");
 }
 
+/// Chooses for a session of which another engine is known to hold a part.
+fn choice_beside(holder: Prompt, wanted: &Prompt, fetch_rate: u32) -> Choice {
+    let mut table = LoadTable::default();
+    let candidates = || {
+        ["a", "b", "c"].into_iter().map(move |id| Candidate {
+            id,
+            distance: Distance::DataCentre,
+            slots: 64,
+            cache_tokens: 243_776,
+            fetch_rate,
+        })
+    };
+    let choose = |table: &LoadTable, prompt: &Prompt, now| {
+        let patience = Millis(2_000);
+        let demand = Demand { prompt: Some(prompt), patience, ..Demand::default() };
+        match table.choose(candidates(), &demand, now) {
+            Placement::Send(choice) => choice,
+            other => panic!("{other:?}"),
+        }
+    };
+    let first = choose(&table, &holder, Millis(0));
+    assert_eq!(first.fetch_from, None, "nothing is known to hold it");
+    let demand = Demand { prompt: Some(&holder), ..Demand::default() };
+    let lease = table.start(&first, &demand, Millis(0));
+    table.first_byte(&first.id, lease, Some(&holder), Millis(200));
+    table.end(&first.id, lease, Outcome::Answered, Millis(400));
+    let choice = choose(&table, wanted, Millis(500));
+    assert!(choice.fetch_from.as_ref().is_none_or(|id| *id == first.id), "{choice:?}");
+    choice
+}
+
+#[test]
+fn fetches_what_another_engine_holds() {
+    let fetches = |sessions: std::ops::Range<u64>, rate| {
+        let holder = || prompt(0, 6_300, 2_890, 1, 50);
+        let wanted = sessions.map(|session| prompt(4 * session, 6_300, 2_890, 2, 50));
+        let choices = wanted.map(|wanted| choice_beside(holder(), &wanted, rate));
+        choices.filter(|choice| choice.fetch_from.is_some()).count()
+    };
+    // Sessions share their first text with the holder's; some have their home there.
+    let fetched = fetches(1..40, 404);
+    assert!((15..39).contains(&fetched), "{fetched} of 39");
+    assert_eq!(fetches(1..40, 0), 0, "engines that cannot fetch");
+    assert_eq!(fetches(0..1, 404), 0, "the holder is chosen itself");
+}
+
 #[test]
 fn rests_an_endpoint_that_is_full_or_replaced() {
     for (outcome, rest) in [(Outcome::Full, 250), (Outcome::Replaced, 2_000)] {
