Keep sums of loads as reports come, and tell many followers the busiest endpoints

Change: sums are kept up to date; an answer has its share of 16,000 rows a round, the most loaded first, and one for the rest; encoded endpoints are kept until they change; only the best two daemons of a data centre are followed, so that a lost one is not followed by a try of each other.

--- a/components/decision/tests/routing/followers.rs
+++ b/components/decision/tests/routing/followers.rs
@@ -81,7 +81,7 @@
     exchange.put_data_centre("nelson", vec![row("e", 5)], Millis(0));
     let own = [row("e", 1)];
     assert_eq!(exchange.all(&own, "b")[0].running, 9);
-    assert_eq!(exchange.data_centre(&own, "")[0].running, 6);
+    assert_eq!(exchange.data_centre(&own)[0].running, 6);
     assert_eq!(add_up(own.iter())[0].unread_tokens, 100);
 }
 
@@ -92,3 +92,35 @@
     exchange.expire(Millis(10_000));
     assert!(exchange.all(&[], "").is_empty());
 }
+
+#[test]
+fn keeps_its_sums_as_daemons_report_again_and_go() {
+    let mut exchange = Exchange::default();
+    for round in 0..3 {
+        exchange.put_follower("b", vec![row("e", 2), row("f", 1)], Millis(round));
+        exchange.put_follower("c", vec![row("e", 3)], Millis(round));
+        exchange.put_data_centre("nelson", vec![row("e", 5)], Millis(round));
+    }
+    let running = |rows: Vec<EndpointLoad>| rows.iter().map(|r| r.running).collect::<Vec<_>>();
+    assert_eq!(running(exchange.all(&[], "")), [10, 1]);
+    assert_eq!(running(exchange.all(&[row("f", 4)], "b")), [8, 4]);
+    exchange.put_follower("b", Vec::new(), Millis(4));
+    exchange.put_follower("c", vec![row("e", 1)], Millis(2_600));
+    exchange.expire(Millis(3_000));
+    assert_eq!(running(exchange.all(&[], "")), [1]);
+}
+
+#[test]
+fn tells_many_followers_the_most_loaded_endpoints_and_the_sum_of_the_rest() {
+    let mut exchange = Exchange::default();
+    for number in 0..100_u32 {
+        let rows = (0..30).map(|n| row(&format!("e{}", number * 30 + n), 1 + n / 29)).collect();
+        exchange.put_follower(&format!("d{number}"), rows, Millis(0));
+    }
+    let told = exchange.all(&[], "d0");
+    assert_eq!(told.len(), 161);
+    let most_loaded = told.iter().filter(|row| row.running == 2).count();
+    assert_eq!(most_loaded, 99);
+    assert_eq!(told.iter().map(|row| row.running).sum::<u32>(), 99 * 31);
+    assert_eq!(told.last().map(|row| &*row.endpoint), Some(""));
+}
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -58,6 +58,9 @@
     /// Word of each look at the members.
     pub(crate) members_changed: Notify,
     pub(crate) exchange: RefCell<Exchange>,
+    /// All endpoints as they are told, and the journal's number at which they were encoded: many
+    /// followers that start at once ask for them.
+    told_endpoints: RefCell<(u64, Rc<[EndpointChange]>)>,
     pub(crate) source: CurrentSource,
     pub(crate) waiting: RefCell<WaitingRoom>,
     /// Word of each request that an engine began to answer, or that left the queue.
@@ -87,6 +90,7 @@
             members: RefCell::default(),
             members_changed: Notify::new(),
             exchange: RefCell::default(),
+            told_endpoints: RefCell::new((0, Rc::from([]))),
             source: CurrentSource::default(),
             waiting: RefCell::default(),
             progress: Notify::new(),
@@ -128,6 +132,21 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns all endpoints that take new requests.
+    pub(crate) fn all_endpoints(&self) -> Rc<[EndpointChange]> {
+        let last = self.journal.borrow().last();
+        let mut told = self.told_endpoints.borrow_mut();
+        if told.0 != last {
+            let directory = self.directory();
+            let endpoints = directory.usable().map(|(id, registration)| EndpointChange {
+                endpoint: id.to_owned(),
+                registration: to_json(registration),
+            });
+            *told = (last, endpoints.collect());
+        }
+        told.1.clone()
+    }
+
     /// Returns whether endpoints without an entry have left.
     pub(crate) fn is_registry_settled(&self, now: Millis) -> bool {
         now >= self.unsettled_until.get()
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -30,6 +30,9 @@
 const FAR_LIMIT: Millis = Millis(800);
 /// Time in which a daemon that could not be followed is not tried again.
 const AVOID: Millis = Millis(5_000);
+/// Daemons of the data centre that may be followed: the best two. With more, a daemon of a large
+/// data centre would try one after the other while its own proof ends.
+const MOST_SOURCES: usize = 2;
 /// Part of the revocation bound up to which a followed daemon's proof is fresh enough.
 const PROOF_SHARE: f64 = 0.6;
 /// The largest answer, in bytes: a configuration of 1 MB and the registry.
@@ -37,15 +40,16 @@
 /// The path that other daemons ask.
 pub(crate) const PATH: &str = "/feed";
 
-/// Follows the best daemon of the data centre that can be followed, and reads the store when there
-/// is none, for as long as the daemon runs.
+/// Follows the best daemon of the data centre, or the next one if that cannot be followed, and
+/// reads the store when neither can, for as long as the daemon runs.
 pub(crate) async fn follow<A: Adapter>(gateway: Rc<Gateway<A>>) {
     let mut avoided: BTreeMap<String, Millis> = BTreeMap::new();
     loop {
         avoided.retain(|_, until| now() < *until);
         let settings = gateway.settings();
         let before = gateway.members.borrow().before(&settings.name, &settings.data_centre, now());
-        let fit = before.into_iter().find(|(name, _)| !avoided.contains_key(name));
+        let mut sources = before.into_iter().take(MOST_SOURCES);
+        let fit = sources.find(|(name, _)| !avoided.contains_key(name));
         let Some((name, address)) = fit else {
             gateway.source.set(Source::Store);
             let pause = Duration::from_millis(AVOID.0 / 5);
@@ -70,7 +74,7 @@
     loop {
         let sent = now();
         let loads = gateway.loads.borrow().own_loads();
-        let loads = gateway.exchange.borrow().data_centre(&loads, "");
+        let loads = gateway.exchange.borrow().data_centre(&loads);
         let asked = request(gateway, from.clone(), loads, false);
         let limit = WAIT + ANSWER_LIMIT;
         let answer = match ask(&mut kept, address, &asked, CONNECT_LIMIT, limit).await {
@@ -100,7 +104,7 @@
         }
         for (data_centre, address) in partners(&gateway) {
             let own = gateway.loads.borrow().own_loads();
-            let loads = gateway.exchange.borrow().data_centre(&own, "");
+            let loads = gateway.exchange.borrow().data_centre(&own);
             let asked = request(&gateway, None, loads, true);
             let kept = connections.entry(data_centre.clone()).or_default();
             match ask(kept, address, &asked, FAR_LIMIT, FAR_LIMIT).await {
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -8,7 +8,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use messages::feed::{EndpointChange, FeedAnswer, FeedPosition, FeedRequest};
+use messages::feed::{FeedAnswer, FeedPosition, FeedRequest};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -94,7 +94,7 @@
         loads: Vec::new(),
     };
     if asked.whole_data_centre {
-        answer.loads = exchange.data_centre(&own, "");
+        answer.loads = exchange.data_centre(&own);
         return answer;
     }
     answer.loads = exchange.all(&own, &asked.name);
@@ -111,11 +111,7 @@
         None => {
             answer.is_complete = true;
             answer.configuration = configuration(gateway);
-            let directory = gateway.directory();
-            answer.endpoints.extend(directory.usable().map(|(id, registration)| EndpointChange {
-                endpoint: id.to_owned(),
-                registration: feed::to_json(registration),
-            }));
+            answer.endpoints.extend_from_slice(&gateway.all_endpoints());
         }
     }
     answer
