--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -14,6 +14,7 @@
 mod retry_budget;
 mod terms;
 mod waiting;
+mod waits;
 
 pub use catalog::{
     Account, Caller, Catalog, ClientLimits, Configuration, Destination, EngineSize, Repeat, Route,
