--- a/components/decision/src/routing/exchange.rs
+++ b/components/decision/src/routing/exchange.rs
@@ -28,7 +28,7 @@
 }
 
 /// Returns a row without load.
-fn none(endpoint: &str, priority: u8) -> EndpointLoad {
+fn no_load(endpoint: &str, priority: u8) -> EndpointLoad {
     EndpointLoad {
         endpoint: endpoint.to_owned(),
         priority,
@@ -77,7 +77,7 @@
         let changed = more.iter().chain(less).map(key);
         let mut changes: BTreeMap<(String, u8), EndpointLoad> = changed
             .map(|key| {
-                let row = self.0.get(&key).cloned().unwrap_or_else(|| none(&key.0, key.1));
+                let row = self.0.get(&key).cloned().unwrap_or_else(|| no_load(&key.0, key.1));
                 (key, row)
             })
             .collect();
@@ -96,7 +96,7 @@
         let weight =
             |row: &&EndpointLoad| row.unread_tokens + TOKENS_PER_REQUEST * u64::from(row.running);
         rows.select_nth_unstable_by_key(most, |row| Reverse(weight(row)));
-        let mut rest = none("", u8::MAX);
+        let mut rest = no_load("", u8::MAX);
         rows[most..].iter().for_each(|row| plus(&mut rest, row));
         rows[..most].iter().map(|row| (*row).clone()).chain([rest]).collect()
     }
--- a/components/decision/src/routing/placement.rs
+++ b/components/decision/src/routing/placement.rs
@@ -153,13 +153,11 @@
         let is_rested =
             |id: &str| self.endpoints.get(id).is_none_or(|endpoint| endpoint.ejected_until <= now);
         let others = || candidates.iter().map(|c| c.id).filter(|id| *id != chosen && is_rested(id));
-        let best = |held: &dyn Fn(&str) -> u32| {
-            let best = others().max_by_key(|id| held(id))?;
-            (held(best) >= held(chosen) + LEAST_FETCH).then(|| best.to_owned())
-        };
         // A home is asked for what it should hold; else any engine for what it is known to hold.
-        best(&|id| self.cached(id, prompt, likely(homes, id), now))
-            .or_else(|| best(&|id| self.cached(id, prompt, 0.0, now)))
+        let expected = |id: &str| self.cached(id, prompt, likely(homes, id), now);
+        let known = |id: &str| self.cached(id, prompt, 0.0, now);
+        let source = holder(others(), chosen, expected).or_else(|| holder(others(), chosen, known));
+        source.map(str::to_owned)
     }
 
     fn is_saturated(&self, choice: &Choice, demand: &Demand<'_>) -> bool {
@@ -328,3 +326,13 @@
         endpoint.judge(outcome, now);
     }
 }
+
+/// Returns the endpoint that holds most, if that is worth fetching for the chosen one.
+fn holder<'a>(
+    others: impl Iterator<Item = &'a str>,
+    chosen: &str,
+    held: impl Fn(&str) -> u32,
+) -> Option<&'a str> {
+    let best = others.max_by_key(|id| held(id))?;
+    (held(best) >= held(chosen) + LEAST_FETCH).then_some(best)
+}
