Log and count how streams of endpoints are framed and how they end

Change: 'finished' has 'framing' and 'unfinished_bytes' for streams, and the counter 'stream_ends' has them by framing and end, so that the lines left out beyond the quota are still counted. No change of logic.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 use crate::adapter::{Adapter, ForwardedHead};
 use crate::clock::now;
 use crate::connection::{Connection, ConnectionError};
+use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::in_flight::InFlightRequest;
 use crate::log::LineKind;
@@ -42,6 +43,7 @@
 pub(crate) struct StreamingResponse<A: Adapter> {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
+    pub(crate) framing: Framing,
     pub(crate) body: Incoming,
     pub(crate) connection: BusyConnection<A>,
 }
@@ -185,8 +187,9 @@
             ));
         }
         if request.streamed {
+            let framing = Framing::of(&head.headers);
             let streaming =
-                StreamingResponse { status: head.status, headers, body, connection: busy };
+                StreamingResponse { status: head.status, headers, framing, body, connection: busy };
             return Ok(EndpointResponse::Streaming(Box::new(streaming)));
         }
     }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -6,7 +6,7 @@
 use crate::relay::relay;
 use crate::response::{Refusal, ResponseBody};
 use crate::routed_request::RoutedRequest;
-use crate::serve::{ANSWERED, RefusedRequest, finish, refuse};
+use crate::serve::{ANSWERED, FinishedRequest, RefusedRequest, finish, refuse};
 use decision::Millis;
 use decision::routing::{Candidate, Placement, WaitLimits};
 use errors::{Reason, Verdict};
@@ -116,13 +116,13 @@
         tried.insert(choice.id.clone());
         match attempt(gateway, &request, &choice, None).await {
             Ok(EndpointResponse::Complete(response)) => {
-                finish(
-                    gateway,
-                    &request,
-                    ANSWERED,
-                    response.status.as_str(),
-                    attempts_made.sends + 1,
-                );
+                let finished = FinishedRequest {
+                    result: ANSWERED,
+                    text: response.status.as_str(),
+                    sends: attempts_made.sends + 1,
+                    ..FinishedRequest::default()
+                };
+                finish(gateway, &request, &finished);
                 return response.into_response();
             }
             Ok(EndpointResponse::Streaming(streaming)) => {
@@ -185,7 +185,13 @@
     let timed_out = last_failure.as_ref().is_some_and(|failure| failure.timed_out);
     if let Some(response) = last_failure.and_then(|failure| failure.response) {
         let text = format!("{}; {reason_text}", response.status.as_str());
-        finish(gateway, request, "endpoint_failed", &text, sends);
+        let finished = FinishedRequest {
+            result: "endpoint_failed",
+            text: &text,
+            sends,
+            ..FinishedRequest::default()
+        };
+        finish(gateway, request, &finished);
         return response.into_response();
     }
     let mut refusal = Refusal::new(Reason::EndpointFailed, verdict);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod dispatch;
 mod follow;
+mod framing;
 mod gateway;
 mod in_flight;
 mod listener;
@@ -40,6 +41,7 @@
 pub use adapter::{
     Adapter, Changes, ForwardedHead, Item, ObjectKind, Page, RequestHead, ResponseHead,
 };
+pub use framing::Framing;
 pub use log::{LineKind, LogQuota, OmittedLines};
 pub use refusal_line::RefusalLine;
 pub use run::{RunError, run};
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -27,6 +27,12 @@
     pub(crate) outcome: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct StreamEndLabels {
+    pub(crate) framing: &'static str,
+    pub(crate) end: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct StoreLabels {
     pub(crate) kind: &'static str,
@@ -43,6 +49,7 @@
     registry: Registry,
     pub(crate) requests: Family<RouteLabels, Counter>,
     pub(crate) attempts: Family<AttemptLabels, Counter>,
+    pub(crate) stream_ends: Family<StreamEndLabels, Counter>,
     pub(crate) store_calls: Family<StoreLabels, Counter>,
     pub(crate) connections_opened: Counter,
     pub(crate) clients: Gauge,
@@ -58,6 +65,7 @@
             registry: Registry::with_prefix("chervilspur"),
             requests: Family::default(),
             attempts: Family::default(),
+            stream_ends: Family::default(),
             store_calls: Family::default(),
             connections_opened: Counter::default(),
             clients: Gauge::default(),
@@ -76,6 +84,11 @@
         let r = &mut self.registry;
         r.register("requests", "Requests of clients by result", self.requests.clone());
         r.register("attempts", "Sends to endpoints by outcome", self.attempts.clone());
+        r.register(
+            "stream_ends",
+            "Streams of endpoints by framing and end",
+            self.stream_ends.clone(),
+        );
         r.register("store_calls", "Calls to the store by result", self.store_calls.clone());
         r.register(
             "connections_opened",
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,11 +1,13 @@
 use crate::adapter::Adapter;
 use crate::attempt::{BusyConnection, EndpointResponse, StreamingResponse, attempt};
 use crate::clock::now;
+use crate::framing::Framing;
 use crate::gateway::Gateway;
+use crate::metrics::StreamEndLabels;
 use crate::queue::{WaitOutcome, wait_for_endpoint};
 use crate::response::{ResponseBody, TruncatedResponse};
 use crate::routed_request::RoutedRequest;
-use crate::serve::{ANSWERED, finish};
+use crate::serve::{ANSWERED, FinishedRequest, StreamSummary, finish};
 use crate::sse::EventSplitter;
 use bytes::Bytes;
 use decision::routing::{Outcome, Repeat};
@@ -48,7 +50,9 @@
         gateway: gateway.clone(),
         request,
         tx,
+        framing: streaming.framing,
         splitter: EventSplitter::default(),
+        unfinished_bytes: 0,
         tried,
         sends,
     };
@@ -60,7 +64,11 @@
     gateway: Rc<Gateway<A>>,
     request: RoutedRequest,
     tx: Sender<Result<Bytes, TruncatedResponse>>,
+    /// The framing of the stream that is being forwarded.
+    framing: Framing,
     splitter: EventSplitter,
+    /// Bytes after the last complete event, if the stream has ended without an error.
+    unfinished_bytes: usize,
     tried: BTreeSet<String>,
     sends: u32,
 }
@@ -68,7 +76,9 @@
 impl<A: Adapter> Relay<A> {
     async fn run(mut self, mut body: Incoming, mut connection: BusyConnection<A>) {
         loop {
-            let text = match self.forward_events(&mut body).await {
+            let end = self.forward_events(&mut body).await;
+            self.count_end(&end);
+            let text = match end {
                 StreamEnd::Complete => {
                     connection.close(&self.gateway, Outcome::Answered);
                     return self.finish(ANSWERED, "");
@@ -82,7 +92,10 @@
             connection.in_flight.close(Outcome::Failed);
             drop(body);
             match self.resume().await {
-                Some(next) => (body, connection) = (next.body, next.connection),
+                Some(next) => {
+                    self.framing = next.framing;
+                    (body, connection) = (next.body, next.connection);
+                }
                 None => {
                     // Sending fails only if the client has disconnected.
                     let _ = self.tx.send(Err(TruncatedResponse)).await;
@@ -94,6 +107,7 @@
 
     /// Forwards complete events as they arrive, until the stream ends.
     async fn forward_events(&mut self, body: &mut Incoming) -> StreamEnd {
+        self.unfinished_bytes = 0;
         loop {
             let left = Duration::from_millis(self.request.time_left(now()).0);
             let frame = tokio::select! {
@@ -119,7 +133,8 @@
     }
 
     async fn handle_stream_end(&mut self) -> StreamEnd {
-        if self.splitter.has_partial() && self.request.repeat == Repeat::Resumable {
+        self.unfinished_bytes = self.splitter.partial_bytes();
+        if self.unfinished_bytes > 0 && self.request.repeat == Repeat::Resumable {
             return StreamEnd::Interrupted(String::from(
                 "endpoint ended the stream within an event",
             ));
@@ -161,7 +176,21 @@
         None
     }
 
+    fn count_end(&self, end: &StreamEnd) {
+        let end = match end {
+            StreamEnd::ClientLeft => "client_left",
+            _ if self.unfinished_bytes > 0 => "within_event",
+            StreamEnd::Interrupted(_) => "interrupted",
+            StreamEnd::Complete => "complete",
+        };
+        let labels = StreamEndLabels { framing: self.framing.as_str(), end };
+        self.gateway.metrics.stream_ends.get_or_create(&labels).inc();
+    }
+
     fn finish(self, result: &str, text: &str) {
-        finish(&self.gateway, &self.request, result, text, self.sends);
+        let stream =
+            StreamSummary { framing: self.framing, unfinished_bytes: self.unfinished_bytes };
+        let finished = FinishedRequest { result, text, sends: self.sends, stream: Some(stream) };
+        finish(&self.gateway, &self.request, &finished);
     }
 }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -2,6 +2,7 @@
 use crate::attempt::is_hop_header;
 use crate::clock::now;
 use crate::dispatch::{dispatch, not_run_refusal};
+use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::log::LineKind;
 use crate::metrics::{RouteLabels, ServiceLabels};
@@ -265,14 +266,33 @@
     refusal.into_response()
 }
 
+/// How a request ended for which an endpoint's response was forwarded, at least in part.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FinishedRequest<'a> {
+    /// The `result` label and log value.
+    pub(crate) result: &'a str,
+    pub(crate) text: &'a str,
+    /// Number of attempts that may have reached an endpoint.
+    pub(crate) sends: u32,
+    /// The last endpoint's stream; `None` if the response was not streamed.
+    pub(crate) stream: Option<StreamSummary>,
+}
+
+/// What is logged about the stream of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StreamSummary {
+    pub(crate) framing: Framing,
+    /// Bytes after the last complete event, if the stream has ended without an error.
+    pub(crate) unfinished_bytes: usize,
+}
+
 /// Counts and logs a request for which an endpoint's response was forwarded, at least in part.
 pub(crate) fn finish<A: Adapter>(
     gateway: &Gateway<A>,
     request: &RoutedRequest,
-    result: &str,
-    text: &str,
-    sends: u32,
+    finished: &FinishedRequest<'_>,
 ) {
+    let result = finished.result;
     let labels = RouteLabels { route: request.route.clone(), result: result.to_owned() };
     gateway.metrics.requests.get_or_create(&labels).inc();
     let elapsed = now().since(request.arrived);
@@ -286,8 +306,10 @@
             request = %request.id(),
             route = %request.route,
             result,
-            text,
-            sends,
+            text = finished.text,
+            sends = finished.sends,
+            framing = finished.stream.map(|stream| stream.framing.as_str()),
+            unfinished_bytes = finished.stream.map(|stream| stream.unfinished_bytes as u64),
             took_ms = elapsed.0,
         );
     }
--- a/components/gateway/src/sse.rs
+++ b/components/gateway/src/sse.rs
@@ -25,9 +25,9 @@
         self.partial.split().freeze()
     }
 
-    /// Whether there are bytes of an incomplete event.
-    pub fn has_partial(&self) -> bool {
-        !self.partial.is_empty()
+    /// Number of bytes of an incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
     }
 
     /// The id of the last complete event that had one.
