Reproduce a cut stream that is reported complete, as a known failure

The stand-in of an endpoint can send responses with neither a length nor chunks, which end with their connection: complete, within an event, after the head or with a reset. The soak does not use them yet.

--- a/fakes/src/platform/endpoint.rs
+++ b/fakes/src/platform/endpoint.rs
@@ -1,6 +1,7 @@
+use super::unframed::{UnframedEnd, UnframedResponse, close};
 use super::wire::{Message, read_message};
 use std::io::{self, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -30,6 +31,9 @@
     AmbiguousStatus(u16),
     /// Runs the request and responds with 200 without a signature.
     Unsigned,
+    /// Runs the request and responds with neither a length nor chunks, so that the response ends
+    /// with its connection.
+    Unframed(UnframedEnd),
 }
 
 /// A request that an endpoint received.
@@ -118,7 +122,7 @@
                 continue;
             }
             if !self.respond(&message, behaviour, number, &mut writer)? {
-                return writer.shutdown(Shutdown::Both);
+                return close(writer);
             }
         }
         Ok(())
@@ -149,6 +153,10 @@
             Behaviour::Unsigned => {
                 write!(writer, "HTTP/1.1 200 X\r\n{id_header}content-length: 2\r\n\r\nok")?;
             }
+            Behaviour::Unframed(end) => {
+                self.unframed_response(message, signed_headers).send(end, writer)?;
+                return Ok(false);
+            }
             Behaviour::Close => return Ok(false),
             Behaviour::Hang => {
                 self.wait_for_close(number, writer)?;
@@ -169,7 +177,7 @@
                         writer,
                     );
                 }
-                let body = format!("answer of {} to {id}", self.id);
+                let body = self.body(id);
                 let length = body.len();
                 write!(
                     writer,
@@ -204,10 +212,8 @@
             "HTTP/1.1 200 X\r\n{signed_headers}content-type: text/event-stream\r\n\
              transfer-encoding: chunked\r\n\r\n"
         )?;
-        let first_event = message.header("last-event-id").parse().map_or(1, |last: u32| last + 1);
-        for event in first_event..=self.events {
-            let is_truncated = behaviour == Behaviour::Truncate && event == first_event + 2;
-            let text = format!("id: {event}\ndata: piece {event}\n\n");
+        for (index, text) in self.event_texts(message).enumerate() {
+            let is_truncated = behaviour == Behaviour::Truncate && index == 2;
             let text = if is_truncated { &text[..9] } else { &text };
             let written = write!(writer, "{:x}\r\n{text}\r\n", text.len());
             if written.is_err() || self.is_closed(writer) {
@@ -223,6 +229,26 @@
         Ok(true)
     }
 
+    fn body(&self, id: &str) -> String {
+        format!("answer of {} to {id}", self.id)
+    }
+
+    /// The events of a stream, from the one after the last that the client has received.
+    fn event_texts(&self, message: &Message) -> impl Iterator<Item = String> + use<> {
+        let first = message.header("last-event-id").parse().map_or(1, |last: u32| last + 1);
+        (first..=self.events).map(|event| format!("id: {event}\ndata: piece {event}\n\n"))
+    }
+
+    fn unframed_response(&self, message: &Message, headers: String) -> UnframedResponse {
+        let is_stream = message.word(1).contains("/stream/");
+        let parts = if is_stream {
+            self.event_texts(message).collect()
+        } else {
+            vec![self.body(message.header("x-chervilspur-attempt-id"))]
+        };
+        UnframedResponse { headers, is_stream, parts, interval: self.event_interval }
+    }
+
     fn is_closed(&self, stream: &TcpStream) -> bool {
         let mut byte = [0];
         let peeked = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut byte));
--- a/fakes/src/platform/mod.rs
+++ b/fakes/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod gateway;
 mod proxy;
 mod store;
+mod unframed;
 mod wire;
 
 pub use client::{Client, ClientResponse};
@@ -13,4 +14,5 @@
 pub use gateway::{GatewayConfig, GatewayProcess};
 pub use proxy::{Link, Proxy};
 pub use store::{PlatformStore, StoreMode};
+pub use unframed::UnframedEnd;
 pub use wire::Message;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod connections;
 mod failures;
+mod framing;
 mod monitoring;
 mod responses;
 mod shutdown;
