Split streams whose lines end with CR at event boundaries

What callers saw: a stream with CR as its line end was held back until it ended, and one that may be resumed was taken for broken off.

Cause: the splitter knew LF and CR LF only; the format allows CR too.

--- a/components/gateway/src/sse.rs
+++ b/components/gateway/src/sse.rs
@@ -36,14 +36,19 @@
     }
 }
 
+/// Ends of an event: an empty line after each of the line ends that streams may use.
+const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+
 /// The position after the last empty line.
 fn last_boundary(bytes: &[u8]) -> Option<usize> {
-    let ends_event =
-        |end: &usize| bytes[..*end].ends_with(b"\n\n") || bytes[..*end].ends_with(b"\n\r\n");
+    let ends_event = |at: &usize| EVENT_ENDS.iter().any(|end| bytes[..*at].ends_with(end));
     (2..=bytes.len()).rev().find(ends_event)
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
-    let line = events.split(|b| *b == b'\n').rev().find_map(|line| line.strip_prefix(b"id:"))?;
+    let line = events
+        .split(|b| matches!(b, b'\n' | b'\r'))
+        .rev()
+        .find_map(|line| line.strip_prefix(b"id:"))?;
     Some(String::from_utf8_lossy(line).trim().to_owned())
 }
