Forward responses that are not event streams whole on streamed routes

What callers saw: on a streamed route that may be resumed, a signed JSON response was cut: its bytes never make up an event, so it was taken for a stream that broke off, and sent to a second endpoint.

Cause: each success on a streamed route was handled as events. Now one whose head states another type is read whole, as on other routes, so the rule for the end of event streams does not apply to it.

Evidence: response_that_is_not_an_event_stream_is_forwarded_whole::case_2 failed before and passes.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -12,7 +12,9 @@
 use decision::Millis;
 use decision::routing::{Choice, Outcome};
 use errors::Verdict;
-use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
+use http::header::{
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, TRANSFER_ENCODING,
+};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -186,7 +188,7 @@
                 "response is unsigned or content-encoded and is not forwarded".to_owned(),
             ));
         }
-        if request.streamed {
+        if request.streamed && is_event_stream(&headers) {
             let framing = Framing::of(&head.headers);
             let streaming =
                 StreamingResponse { status: head.status, headers, framing, body, connection: busy };
@@ -217,6 +219,14 @@
     Ok(EndpointResponse::Complete(response))
 }
 
+/// Whether a response to a streamed request consists of events, as it does unless its head states
+/// another type.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(content_type) = headers.get(CONTENT_TYPE) else { return true };
+    let media_type = content_type.to_str().unwrap_or("").split(';').next().unwrap_or("");
+    media_type.trim().eq_ignore_ascii_case("text/event-stream")
+}
+
 /// The outcome for the load table if the endpoint states that it did not run the request.
 fn not_run_outcome(status: StatusCode) -> Outcome {
     match status {
--- a/fakes/src/platform/endpoint.rs
+++ b/fakes/src/platform/endpoint.rs
@@ -29,6 +29,8 @@
     /// Runs the request and responds with this status, unsigned and without the header that the
     /// request was not run.
     AmbiguousStatus(u16),
+    /// Runs the request and responds with a JSON document, also where a stream is expected.
+    Json,
     /// Runs the request and responds with 200 without a signature.
     Unsigned,
     /// Runs the request and responds with neither a length nor chunks, so that the response ends
@@ -150,6 +152,15 @@
             Behaviour::AmbiguousStatus(status) => {
                 write!(writer, "HTTP/1.1 {status} X\r\n{id_header}content-length: 0\r\n\r\n")?;
             }
+            Behaviour::Json => {
+                let body = format!("{{\"request\":\"{id}\"}}");
+                let length = body.len();
+                write!(
+                    writer,
+                    "HTTP/1.1 200 X\r\n{signed_headers}content-type: application/json\r\n\
+                     content-length: {length}\r\n\r\n{body}"
+                )?;
+            }
             Behaviour::Unsigned => {
                 write!(writer, "HTTP/1.1 200 X\r\n{id_header}content-length: 2\r\n\r\nok")?;
             }
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -1,5 +1,6 @@
 use crate::support::{KEY, Site, configuration, text};
 use fakes::{Behaviour, Client, GatewayConfig};
+use rstest::rstest;
 use serde_json::json;
 use std::thread;
 use std::time::Duration;
@@ -98,6 +99,18 @@
     assert_eq!(site.runs("/fixed/stream/"), 1);
 }
 
+#[rstest]
+#[case("/fixed/stream/")]
+#[case("/stream/")]
+fn response_that_is_not_an_event_stream_is_forwarded_whole(#[case] target: &str) {
+    let site = Site::start();
+    site.runners.iter().for_each(|runner| runner.set_behaviour(Behaviour::Json));
+    let response = site.send_request(target, "r1");
+    assert!(response.is_complete);
+    assert_eq!(text(&response), "{\"request\":\"r1\"}");
+    assert_eq!(site.runs("r1"), 1);
+}
+
 #[test]
 fn forwards_the_last_event_id_of_a_client() {
     let site = Site::start();
