Do not complete a stream that ended within an event

Cause: a response with neither a length nor chunks ends with its connection, so a crash of its endpoint looks like its end. Only the bytes after the last complete event tell them apart. The relay checked them for streams that may be resumed; for others it sent the bytes of the unfinished event and completed its own response.

Ruled out: a reset that is taken for an end (a test with real sockets for each kind of request passes before and after). An endpoint that completes the framing of its own cut stream is covered by the same check.

Why it works: whether a request may be repeated decides what follows an early end, not whether the end is early. Now each stream that ends within an event is broken off: the bytes of the event are dropped, a resumable stream goes on elsewhere, any other one ends without its last chunk.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -27,8 +27,8 @@
 /// How forwarding the stream of one endpoint ended.
 enum StreamEnd {
     Complete,
-    /// The connection failed, the request's deadline passed, or a resumable stream ended within an
-    /// event; the text says which.
+    /// The connection failed, the request's deadline passed, or the stream ended within an event;
+    /// the text says which.
     Interrupted(String),
     /// The client disconnected.
     ClientLeft,
@@ -117,7 +117,7 @@
             let chunk = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(Some(Err(e))) => return StreamEnd::Interrupted(e.to_string()),
-                Ok(None) => return self.handle_stream_end().await,
+                Ok(None) => return self.check_end(),
                 Err(_) => {
                     return StreamEnd::Interrupted(String::from(
                         "request deadline passed before the stream ended",
@@ -132,16 +132,12 @@
         }
     }
 
-    async fn handle_stream_end(&mut self) -> StreamEnd {
+    /// The end of a stream that ended without an error, which a cut stream may do as well.
+    fn check_end(&mut self) -> StreamEnd {
         self.unfinished_bytes = self.splitter.partial_bytes();
-        if self.unfinished_bytes > 0 && self.request.repeat == Repeat::Resumable {
-            return StreamEnd::Interrupted(String::from(
-                "endpoint ended the stream within an event",
-            ));
-        }
-        let partial = self.splitter.take_partial();
-        if !partial.is_empty() && self.tx.send(Ok(partial)).await.is_err() {
-            return StreamEnd::ClientLeft;
+        if self.unfinished_bytes > 0 {
+            let text = String::from("endpoint ended the stream within an event");
+            return StreamEnd::Interrupted(text);
         }
         StreamEnd::Complete
     }
