Send streams until one is resumed, rather than eight

What was seen: stream_without_a_length_is_resumed_after_it_was_cut_... failed once among 16 tests, and once more in 288 runs of it alone, at its last check: no stream had been resumed.

Cause: streams are placed at random at one of two endpoints, and only the first one breaks them off. With probability 1/256 all eight start at the second. resumes_an_interrupted_stream_within_one_response has the same fault. Ruled out: load (the logs show eight complete streams, none of them tried twice).

Change: both send streams until one is resumed, up to 64, and check each response as before, mine now for its whole text.

--- a/tests/gateway/framing.rs
+++ b/tests/gateway/framing.rs
@@ -1,9 +1,8 @@
+use crate::streams::{complete_stream, send_until_resumed};
 use crate::support::{Site, text};
 use fakes::{Behaviour, UnframedEnd};
 use rstest::rstest;
 
-const FIRST_TWO_EVENTS: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
-
 fn set(site: &Site, end: UnframedEnd) {
     site.runners.iter().for_each(|runner| runner.set_behaviour(Behaviour::Unframed(end)));
 }
@@ -18,7 +17,7 @@
     set(&site, UnframedEnd::WithinEvent);
     let response = site.send_request(target, "r1");
     assert!(!response.is_complete, "{:?}", site.gateway.log_with(&["finished", "r1"]));
-    assert!(text(&response).starts_with(FIRST_TWO_EVENTS), "{}", text(&response));
+    assert!(text(&response).starts_with(&complete_stream(2)), "{}", text(&response));
     assert!(text(&response).ends_with("\n\n"), "{}", text(&response));
 }
 
@@ -26,14 +25,10 @@
 fn stream_without_a_length_is_resumed_after_it_was_cut_within_an_event() {
     let site = Site::start();
     site.runners[0].set_behaviour(Behaviour::Unframed(UnframedEnd::WithinEvent));
-    for number in 0..8 {
-        let response = site.send_request("/stream/", &format!("r{number}"));
+    send_until_resumed(&site, |response| {
         assert!(response.is_complete);
-        assert!(text(&response).starts_with(FIRST_TWO_EVENTS));
-        assert!(text(&response).ends_with("id: 5\ndata: piece 5\n\n"));
-    }
-    let resumed = site.runners[1].received_requests();
-    assert!(resumed.iter().any(|a| a.message.header("last-event-id") == "2"));
+        assert_eq!(text(response), complete_stream(5));
+    });
 }
 
 #[rstest]
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -1,5 +1,5 @@
 use crate::support::{KEY, Site, configuration, text};
-use fakes::{Behaviour, Client, GatewayConfig};
+use fakes::{Behaviour, Client, ClientResponse, GatewayConfig, ReceivedRequest};
 use rstest::rstest;
 use serde_json::json;
 use std::thread;
@@ -8,7 +8,8 @@
 const PROMPT: &str =
     "X-Chervilspur-Token-Counts: 3000,80\r\nX-Chervilspur-Prompt-Prefix: a1:3000\r\n";
 
-fn complete_stream(events: u32) -> String {
+/// The body of a stream with this number of events.
+pub fn complete_stream(events: u32) -> String {
     (1..=events).map(|event| format!("id: {event}\ndata: piece {event}\n\n")).collect()
 }
 
@@ -33,13 +34,27 @@
 fn resumes_an_interrupted_stream_within_one_response() {
     let site = Site::start();
     site.runners[0].set_behaviour(Behaviour::Truncate);
-    for number in 0..8 {
-        let response = site.send_request("/stream/", &format!("r{number}"));
+    send_until_resumed(&site, |response| {
         assert!(response.is_complete);
-        assert_eq!(text(&response), complete_stream(5));
+        assert_eq!(text(response), complete_stream(5));
+    });
+}
+
+/// Streams are placed at random. The probability that none of 64 starts at the first endpoint is
+/// negligible.
+const MAX_STREAMS: u32 = 64;
+
+/// Sends streams, of which those at the first endpoint break off, and checks the responses until one
+/// was resumed after the second event.
+pub fn send_until_resumed(site: &Site, check: impl Fn(&ClientResponse)) {
+    let is_resumed = |a: &ReceivedRequest| a.message.header("last-event-id") == "2";
+    for number in 0..MAX_STREAMS {
+        check(&site.send_request("/stream/", &format!("r{number}")));
+        if site.runners[1].received_requests().iter().any(is_resumed) {
+            return;
+        }
     }
-    let resumed = site.runners[1].received_requests();
-    assert!(resumed.iter().any(|a| a.message.header("last-event-id") == "2"));
+    panic!("none of {MAX_STREAMS} streams was resumed");
 }
 
 #[test]
