Do not complete a stream without chunks that ends before its first event

What callers would see: an empty 200, framed as complete, when an endpoint crashes after the head of a response with neither a length nor chunks.

Cause: nothing is left over within an event if there was none.

Change: stream_end.rs decides from what was received whether a stream that ended without an error is complete. One that is framed by its connection needs an event. With chunks or a length, an empty stream stays complete. The counter 'stream_ends' names each way of ending; 'finished' has the unfinished bytes also after an error.

Evidence: stream_cut_before_its_first_event_is_not_completed failed in both cases before and passes. Price: a stream that is resumed after its last event by an endpoint that sends neither chunks nor a length is broken off, though its client has all events; it cannot be told from a cut one.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod shutdown;
 mod sse;
 mod store_reader;
+mod stream_end;
 mod update_source;
 
 pub use adapter::{
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,14 +1,14 @@
 use crate::adapter::Adapter;
 use crate::attempt::{BusyConnection, EndpointResponse, StreamingResponse, attempt};
 use crate::clock::now;
-use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::metrics::StreamEndLabels;
 use crate::queue::{WaitOutcome, wait_for_endpoint};
 use crate::response::{ResponseBody, TruncatedResponse};
 use crate::routed_request::RoutedRequest;
-use crate::serve::{ANSWERED, FinishedRequest, StreamSummary, finish};
+use crate::serve::{ANSWERED, FinishedRequest, finish};
 use crate::sse::EventSplitter;
+use crate::stream_end::{Interruption, StreamEnd, StreamSummary};
 use bytes::Bytes;
 use decision::routing::{Outcome, Repeat};
 use http::Response;
@@ -24,16 +24,6 @@
 /// Chunks buffered for a slow client before the gateway pauses reading from the endpoint.
 const MAX_BUFFERED_CHUNKS: usize = 8;
 
-/// How forwarding the stream of one endpoint ended.
-enum StreamEnd {
-    Complete,
-    /// The connection failed, the request's deadline passed, or the stream ended within an event;
-    /// the text says which.
-    Interrupted(String),
-    /// The client disconnected.
-    ClientLeft,
-}
-
 /// Responds to a client with a stream; a separate task forwards the events.
 pub(crate) fn relay<A: Adapter>(
     gateway: &Rc<Gateway<A>>,
@@ -50,9 +40,8 @@
         gateway: gateway.clone(),
         request,
         tx,
-        framing: streaming.framing,
+        summary: StreamSummary::new(streaming.framing),
         splitter: EventSplitter::default(),
-        unfinished_bytes: 0,
         tried,
         sends,
     };
@@ -64,11 +53,9 @@
     gateway: Rc<Gateway<A>>,
     request: RoutedRequest,
     tx: Sender<Result<Bytes, TruncatedResponse>>,
-    /// The framing of the stream that is being forwarded.
-    framing: Framing,
+    /// The stream that is being forwarded, or was forwarded last.
+    summary: StreamSummary,
     splitter: EventSplitter,
-    /// Bytes after the last complete event, if the stream has ended without an error.
-    unfinished_bytes: usize,
     tried: BTreeSet<String>,
     sends: u32,
 }
@@ -78,7 +65,7 @@
         loop {
             let end = self.forward_events(&mut body).await;
             self.count_end(&end);
-            let text = match end {
+            let interruption = match end {
                 StreamEnd::Complete => {
                     connection.close(&self.gateway, Outcome::Answered);
                     return self.finish(ANSWERED, "");
@@ -87,19 +74,19 @@
                     connection.in_flight.close(Outcome::Abandoned);
                     return self.finish("client_left", "");
                 }
-                StreamEnd::Interrupted(text) => text,
+                StreamEnd::Interrupted(interruption) => interruption,
             };
             connection.in_flight.close(Outcome::Failed);
             drop(body);
             match self.resume().await {
                 Some(next) => {
-                    self.framing = next.framing;
+                    self.summary = StreamSummary::new(next.framing);
                     (body, connection) = (next.body, next.connection);
                 }
                 None => {
                     // Sending fails only if the client has disconnected.
                     let _ = self.tx.send(Err(TruncatedResponse)).await;
-                    return self.finish("broken", &text);
+                    return self.finish("broken", &interruption.to_string());
                 }
             }
         }
@@ -107,7 +94,6 @@
 
     /// Forwards complete events as they arrive, until the stream ends.
     async fn forward_events(&mut self, body: &mut Incoming) -> StreamEnd {
-        self.unfinished_bytes = 0;
         loop {
             let left = Duration::from_millis(self.request.time_left(now()).0);
             let frame = tokio::select! {
@@ -116,15 +102,16 @@
             };
             let chunk = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(e))) => return StreamEnd::Interrupted(e.to_string()),
-                Ok(None) => return self.check_end(),
-                Err(_) => {
-                    return StreamEnd::Interrupted(String::from(
-                        "request deadline passed before the stream ended",
-                    ));
+                Ok(Some(Err(source))) => {
+                    return StreamEnd::Interrupted(Interruption::Connection { source });
                 }
+                Ok(None) => return self.summary.end(),
+                Err(_) => return StreamEnd::Interrupted(Interruption::Deadline),
             };
-            if let Some(events) = self.splitter.push(&chunk)
+            let events = self.splitter.push(&chunk);
+            self.summary.has_events |= events.is_some();
+            self.summary.unfinished_bytes = self.splitter.partial_bytes();
+            if let Some(events) = events
                 && self.tx.send(Ok(events)).await.is_err()
             {
                 return StreamEnd::ClientLeft;
@@ -132,16 +119,6 @@
         }
     }
 
-    /// The end of a stream that ended without an error, which a cut stream may do as well.
-    fn check_end(&mut self) -> StreamEnd {
-        self.unfinished_bytes = self.splitter.partial_bytes();
-        if self.unfinished_bytes > 0 {
-            let text = String::from("endpoint ended the stream within an event");
-            return StreamEnd::Interrupted(text);
-        }
-        StreamEnd::Complete
-    }
-
     /// Resumes the stream at another endpoint after the last complete event.
     async fn resume(&mut self) -> Option<StreamingResponse<A>> {
         self.splitter.take_partial();
@@ -173,20 +150,13 @@
     }
 
     fn count_end(&self, end: &StreamEnd) {
-        let end = match end {
-            StreamEnd::ClientLeft => "client_left",
-            _ if self.unfinished_bytes > 0 => "within_event",
-            StreamEnd::Interrupted(_) => "interrupted",
-            StreamEnd::Complete => "complete",
-        };
-        let labels = StreamEndLabels { framing: self.framing.as_str(), end };
+        let labels = StreamEndLabels { framing: self.summary.framing.as_str(), end: end.as_str() };
         self.gateway.metrics.stream_ends.get_or_create(&labels).inc();
     }
 
     fn finish(self, result: &str, text: &str) {
-        let stream =
-            StreamSummary { framing: self.framing, unfinished_bytes: self.unfinished_bytes };
-        let finished = FinishedRequest { result, text, sends: self.sends, stream: Some(stream) };
+        let finished =
+            FinishedRequest { result, text, sends: self.sends, stream: Some(self.summary) };
         finish(&self.gateway, &self.request, &finished);
     }
 }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -2,12 +2,12 @@
 use crate::attempt::is_hop_header;
 use crate::clock::now;
 use crate::dispatch::{dispatch, not_run_refusal};
-use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::log::LineKind;
 use crate::metrics::{RouteLabels, ServiceLabels};
 use crate::response::{Refusal, ResponseBody};
 use crate::routed_request::{RoutedRequest, destination, priority};
+use crate::stream_end::StreamSummary;
 use bytes::Bytes;
 use decision::Millis;
 use decision::routing::{Caller, Catalog, Route};
@@ -278,14 +278,6 @@
     pub(crate) stream: Option<StreamSummary>,
 }
 
-/// What is logged about the stream of an endpoint.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct StreamSummary {
-    pub(crate) framing: Framing,
-    /// Bytes after the last complete event, if the stream has ended without an error.
-    pub(crate) unfinished_bytes: usize,
-}
-
 /// Counts and logs a request for which an endpoint's response was forwarded, at least in part.
 pub(crate) fn finish<A: Adapter>(
     gateway: &Gateway<A>,
--- a/tests/gateway/framing.rs
+++ b/tests/gateway/framing.rs
@@ -21,6 +21,17 @@
     assert!(text(&response).ends_with("\n\n"), "{}", text(&response));
 }
 
+/// Without chunks, an empty stream cannot be told from one that was cut.
+#[rstest]
+#[case("/fixed/stream/")]
+#[case("/stream/")]
+fn stream_cut_before_its_first_event_is_not_completed(#[case] target: &str) {
+    let site = Site::start();
+    set(&site, UnframedEnd::AfterHead);
+    let response = site.send_request(target, "r1");
+    assert!(!response.is_complete, "{:?}", site.gateway.log_with(&["finished", "r1"]));
+}
+
 #[test]
 fn stream_without_a_length_is_resumed_after_it_was_cut_within_an_event() {
     let site = Site::start();
