Complete a forwarded body only if its writer is closed

What callers would see: a stream cut at any point and framed as complete, if the task that forwards it ends without saying so, as by a panic.

Change: stream_body.rs has the two ends of such a body. The writer has to be closed to complete it; a dropped writer truncates it. The relay closes it in the one place where the stream is complete, and the error value that had to be sent in the other place is gone.

Evidence: body_whose_writer_is_dropped_is_not_completed reads the bytes on a real connection; it failed with the end of the channel as the end of the body, as the code was, and passes.

Result: all tests of the gateway crate and of tests/gateway pass.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod shutdown;
 mod sse;
 mod store_reader;
+mod stream_body;
 mod stream_end;
 mod update_source;
 
@@ -48,3 +49,4 @@
 pub use run::{RunError, run};
 pub use settings::{Settings, SettingsFile};
 pub use sse::EventSplitter;
+pub use stream_body::{StreamBody, StreamWriter, TruncatedResponse, stream_body};
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -4,12 +4,12 @@
 use crate::gateway::Gateway;
 use crate::metrics::StreamEndLabels;
 use crate::queue::{WaitOutcome, wait_for_endpoint};
-use crate::response::{ResponseBody, TruncatedResponse};
+use crate::response::ResponseBody;
 use crate::routed_request::RoutedRequest;
 use crate::serve::{ANSWERED, FinishedRequest, finish};
 use crate::sse::EventSplitter;
+use crate::stream_body::{StreamWriter, stream_body};
 use crate::stream_end::{Interruption, StreamEnd, StreamSummary};
-use bytes::Bytes;
 use decision::routing::{Outcome, Repeat};
 use http::Response;
 use http_body_util::BodyExt;
@@ -17,7 +17,6 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc::{Sender, channel};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -32,14 +31,14 @@
     tried: BTreeSet<String>,
     sends: u32,
 ) -> Response<ResponseBody> {
-    let (tx, rx) = channel(MAX_BUFFERED_CHUNKS);
-    let mut response = Response::new(ResponseBody::Relayed(rx));
+    let (writer, body) = stream_body(MAX_BUFFERED_CHUNKS);
+    let mut response = Response::new(ResponseBody::Relayed(body));
     *response.status_mut() = streaming.status;
     *response.headers_mut() = streaming.headers;
     let relay = Relay {
         gateway: gateway.clone(),
         request,
-        tx,
+        writer,
         summary: StreamSummary::new(streaming.framing),
         splitter: EventSplitter::default(),
         tried,
@@ -52,7 +51,7 @@
 struct Relay<A: Adapter> {
     gateway: Rc<Gateway<A>>,
     request: RoutedRequest,
-    tx: Sender<Result<Bytes, TruncatedResponse>>,
+    writer: StreamWriter,
     /// The stream that is being forwarded, or was forwarded last.
     summary: StreamSummary,
     splitter: EventSplitter,
@@ -68,7 +67,8 @@
             let interruption = match end {
                 StreamEnd::Complete => {
                     connection.close(&self.gateway, Outcome::Answered);
-                    return self.finish(ANSWERED, "");
+                    self.finish(ANSWERED, "");
+                    return self.writer.close();
                 }
                 StreamEnd::ClientLeft => {
                     connection.in_flight.close(Outcome::Abandoned);
@@ -84,8 +84,6 @@
                     (body, connection) = (next.body, next.connection);
                 }
                 None => {
-                    // Sending fails only if the client has disconnected.
-                    let _ = self.tx.send(Err(TruncatedResponse)).await;
                     return self.finish("broken", &interruption.to_string());
                 }
             }
@@ -98,7 +96,7 @@
             let left = Duration::from_millis(self.request.time_left(now()).0);
             let frame = tokio::select! {
                 frame = timeout(left, body.frame()) => frame,
-                () = self.tx.closed() => return StreamEnd::ClientLeft,
+                () = self.writer.client_left() => return StreamEnd::ClientLeft,
             };
             let chunk = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
@@ -112,7 +110,7 @@
             self.summary.has_events |= events.is_some();
             self.summary.unfinished_bytes = self.splitter.partial_bytes();
             if let Some(events) = events
-                && self.tx.send(Ok(events)).await.is_err()
+                && !self.writer.send(events).await
             {
                 return StreamEnd::ClientLeft;
             }
@@ -130,7 +128,7 @@
             let limits = request.wait_limits(&self.tried, now());
             let placed = tokio::select! {
                 placed = wait_for_endpoint(&self.gateway, request, limits, &self.tried) => placed,
-                () = self.tx.closed() => return None,
+                () = self.writer.client_left() => return None,
             };
             let WaitOutcome::Placed(choice) = placed else { return None };
             let daemons = self.gateway.daemon_count(now());
@@ -154,7 +152,7 @@
         self.gateway.metrics.stream_ends.get_or_create(&labels).inc();
     }
 
-    fn finish(self, result: &str, text: &str) {
+    fn finish(&self, result: &str, text: &str) {
         let finished =
             FinishedRequest { result, text, sends: self.sends, stream: Some(self.summary) };
         finish(&self.gateway, &self.request, &finished);
--- a/components/gateway/src/response.rs
+++ b/components/gateway/src/response.rs
@@ -1,18 +1,11 @@
+use crate::stream_body::{StreamBody, TruncatedResponse};
 use bytes::Bytes;
 use errors::{Reason, Verdict};
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
-use snafu::Snafu;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use tokio::sync::mpsc::Receiver;
-
-/// Ends a response body early. The connection to the client closes without the end of the body, so
-/// that the client detects the truncation.
-#[derive(Clone, Copy, Debug, Snafu)]
-#[snafu(display("endpoint response ended early"))]
-pub(crate) struct TruncatedResponse;
 
 /// The body of a response to a client.
 #[derive(Debug)]
@@ -20,7 +13,7 @@
     /// A body that is completely known; `None` if it is empty or has been sent.
     Complete(Option<Bytes>),
     /// A body that is forwarded from an endpoint.
-    Relayed(Receiver<Result<Bytes, TruncatedResponse>>),
+    Relayed(StreamBody),
 }
 
 impl Body for ResponseBody {
@@ -33,9 +26,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
         match self.get_mut() {
             ResponseBody::Complete(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            ResponseBody::Relayed(rx) => {
-                rx.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            ResponseBody::Relayed(body) => Pin::new(body).poll_frame(cx),
         }
     }
 
