Send complete events that precede a truncation

What callers saw: when a stream is cut right after complete events, those events, or even the head of the response, did not reach them.

Cause: hyper drops what it has encoded but not sent when a body returns an error, and events and error were often read in the same poll.

Change: before the error the body is pending once, in which hyper sends what it holds. A client that does not read may still lose the rest.

Evidence: pieces_before_a_truncation_are_sent failed before and passes.

--- a/components/gateway/src/stream_body.rs
+++ b/components/gateway/src/stream_body.rs
@@ -28,13 +28,16 @@
 pub struct StreamBody {
     rx: Receiver<Bytes>,
     is_complete: Rc<Cell<bool>>,
+    /// Whether hyper had the opportunity to send all pieces before the error of a truncation.
+    is_flushed: bool,
 }
 
 /// Creates a body with its writer, which waits while `max_pieces` are unread.
 pub fn stream_body(max_pieces: usize) -> (StreamWriter, StreamBody) {
     let (tx, rx) = channel(max_pieces);
     let is_complete = Rc::new(Cell::new(false));
-    (StreamWriter { tx, is_complete: is_complete.clone() }, StreamBody { rx, is_complete })
+    let writer = StreamWriter { tx, is_complete: is_complete.clone() };
+    (writer, StreamBody { rx, is_complete, is_flushed: false })
 }
 
 impl StreamWriter {
@@ -65,6 +68,13 @@
         Poll::Ready(match ready!(self.rx.poll_recv(cx)) {
             Some(piece) => Some(Ok(Frame::data(piece))),
             None if self.is_complete.get() => None,
+            // An error makes hyper drop what it has not sent, even the head of the response; while
+            // the body is pending, it sends that.
+            None if !self.is_flushed => {
+                self.is_flushed = true;
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
+            }
             None => Some(Err(TruncatedResponse)),
         })
     }
--- a/components/gateway/tests/stream_body.rs
+++ b/components/gateway/tests/stream_body.rs
@@ -66,3 +66,12 @@
     });
     assert!(!text.ends_with(LAST_CHUNK), "{text}");
 }
+
+#[test]
+fn pieces_before_a_truncation_are_sent() {
+    let text = response_bytes(async |writer| {
+        assert!(writer.send(Bytes::from("one")).await);
+        assert!(writer.send(Bytes::from("two")).await);
+    });
+    assert!(text.contains("one") && text.contains("two"), "{text}");
+}
