Reset the connections of HTTP/1.0 clients whose stream is cut

What callers saw: a client of HTTP/1.0 took a stream that was cut for complete.

Change: such a connection is reset. HTTP/1.1 clients miss the last chunk and keep the ordinary end, so that nothing on its way is lost.

Ruled out: reading the stream whole and stating its length. A proxy that speaks HTTP/1.0 to its servers would get no event before the last.

--- a/components/gateway/src/listener.rs
+++ b/components/gateway/src/listener.rs
@@ -7,16 +7,16 @@
 use crate::response::ResponseBody;
 use crate::serve::serve;
 use decision::Millis;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -85,6 +85,8 @@
 struct Activity {
     requests: Cell<u32>,
     idle_since: Cell<Millis>,
+    /// Whether the last request was one of HTTP/1.0, whose responses cannot be chunked.
+    is_http_1_0: Cell<bool>,
 }
 
 async fn serve_connection<A: Adapter>(gateway: Rc<Gateway<A>>, stream: TcpStream, role: Role) {
@@ -92,7 +94,11 @@
         tracing::debug!(event = "client_lost", error = %e);
         return;
     }
-    let activity = Activity { requests: Cell::new(0), idle_since: Cell::new(now()) };
+    let activity = Activity {
+        requests: Cell::new(0),
+        idle_since: Cell::new(now()),
+        is_http_1_0: Cell::new(false),
+    };
     let client_delta = i64::from(role == Role::Clients);
     gateway.metrics.clients.inc_by(client_delta);
     drive_connection(&gateway, stream, role, &activity).await;
@@ -107,12 +113,11 @@
 ) {
     let limits = gateway.catalog().map(|c| c.configuration().limits).unwrap_or_default();
     let service = service_fn(|req| respond(gateway, req, role, activity));
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis((limits.idle_time + limits.header_time).0))
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
     loop {
         let idle_deadline = activity.idle_since.get() + limits.idle_time;
         let wait = match activity.requests.get() {
@@ -120,9 +125,12 @@
             _ => limits.idle_time,
         };
         tokio::select! {
-            result = connection.as_mut() => {
+            result = &mut connection => {
                 if let Err(e) = result {
                     tracing::debug!(event = "client_connection_ended", error = %e);
+                    if e.is_user() && activity.is_http_1_0.get() {
+                        reset(connection.into_parts().io.inner());
+                    }
                 }
                 return;
             }
@@ -132,11 +140,19 @@
         let is_idle = activity.requests.get() == 0;
         let has_timed_out = now() >= activity.idle_since.get() + limits.idle_time;
         if is_idle && (has_timed_out || gateway.shutdown.closes_idle()) {
-            connection.as_mut().graceful_shutdown();
+            Pin::new(&mut connection).graceful_shutdown();
         }
     }
 }
 
+/// Makes the kernel reset a connection when it is dropped. A client of HTTP/1.0 would take the
+/// ordinary end of the connection for the end of a response that was cut.
+fn reset(stream: &TcpStream) {
+    if let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        tracing::warn!(event = "reset_failed", error = %e);
+    }
+}
+
 async fn respond<A: Adapter>(
     gateway: &Rc<Gateway<A>>,
     req: Request<Incoming>,
@@ -144,6 +160,7 @@
     activity: &Activity,
 ) -> Result<Response<ResponseBody>, Infallible> {
     activity.requests.set(activity.requests.get() + 1);
+    activity.is_http_1_0.set(req.version() == Version::HTTP_10);
     let response = match role {
         Role::Clients => serve(gateway, req).await,
         Role::Monitoring => serve_monitoring(gateway, req).await,
--- a/tests/gateway/framing.rs
+++ b/tests/gateway/framing.rs
@@ -1,7 +1,9 @@
 use crate::streams::{complete_stream, send_until_resumed};
-use crate::support::{Site, text};
+use crate::support::{KEY, Site, text};
 use fakes::{Behaviour, UnframedEnd};
 use rstest::rstest;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::TcpStream;
 
 fn set(site: &Site, end: UnframedEnd) {
     site.runners.iter().for_each(|runner| runner.set_behaviour(Behaviour::Unframed(end)));
@@ -32,6 +34,30 @@
     assert!(!response.is_complete, "{:?}", site.gateway.log_with(&["finished", "r1"]));
 }
 
+/// HTTP/1.0 has no chunks: the response ends with the connection, and only a reset tells that it was
+/// cut.
+#[test]
+fn stream_cut_for_an_http_1_0_client_ends_with_a_reset() {
+    let site = Site::start();
+    let complete = read_http_1_0_stream(&site, "r1").unwrap();
+    assert!(complete.ends_with(&complete_stream(5)), "{complete}");
+    site.runners.iter().for_each(|runner| runner.set_behaviour(Behaviour::Truncate));
+    let error = read_http_1_0_stream(&site, "r2").unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+}
+
+fn read_http_1_0_stream(site: &Site, id: &str) -> io::Result<String> {
+    let mut client = TcpStream::connect(site.gateway.address)?;
+    write!(
+        client,
+        "POST /fixed/stream/ HTTP/1.0\r\nhost: model.example\r\napi-key: {KEY}\r\n\
+         x-chervilspur-attempt-id: {id}\r\ncontent-length: 0\r\n\r\n"
+    )?;
+    let mut text = String::new();
+    client.read_to_string(&mut text)?;
+    Ok(text)
+}
+
 #[test]
 fn stream_without_a_length_is_resumed_after_it_was_cut_within_an_event() {
     let site = Site::start();
