Do not count empty lines and comments as the end or the start of an event

What callers would see: since each stream has to end after a complete event, one with another empty line at its end would be broken off if that line arrived in a piece of its own; and one that ends with its connection after comments alone would be completed.

Cause: the splitter kept empty lines after an event as the start of the next one, and took each complete block of lines for an event.

Evidence: three cases of events_are_complete_after_an_empty_line failed before (pieces of 1 or 13 bytes) and pass for each size of the pieces; the cases of comments_and_empty_lines_are_not_events are new.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -48,5 +48,5 @@
 pub use refusal_line::RefusalLine;
 pub use run::{RunError, run};
 pub use settings::{Settings, SettingsFile};
-pub use sse::EventSplitter;
+pub use sse::{EventSplitter, has_event};
 pub use stream_body::{StreamBody, StreamWriter, TruncatedResponse, stream_body};
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use crate::response::ResponseBody;
 use crate::routed_request::RoutedRequest;
 use crate::serve::{ANSWERED, FinishedRequest, finish};
-use crate::sse::EventSplitter;
+use crate::sse::{EventSplitter, has_event};
 use crate::stream_body::{StreamWriter, stream_body};
 use crate::stream_end::{Interruption, StreamEnd, StreamSummary};
 use decision::routing::{Outcome, Repeat};
@@ -107,7 +107,9 @@
                 Err(_) => return StreamEnd::Interrupted(Interruption::Deadline),
             };
             let events = self.splitter.push(&chunk);
-            self.summary.has_events |= events.is_some();
+            if !self.summary.has_events {
+                self.summary.has_events = events.as_deref().is_some_and(has_event);
+            }
             self.summary.unfinished_bytes = self.splitter.partial_bytes();
             if let Some(events) = events
                 && !self.writer.send(events).await
--- a/components/gateway/src/sse.rs
+++ b/components/gateway/src/sse.rs
@@ -12,8 +12,14 @@
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         let search_start = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(bytes);
-        let end = search_start + last_boundary(&self.partial[search_start..])?;
-        let events = self.partial.split_to(end).freeze();
+        let boundary = last_boundary(&self.partial[search_start..]);
+        let end = boundary.map_or(0, |position| search_start + position);
+        // Further empty lines belong to no event.
+        let empty_lines = self.partial[end..].iter().take_while(|byte| is_line_end(byte)).count();
+        let events = self.partial.split_to(end + empty_lines).freeze();
+        if events.is_empty() {
+            return None;
+        }
         if let Some(id) = last_id(&events) {
             self.last_id = Some(id);
         }
@@ -45,10 +51,16 @@
     (2..=bytes.len()).rev().find(ends_event)
 }
 
+/// Whether there is an event among complete blocks of lines, which may also be comments.
+pub fn has_event(blocks: &[u8]) -> bool {
+    blocks.split(is_line_end).any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
+fn is_line_end(byte: &u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
 fn last_id(events: &[u8]) -> Option<String> {
-    let line = events
-        .split(|b| matches!(b, b'\n' | b'\r'))
-        .rev()
-        .find_map(|line| line.strip_prefix(b"id:"))?;
+    let line = events.split(is_line_end).rev().find_map(|line| line.strip_prefix(b"id:"))?;
     Some(String::from_utf8_lossy(line).trim().to_owned())
 }
--- a/components/gateway/tests/event_splitter.rs
+++ b/components/gateway/tests/event_splitter.rs
@@ -1,6 +1,6 @@
 //! Splitting a stream at event boundaries.
 
-use gateway::EventSplitter;
+use gateway::{EventSplitter, has_event};
 use rstest::rstest;
 
 /// Adds the bytes in pieces of `size` and returns the events, joined.
@@ -12,6 +12,9 @@
 #[case::line_feeds("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")]
 #[case::carriage_returns_and_line_feeds("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n")]
 #[case::carriage_returns("id: 1\rdata: a\r\rid: 2\rdata: b\r\r")]
+#[case::further_line_feeds("\nid: 1\ndata: a\n\n\nid: 2\ndata: b\n\n\n")]
+#[case::further_line_ends("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n\r\n\r\n")]
+#[case::different_line_ends("id: 1\ndata: a\n\n\rid: 2\rdata: b\r\r\n")]
 fn events_are_complete_after_an_empty_line(#[case] stream: &str) {
     for size in 1..=stream.len() {
         let mut splitter = EventSplitter::default();
@@ -38,3 +41,13 @@
     assert_eq!(splitter.take_partial(), partial);
     assert_eq!(splitter.partial_bytes(), 0);
 }
+
+#[rstest]
+#[case("data: a\n\n", true)]
+#[case(": waiting\n\nid: 1\r\n\r\n", true)]
+#[case(": waiting\n\n", false)]
+#[case(": waiting\r\r\r", false)]
+#[case("\n", false)]
+fn comments_and_empty_lines_are_not_events(#[case] text: &str, #[case] expected: bool) {
+    assert_eq!(has_event(text.as_bytes()), expected);
+}
