Send responses without a length in the soak, and reset connections in its proxies

Cause: the soak's endpoints cut streams in chunks only, and its proxies turned each reset into the ordinary end of a connection or into silence.

Change: a second schedule of faults makes endpoints send such responses: complete, cut within an event, cut after the head, reset. It is drawn after the first, so that a seed keeps the faults with which it once failed. A proxy passes a reset on, and resets on Link::Reset.

--- a/fakes/src/platform/endpoint.rs
+++ b/fakes/src/platform/endpoint.rs
@@ -1,4 +1,5 @@
-use super::unframed::{UnframedEnd, UnframedResponse, close};
+use super::closing::close;
+use super::unframed::{UnframedEnd, UnframedResponse};
 use super::wire::{Message, read_message};
 use std::io::{self, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -124,7 +125,7 @@
                 continue;
             }
             if !self.respond(&message, behaviour, number, &mut writer)? {
-                return close(writer);
+                return close(&writer);
             }
         }
         Ok(())
--- a/fakes/src/platform/mod.rs
+++ b/fakes/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! injects network faults, and the gateway as a process.
 
 mod client;
+mod closing;
 mod endpoint;
 mod gateway;
 mod proxy;
--- a/fakes/src/platform/proxy.rs
+++ b/fakes/src/platform/proxy.rs
@@ -1,3 +1,4 @@
+use super::closing::{close, set_reset_on_close};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -13,7 +14,7 @@
     Healthy,
     /// Forwards each read after `SLOW_LINK_DELAY`.
     Slow,
-    /// Closes a connection at its next bytes.
+    /// Resets a connection at its next bytes.
     Reset,
     /// Forwards bytes to the target only; those to the caller are held back.
     OneWay,
@@ -72,13 +73,16 @@
     fn copy(&self, mut from: TcpStream, mut to: TcpStream, is_response: bool) -> io::Result<()> {
         let mut buf = [0; 8_192];
         loop {
-            let len = from.read(&mut buf)?;
+            let read = from.read(&mut buf);
             while self.link() == Link::Silent || (is_response && self.link() == Link::OneWay) {
                 thread::sleep(POLL_INTERVAL);
             }
-            if len == 0 || self.link() == Link::Reset {
-                from.shutdown(Shutdown::Both).and(to.shutdown(Shutdown::Both))?;
-                return Ok(());
+            let len = match read {
+                Ok(len) if self.link() != Link::Reset => len,
+                _ => return reset(&from).and(reset(&to)),
+            };
+            if len == 0 {
+                return close(&from).and(close(&to));
             }
             if self.link() == Link::Slow {
                 thread::sleep(SLOW_LINK_DELAY);
@@ -87,3 +91,9 @@
         }
     }
 }
+
+/// Resets a connection once the other direction has ended too, which this wakes.
+fn reset(stream: &TcpStream) -> io::Result<()> {
+    set_reset_on_close(stream)?;
+    stream.shutdown(Shutdown::Read)
+}
--- a/fakes/src/platform/unframed.rs
+++ b/fakes/src/platform/unframed.rs
@@ -1,4 +1,4 @@
-use socket2::SockRef;
+use super::closing::set_reset_on_close;
 use std::io::{self, Write};
 use std::net::TcpStream;
 use std::thread;
@@ -53,7 +53,7 @@
         }
         // Only a reset tells that a response which is not a stream is incomplete.
         if end == UnframedEnd::Reset || (end != UnframedEnd::Complete && !self.is_stream) {
-            SockRef::from(&*writer).set_linger(Some(Duration::ZERO))?;
+            set_reset_on_close(writer)?;
         }
         Ok(())
     }
@@ -68,11 +68,3 @@
         }
     }
 }
-
-/// Closes a connection; drops it without the ordinary end if it is to be reset.
-pub(super) fn close(stream: TcpStream) -> io::Result<()> {
-    if SockRef::from(&stream).linger()? == Some(Duration::ZERO) {
-        return Ok(());
-    }
-    stream.shutdown(std::net::Shutdown::Both)
-}
--- a/fakes/src/soak/faults.rs
+++ b/fakes/src/soak/faults.rs
@@ -1,4 +1,4 @@
-use fakes::{Behaviour, Link, StoreMode};
+use fakes::{Behaviour, Link, StoreMode, UnframedEnd};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
@@ -54,6 +54,32 @@
     faults
 }
 
+/// Generates times in which endpoints send responses without a length, sorted by time.
+pub fn generate_unframed_responses(
+    rng: &mut Pcg64Mcg,
+    duration_ms: u64,
+    endpoints: usize,
+) -> Vec<ScheduledFault> {
+    let ends = [
+        UnframedEnd::Complete,
+        UnframedEnd::WithinEvent,
+        UnframedEnd::AfterHead,
+        UnframedEnd::Reset,
+    ];
+    let mut faults = Vec::new();
+    let mut at_ms = rng.random_range(300..1_500);
+    while at_ms < duration_ms {
+        let endpoint = rng.random_range(0..endpoints);
+        let behaviour = Behaviour::Unframed(ends[rng.random_range(0..ends.len())]);
+        let end_ms = at_ms + rng.random_range(FAULT_DURATION_MS);
+        faults.push((at_ms, Fault::Endpoint(endpoint, behaviour)));
+        faults.push((end_ms, Fault::Endpoint(endpoint, Behaviour::Succeed)));
+        at_ms += rng.random_range(300..1_500);
+    }
+    faults.sort_by_key(|(at_ms, _)| *at_ms);
+    faults
+}
+
 /// A random fault and, if it is temporary, the fault that ends it.
 fn random_fault(rng: &mut Pcg64Mcg, endpoint: usize, gateway: usize) -> (Fault, Option<Fault>) {
     let behaviours = [
--- a/fakes/src/soak/run.rs
+++ b/fakes/src/soak/run.rs
@@ -1,6 +1,6 @@
 use crate::check::{check_observations, check_refusal_lines};
 use crate::clients::{KEY, TARGETS, run_client};
-use crate::faults::{Fault, ScheduledFault, generate_faults};
+use crate::faults::{Fault, ScheduledFault, generate_faults, generate_unframed_responses};
 use fakes::{
     GatewayConfig, GatewayProcess, Link, PlatformEndpoint, PlatformStore, Proxy, StoreMode,
 };
@@ -130,7 +130,10 @@
 pub fn soak(seed: u64, seconds: u64, gateways: usize, clients: usize) -> Result<String, String> {
     let mut site = Site::start(gateways).map_err(|e| e.to_string())?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let faults = generate_faults(&mut rng, seconds * 1_000, gateways, ENDPOINTS);
+    let mut faults = generate_faults(&mut rng, seconds * 1_000, gateways, ENDPOINTS);
+    // Drawn after the others, so that a seed keeps the faults with which it once failed.
+    faults.extend(generate_unframed_responses(&mut rng, seconds * 1_000, ENDPOINTS));
+    faults.sort_by_key(|(at_ms, _)| *at_ms);
     let addresses: Vec<SocketAddr> = site.gateways.iter().map(|g| g.address).collect();
     let stop = AtomicBool::new(false);
     let (applied, observations) = thread::scope(|scope| {
