Detect that the response of a plain service was cut

What callers saw: a call got 200 with the first part of the response of its service, framed as complete, and a booking kept that part as its recorded outcome.

Cause: attohttpc reads a body with a stated length through io::Take, which ends without an error when the connection ends early.

Change: utils::response_text compares the received with the stated length; calls to services and all JSON calls of the daemon use it. Streams of engines and frames of daemons have an end of their own (read, unchanged).

--- a/components/daemon/src/service.rs
+++ b/components/daemon/src/service.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tiny_http::{Header, Request, Response};
-use utils::{HttpError, prepare_request};
+use utils::{HttpError, prepare_request, response_text};
 
 /// Carries the key that identifies all attempts at a call that must not be repeated.
 const KEY_HEADER: &str = "idempotency-key";
@@ -178,7 +178,7 @@
         return EndpointResult::NotStarted;
     }
     let status = res.status().as_u16();
-    match res.text() {
+    match response_text(res) {
         Ok(body) => EndpointResult::Ran(Outcome { status, body }),
         Err(e) => {
             log::warn!(
--- a/components/utils/src/http.rs
+++ b/components/utils/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP with `tiny_http` and `attohttpc`: requests are never retried, and streamed chunks are not
 //! buffered.
 
+use attohttpc::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use attohttpc::{ProxySettings, RequestBuilder};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -107,13 +108,40 @@
 
 fn decode<T: DeserializeOwned>(url: &str, res: attohttpc::Response) -> Result<T, HttpError> {
     let status = res.status().as_u16();
-    let body = res.text().context(ExchangeSnafu { url })?;
+    let body = response_text(res).context(ExchangeSnafu { url })?;
     if status >= 300 {
         return StatusSnafu { url, status, body }.fail();
     }
     serde_json::from_str(&body).context(DecodeSnafu { url })
 }
 
+/// Reads a response body as UTF-8 text. A body that is shorter than its stated length is an error,
+/// which `attohttpc` does not detect.
+pub fn response_text(res: attohttpc::Response) -> attohttpc::Result<String> {
+    let stated = stated_length(res.headers());
+    let text = res.text()?;
+    check_length(text.len(), stated)?;
+    Ok(text)
+}
+
+/// The stated length of a body; `None` if it ends with a chunk or with its connection.
+fn stated_length(headers: &HeaderMap) -> Option<usize> {
+    if headers.contains_key(TRANSFER_ENCODING) {
+        return None;
+    }
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+fn check_length(received: usize, stated: Option<usize>) -> io::Result<()> {
+    match stated {
+        Some(stated) if received < stated => {
+            let text = format!("body ended after {received} of {stated} bytes");
+            Err(io::Error::new(io::ErrorKind::UnexpectedEof, text))
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Reads a request body as UTF-8 text; `None` if it is longer than `limit` bytes.
 pub fn body_text(req: &mut Request, limit: u64) -> io::Result<Option<String>> {
     let mut text = String::new();
--- a/components/utils/src/lib.rs
+++ b/components/utils/src/lib.rs
@@ -11,7 +11,7 @@
 pub use digest::{hash_name, sha256_hex};
 pub use http::{
     ChunkWriter, HttpError, body_text, delete_json, get_json, post_json, prepare_request, put_json,
-    respond_json,
+    respond_json, response_text,
 };
 pub use id::random_id;
 pub use server::{HttpServer, listen};
--- a/fakes/src/service.rs
+++ b/fakes/src/service.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
-use std::io;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use tiny_http::Request;
@@ -39,6 +39,8 @@
     slow_ms: u64,
     /// The number of next calls that run but get no response.
     lose_answers: u64,
+    /// The number of next calls that run but get half of a response, shorter than its stated length.
+    cut_answers: u64,
 }
 
 #[derive(Serialize)]
@@ -140,11 +142,27 @@
         if is_response_lost {
             state.faults.lose_answers -= 1;
         }
+        let is_response_cut = state.faults.cut_answers > 0;
+        if is_response_cut {
+            state.faults.cut_answers -= 1;
+        }
         drop(state);
         if is_response_lost {
             drop_connection(req);
             return Ok(());
         }
-        respond_json(req, 200, &Receipt { ran: &key, run })
+        let receipt = Receipt { ran: &key, run };
+        if is_response_cut {
+            return respond_with_half(req, &serde_json::to_string(&receipt)?);
+        }
+        respond_json(req, 200, &receipt)
     }
 }
+
+/// Sends the first half of a response and closes the connection.
+fn respond_with_half(req: Request, body: &str) -> io::Result<()> {
+    let mut writer = req.into_writer();
+    write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n", body.len())?;
+    write!(writer, "Connection: close\r\n\r\n{}", &body[..body.len() / 2])?;
+    writer.flush()
+}
--- a/tests/idempotency.rs
+++ b/tests/idempotency.rs
@@ -215,6 +215,20 @@
     assert_eq!(reply, refused("may_have_run", "store_unavailable"));
 }
 
+#[test]
+fn response_of_a_service_that_was_cut_is_not_delivered_as_complete() {
+    let site = start_site();
+    set_faults(site.address("booking-1"), json!({"cut_answers": 1}));
+    let key = new_key("cut");
+    let reply = book(site.address("daemon-1"), "key-1", &key, 1, REQUEST_TIMEOUT);
+    assert_eq!(reply, refused("may_have_run", "endpoint_failed"));
+    assert_eq!(run_counts(&site)[&key], 1);
+
+    set_faults(site.address("booking-1"), json!({"cut_answers": 1}));
+    let reply = call(site.address("daemon-1"), ("key-1", "lookup"), "cut", 1, REQUEST_TIMEOUT);
+    assert_eq!(reply, Reply::Outcome(json!({"ran": "cut", "run": 2})));
+}
+
 #[test]
 fn repeated_call_is_refused_when_a_restored_store_has_lost_its_record() {
     let site = start_site();
