Do not run calls whose body was cut

What callers saw: a call with a body of more than 1,024 bytes ran with the first part of it when the caller's connection ended early.

Cause: tiny_http ends a body at the end of the connection without an error, whatever its stated length. Chat requests were safe only because half of a JSON document does not parse.

Change: utils::body_text compares the received with the stated length.

Evidence: call_whose_body_was_cut_does_not_run got 200 and one run before; now the call is refused with not_run. tests: cli 28, daemon 33, idempotency 15 passed.

--- a/components/utils/src/http.rs
+++ b/components/utils/src/http.rs
@@ -142,11 +142,17 @@
     }
 }
 
-/// Reads a request body as UTF-8 text; `None` if it is longer than `limit` bytes.
+/// Reads a request body as UTF-8 text; `None` if it is longer than `limit` bytes. A body that is
+/// shorter than its stated length is an error, which `tiny_http` does not detect.
 pub fn body_text(req: &mut Request, limit: u64) -> io::Result<Option<String>> {
+    let stated = req.body_length();
     let mut text = String::new();
     req.as_reader().take(limit + 1).read_to_string(&mut text)?;
-    Ok(if text.len() as u64 > limit { None } else { Some(text) })
+    if text.len() as u64 > limit {
+        return Ok(None);
+    }
+    check_length(text.len(), stated)?;
+    Ok(Some(text))
 }
 
 /// Responds to a request with a JSON body.
--- a/tests/idempotency.rs
+++ b/tests/idempotency.rs
@@ -4,7 +4,8 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::process::Command;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -215,6 +216,27 @@
     assert_eq!(reply, refused("may_have_run", "store_unavailable"));
 }
 
+#[test]
+fn call_whose_body_was_cut_does_not_run() {
+    let site = start_site();
+    let key = new_key("cut-body");
+    let mut caller = TcpStream::connect(site.address("daemon-1")).unwrap();
+    caller.set_read_timeout(Some(REQUEST_TIMEOUT)).unwrap();
+    write!(
+        caller,
+        "POST /v1/call HTTP/1.1\r\nHost: daemon\r\nAuthorization: Bearer key-1\r\n\
+         X-Request-Class: booking\r\nIdempotency-Key: {key}\r\nIdempotency-Attempt: 1\r\n\
+         Content-Length: 4000\r\nConnection: close\r\n\r\n{}",
+        "x".repeat(2_000)
+    )
+    .unwrap();
+    caller.shutdown(Shutdown::Write).unwrap();
+    let mut response = String::new();
+    caller.read_to_string(&mut response).unwrap();
+    assert!(response.contains("\"verdict\":\"not_run\""), "{response}");
+    assert_eq!(run_counts(&site).get(&key), None);
+}
+
 #[test]
 fn response_of_a_service_that_was_cut_is_not_delivered_as_complete() {
     let site = start_site();
