Refuse chunked bodies of calls, which may have been cut unnoticed

What callers saw: a chunked call whose connection ended within a chunk ran with the first part of its body.

Cause: tiny_http ends a chunked body at the end of the connection without an error, and does not tell whether the last chunk arrived.

Change: /v1/call needs a Content-Length; a chunked call is refused with not_run and a text that says so. Chat requests stay as they are: half of a JSON document does not parse.

Ruled out: reading on after the end of the body, which blocks until the caller sends its next request.

Evidence: call_whose_body_was_cut_does_not_run::case_2_chunk got 200 and one run before, and passes. tests/idempotency: 16 passed.

--- a/components/daemon/src/service.rs
+++ b/components/daemon/src/service.rs
@@ -108,6 +108,16 @@
     header(req, KEY_HEADER).is_none() || header(req, ATTEMPT_HEADER) == Some("1")
 }
 
+/// Reads the body of a call. A chunked one is refused, since `tiny_http` does not detect that it was
+/// cut within a chunk, and a call must not run with a part of its body.
+fn read_call_body(tables: &Tables, req: &mut Request) -> Result<String, Refusal> {
+    if header(req, "transfer-encoding").is_some() {
+        let text = "a call needs a Content-Length header; its body must not be chunked";
+        return Err(Refusal::not_run(Reason::MalformedRequest, text));
+    }
+    read_body(tables, req)
+}
+
 fn prepare<'a>(
     executor: &'a Executor,
     req: &mut Request,
@@ -124,7 +134,7 @@
         repeatable: arrival.repeatable,
         finish: arrival.finish,
         key: header(req, KEY_HEADER).unwrap_or_default().to_string(),
-        body: read_body(&executor.tables, req)?,
+        body: read_call_body(&executor.tables, req)?,
     };
     if is_first_attempt(req) && call.choose_address(executor, 0).is_none() {
         let text = format!("no endpoint serves {}", call.service);
--- a/tests/idempotency.rs
+++ b/tests/idempotency.rs
@@ -216,8 +216,10 @@
     assert_eq!(reply, refused("may_have_run", "store_unavailable"));
 }
 
-#[test]
-fn call_whose_body_was_cut_does_not_run() {
+#[rstest]
+#[case::stated_length("Content-Length: 4000\r\n\r\n")]
+#[case::chunk("Transfer-Encoding: chunked\r\n\r\nfa0\r\n")]
+fn call_whose_body_was_cut_does_not_run(#[case] framing: &str) {
     let site = start_site();
     let key = new_key("cut-body");
     let mut caller = TcpStream::connect(site.address("daemon-1")).unwrap();
@@ -226,7 +228,7 @@
         caller,
         "POST /v1/call HTTP/1.1\r\nHost: daemon\r\nAuthorization: Bearer key-1\r\n\
          X-Request-Class: booking\r\nIdempotency-Key: {key}\r\nIdempotency-Attempt: 1\r\n\
-         Content-Length: 4000\r\nConnection: close\r\n\r\n{}",
+         Connection: close\r\n{framing}{}",
         "x".repeat(2_000)
     )
     .unwrap();
