--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -149,6 +149,7 @@
         None
     }
 
+    /// Counts the end of one endpoint's stream.
     fn count_end(&self, end: &StreamEnd) {
         let labels = StreamEndLabels { framing: self.summary.framing.as_str(), end: end.as_str() };
         self.gateway.metrics.stream_ends.get_or_create(&labels).inc();
--- a/components/utils/src/http.rs
+++ b/components/utils/src/http.rs
@@ -124,7 +124,8 @@
     Ok(text)
 }
 
-/// The stated length of a body; `None` if it ends with a chunk or with its connection.
+/// The stated length of a body; `None` if it ends with a chunk or with its connection. `attohttpc`
+/// rejects a response whose stated length is not a number.
 fn stated_length(headers: &HeaderMap) -> Option<usize> {
     if headers.contains_key(TRANSFER_ENCODING) {
         return None;
