--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -6,7 +6,9 @@
 ///
 /// 201: in a second with many log lines about successful requests, the rate limit of the log left
 /// out lines about refusals.
-const SEEDS: [u64; 3] = [1, 2, 201];
+///
+/// 3001: a stream with neither a length nor chunks that was cut before its first event was completed.
+const SEEDS: [u64; 4] = [1, 2, 201, 3001];
 
 #[test]
 fn gateway_keeps_its_guarantees_in_a_short_soak_run() {
