Check eight streams again in the tests that resume one

Cause: since these tests end with the first stream that was resumed, so most runs check one or two responses instead of eight. That was weaker than before, and not needed against the fault there.

Change: at least eight streams are sent and checked, and more only until one was resumed.

--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -40,17 +40,20 @@
     });
 }
 
+/// The number of streams that are always sent.
+const MIN_STREAMS: usize = 8;
 /// Streams are placed at random. The probability that none of 64 starts at the first endpoint is
 /// negligible.
-const MAX_STREAMS: u32 = 64;
+const MAX_STREAMS: usize = 64;
 
-/// Sends streams, of which those at the first endpoint break off, and checks the responses until one
-/// was resumed after the second event.
+/// Sends streams, of which those at the first endpoint break off, and checks each response: at least
+/// `MIN_STREAMS`, and until one was resumed after the second event.
 pub fn send_until_resumed(site: &Site, check: impl Fn(&ClientResponse)) {
     let is_resumed = |a: &ReceivedRequest| a.message.header("last-event-id") == "2";
-    for number in 0..MAX_STREAMS {
-        check(&site.send_request("/stream/", &format!("r{number}")));
-        if site.runners[1].received_requests().iter().any(is_resumed) {
+    for sent in 1..=MAX_STREAMS {
+        check(&site.send_request("/stream/", &format!("r{sent}")));
+        let has_resumed = site.runners[1].received_requests().iter().any(is_resumed);
+        if sent >= MIN_STREAMS && has_resumed {
             return;
         }
     }
