Log the prompt parts of broken responses, and whether the endpoint has crashed

The new event response_broken does, and says whether the endpoint still listens: a connection is opened to it after the break, which tells a crash from a response that was only cut.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,4 +1,5 @@
 use crate::adapter::{Adapter, ForwardedHead};
+use crate::broken_response::BrokenResponse;
 use crate::clock::now;
 use crate::connection::{Connection, ConnectionError};
 use crate::framing::Framing;
@@ -62,6 +63,10 @@
 }
 
 impl<A: Adapter> BusyConnection<A> {
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Ends the request after a complete response and returns the connection to the pool.
     pub(crate) fn close(self, gateway: &Gateway<A>, outcome: Outcome) {
         let max_idle = max_idle_connections(gateway, self.in_flight.endpoint());
@@ -202,6 +207,9 @@
             return Err(not_run_failure(head.status, text));
         }
         Err(text) => {
+            if let Some(broken) = BrokenResponse::new(request, &busy, now()) {
+                broken.investigate(gateway);
+            }
             busy.in_flight.close(Outcome::Failed);
             return Err(AttemptFailure::unusable_response(text));
         }
--- /dev/null
+++ b/components/gateway/src/broken_response.rs
@@ -0,0 +1,89 @@
+use crate::adapter::Adapter;
+use crate::attempt::BusyConnection;
+use crate::clock::now;
+use crate::connection::{Connection, ConnectionError};
+use crate::gateway::Gateway;
+use crate::log::LineKind;
+use crate::routed_request::RoutedRequest;
+use decision::Millis;
+use decision::routing::Prompt;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::task::spawn_local;
+
+/// Connect timeout: several round trips between regions. An endpoint that does not answer within it
+/// is not known to have crashed.
+const CONNECT_TIMEOUT: Millis = Millis(300);
+
+/// A response to a request with a prompt that its endpoint broke off after the head.
+#[derive(Debug)]
+pub(crate) struct BrokenResponse {
+    request: String,
+    route: String,
+    endpoint: String,
+    address: SocketAddr,
+    /// The ids of the prompt parts that other requests may share.
+    parts: Vec<u64>,
+    sent_at: Millis,
+    broken_at: Millis,
+}
+
+impl BrokenResponse {
+    /// Describes a response that broke off at `broken_at`; `None` if the request has no prompt.
+    pub(crate) fn new<A: Adapter>(
+        request: &RoutedRequest,
+        connection: &BusyConnection<A>,
+        broken_at: Millis,
+    ) -> Option<BrokenResponse> {
+        Some(BrokenResponse {
+            request: request.id().to_owned(),
+            route: request.route.clone(),
+            endpoint: connection.in_flight.endpoint().to_owned(),
+            address: connection.address(),
+            parts: shared_parts(request.prompt.as_ref()?),
+            sent_at: connection.in_flight.sent_at(),
+            broken_at,
+        })
+    }
+
+    /// Finds out in the background whether the endpoint has crashed.
+    pub(crate) fn investigate<A: Adapter>(self, gateway: &Rc<Gateway<A>>) {
+        let gateway = gateway.clone();
+        spawn_local(async move {
+            let has_crashed = has_crashed(self.address).await;
+            self.log(&gateway, has_crashed);
+        });
+    }
+
+    fn log<A: Adapter>(&self, gateway: &Gateway<A>, has_crashed: bool) {
+        if !gateway.log_quota.borrow_mut().admits(LineKind::Failure, now()) {
+            return;
+        }
+        let parts: Vec<String> = self.parts.iter().map(|part| format!("{part:x}")).collect();
+        tracing::info!(
+            event = "response_broken",
+            request = %self.request,
+            route = %self.route,
+            endpoint = %self.endpoint,
+            has_crashed,
+            parts = parts.join(","),
+            ran_ms = self.broken_at.since(self.sent_at).0,
+        );
+    }
+}
+
+fn shared_parts(prompt: &Prompt) -> Vec<u64> {
+    prompt.shared().iter().map(|part| part.id).collect()
+}
+
+/// Whether nothing listens at the address. An endpoint that only cut or reset a connection still
+/// listens, and one that is unreachable does not answer.
+async fn has_crashed(address: SocketAddr) -> bool {
+    match Connection::open(address, CONNECT_TIMEOUT).await {
+        Err(ConnectionError::Connect { source, .. }) => {
+            matches!(source.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
+        }
+        _ => false,
+    }
+}
--- a/components/gateway/src/in_flight.rs
+++ b/components/gateway/src/in_flight.rs
@@ -13,6 +13,7 @@
     gateway: Rc<Gateway<A>>,
     endpoint: String,
     fetch_from: Option<String>,
+    sent_at: Millis,
     in_flight_id: Option<InFlightId>,
 }
 
@@ -30,6 +31,7 @@
             gateway,
             endpoint: choice.id.clone(),
             fetch_from: choice.fetch_from.clone(),
+            sent_at: now,
             in_flight_id: Some(in_flight_id),
         }
     }
@@ -38,6 +40,10 @@
         &self.endpoint
     }
 
+    pub(crate) fn sent_at(&self) -> Millis {
+        self.sent_at
+    }
+
     /// The id of another endpoint from which a part of the prompt can be fetched.
     pub(crate) fn fetch_from(&self) -> Option<&str> {
         self.fetch_from.as_deref()
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod adapter;
 mod attempt;
+mod broken_response;
 mod clock;
 mod connection;
 mod dispatch;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,5 +1,6 @@
 use crate::adapter::Adapter;
 use crate::attempt::{BusyConnection, EndpointResponse, StreamingResponse, attempt};
+use crate::broken_response::BrokenResponse;
 use crate::clock::now;
 use crate::gateway::Gateway;
 use crate::metrics::StreamEndLabels;
@@ -76,6 +77,11 @@
                 }
                 StreamEnd::Interrupted(interruption) => interruption,
             };
+            if interruption.is_caused_by_endpoint()
+                && let Some(broken) = BrokenResponse::new(&self.request, &connection, now())
+            {
+                broken.investigate(&self.gateway);
+            }
             connection.in_flight.close(Outcome::Failed);
             drop(body);
             match self.resume().await {
--- a/components/gateway/src/stream_end.rs
+++ b/components/gateway/src/stream_end.rs
@@ -37,6 +37,13 @@
     BeforeFirstEvent,
 }
 
+impl Interruption {
+    /// Whether the endpoint or its connection ended the stream, rather than the deadline.
+    pub(crate) fn is_caused_by_endpoint(&self) -> bool {
+        !matches!(self, Interruption::Deadline)
+    }
+}
+
 /// What was received of an endpoint's stream.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct StreamSummary {
