Reproduce prompts that crash one endpoint after the other, as known failures

The stand-in of an endpoint can crash on a prompt part: it begins its response, closes all its sockets and listens again some time later. Requests with such a part reach endpoints without end: 12 of 12 sent 4 s after the fifth crash, each of them twice on a route with two attempts, and sound requests beside them are lost. response_broken shows that the endpoints have crashed and that the requests have two shared parts, so the prompt explains the crashes of the stand-in without any load or repeat (hypothesis 1).

--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -21,7 +21,7 @@
 };
 pub use object_api::{ObjectApiConfig, run_object_api};
 pub use platform::{
-    Behaviour, Client, ClientResponse, GatewayConfig, GatewayProcess, Link, Message,
+    Behaviour, Client, ClientResponse, CrashingPart, GatewayConfig, GatewayProcess, Link, Message,
     PlatformEndpoint, PlatformStore, Proxy, ReceivedRequest, StoreMode, UnframedEnd,
 };
 pub use process::{Process, binary, build_programs};
--- a/fakes/src/platform/endpoint.rs
+++ b/fakes/src/platform/endpoint.rs
@@ -1,4 +1,5 @@
 use super::closing::close;
+use super::crash::{CrashableSockets, CrashingPart, rebind};
 use super::unframed::{UnframedEnd, UnframedResponse};
 use super::wire::{Message, read_message};
 use std::io::{self, BufReader, Read, Write};
@@ -54,6 +55,7 @@
 #[derive(Debug, Default)]
 struct State {
     behaviour: Behaviour,
+    crashing_part: Option<CrashingPart>,
     requests: Vec<ReceivedRequest>,
     connections: usize,
 }
@@ -66,6 +68,7 @@
     /// Its instance id, which requests must name.
     pub id: String,
     state: Arc<Mutex<State>>,
+    sockets: Arc<CrashableSockets>,
     events: u32,
     event_interval: Duration,
 }
@@ -75,19 +78,33 @@
     pub fn start(id: &str, events: u32, event_interval: Duration) -> io::Result<PlatformEndpoint> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let state = Arc::default();
-        let endpoint =
-            PlatformEndpoint { address, id: id.to_owned(), state, events, event_interval };
+        let endpoint = PlatformEndpoint {
+            address,
+            id: id.to_owned(),
+            state: Arc::default(),
+            sockets: Arc::default(),
+            events,
+            event_interval,
+        };
         let served = endpoint.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let endpoint = served.clone();
+        // The endpoint ends with an I/O error of its listener.
+        thread::spawn(move || served.run(listener).unwrap_or_default());
+        Ok(endpoint)
+    }
+
+    /// Accepts connections, again after each crash.
+    fn run(&self, mut listener: TcpListener) -> io::Result<()> {
+        loop {
+            self.sockets.accept(listener, |stream| {
+                let endpoint = self.clone();
                 endpoint.state().connections += 1;
                 // An I/O error ends only the thread of this connection.
                 thread::spawn(move || endpoint.serve(stream).unwrap_or_default());
-            }
-        });
-        Ok(endpoint)
+            })?;
+            let restart_after = self.state().crashing_part.as_ref().map(|part| part.restart_after);
+            thread::sleep(restart_after.unwrap_or_default());
+            listener = rebind(self.address)?;
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -99,6 +116,16 @@
         self.state().behaviour = behaviour;
     }
 
+    /// Sets the prompt part that crashes it as soon as it begins to respond.
+    pub fn set_crashing_part(&self, part: Option<CrashingPart>) {
+        self.state().crashing_part = part;
+    }
+
+    /// When it crashed.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.sockets.crashes()
+    }
+
     /// The requests that it received, in their order of arrival.
     pub fn received_requests(&self) -> Vec<ReceivedRequest> {
         self.state().requests.clone()
@@ -124,6 +151,9 @@
                 write!(writer, "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n")?;
                 continue;
             }
+            if self.crashes_on(&message) {
+                return self.crash_within_response(&message, &mut writer);
+            }
             if !self.respond(&message, behaviour, number, &mut writer)? {
                 return close(&writer);
             }
@@ -131,6 +161,28 @@
         Ok(())
     }
 
+    fn crashes_on(&self, message: &Message) -> bool {
+        let parts = message.header("x-chervilspur-prompt-prefix").split(',');
+        let mut ids = parts.filter_map(|part| part.split(':').next());
+        let state = self.state();
+        state.crashing_part.as_ref().is_some_and(|crashing| ids.any(|id| id.trim() == crashing.id))
+    }
+
+    /// Sends the head and the first bytes of an event, then closes all sockets.
+    fn crash_within_response(&self, message: &Message, writer: &mut TcpStream) -> io::Result<()> {
+        let id = message.header("x-chervilspur-attempt-id");
+        thread::sleep(self.event_interval);
+        write!(
+            writer,
+            "HTTP/1.1 200 X\r\nx-chervilspur-attempt-id: {id}\r\nx-chervilspur-server-seal: {}\r\n\
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n3\r\nid:\r\n",
+            self.id
+        )?;
+        thread::sleep(self.event_interval);
+        self.sockets.crash();
+        Ok(())
+    }
+
     /// Responds to a request; true if the connection is kept open.
     fn respond(
         &self,
--- a/fakes/src/platform/mod.rs
+++ b/fakes/src/platform/mod.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod closing;
+mod crash;
 mod endpoint;
 mod gateway;
 mod proxy;
@@ -11,6 +12,7 @@
 mod wire;
 
 pub use client::{Client, ClientResponse};
+pub use crash::CrashingPart;
 pub use endpoint::{Behaviour, PlatformEndpoint, ReceivedRequest};
 pub use gateway::{GatewayConfig, GatewayProcess};
 pub use proxy::{Link, Proxy};
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod clients;
 mod connections;
+mod crashing_prompts;
 mod failures;
 mod framing;
 mod monitoring;
