Keep prompt parts that crash endpoints from the endpoints

Cause: a crash was charged to the endpoint alone. Nothing related it to what the request contained, so each further request with the part, and the continuation of each stream with it, went to the next endpoint that looked sound. Class: a fault of a request is taken for a fault of the place where it shows.

Why the fix works: every daemon reports crashes with the parts of the prompt, and completions of requests with suspected parts, as notices that reach all daemons through the feeds. A part is condemned after three crashes in a row without a completion between them, or two that ended five endpoints. Requests that overlap count once, so endpoints that fail together condemn nothing. Sound requests share the client account and other parts with those that crash endpoints, so a request is refused only if it has all parts that the crashes have in common. A crash is a broken response whose endpoint refuses connections afterwards; cut responses and silent endpoints do not count. A request that was not sent gets 503 with the time of the next trial, one that is at an endpoint is cancelled, and a stream under suspicion is not continued elsewhere. The daemon that saw the last crash tries one request after 60 s, then after twice that.

--- /dev/null
+++ b/components/decision/src/routing/notices.rs
@@ -0,0 +1,135 @@
+use crate::Millis;
+use messages::feed::Notice;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time for which a notice is reported to the daemon that this one follows: several polls, so that
+/// it survives the loss of that daemon.
+const FORWARDED_FOR: Millis = Millis(5_000);
+/// Age at which a notice is discarded.
+const MAX_AGE: Millis = Millis(600_000);
+/// Maximum number of notices that are kept.
+const MAX_NOTICES: usize = 512;
+
+/// Identifies a notice: the incarnation of the daemon that observed it, and its number there.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct NoticeId {
+    /// The incarnation of the daemon.
+    pub origin: u64,
+    /// Counts the notices of that incarnation.
+    pub sequence: u64,
+}
+
+impl NoticeId {
+    /// Returns the id of a notice.
+    pub fn of(notice: &Notice) -> NoticeId {
+        NoticeId { origin: notice.origin, sequence: notice.sequence }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    notice: Notice,
+    observed_at: Millis,
+    forwarded_until: Millis,
+}
+
+/// Where a notice came from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoticeSource {
+    /// A daemon that follows this one.
+    Follower,
+    /// The daemon that this one follows, or the store reader of another region.
+    Peer,
+}
+
+/// The notices that this daemon knows: facts that one daemon observes and that all need soon.
+///
+/// Notices go the same ways as loads, but only once: each daemon reports what it observed, or
+/// received from its followers, to the daemon that it follows, and passes on to its followers what
+/// it did not know before. All daemons keep them, so none is lost with a store reader.
+#[derive(Clone, Debug, Default)]
+pub struct NoticeBoard {
+    origin: u64,
+    last_sequence: u64,
+    entries: BTreeMap<NoticeId, Entry>,
+}
+
+impl NoticeBoard {
+    /// Creates an empty board of the daemon with this incarnation.
+    pub fn new(origin: u64) -> NoticeBoard {
+        NoticeBoard { origin, ..NoticeBoard::default() }
+    }
+
+    /// Adds a notice that this daemon observed; the fields that identify it are set here.
+    pub fn publish(&mut self, content: Notice, now: Millis) -> Notice {
+        self.last_sequence += 1;
+        let (origin, sequence) = (self.origin, self.last_sequence);
+        let notice = Notice { origin, sequence, age_ms: 0, ..content };
+        self.insert(&notice, now + FORWARDED_FOR, now);
+        notice
+    }
+
+    /// Adds a notice of another daemon. Returns whether it was unknown.
+    pub fn receive(&mut self, notice: &Notice, source: NoticeSource, now: Millis) -> bool {
+        let is_known = self.entries.contains_key(&NoticeId::of(notice));
+        if is_known || Millis(notice.age_ms) >= MAX_AGE {
+            return false;
+        }
+        let forwarded_until = match source {
+            NoticeSource::Follower => now + FORWARDED_FOR,
+            NoticeSource::Peer => Millis(0),
+        };
+        self.insert(notice, forwarded_until, now);
+        true
+    }
+
+    fn insert(&mut self, notice: &Notice, forwarded_until: Millis, now: Millis) {
+        let observed_at = now - Millis(notice.age_ms);
+        let entry = Entry { notice: notice.clone(), observed_at, forwarded_until };
+        self.entries.insert(NoticeId::of(notice), entry);
+    }
+
+    /// Returns a notice with its present age; `None` if it has been discarded.
+    pub fn get(&self, id: NoticeId, now: Millis) -> Option<Notice> {
+        self.entries.get(&id).map(|entry| entry.aged(now))
+    }
+
+    /// Returns the notices to report to the daemon that this one follows and to other regions.
+    pub fn forwarded(&self, now: Millis) -> Vec<Notice> {
+        let entries = self.entries.values().filter(|entry| now < entry.forwarded_until);
+        entries.map(|entry| entry.aged(now)).collect()
+    }
+
+    /// Returns all notices, for a follower that knows none.
+    pub fn all(&self, now: Millis) -> Vec<Notice> {
+        self.entries.values().map(|entry| entry.aged(now)).collect()
+    }
+
+    /// Reports all notices once more: the daemon that this one follows may not know them.
+    pub fn forward_again(&mut self, now: Millis) {
+        for entry in self.entries.values_mut() {
+            entry.forwarded_until = now + FORWARDED_FOR;
+        }
+    }
+
+    /// Discards old notices, and above the limit the oldest ones, of those that are not needed
+    /// first.
+    pub fn expire(&mut self, needed: &BTreeSet<NoticeId>, now: Millis) {
+        self.entries.retain(|_, entry| now.since(entry.observed_at) < MAX_AGE);
+        let excess = self.entries.len().saturating_sub(MAX_NOTICES);
+        if excess == 0 {
+            return;
+        }
+        let mut ids: Vec<NoticeId> = self.entries.keys().copied().collect();
+        ids.sort_by_key(|id| (needed.contains(id), self.entries[id].observed_at));
+        for id in ids.iter().take(excess) {
+            self.entries.remove(id);
+        }
+    }
+}
+
+impl Entry {
+    fn aged(&self, now: Millis) -> Notice {
+        Notice { age_ms: now.since(self.observed_at).0, ..self.notice.clone() }
+    }
+}
--- /dev/null
+++ b/components/decision/tests/routing/notices.rs
@@ -0,0 +1,78 @@
+//! How long notices are kept and passed on.
+
+use decision::Millis;
+use decision::routing::{NoticeBoard, NoticeId, NoticeSource};
+use messages::feed::{CompletionNotice, Notice};
+use std::collections::BTreeSet;
+
+fn content(part: u64) -> Notice {
+    let completion = CompletionNotice { service: String::from("pool"), parts: vec![part] };
+    Notice { origin: 0, sequence: 0, age_ms: 0, crash: None, completion: Some(completion) }
+}
+
+#[test]
+fn notice_has_its_present_age_at_each_daemon() {
+    let mut observer = NoticeBoard::new(1);
+    observer.publish(content(1), Millis(1_000));
+    let sent = observer.forwarded(Millis(1_300));
+    assert_eq!(sent[0].age_ms, 300);
+    // The clocks of daemons have nothing in common.
+    let mut receiver = NoticeBoard::new(2);
+    assert!(receiver.receive(&sent[0], NoticeSource::Follower, Millis(70_000)));
+    let id = NoticeId::of(&sent[0]);
+    assert_eq!(receiver.get(id, Millis(70_500)).map(|notice| notice.age_ms), Some(800));
+}
+
+#[test]
+fn notice_is_received_once() {
+    let mut observer = NoticeBoard::new(1);
+    let notice = observer.publish(content(1), Millis(1_000));
+    let mut receiver = NoticeBoard::new(2);
+    assert!(receiver.receive(&notice, NoticeSource::Follower, Millis(0)));
+    assert!(!receiver.receive(&notice, NoticeSource::Peer, Millis(10)));
+    assert!(!observer.receive(&notice, NoticeSource::Peer, Millis(1_010)));
+}
+
+#[test]
+fn notices_of_followers_are_forwarded_for_several_polls_and_those_of_peers_are_not() {
+    let mut board = NoticeBoard::new(1);
+    let from_follower = Notice { origin: 2, sequence: 1, ..content(1) };
+    let from_peer = Notice { origin: 3, sequence: 1, ..content(1) };
+    board.receive(&from_follower, NoticeSource::Follower, Millis(0));
+    board.receive(&from_peer, NoticeSource::Peer, Millis(0));
+    assert_eq!(board.forwarded(Millis(4_999)).len(), 1);
+    assert_eq!(board.forwarded(Millis(5_000)).len(), 0);
+    assert_eq!(board.all(Millis(5_000)).len(), 2);
+}
+
+#[test]
+fn all_notices_are_forwarded_to_a_new_reader() {
+    let mut board = NoticeBoard::new(1);
+    board.receive(&Notice { origin: 3, sequence: 1, ..content(1) }, NoticeSource::Peer, Millis(0));
+    board.forward_again(Millis(20_000));
+    assert_eq!(board.forwarded(Millis(20_100)).len(), 1);
+}
+
+#[test]
+fn old_notices_are_discarded_and_not_received_again() {
+    let mut board = NoticeBoard::new(1);
+    let notice = Notice { origin: 2, sequence: 1, age_ms: 599_000, ..content(1) };
+    assert!(board.receive(&notice, NoticeSource::Peer, Millis(600_000)));
+    board.expire(&BTreeSet::new(), Millis(601_000));
+    assert!(board.all(Millis(601_000)).is_empty());
+    let notice = Notice { age_ms: 600_000, ..notice };
+    assert!(!board.receive(&notice, NoticeSource::Peer, Millis(601_000)));
+}
+
+#[test]
+fn notices_above_the_limit_are_discarded_except_those_that_are_needed() {
+    let mut board = NoticeBoard::new(1);
+    for part in 0..1_000 {
+        board.publish(content(part), Millis(part));
+    }
+    board.expire(&BTreeSet::from([NoticeId { origin: 1, sequence: 1 }]), Millis(1_000));
+    let kept = board.all(Millis(1_000));
+    assert_eq!(kept.len(), 512);
+    assert!(kept.iter().any(|notice| notice.sequence == 1));
+    assert!(kept.iter().any(|notice| notice.sequence == 1_000));
+}
--- /dev/null
+++ b/components/decision/tests/routing/quarantine.rs
@@ -0,0 +1,226 @@
+//! Which prompt parts are kept from endpoints, and from which evidence.
+
+use decision::Millis;
+use decision::routing::{Judgement, NoticeId, Prompt, PromptPart, Quarantine};
+use messages::feed::CrashNotice;
+use rstest::rstest;
+
+const OWN: u64 = 1;
+const OTHER: u64 = 2;
+/// The time that a request runs before its endpoint crashes.
+const RAN: u64 = 100;
+/// A part that all requests have in common, and one that crashes endpoints.
+const FIRST: u64 = 0xf1;
+const BAD: u64 = 0xbad;
+
+fn prompt(parts: &[u64]) -> Prompt {
+    // The last part belongs to the request alone.
+    let ids = parts.iter().copied().chain([u64::MAX]);
+    let parts = ids.map(|id| PromptPart { id, tokens: 100 }).collect();
+    Prompt { parts, tokens: 300, answer_tokens: 10 }
+}
+
+/// A quarantine, with the number of crashes recorded so far.
+struct Recorder {
+    quarantine: Quarantine,
+    crashes: u64,
+}
+
+impl Recorder {
+    fn new() -> Recorder {
+        Recorder { quarantine: Quarantine::new(OWN), crashes: 0 }
+    }
+
+    /// Records the crash of an endpoint of its own.
+    fn crash(&mut self, origin: u64, parts: &[u64], crashed_at: u64) -> Vec<u64> {
+        self.crashes += 1;
+        let id = NoticeId { origin, sequence: self.crashes };
+        let notice = CrashNotice {
+            service: String::from("pool"),
+            endpoint: format!("i-{}", self.crashes),
+            parts: parts.to_vec(),
+            ran_ms: RAN,
+        };
+        self.quarantine.record_crash(id, &notice, Millis(crashed_at))
+    }
+
+    fn judge(&self, parts: &[u64], now: u64) -> Judgement {
+        self.quarantine.judge("pool", &prompt(parts), Millis(now))
+    }
+
+    fn is_condemned(&self, parts: &[u64], now: u64) -> bool {
+        matches!(self.judge(parts, now), Judgement::Condemned(_))
+    }
+
+    fn complete(&mut self, parts: &[u64], at: u64) -> Vec<u64> {
+        self.quarantine.record_completion("pool", parts, Millis(at))
+    }
+}
+
+#[test]
+fn part_is_condemned_after_three_crashes_in_a_row() {
+    let mut recorder = Recorder::new();
+    assert!(recorder.crash(OWN, &[FIRST, BAD], 1_000).is_empty());
+    assert_eq!(recorder.judge(&[FIRST, BAD], 1_000), Judgement::Admitted);
+    recorder.crash(OTHER, &[FIRST, BAD], 2_000);
+    assert_eq!(recorder.judge(&[FIRST, BAD], 2_000), Judgement::Suspected);
+    assert_eq!(recorder.crash(OTHER, &[FIRST, BAD], 3_000), [FIRST, BAD]);
+    assert!(recorder.is_condemned(&[FIRST, BAD], 3_000));
+}
+
+#[test]
+fn requests_that_share_only_sound_parts_with_those_that_crash_endpoints_are_admitted() {
+    let mut recorder = Recorder::new();
+    for at in [1_000, 2_000, 3_000] {
+        recorder.crash(OTHER, &[FIRST, BAD], at);
+    }
+    assert_eq!(recorder.judge(&[FIRST, 0xc2], 3_000), Judgement::Admitted);
+    // Nothing has told the two parts apart yet, so one of them alone is let through.
+    assert_eq!(recorder.judge(&[BAD], 3_000), Judgement::Admitted);
+    recorder.complete(&[FIRST, 0xc2], 3_500);
+    assert!(recorder.is_condemned(&[BAD], 3_500));
+    assert!(recorder.is_condemned(&[0xc3, BAD, 0xc4], 3_500));
+}
+
+#[test]
+fn part_without_completions_is_told_apart_by_a_crash_without_it() {
+    let mut recorder = Recorder::new();
+    for at in [1_000, 2_000, 3_000] {
+        recorder.crash(OTHER, &[FIRST, BAD], at);
+    }
+    recorder.crash(OTHER, &[0xc2, BAD], 4_000);
+    assert!(recorder.is_condemned(&[BAD], 4_000));
+    assert_eq!(recorder.judge(&[FIRST, 0xc2], 4_000), Judgement::Admitted);
+}
+
+#[test]
+fn completed_request_clears_its_parts_of_the_crashes_before() {
+    let mut recorder = Recorder::new();
+    recorder.crash(OTHER, &[FIRST], 1_000);
+    recorder.crash(OTHER, &[FIRST], 2_000);
+    recorder.complete(&[FIRST], 2_500);
+    recorder.crash(OTHER, &[FIRST], 3_000);
+    recorder.crash(OTHER, &[FIRST], 4_000);
+    assert_eq!(recorder.judge(&[FIRST], 4_000), Judgement::Suspected);
+    assert_eq!(recorder.crash(OTHER, &[FIRST], 5_000), [FIRST]);
+    assert_eq!(recorder.complete(&[FIRST], 5_500), [FIRST]);
+    assert_eq!(recorder.judge(&[FIRST], 5_500), Judgement::Admitted);
+}
+
+#[test]
+fn crash_that_is_reported_after_a_later_completion_is_no_evidence() {
+    let mut recorder = Recorder::new();
+    recorder.complete(&[FIRST], 5_500);
+    for at in [1_000, 2_000, 3_000, 4_000, 5_000] {
+        assert!(recorder.crash(OTHER, &[FIRST], at).is_empty());
+    }
+    assert_eq!(recorder.judge(&[FIRST], 5_500), Judgement::Admitted);
+}
+
+#[test]
+fn own_completions_count_at_once_and_are_reported_only_for_suspected_parts() {
+    let mut recorder = Recorder::new();
+    let first = prompt(&[FIRST]);
+    recorder.crash(OTHER, &[FIRST], 1_000);
+    assert!(recorder.quarantine.record_own_completion("pool", &first, Millis(1_200)).is_empty());
+    recorder.crash(OTHER, &[FIRST], 2_000);
+    recorder.crash(OTHER, &[FIRST], 3_000);
+    assert_eq!(recorder.judge(&[FIRST], 3_000), Judgement::Suspected);
+    let reported = recorder.quarantine.record_own_completion("pool", &first, Millis(3_200));
+    assert_eq!(reported, [FIRST]);
+    assert_eq!(recorder.judge(&[FIRST], 3_200), Judgement::Admitted);
+    assert!(recorder.crash(OTHER, &[FIRST], 4_000).is_empty());
+}
+
+/// A rack or a network that fails ends the endpoints of many requests with the same parts at once.
+#[test]
+fn endpoints_that_crash_together_condemn_nothing() {
+    let mut recorder = Recorder::new();
+    for at in 0..50 {
+        assert!(recorder.crash(OTHER, &[FIRST, BAD], 1_000 + at).is_empty());
+    }
+    assert_eq!(recorder.judge(&[FIRST, BAD], 1_050), Judgement::Admitted);
+}
+
+#[test]
+fn two_crashes_in_a_row_suffice_after_five_endpoints() {
+    let mut recorder = Recorder::new();
+    for at in 0..4 {
+        recorder.crash(OTHER, &[BAD], 1_000 + at);
+    }
+    assert_eq!(recorder.crash(OTHER, &[BAD], 2_000), [BAD]);
+}
+
+#[rstest]
+#[case(OWN, true)]
+#[case(OTHER, false)]
+fn condemned_part_is_tried_again_only_by_the_daemon_that_observed_the_last_crash(
+    #[case] origin: u64,
+    #[case] is_tried: bool,
+) {
+    let mut recorder = Recorder::new();
+    for at in [1_000, 2_000, 3_000] {
+        recorder.crash(origin, &[BAD], at);
+    }
+    assert!(recorder.is_condemned(&[BAD], 62_999));
+    assert_eq!(recorder.judge(&[BAD], 63_000) == Judgement::Trial(BAD), is_tried);
+    recorder.quarantine.start_trial("pool", BAD, Millis(63_000));
+    assert!(recorder.is_condemned(&[BAD], 63_000));
+    // The trial crashed its endpoint, so the next one follows after twice the time.
+    recorder.crash(origin, &[BAD], 63_500);
+    assert!(recorder.is_condemned(&[BAD], 183_499));
+    assert_eq!(recorder.judge(&[BAD], 183_500) == Judgement::Trial(BAD), is_tried);
+}
+
+#[test]
+fn condemnation_ends_ten_minutes_after_the_last_crash() {
+    let mut recorder = Recorder::new();
+    for at in [1_000, 2_000, 3_000] {
+        recorder.crash(OTHER, &[BAD], at);
+    }
+    recorder.quarantine.expire(Millis(600_999));
+    assert_eq!(recorder.quarantine.condemned_parts(), 1);
+    recorder.quarantine.expire(Millis(603_000));
+    assert_eq!(recorder.quarantine.condemned_parts(), 0);
+    assert_eq!(recorder.judge(&[BAD], 603_000), Judgement::Admitted);
+}
+
+#[test]
+fn evidence_is_limited_and_that_against_condemned_parts_is_kept() {
+    let mut recorder = Recorder::new();
+    for at in [1_000, 2_000, 3_000] {
+        recorder.crash(OTHER, &[BAD], at);
+    }
+    for n in 0..2_000 {
+        recorder.crash(OTHER, &[0x1_0000 + n], 4_000 + n);
+    }
+    recorder.quarantine.expire(Millis(7_000));
+    assert!(recorder.is_condemned(&[BAD], 7_000));
+    let evidence = recorder.quarantine.evidence();
+    assert!(evidence.contains(&NoticeId { origin: OTHER, sequence: 1 }));
+    let kept = (0..2_000)
+        .filter(|n| recorder.quarantine.has_evidence("pool", &prompt(&[0x1_0000 + n])))
+        .count();
+    assert_eq!(kept, 253);
+}
+
+#[test]
+fn parts_are_judged_by_service() {
+    let mut recorder = Recorder::new();
+    for at in [1_000, 2_000, 3_000] {
+        recorder.crash(OTHER, &[BAD], at);
+    }
+    let elsewhere = recorder.quarantine.judge("other", &prompt(&[BAD]), Millis(3_000));
+    assert_eq!(elsewhere, Judgement::Admitted);
+}
+
+#[test]
+fn completion_is_news_only_while_there_is_evidence_from_before() {
+    let mut recorder = Recorder::new();
+    assert!(!recorder.quarantine.is_news("pool", &[FIRST], Millis(1_500)));
+    recorder.crash(OTHER, &[FIRST], 1_000);
+    assert!(!recorder.quarantine.is_news("pool", &[FIRST], Millis(500)));
+    assert!(recorder.quarantine.is_news("pool", &[FIRST], Millis(1_500)));
+    recorder.complete(&[FIRST], 1_500);
+    assert!(!recorder.quarantine.is_news("pool", &[FIRST], Millis(1_600)));
+}
--- a/components/errors/src/refusal.rs
+++ b/components/errors/src/refusal.rs
@@ -22,6 +22,8 @@
     Overloaded,
     /// No suitable endpoint is known.
     NoEndpoint,
+    /// Endpoints crash under requests with a part of this prompt.
+    CrashesEndpoints,
     /// The endpoint failed while processing the request.
     EndpointFailed,
     /// The idempotency key is missing, malformed, expired or used for another body.
@@ -50,6 +52,7 @@
             Reason::LimitReached => "limit_reached",
             Reason::Overloaded => "overloaded",
             Reason::NoEndpoint => "no_endpoint",
+            Reason::CrashesEndpoints => "crashes_endpoints",
             Reason::EndpointFailed => "endpoint_failed",
             Reason::BadIdempotencyKey => "bad_idempotency_key",
             Reason::RunInProgress => "run_in_progress",
@@ -73,6 +76,7 @@
             Reason::EndpointFailed => 502,
             Reason::Overloaded
             | Reason::NoEndpoint
+            | Reason::CrashesEndpoints
             | Reason::StoreUnavailable
             | Reason::NotReady => 503,
         }
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 use crate::in_flight::InFlightRequest;
 use crate::log::LineKind;
 use crate::metrics::AttemptLabels;
+use crate::notices::{condemned, record_completion};
 use crate::response::CompleteResponse;
 use crate::routed_request::RoutedRequest;
 use bytes::Bytes;
@@ -126,7 +127,12 @@
 ) -> Result<EndpointResponse<A>, AttemptFailure> {
     let started = now();
     let in_flight = InFlightRequest::start(gateway, choice, request);
-    let result = run(gateway, request, in_flight, last_event).await;
+    let result = tokio::select! {
+        result = run(gateway, request, in_flight, last_event) => result,
+        () = condemned(gateway, request) => Err(AttemptFailure::unusable_response(String::from(
+            "a prompt part of the request was found to crash endpoints, and it was cancelled",
+        ))),
+    };
     let (outcome, text) = match &result {
         Ok(EndpointResponse::Complete(response)) => ("answered", response.status.to_string()),
         Ok(EndpointResponse::Streaming(streaming)) => ("streaming", streaming.status.to_string()),
@@ -208,7 +214,7 @@
         }
         Err(text) => {
             if let Some(broken) = BrokenResponse::new(request, &busy, now()) {
-                broken.investigate(gateway);
+                broken.spawn_investigation(gateway);
             }
             busy.in_flight.close(Outcome::Failed);
             return Err(AttemptFailure::unusable_response(text));
@@ -224,6 +230,9 @@
         return Err(endpoint_failure(response));
     }
     busy.close(gateway, Outcome::Answered);
+    if response.status.is_success() {
+        record_completion(gateway, request);
+    }
     Ok(EndpointResponse::Complete(response))
 }
 
--- a/components/gateway/src/broken_response.rs
+++ b/components/gateway/src/broken_response.rs
@@ -4,9 +4,11 @@
 use crate::connection::{Connection, ConnectionError};
 use crate::gateway::Gateway;
 use crate::log::LineKind;
+use crate::notices::{hex, publish_crash, record_completion};
 use crate::routed_request::RoutedRequest;
 use decision::Millis;
 use decision::routing::Prompt;
+use messages::feed::CrashNotice;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,6 +23,7 @@
 pub(crate) struct BrokenResponse {
     request: String,
     route: String,
+    service: String,
     endpoint: String,
     address: SocketAddr,
     /// The ids of the prompt parts that other requests may share.
@@ -39,6 +42,7 @@
         Some(BrokenResponse {
             request: request.id().to_owned(),
             route: request.route.clone(),
+            service: request.service.clone(),
             endpoint: connection.in_flight.endpoint().to_owned(),
             address: connection.address(),
             parts: shared_parts(request.prompt.as_ref()?),
@@ -47,27 +51,49 @@
         })
     }
 
-    /// Finds out in the background whether the endpoint has crashed.
-    pub(crate) fn investigate<A: Adapter>(self, gateway: &Rc<Gateway<A>>) {
+    /// Finds out whether the endpoint has crashed, and publishes it. Returns the result.
+    pub(crate) async fn investigate<A: Adapter>(self, gateway: &Rc<Gateway<A>>) -> bool {
+        let has_crashed = has_crashed(self.address).await;
+        self.log(gateway, has_crashed);
+        if has_crashed {
+            let ran_ms = self.broken_at.since(self.sent_at).0;
+            let BrokenResponse { service, endpoint, parts, .. } = self;
+            publish_crash(gateway, CrashNotice { service, endpoint, parts, ran_ms });
+        }
+        has_crashed
+    }
+
+    /// Records in the background that the request was completed, unless the endpoint has crashed.
+    pub(crate) fn spawn_completion_check<A: Adapter>(
+        self,
+        gateway: &Rc<Gateway<A>>,
+        request: RoutedRequest,
+    ) {
         let gateway = gateway.clone();
         spawn_local(async move {
-            let has_crashed = has_crashed(self.address).await;
-            self.log(&gateway, has_crashed);
+            if !self.investigate(&gateway).await {
+                record_completion(&gateway, &request);
+            }
         });
     }
 
+    /// Investigates in the background.
+    pub(crate) fn spawn_investigation<A: Adapter>(self, gateway: &Rc<Gateway<A>>) {
+        let gateway = gateway.clone();
+        spawn_local(async move { self.investigate(&gateway).await });
+    }
+
     fn log<A: Adapter>(&self, gateway: &Gateway<A>, has_crashed: bool) {
         if !gateway.log_quota.borrow_mut().admits(LineKind::Failure, now()) {
             return;
         }
-        let parts: Vec<String> = self.parts.iter().map(|part| format!("{part:x}")).collect();
         tracing::info!(
             event = "response_broken",
             request = %self.request,
             route = %self.route,
             endpoint = %self.endpoint,
             has_crashed,
-            parts = parts.join(","),
+            parts = hex(&self.parts),
             ran_ms = self.broken_at.since(self.sent_at).0,
         );
     }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::routed_request::RoutedRequest;
 use crate::serve::{ANSWERED, FinishedRequest, RefusedRequest, finish, refuse};
 use decision::Millis;
-use decision::routing::{Candidate, Placement, WaitLimits};
+use decision::routing::{Candidate, Condemnation, Placement, WaitLimits};
 use errors::{Reason, Verdict};
 use http::{Response, StatusCode};
 use rand::RngExt;
@@ -58,6 +58,8 @@
     /// No endpoint could start the request in time; the text states the wait.
     Saturated(String),
     NoEndpoint,
+    /// The prompt of the request has a part that crashes endpoints.
+    Condemned(Condemnation),
     RetryBudgetExhausted,
     MayHaveRun,
     DeadlineTooClose(Millis),
@@ -69,6 +71,7 @@
         match self {
             StopReason::Saturated(text) => text.clone(),
             StopReason::NoEndpoint => String::from("no further endpoint is registered"),
+            StopReason::Condemned(condemnation) => condemnation_text(condemnation),
             StopReason::RetryBudgetExhausted => String::from("retry budget exhausted"),
             StopReason::MayHaveRun => String::from("request may have run and must not be repeated"),
             StopReason::DeadlineTooClose(left) => {
@@ -81,6 +84,16 @@
     }
 }
 
+fn condemnation_text(condemnation: &Condemnation) -> String {
+    format!(
+        "requests with prompt part {:x} crashed {} endpoints, the last {} ms ago: {}",
+        condemnation.part,
+        condemnation.endpoints.len(),
+        condemnation.last_crash_age.0,
+        condemnation.endpoints.join(", ")
+    )
+}
+
 /// Summary of the failed attempts of one request.
 #[derive(Debug)]
 struct Attempts {
@@ -105,6 +118,7 @@
             WaitOutcome::Placed(choice) => choice,
             WaitOutcome::TimedOut(text) => break StopReason::Saturated(text),
             WaitOutcome::NoEndpoint => break StopReason::NoEndpoint,
+            WaitOutcome::Condemned(condemnation) => break StopReason::Condemned(condemnation),
         };
         let is_retry = attempts_made.sends > 0;
         let daemons = gateway.daemon_count(now());
@@ -176,6 +190,13 @@
         .map_or(reason_text.clone(), |failure| format!("{}; {reason_text}", failure.text));
     let refused_request =
         RefusedRequest { id: request.id(), route: &request.route, arrived: request.arrived, sends };
+    if verdict == Verdict::NotRun
+        && let StopReason::Condemned(condemnation) = stop_reason
+    {
+        let retry_after = Some(condemnation.retry_after.0 as f64 / 1_000.0);
+        let refusal = Refusal::new(Reason::CrashesEndpoints, Verdict::NotRun);
+        return refuse(gateway, &refused_request, Refusal { retry_after, ..refusal }, &text);
+    }
     if verdict == Verdict::NotRun {
         let had_endpoint =
             last_failure.is_some() || matches!(stop_reason, StopReason::Saturated(_));
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -44,7 +44,7 @@
 
 /// Polls a peer once; returns it unless it cannot be followed.
 async fn follow<A: Adapter>(
-    gateway: &Gateway<A>,
+    gateway: &Rc<Gateway<A>>,
     followed: Option<FollowedPeer>,
     peer: Peer,
 ) -> Option<FollowedPeer> {
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -12,8 +12,8 @@
 use decision::Millis;
 use decision::routing::{
     Catalog, ChangeLog, ConnectionBudget, Directory, DirectoryChange, FleetSize, Freshness,
-    LoadExchange, LoadTable, OutcomeExchange, Peer, PlacementConfig, ReaderElection, RetryBudget,
-    Service, WaitQueues, start_wait,
+    LoadExchange, LoadTable, NoticeBoard, NoticeId, OutcomeExchange, Peer, PlacementConfig,
+    Quarantine, ReaderElection, RetryBudget, Service, WaitQueues, start_wait,
 };
 use messages::feed::EndpointChange;
 use rand::SeedableRng;
@@ -45,6 +45,8 @@
     Configuration,
     /// An endpoint joined or left.
     Endpoint(EndpointChange),
+    /// Another notice is known.
+    Notice(NoticeId),
 }
 
 /// State shared by all tasks of a gateway. They run on one thread and hold no borrow across an
@@ -80,6 +82,12 @@
     fleet_size: RefCell<FleetSize>,
     pub(crate) load_exchange: RefCell<LoadExchange>,
     pub(crate) outcome_exchange: RefCell<OutcomeExchange>,
+    pub(crate) notices: RefCell<NoticeBoard>,
+    /// Notices that are passed on to followers soon.
+    pub(crate) collected_notices: RefCell<Vec<NoticeId>>,
+    pub(crate) quarantine: RefCell<Quarantine>,
+    /// Notified when prompt parts are condemned.
+    pub(crate) quarantine_changed: Notify,
     /// The packed endpoints and the change log sequence at which they were packed. Cached
     /// because many followers may request them at the same time.
     cached_endpoints: RefCell<(u64, Rc<[u8]>)>,
@@ -123,6 +131,10 @@
             fleet_size: RefCell::default(),
             load_exchange: RefCell::default(),
             outcome_exchange: RefCell::default(),
+            notices: RefCell::new(NoticeBoard::new(seed)),
+            collected_notices: RefCell::default(),
+            quarantine: RefCell::new(Quarantine::new(seed)),
+            quarantine_changed: Notify::new(),
             cached_endpoints: RefCell::new((0, Rc::from([]))),
             full_copies: Arc::new(Semaphore::new(CONCURRENT_FULL_COPIES)),
             update_source: CurrentSource::default(),
@@ -267,6 +279,10 @@
         self.loads.borrow_mut().retain(|id| directory.get(id).is_some());
         self.load_exchange.borrow_mut().expire(now);
         self.outcome_exchange.borrow_mut().expire(now);
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.expire(now);
+        self.notices.borrow_mut().expire(&quarantine.evidence(), now);
+        self.metrics.condemned_parts.set(quarantine.condemned_parts() as i64);
         self.log_quota.borrow_mut().report(now);
         self.metrics.idle_connections.set(self.pool.borrow().len() as i64);
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod log;
 mod metrics;
 mod monitoring;
+mod notices;
 mod object_feed;
 mod packed_endpoints;
 mod peer_feed;
--- a/components/gateway/src/load_reports.rs
+++ b/components/gateway/src/load_reports.rs
@@ -2,9 +2,11 @@
 use crate::clock::now;
 use crate::connection::Connection;
 use crate::gateway::Gateway;
+use crate::notices::receive_notices;
 use crate::peer_feed::{call, feed_request};
 use crate::update_source::UpdateSource;
 use decision::Millis;
+use decision::routing::NoticeSource;
 use messages::endpoint_loads;
 use messages::feed::FeedRequest;
 use std::collections::BTreeMap;
@@ -53,7 +55,7 @@
 }
 
 async fn exchange_with_partners<A: Adapter>(
-    gateway: &Gateway<A>,
+    gateway: &Rc<Gateway<A>>,
     connections: &mut BTreeMap<String, Option<Connection>>,
 ) {
     let partners = gateway.readers.borrow().exchange_partners();
@@ -67,6 +69,7 @@
         let connection_slot = connections.entry(data_centre.clone()).or_default();
         match call(connection_slot, address, &feed_req, REMOTE_TIMEOUT, REMOTE_TIMEOUT).await {
             Ok(feed) => {
+                receive_notices(gateway, &feed.notices, NoticeSource::Peer);
                 let daemons = feed.daemons.unwrap_or(1) as usize;
                 let mut exchange = gateway.load_exchange.borrow_mut();
                 let loads = endpoint_loads(feed.loads);
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -55,6 +55,7 @@
     pub(crate) clients: Gauge,
     pub(crate) idle_connections: Gauge,
     pub(crate) configuration_version: Gauge,
+    pub(crate) condemned_parts: Gauge,
     pub(crate) first_byte_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
     pub(crate) complete_response_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
@@ -71,6 +72,7 @@
             clients: Gauge::default(),
             idle_connections: Gauge::default(),
             configuration_version: Gauge::default(),
+            condemned_parts: Gauge::default(),
             first_byte_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
             complete_response_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
         };
@@ -106,6 +108,11 @@
             "Version of the configuration in force",
             self.configuration_version.clone(),
         );
+        r.register(
+            "condemned_parts",
+            "Prompt parts that are kept from endpoints",
+            self.condemned_parts.clone(),
+        );
         r.register(
             "first_byte_seconds",
             "Time from a request to the head of its answer",
--- /dev/null
+++ b/components/gateway/src/notices.rs
@@ -0,0 +1,137 @@
+use crate::adapter::Adapter;
+use crate::clock::now;
+use crate::gateway::{Change, Gateway};
+use crate::routed_request::RoutedRequest;
+use decision::Millis;
+use decision::routing::{Judgement, NoticeId, NoticeSource};
+use messages::feed::{CompletionNotice, CrashNotice, Notice};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Time in which notices are collected before they are passed on to followers together.
+const COLLECTION_TIME: Duration = Duration::from_millis(100);
+
+/// Publishes that an endpoint crashed under a request.
+pub(crate) fn publish_crash<A: Adapter>(gateway: &Rc<Gateway<A>>, crash: CrashNotice) {
+    publish(gateway, Notice { crash: Some(crash), ..empty_notice() });
+}
+
+/// Records that a request was completed, and publishes it if its prompt has suspected parts.
+pub(crate) fn record_completion<A: Adapter>(gateway: &Rc<Gateway<A>>, request: &RoutedRequest) {
+    let Some(prompt) = &request.prompt else { return };
+    let mut quarantine = gateway.quarantine.borrow_mut();
+    let parts = quarantine.record_own_completion(&request.service, prompt, now());
+    drop(quarantine);
+    if !parts.is_empty() {
+        let completion = CompletionNotice { service: request.service.clone(), parts };
+        publish(gateway, Notice { completion: Some(completion), ..empty_notice() });
+    }
+}
+
+fn empty_notice() -> Notice {
+    Notice { origin: 0, sequence: 0, age_ms: 0, crash: None, completion: None }
+}
+
+fn publish<A: Adapter>(gateway: &Rc<Gateway<A>>, content: Notice) {
+    let notice = gateway.notices.borrow_mut().publish(content, now());
+    apply(gateway, &notice, now());
+    pass_on(gateway, NoticeId::of(&notice));
+}
+
+/// Applies the notices of another daemon that are not known yet, and passes them on.
+pub(crate) fn receive_notices<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    notices: &[Notice],
+    source: NoticeSource,
+) {
+    for notice in notices {
+        if is_redundant(gateway, notice, now()) {
+            continue;
+        }
+        if gateway.notices.borrow_mut().receive(notice, source, now()) {
+            apply(gateway, notice, now());
+            pass_on(gateway, NoticeId::of(notice));
+        }
+    }
+}
+
+/// Whether a notice changes nothing. Of a part that many requests share, many daemons report the
+/// completion of a request at the same time.
+fn is_redundant<A: Adapter>(gateway: &Gateway<A>, notice: &Notice, now: Millis) -> bool {
+    let Some(completion) = &notice.completion else { return false };
+    let at = now - Millis(notice.age_ms);
+    !gateway.quarantine.borrow().is_news(&completion.service, &completion.parts, at)
+}
+
+/// Passes a notice on to the followers of this daemon, together with those of the next moment.
+fn pass_on<A: Adapter>(gateway: &Rc<Gateway<A>>, id: NoticeId) {
+    let is_first = gateway.collected_notices.borrow().is_empty();
+    gateway.collected_notices.borrow_mut().push(id);
+    if is_first {
+        let gateway = gateway.clone();
+        spawn_local(async move {
+            sleep(COLLECTION_TIME).await;
+            for id in gateway.collected_notices.take() {
+                gateway.publish(Change::Notice(id));
+            }
+        });
+    }
+}
+
+fn apply<A: Adapter>(gateway: &Gateway<A>, notice: &Notice, now: Millis) {
+    let observed_at = now - Millis(notice.age_ms);
+    let mut quarantine = gateway.quarantine.borrow_mut();
+    if let Some(crash) = &notice.crash {
+        let condemned = quarantine.record_crash(NoticeId::of(notice), crash, observed_at);
+        tracing::info!(
+            event = "crash_reported",
+            service = %crash.service,
+            endpoint = %crash.endpoint,
+            parts = hex(&crash.parts),
+            condemned = hex(&condemned),
+            origin = notice.origin,
+            age_ms = notice.age_ms,
+        );
+        if !condemned.is_empty() {
+            gateway.quarantine_changed.notify_waiters();
+        }
+    }
+    if let Some(completion) = &notice.completion {
+        let parts = &completion.parts;
+        let acquitted = quarantine.record_completion(&completion.service, parts, observed_at);
+        if !acquitted.is_empty() {
+            let (service, parts) = (&completion.service, hex(&acquitted));
+            tracing::info!(event = "parts_acquitted", %service, parts, origin = notice.origin);
+        }
+    }
+    gateway.metrics.condemned_parts.set(quarantine.condemned_parts() as i64);
+}
+
+/// Formats ids of prompt parts as in requests, separated by commas.
+pub(crate) fn hex(parts: &[u64]) -> String {
+    let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+    parts.join(",")
+}
+
+/// Decides whether a request may be sent to an endpoint.
+pub(crate) fn judge<A: Adapter>(
+    gateway: &Gateway<A>,
+    request: &RoutedRequest,
+    now: Millis,
+) -> Judgement {
+    let quarantine = gateway.quarantine.borrow();
+    let prompt = request.prompt.as_ref();
+    prompt.map_or(Judgement::Admitted, |p| quarantine.judge(&request.service, p, now))
+}
+
+/// Waits until a request may no longer be sent to endpoints; forever if that does not happen.
+pub(crate) async fn condemned<A: Adapter>(gateway: &Gateway<A>, request: &RoutedRequest) {
+    loop {
+        gateway.quarantine_changed.notified().await;
+        if matches!(judge(gateway, request, now()), Judgement::Condemned(_)) {
+            return;
+        }
+    }
+}
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -2,11 +2,12 @@
 use crate::clock::now;
 use crate::connection::Connection;
 use crate::gateway::Gateway;
+use crate::notices::receive_notices;
 use crate::object_feed::{Endpoints, ObjectFeed, activate};
 use crate::packed_endpoints::unpack;
 use bytes::Bytes;
 use decision::Millis;
-use decision::routing::{Configuration, Peer, PeerFault, Registration};
+use decision::routing::{Configuration, NoticeSource, Peer, PeerFault, Registration};
 use http::header::HOST;
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
@@ -14,6 +15,7 @@
 use messages::{endpoint_loads, load_rows};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// How long a followed daemon may delay its response while it waits for a change. Loads are
 /// reported with each request, so about as often.
@@ -50,7 +52,7 @@
     /// poll. Returns the reason if the daemon cannot be followed.
     pub(crate) async fn poll<A: Adapter>(
         &mut self,
-        gateway: &Gateway<A>,
+        gateway: &Rc<Gateway<A>>,
     ) -> Result<(), (PeerFault, String)> {
         let address: SocketAddr = self
             .peer
@@ -136,6 +138,7 @@
         wait_ms: 0,
         loads: load_rows(load_exchange.data_centre_loads(&own)),
         outcomes: gateway.outcome_exchange.borrow().data_centre_outcomes(&own_outcomes),
+        notices: gateway.notices.borrow().forwarded(now()),
     }
 }
 
@@ -175,10 +178,14 @@
 }
 
 fn apply_feed<A: Adapter>(
-    gateway: &Gateway<A>,
+    gateway: &Rc<Gateway<A>>,
     feed: FeedResponse,
     sent: Millis,
 ) -> Result<(), String> {
+    receive_notices(gateway, &feed.notices, NoticeSource::Peer);
+    if feed.is_complete {
+        gateway.notices.borrow_mut().forward_again(now());
+    }
     let endpoints = if feed.is_complete { unpack(&feed.packed_endpoints)? } else { feed.endpoints };
     if let Some(configuration) = from_json::<Configuration>(feed.configuration.as_deref()) {
         activate(gateway, configuration);
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -1,11 +1,12 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
 use crate::gateway::{Change, Gateway};
+use crate::notices::receive_notices;
 use crate::object_feed;
 use crate::response::ResponseBody;
 use bytes::Bytes;
 use decision::Millis;
-use decision::routing::{Peer, Reporter};
+use decision::routing::{NoticeSource, Peer, Reporter};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -62,6 +63,8 @@
     let loads = endpoint_loads(req.loads.clone());
     let outcomes = req.outcomes.clone();
     let daemons = req.daemons.unwrap_or(1) as usize;
+    let source = if req.whole_data_centre { NoticeSource::Peer } else { NoticeSource::Follower };
+    receive_notices(gateway, &req.notices, source);
     if req.whole_data_centre {
         let mut exchange = gateway.load_exchange.borrow_mut();
         exchange.record_data_centre(&req.data_centre, daemons, loads, arrived);
@@ -160,6 +163,7 @@
         standbys: Vec::new(),
         loads: Vec::new(),
         outcomes: Vec::new(),
+        notices: Vec::new(),
     }
 }
 
@@ -186,6 +190,7 @@
         feed.daemons = count(load_exchange.followers_and_self());
         feed.loads = load_rows(load_exchange.data_centre_loads(&own));
         feed.outcomes = outcome_exchange.data_centre_outcomes(&own_outcomes);
+        feed.notices = gateway.notices.borrow().forwarded(now());
         return feed;
     }
     feed.daemons = gateway.daemon_count(now()).and_then(count);
@@ -201,11 +206,15 @@
                 match change {
                     Change::Configuration => feed.configuration = configuration(gateway),
                     Change::Endpoint(change) => feed.endpoints.push(change.clone()),
+                    Change::Notice(id) => {
+                        feed.notices.extend(gateway.notices.borrow().get(*id, now()));
+                    }
                 }
             }
         }
         None => {
             feed.is_complete = true;
+            feed.notices = gateway.notices.borrow().all(now());
             feed.configuration = configuration(gateway);
             match gateway.packed_endpoints() {
                 Ok(packed) => feed.packed_endpoints = packed.to_vec(),
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -2,8 +2,9 @@
 use crate::clock::now;
 use crate::dispatch::place;
 use crate::gateway::Gateway;
+use crate::notices::judge;
 use crate::routed_request::RoutedRequest;
-use decision::routing::{Choice, Placement, QueueKey, Ticket, WaitLimits};
+use decision::routing::{Choice, Condemnation, Judgement, Placement, QueueKey, Ticket, WaitLimits};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,6 +37,8 @@
     TimedOut(String),
     /// No endpoint is registered that was not tried yet.
     NoEndpoint,
+    /// The prompt of the request has a part that crashes endpoints.
+    Condemned(Condemnation),
 }
 
 /// Waits in order of priority until an endpoint can start the next attempt at a request or its
@@ -51,11 +54,21 @@
     let entry = QueueEntry { gateway, key, ticket };
     let mut text = String::from("requests of higher priority or earlier arrival are waiting");
     loop {
+        let judgement = judge(gateway, request, now());
+        if let Judgement::Condemned(condemnation) = judgement {
+            return WaitOutcome::Condemned(condemnation);
+        }
         let is_first = gateway.wait_queues.borrow().is_first(&entry.key, ticket);
         if is_first {
             match place(gateway, request, limits, tried, now()) {
                 Placement::Saturated(best) => text = saturation_text(limits, &best),
-                Placement::Send(choice) => return WaitOutcome::Placed(choice),
+                Placement::Send(choice) => {
+                    if let Judgement::Trial(part) = judgement {
+                        let mut quarantine = gateway.quarantine.borrow_mut();
+                        quarantine.start_trial(&request.service, part, now());
+                    }
+                    return WaitOutcome::Placed(choice);
+                }
                 Placement::NoEndpoint => return WaitOutcome::NoEndpoint,
             }
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -2,8 +2,10 @@
 use crate::attempt::{BusyConnection, EndpointResponse, StreamingResponse, attempt};
 use crate::broken_response::BrokenResponse;
 use crate::clock::now;
+use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::metrics::StreamEndLabels;
+use crate::notices::{judge, record_completion};
 use crate::queue::{WaitOutcome, wait_for_endpoint};
 use crate::response::ResponseBody;
 use crate::routed_request::RoutedRequest;
@@ -11,7 +13,7 @@
 use crate::sse::{EventSplitter, has_event};
 use crate::stream_body::{StreamWriter, stream_body};
 use crate::stream_end::{Interruption, StreamEnd, StreamSummary};
-use decision::routing::{Outcome, Repeat};
+use decision::routing::{Judgement, Outcome, Repeat};
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -67,6 +69,7 @@
             self.count_end(&end);
             let interruption = match end {
                 StreamEnd::Complete => {
+                    self.record_completion(&connection);
                     connection.close(&self.gateway, Outcome::Answered);
                     self.finish(ANSWERED, "");
                     return self.writer.close();
@@ -80,7 +83,7 @@
             if interruption.is_caused_by_endpoint()
                 && let Some(broken) = BrokenResponse::new(&self.request, &connection, now())
             {
-                broken.investigate(&self.gateway);
+                self.investigate(broken).await;
             }
             connection.in_flight.close(Outcome::Failed);
             drop(body);
@@ -125,10 +128,40 @@
         }
     }
 
+    /// Records that the stream was complete. One that ends with its connection also looks complete
+    /// if the endpoint crashed between two events, so a suspected one is checked.
+    fn record_completion(&self, connection: &BusyConnection<A>) {
+        let has_evidence = || {
+            let quarantine = self.gateway.quarantine.borrow();
+            let prompt = self.request.prompt.as_ref();
+            prompt.is_some_and(|prompt| quarantine.has_evidence(&self.request.service, prompt))
+        };
+        if self.summary.framing == Framing::Connection
+            && has_evidence()
+            && let Some(ended) = BrokenResponse::new(&self.request, connection, now())
+        {
+            return ended.spawn_completion_check(&self.gateway, self.request.clone());
+        }
+        record_completion(&self.gateway, &self.request);
+    }
+
+    /// Finds out whether the endpoint has crashed; before the stream is resumed, so that it is not if
+    /// its prompt is to blame.
+    async fn investigate(&self, broken: BrokenResponse) {
+        if self.request.repeat == Repeat::Resumable {
+            broken.investigate(&self.gateway).await;
+        } else {
+            broken.spawn_investigation(&self.gateway);
+        }
+    }
+
     /// Resumes the stream at another endpoint after the last complete event.
     async fn resume(&mut self) -> Option<StreamingResponse<A>> {
         self.splitter.take_partial();
         let request = &self.request;
+        if judge(&self.gateway, request, now()) != Judgement::Admitted {
+            return None;
+        }
         while request.repeat == Repeat::Resumable
             && self.sends < request.max_attempts
             && now() < request.deadline
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -1,3 +1,23 @@
+///A request with prompt parts that were suspected of crashing endpoints got its complete response.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CompletionNotice {
+    ///The ids of the suspected parts.
+    pub parts: ::std::vec::Vec<u64>,
+    ///The service of the request.
+    pub service: ::std::string::String,
+}
+///An endpoint crashed while it sent the response to a request with a prompt.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CrashNotice {
+    ///The id of the endpoint.
+    pub endpoint: ::std::string::String,
+    ///The ids of the prompt parts that other requests may share.
+    pub parts: ::std::vec::Vec<u64>,
+    ///The time from sending the request to the crash, in milliseconds.
+    pub ran_ms: u64,
+    ///The service of the request.
+    pub service: ::std::string::String,
+}
 ///A change of the endpoint registry.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct EndpointChange {
@@ -65,6 +85,9 @@
     pub loads: ::std::vec::Vec<LoadRow>,
     ///The name of the sending daemon.
     pub name: ::std::string::String,
+    ///Notices that the sender observed or received from its followers lately.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub notices: ::std::vec::Vec<Notice>,
     ///Outcomes at endpoints with failures.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub outcomes: ::std::vec::Vec<EndpointOutcomes>,
@@ -97,6 +120,9 @@
     ///Whether an endpoint missing from a full set has left; false while its registration may merely have expired during a store outage.
     pub is_settled: bool,
     pub loads: ::std::vec::Vec<LoadRow>,
+    ///Notices after the position; all in a full set; recent ones in a response that holds loads only.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub notices: ::std::vec::Vec<Notice>,
     ///Outcomes at endpoints with failures.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub outcomes: ::std::vec::Vec<EndpointOutcomes>,
@@ -139,6 +165,20 @@
         Self(value)
     }
 }
+///Something that one daemon observed and all daemons are to know; of one kind.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Notice {
+    ///The time since it was observed, in milliseconds.
+    pub age_ms: u64,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub completion: ::std::option::Option<CompletionNotice>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub crash: ::std::option::Option<CrashNotice>,
+    ///The incarnation of the daemon that observed it.
+    pub origin: u64,
+    ///Counts the notices of that incarnation.
+    pub sequence: u64,
+}
 /// Error types.
 pub mod error {
     /// Error from a `TryFrom` or `FromStr` implementation.
