Do not blame a prompt part for endpoints that crash together without it

A crash now counts against a part only if most of the endpoints that crashed within 250 ms of it had a request with the part. Endpoints that crash under a part do so one by one, or together under requests that all have it.

part_that_few_of_the_endpoints_had_that_crashed_together_is_not_condemned failed before.

--- a/components/decision/src/routing/quarantine.rs
+++ b/components/decision/src/routing/quarantine.rs
@@ -12,6 +12,11 @@
 const MANY_ENDPOINTS: usize = 5;
 /// Crashes in a row at which a request that crashed its endpoint is not continued at another.
 const SUSPECTED_IN_ROW: usize = 2;
+/// Time within which crashes of several endpoints may have one cause.
+const SIMULTANEOUS: Millis = Millis(250);
+/// Share of the endpoints that crashed at the same time of which a part must have been in requests,
+/// for these crashes to be evidence against it.
+const MIN_EXPLAINED_SHARE: f64 = 0.6;
 /// Age at which a crash is no longer evidence.
 const MAX_AGE: Millis = Millis(600_000);
 /// Maximum number of crashes that are kept.
@@ -28,6 +33,7 @@
 
 #[derive(Clone, Debug)]
 struct Crash {
+    service: String,
     endpoint: String,
     sent_at: Millis,
     crashed_at: Millis,
@@ -92,7 +98,8 @@
 ///
 /// A part crashes endpoints if each request with it does. The evidence against a part is the number
 /// of crashes in a row, with no completed request between them. Requests that run at the same time
-/// count once, since one event may have ended all their endpoints.
+/// count once, since one event may have ended all their endpoints, and a crash does not count if most
+/// of the endpoints that crashed with it had no request with the part.
 ///
 /// Requests that crash endpoints also have parts in common that are sound. A condemned part is
 /// therefore refused only together with all parts that were in each of its crashes and not in a
@@ -102,6 +109,7 @@
     /// The incarnation of this daemon in ids of notices.
     origin: u64,
     crashes: BTreeMap<NoticeId, Crash>,
+    by_time: BTreeSet<(Millis, NoticeId)>,
     services: BTreeMap<String, ServiceEvidence>,
 }
 
@@ -119,6 +127,7 @@
         crashed_at: Millis,
     ) -> Vec<u64> {
         let crash = Crash {
+            service: notice.service.clone(),
             endpoint: notice.endpoint.clone(),
             sent_at: crashed_at - Millis(notice.ran_ms),
             crashed_at,
@@ -127,6 +136,7 @@
         let parts = crash.parts.clone();
         let before = self.condemned_of(&notice.service, &parts);
         self.crashes.insert(id, crash);
+        self.by_time.insert((crashed_at, id));
         let service = self.services.entry(notice.service.clone()).or_default();
         for part in &parts {
             let evidence = service.parts.entry(*part).or_default();
@@ -156,9 +166,10 @@
             known.own_completions.retain(|_, at| now.since(*at) < OWN_COMPLETION_MAX_AGE);
         }
         let known = &self.services[service];
+        // The own completion is left out: it clears the parts for this daemon only.
         let is_suspected = |part: &u64| {
             let evidence = known.parts.get(part);
-            evidence.is_some_and(|e| self.crashes_in_row(e, e.completed_at) >= SUSPECTED_IN_ROW)
+            evidence.is_some_and(|e| self.in_row(*part, e, e.completed_at) >= SUSPECTED_IN_ROW)
         };
         ids().filter(is_suspected).collect()
     }
@@ -205,7 +216,7 @@
         let ids: BTreeSet<u64> = prompt.shared().iter().map(|part| part.id).collect();
         for part in &ids {
             let Some(evidence) = known.parts.get(part) else { continue };
-            let in_row = self.crashes_in_row(evidence, known.completed_at(*part));
+            let in_row = self.crashes_in_row(known, *part);
             if in_row < SUSPECTED_IN_ROW || !self.signature(known, *part).is_subset(&ids) {
                 continue;
             }
@@ -256,6 +267,7 @@
             }
         }
         let crashes = &self.crashes;
+        self.by_time.retain(|(_, id)| crashes.contains_key(id));
         for known in self.services.values_mut() {
             known.parts.retain(|_, evidence| {
                 evidence.crashes.retain(|id| crashes.contains_key(id));
@@ -286,13 +298,19 @@
         crashes.filter(move |crash| Some(crash.crashed_at) > since)
     }
 
-    /// Returns the number of crashes after `since` of which each request was sent after the crash
-    /// before.
-    fn crashes_in_row(&self, evidence: &Evidence, since: Option<Millis>) -> usize {
-        if evidence.crashes.len() < SUSPECTED_IN_ROW {
-            return evidence.crashes.len();
-        }
+    /// Returns the number of crashes since the last completion of which each request was sent after
+    /// the crash before.
+    fn crashes_in_row(&self, known: &ServiceEvidence, part: u64) -> usize {
+        let evidence = known.parts.get(&part);
+        evidence.map_or(0, |evidence| self.in_row(part, evidence, known.completed_at(part)))
+    }
+
+    fn in_row(&self, part: u64, evidence: &Evidence, since: Option<Millis>) -> usize {
         let mut crashes: Vec<&Crash> = self.crashes_of(evidence, since).collect();
+        if crashes.len() < SUSPECTED_IN_ROW {
+            return crashes.len();
+        }
+        crashes.retain(|crash| self.explains(part, crash));
         crashes.sort_by_key(|crash| crash.crashed_at);
         let mut last_crash = None;
         let mut in_row = 0;
@@ -305,14 +323,29 @@
         in_row
     }
 
+    /// Returns whether most endpoints that crashed at the time of a crash had a request with the part.
+    fn explains(&self, part: u64, crash: &Crash) -> bool {
+        let first = (crash.crashed_at - SIMULTANEOUS, NoticeId::default());
+        let last =
+            (crash.crashed_at + SIMULTANEOUS, NoticeId { origin: u64::MAX, sequence: u64::MAX });
+        let mut endpoints: BTreeMap<&str, bool> = BTreeMap::new();
+        let simultaneous = self.by_time.range(first..=last);
+        for other in simultaneous.filter_map(|(_, id)| self.crashes.get(id)) {
+            if other.service == crash.service {
+                *endpoints.entry(&other.endpoint).or_default() |= other.parts.contains(&part);
+            }
+        }
+        let explained = endpoints.values().filter(|had_part| **had_part).count();
+        explained as f64 >= endpoints.len() as f64 * MIN_EXPLAINED_SHARE
+    }
+
     fn is_condemned(&self, known: &ServiceEvidence, part: u64) -> bool {
         let Some(evidence) = known.parts.get(&part) else { return false };
         if evidence.crashes.len() < CRASHES_IN_ROW {
             return false;
         }
-        let since = known.completed_at(part);
-        let in_row = self.crashes_in_row(evidence, since);
-        let endpoints = || self.endpoints(evidence, since).len();
+        let in_row = self.crashes_in_row(known, part);
+        let endpoints = || self.endpoints(evidence, known.completed_at(part)).len();
         in_row >= CRASHES_IN_ROW || (in_row >= SUSPECTED_IN_ROW && endpoints() >= MANY_ENDPOINTS)
     }
 
--- a/components/decision/tests/routing/quarantine.rs
+++ b/components/decision/tests/routing/quarantine.rs
@@ -142,6 +142,29 @@
     assert_eq!(recorder.judge(&[FIRST, BAD], 1_050), Judgement::Admitted);
 }
 
+/// The requests of a seldom used session are broken off each time that half of the endpoints crash.
+#[test]
+fn part_that_few_of_the_endpoints_had_that_crashed_together_is_not_condemned() {
+    let mut recorder = Recorder::new();
+    for at in [1_000, 4_000, 7_000, 10_000] {
+        for endpoint in 0..6 {
+            let session = if endpoint == 0 { 0x5e } else { 0x100 + at + endpoint };
+            recorder.crash(OTHER, &[session], at + endpoint);
+        }
+    }
+    assert_eq!(recorder.judge(&[0x5e], 10_010), Judgement::Admitted);
+}
+
+#[test]
+fn part_of_the_requests_under_which_endpoints_crash_together_is_condemned() {
+    let mut recorder = Recorder::new();
+    for at in [1_000, 4_000, 7_000] {
+        recorder.crash(OTHER, &[0x5e, BAD], at);
+        recorder.crash(OTHER, &[0x5f, BAD], at + 20);
+    }
+    assert!(recorder.is_condemned(&[0x60, BAD], 7_100));
+}
+
 #[test]
 fn two_crashes_in_a_row_suffice_after_five_endpoints() {
     let mut recorder = Recorder::new();
