Simulate daemons that exchange notices of prompts that crash endpoints

The fleet crate simulates the gateways' exchange of notices in virtual time: polls of store readers, exchanges of regions, the loss of readers and separated regions, with requests that crash endpoints beside sound ones that share parts and endpoints with them.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -2,14 +2,17 @@
 //! store. Measures propagation times, traffic, store calls and memory.
 
 mod calls;
+mod crashing_prompts;
 mod driver;
 mod invariants;
 mod measures;
+mod notice_fleet;
 mod random_faults;
 mod scenarios;
 mod store;
 mod table;
 
+pub use crashing_prompts::{CrashConfig, CrashResult, measure_crashes};
 pub use driver::{Fleet, FleetConfig};
 pub use invariants::Invariants;
 pub use measures::{Times, Traffic};
--- a/components/fleet/src/main.rs
+++ b/components/fleet/src/main.rs
@@ -4,8 +4,9 @@
 use decision::Millis;
 use decision::cluster::ClusterConfig;
 use fleet::{
-    ChangeTimes, FleetConfig, Table, bytes_per_cluster, measure_changes, measure_deaths,
-    measure_steady_traffic, measure_store_load, run_random_faults, slope,
+    ChangeTimes, CrashConfig, FleetConfig, Table, bytes_per_cluster, measure_changes,
+    measure_crashes, measure_deaths, measure_steady_traffic, measure_store_load, run_random_faults,
+    slope,
 };
 use std::thread;
 
@@ -25,7 +26,7 @@
 /// Simulates a fleet of cluster state machines and prints tables of the results.
 #[derive(FromArgs)]
 struct Args {
-    /// the measurement: change, steady, death, store, memory, random or all
+    /// the measurement: change, steady, death, store, memory, crashes, random or all
     #[argh(positional, default = "String::from(\"all\")")]
     what: String,
     /// number of randomised runs, each with its own seed
@@ -61,6 +62,9 @@
     if all || args.what == "store" {
         print_store(&sizes);
     }
+    if all || args.what == "crashes" {
+        print_crashes();
+    }
     if all || args.what == "random" {
         for seed in args.first_seed..args.first_seed + args.seeds {
             run_random_faults(args.size, seed);
@@ -261,3 +265,65 @@
     }
     println!("{table}");
 }
+
+/// Daemons, endpoints, sound requests and requests that crash endpoints, both per second.
+const CRASH_SIZES: [(usize, usize, f64, f64); 5] = [
+    (7, 12, 60.0, 1.0),
+    (7, 12, 60.0, 5.0),
+    (80, 90, 300.0, 5.0),
+    (300, 930, 600.0, 10.0),
+    (300, 930, 600.0, 40.0),
+];
+
+fn print_crashes() {
+    let header = [
+        "daemons",
+        "endpoints",
+        "crashing/s",
+        "disturbance",
+        "endpoints crashed, worst of 10 seeds",
+        "sent late",
+        "refused by all, ms after the third crash",
+        "sound refused, per thousand",
+        "notices, KB sent by a daemon, mean",
+        "most",
+    ];
+    let mut table = Table::new("Requests that crash endpoints, 45 s", &header);
+    for (daemons, endpoints, sound_per_s, crashing_per_s) in CRASH_SIZES {
+        let contact_time = Millis(if daemons > 7 { 5_000 } else { 4_000 });
+        let cfg = CrashConfig {
+            daemons,
+            endpoints,
+            sound_per_s,
+            crashing_per_s,
+            contact_time,
+            ..CrashConfig::default()
+        };
+        let disturbances = [
+            ("none", cfg.clone()),
+            ("readers lost", CrashConfig { loses_readers: true, ..cfg.clone() }),
+            ("regions apart for 3 s", CrashConfig { separated_for: Millis(3_000), ..cfg }),
+        ];
+        for (name, cfg) in disturbances {
+            let seeds: Vec<u64> = (1..=10).collect();
+            let results =
+                measure_all(&seeds, |seed| measure_crashes(CrashConfig { seed, ..cfg.clone() }));
+            let worst = |value: fn(&fleet::CrashResult) -> u64| {
+                results.iter().map(value).max().unwrap_or(0).to_string()
+            };
+            table.row(&[
+                daemons.to_string(),
+                endpoints.to_string(),
+                crashing_per_s.to_string(),
+                name.to_owned(),
+                worst(|r| r.crashes as u64),
+                worst(|r| r.sent_late as u64),
+                worst(|r| r.condemned_after.0),
+                worst(|r| (r.sound_refused * 1_000 / r.sound_sent.max(1)) as u64),
+                worst(|r| r.mean_bytes / 1_000),
+                worst(|r| r.most_bytes / 1_000),
+            ]);
+        }
+    }
+    println!("{table}");
+}
