--- a/fakes/src/platform/endpoint.rs
+++ b/fakes/src/platform/endpoint.rs
@@ -45,6 +45,8 @@
 pub struct ReceivedRequest {
     /// The request line, headers and body.
     pub message: Message,
+    /// When it arrived.
+    pub arrived: Instant,
     /// Whether the endpoint ran it.
     pub ran: bool,
     /// When the endpoint noticed that the caller had closed the connection before the end of the
@@ -56,6 +58,7 @@
 struct State {
     behaviour: Behaviour,
     crashing_part: Option<CrashingPart>,
+    stated_limit: Option<String>,
     requests: Vec<ReceivedRequest>,
     connections: usize,
 }
@@ -121,6 +124,11 @@
         self.state().crashing_part = part;
     }
 
+    /// Sets the value of the header in which it states how many requests a second it takes.
+    pub fn set_stated_limit(&self, limit: Option<&str>) {
+        self.state().stated_limit = limit.map(str::to_owned);
+    }
+
     /// When it crashed.
     pub fn crashes(&self) -> Vec<Instant> {
         self.sockets.crashes()
@@ -144,7 +152,9 @@
             let behaviour = self.state().behaviour;
             let is_for_this_instance = message.header("x-chervilspur-expected-instance") == self.id;
             let ran = behaviour != Behaviour::Reject && is_for_this_instance;
-            let request = ReceivedRequest { message: message.clone(), ran, cancelled: None };
+            let arrived = Instant::now();
+            let request =
+                ReceivedRequest { message: message.clone(), arrived, ran, cancelled: None };
             let number = self.state().requests.len();
             self.state().requests.push(request);
             if !is_for_this_instance {
@@ -192,7 +202,9 @@
         writer: &mut TcpStream,
     ) -> io::Result<bool> {
         let id = message.header("x-chervilspur-attempt-id");
-        let id_header = format!("x-chervilspur-attempt-id: {id}\r\n");
+        let limit = self.state().stated_limit.clone();
+        let limit = limit.map_or_else(String::new, |limit| format!("server-limit: {limit}\r\n"));
+        let id_header = format!("x-chervilspur-attempt-id: {id}\r\n{limit}");
         let signed_headers = format!("{id_header}x-chervilspur-server-seal: {}\r\n", self.id);
         match behaviour {
             Behaviour::Fail => {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod monitoring;
 mod responses;
 mod shutdown;
+mod stated_limits;
 mod store_changes;
 mod streams;
 mod support;
