Keep to the limits that endpoints state, over all daemons

Cause: the header was not read. Class: what an endpoint says of its capacity is ignored. Evidence: arrivals at the endpoints do not change when they begin to state limits, at no gateway; one gateway alone breaks the limit in the test (43 requests in 4 s, 11 allowed). Shares of a stopped instance are ruled out, as the first report precedes the stop.

Ways weighed: equal shares of all daemons send up to one request each at the same moment, which exceeds the limit with more than some eleven daemons; a token that is passed on with the loads waits for an exchange per request. Chosen: rights. With n requests a second, n + 1 daemons of the endpoint's data centre, selected by their rank among its daemons, send at regular intervals; rights are not saved up. The store reader of the data centre gives the ranks with its feed, once it knows its followers; until then the old ones hold. What an endpoint states reaches all daemons as a notice. To a daemon without a right the endpoint looks full, so requests go elsewhere, or wait and are refused if all endpoints are.

--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -8,6 +8,7 @@
 mod demand;
 mod directory;
 mod endpoint;
+mod endpoint_limits;
 mod fleet_size;
 mod freshness;
 mod lane;
@@ -37,6 +38,7 @@
 pub use directory::{
     Directory, DirectoryChange, OUTAGE_THRESHOLD, REREGISTRATION_TIMEOUT, Registration,
 };
+pub use endpoint_limits::EndpointLimits;
 pub use fleet_size::FleetSize;
 pub use freshness::Freshness;
 pub use lane::Lane;
--- a/components/decision/tests/routing/main.rs
+++ b/components/decision/tests/routing/main.rs
@@ -3,6 +3,7 @@
 mod catalog;
 mod connection_budget;
 mod directory;
+mod endpoint_limits;
 mod followers;
 mod freshness_and_retry_budget;
 mod lane;
--- a/components/decision/tests/routing/notices.rs
+++ b/components/decision/tests/routing/notices.rs
@@ -7,7 +7,14 @@
 
 fn content(part: u64) -> Notice {
     let completion = CompletionNotice { service: String::from("pool"), parts: vec![part] };
-    Notice { origin: 0, sequence: 0, age_ms: 0, crash: None, completion: Some(completion) }
+    Notice {
+        origin: 0,
+        sequence: 0,
+        age_ms: 0,
+        crash: None,
+        completion: Some(completion),
+        limit: None,
+    }
 }
 
 #[test]
--- a/components/gateway/src/adapter.rs
+++ b/components/gateway/src/adapter.rs
@@ -43,6 +43,8 @@
     pub signed: bool,
     /// Whether the endpoint states that it did not run the request.
     pub not_run: bool,
+    /// The requests a second that the endpoint takes from all daemons together, if it states them.
+    pub limit_per_second: Option<f64>,
 }
 
 /// The kinds of stored objects that a daemon reads.
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use crate::in_flight::InFlightRequest;
 use crate::log::LineKind;
 use crate::metrics::AttemptLabels;
-use crate::notices::{condemned, record_completion};
+use crate::notices::{condemned, observe_limit, record_completion};
 use crate::response::CompleteResponse;
 use crate::routed_request::RoutedRequest;
 use bytes::Bytes;
@@ -191,6 +191,10 @@
             "response does not carry the id of this request".to_owned(),
         ));
     }
+    // Only a complete success tells that an endpoint no longer states a limit.
+    if response_head.limit_per_second.is_some() || head.status.is_success() {
+        observe_limit(gateway, busy.in_flight.endpoint(), response_head.limit_per_second);
+    }
     let headers = client_headers(&head.headers);
     if head.status.is_success() {
         if !response_head.signed || headers.contains_key(CONTENT_ENCODING) {
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::routed_request::RoutedRequest;
 use crate::serve::{ANSWERED, FinishedRequest, RefusedRequest, finish, refuse};
 use decision::Millis;
-use decision::routing::{Candidate, Condemnation, Placement, WaitLimits};
+use decision::routing::{Candidate, Condemnation, Distance, Placement, WaitLimits};
 use errors::{Reason, Verdict};
 use http::{Response, StatusCode};
 use rand::RngExt;
@@ -35,17 +35,20 @@
     let engine = service.engine;
     let max_in_flight = gateway.connection_budget(service, now).running;
     let directory = gateway.directory();
-    let candidates = directory
-        .of_service(&request.service)
-        .filter(|(id, _)| !tried.contains(*id))
-        .map(|(id, registration)| Candidate {
+    let stated_limits = gateway.limits.borrow();
+    let untried = directory.of_service(&request.service).filter(|(id, _)| !tried.contains(*id));
+    let candidates = untried.map(|(id, registration)| {
+        let distance = gateway.adapter.distance(&registration.data_centre);
+        let is_admitted = stated_limits.admits(id, distance == Distance::DataCentre, now);
+        Candidate {
             id,
-            distance: gateway.adapter.distance(&registration.data_centre),
+            distance,
             slots: registration.slots,
-            max_in_flight,
+            max_in_flight: if is_admitted { max_in_flight } else { 0 },
             cache_tokens: engine.map_or(0, |engine| engine.cache_tokens),
             fetch_rate: engine.map_or(0, |engine| engine.fetch_rate),
-        });
+        }
+    });
     let tie_breaker = gateway.rng.borrow_mut().random();
     let mut demand = request.demand(limits.budget(now), tie_breaker);
     demand.prompt = demand.prompt.filter(|_| engine.is_some());
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -11,14 +11,15 @@
 use crate::update_source::CurrentSource;
 use decision::Millis;
 use decision::routing::{
-    Catalog, ChangeLog, ConnectionBudget, Directory, DirectoryChange, FleetSize, Freshness,
-    LoadExchange, LoadTable, NoticeBoard, NoticeId, OutcomeExchange, Peer, PlacementConfig,
-    Quarantine, ReaderElection, RetryBudget, Service, WaitQueues, start_wait,
+    Catalog, ChangeLog, ConnectionBudget, Directory, DirectoryChange, EndpointLimits, FleetSize,
+    Freshness, LoadExchange, LoadTable, NoticeBoard, NoticeId, OutcomeExchange, Peer,
+    PlacementConfig, Quarantine, ReaderElection, RetryBudget, Service, WaitQueues, start_wait,
 };
 use messages::feed::EndpointChange;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::cell::{Cell, Ref, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,6 +83,9 @@
     fleet_size: RefCell<FleetSize>,
     pub(crate) load_exchange: RefCell<LoadExchange>,
     pub(crate) outcome_exchange: RefCell<OutcomeExchange>,
+    pub(crate) limits: RefCell<EndpointLimits>,
+    /// The daemons of this data centre by name, while this one is their store reader.
+    pub(crate) data_centre_members: RefCell<Option<BTreeSet<String>>>,
     pub(crate) notices: RefCell<NoticeBoard>,
     /// Notices that are passed on to followers soon.
     pub(crate) collected_notices: RefCell<Vec<NoticeId>>,
@@ -131,6 +135,8 @@
             fleet_size: RefCell::default(),
             load_exchange: RefCell::default(),
             outcome_exchange: RefCell::default(),
+            limits: RefCell::default(),
+            data_centre_members: RefCell::default(),
             notices: RefCell::new(NoticeBoard::new(seed)),
             collected_notices: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(seed)),
@@ -261,6 +267,7 @@
             let (endpoint, registration) = match change {
                 DirectoryChange::Joined(id) => {
                     self.loads.borrow_mut().reset(id);
+                    self.limits.borrow_mut().reset(id);
                     (id.clone(), self.directory().get(id).and_then(to_json))
                 }
                 DirectoryChange::Left(id) => (id.clone(), None),
@@ -277,6 +284,9 @@
         self.pool.borrow_mut().remove_expired(now);
         let directory = self.directory.borrow();
         self.loads.borrow_mut().retain(|id| directory.get(id).is_some());
+        let mut limits = self.limits.borrow_mut();
+        limits.retain(|id| directory.get(id).is_some());
+        self.metrics.limited_endpoints.set(limits.len() as i64);
         self.load_exchange.borrow_mut().expire(now);
         self.outcome_exchange.borrow_mut().expire(now);
         let mut quarantine = self.quarantine.borrow_mut();
--- a/components/gateway/src/load_reports.rs
+++ b/components/gateway/src/load_reports.rs
@@ -8,8 +8,8 @@
 use decision::Millis;
 use decision::routing::NoticeSource;
 use messages::endpoint_loads;
-use messages::feed::FeedRequest;
-use std::collections::BTreeMap;
+use messages::feed::{FeedRequest, Rank};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -27,8 +27,10 @@
 pub(crate) async fn exchange_loads<A: Adapter>(gateway: Rc<Gateway<A>>) {
     let mut connections: BTreeMap<String, Option<Connection>> = BTreeMap::new();
     let mut reading_since = None;
+    let mut reader_since = None;
     loop {
         sleep(EXCHANGE_INTERVAL).await;
+        update_members(&gateway, &mut reader_since, now());
         if gateway.readers.borrow().is_reader() {
             let load_exchange = gateway.load_exchange.borrow();
             let followers = load_exchange.local_followers().cloned();
@@ -83,3 +85,32 @@
         }
     }
 }
+
+/// Updates the list of daemons of this data centre and the own rank in it, once a store reader knows
+/// its followers. Until then, all keep the ranks that they had.
+fn update_members<A: Adapter>(
+    gateway: &Gateway<A>,
+    reader_since: &mut Option<Millis>,
+    now: Millis,
+) {
+    if !gateway.readers.borrow().is_reader() {
+        *reader_since = None;
+        gateway.data_centre_members.replace(None);
+        return;
+    }
+    if now.since(*reader_since.get_or_insert(now)) < FOLLOWERS_KNOWN_AFTER {
+        return;
+    }
+    let own = gateway.settings().name.clone();
+    let load_exchange = gateway.load_exchange.borrow();
+    let names = load_exchange.local_followers().map(|peer| peer.name.clone());
+    let members: BTreeSet<String> = names.chain([own.clone()]).collect();
+    gateway.limits.borrow_mut().set_rank(rank(&members, &own));
+    gateway.data_centre_members.replace(Some(members));
+}
+
+/// The rank of a daemon among the members of its data centre.
+pub(crate) fn rank(members: &BTreeSet<String>, name: &str) -> Rank {
+    let position = members.iter().take_while(|member| member.as_str() < name).count();
+    Rank { position: position as u32, daemons: members.len() as u32 }
+}
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -56,6 +56,7 @@
     pub(crate) idle_connections: Gauge,
     pub(crate) configuration_version: Gauge,
     pub(crate) condemned_parts: Gauge,
+    pub(crate) limited_endpoints: Gauge,
     pub(crate) first_byte_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
     pub(crate) complete_response_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
@@ -73,6 +74,7 @@
             idle_connections: Gauge::default(),
             configuration_version: Gauge::default(),
             condemned_parts: Gauge::default(),
+            limited_endpoints: Gauge::default(),
             first_byte_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
             complete_response_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
         };
@@ -113,6 +115,11 @@
             "Prompt parts that are kept from endpoints",
             self.condemned_parts.clone(),
         );
+        r.register(
+            "limited_endpoints",
+            "Endpoints that state a limit",
+            self.limited_endpoints.clone(),
+        );
         r.register(
             "first_byte_seconds",
             "Time from a request to the head of its answer",
--- a/components/gateway/src/notices.rs
+++ b/components/gateway/src/notices.rs
@@ -4,7 +4,7 @@
 use crate::routed_request::RoutedRequest;
 use decision::Millis;
 use decision::routing::{Judgement, NoticeId, NoticeSource};
-use messages::feed::{CompletionNotice, CrashNotice, Notice};
+use messages::feed::{CompletionNotice, CrashNotice, LimitNotice, Notice};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -30,8 +30,20 @@
     }
 }
 
+/// Records what a response of an endpoint states about its limit, and publishes a change.
+pub(crate) fn observe_limit<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    endpoint: &str,
+    per_second: Option<f64>,
+) {
+    if gateway.limits.borrow_mut().observe(endpoint, per_second, now()) {
+        let limit = LimitNotice { endpoint: endpoint.to_owned(), per_second };
+        publish(gateway, Notice { limit: Some(limit), ..empty_notice() });
+    }
+}
+
 fn empty_notice() -> Notice {
-    Notice { origin: 0, sequence: 0, age_ms: 0, crash: None, completion: None }
+    Notice { origin: 0, sequence: 0, age_ms: 0, crash: None, completion: None, limit: None }
 }
 
 fn publish<A: Adapter>(gateway: &Rc<Gateway<A>>, content: Notice) {
@@ -107,6 +119,18 @@
         }
     }
     gateway.metrics.condemned_parts.set(quarantine.condemned_parts() as i64);
+    if let Some(limit) = &notice.limit {
+        let mut limits = gateway.limits.borrow_mut();
+        limits.apply(&limit.endpoint, limit.per_second, observed_at);
+        gateway.metrics.limited_endpoints.set(limits.len() as i64);
+        tracing::info!(
+            event = "limit_stated",
+            endpoint = %limit.endpoint,
+            per_second = limit.per_second,
+            origin = notice.origin,
+            age_ms = notice.age_ms,
+        );
+    }
 }
 
 /// Formats ids of prompt parts as in requests, separated by commas.
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -219,6 +219,9 @@
     if let Some(daemons) = feed.daemons {
         gateway.record_fleet_size(daemons as usize, now());
     }
+    if let Some(rank) = feed.rank {
+        gateway.limits.borrow_mut().set_rank(rank);
+    }
     let mut readers = gateway.readers.borrow_mut();
     if let Some(reader) = feed.reader.filter(|_| !readers.is_reader()) {
         let standbys: Vec<Peer> = feed.standbys.into_iter().map(peer).collect();
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -1,6 +1,7 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
 use crate::gateway::{Change, Gateway};
+use crate::load_reports::rank;
 use crate::notices::receive_notices;
 use crate::object_feed;
 use crate::response::ResponseBody;
@@ -160,6 +161,7 @@
         daemons: None,
         data_centre: gateway.settings().data_centre.clone(),
         reader: None,
+        rank: None,
         standbys: Vec::new(),
         loads: Vec::new(),
         outcomes: Vec::new(),
@@ -196,6 +198,9 @@
     feed.daemons = gateway.daemon_count(now()).and_then(count);
     let readers = gateway.readers.borrow();
     feed.reader = readers.reader().map(feed_peer);
+    let members = gateway.data_centre_members.borrow();
+    let members = members.as_ref().filter(|members| members.contains(&req.name));
+    feed.rank = members.map(|members| rank(members, &req.name));
     feed.standbys = readers.standbys().iter().map(feed_peer).collect();
     feed.loads = load_rows(load_exchange.fleet_loads(&own, &req.name));
     feed.outcomes = outcome_exchange.fleet_outcomes(&own_outcomes, &req.name);
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -61,12 +61,16 @@
         let is_first = gateway.wait_queues.borrow().is_first(&entry.key, ticket);
         if is_first {
             match place(gateway, request, limits, tried, now()) {
-                Placement::Saturated(best) => text = saturation_text(limits, &best),
+                Placement::Saturated(best) => {
+                    let stated_limit = gateway.limits.borrow().stated(&best.id);
+                    text = saturation_text(limits, &best, stated_limit);
+                }
                 Placement::Send(choice) => {
                     if let Judgement::Trial(part) = judgement {
                         let mut quarantine = gateway.quarantine.borrow_mut();
                         quarantine.start_trial(&request.service, part, now());
                     }
+                    gateway.limits.borrow_mut().record_send(&choice.id, now());
                     return WaitOutcome::Placed(choice);
                 }
                 Placement::NoEndpoint => return WaitOutcome::NoEndpoint,
@@ -80,7 +84,13 @@
     }
 }
 
-fn saturation_text(limits: WaitLimits, best: &Choice) -> String {
+fn saturation_text(limits: WaitLimits, best: &Choice, stated_limit: Option<f64>) -> String {
+    if let Some(per_second) = stated_limit.filter(|_| best.is_full) {
+        return format!(
+            "best endpoint {} states a limit of {per_second} requests a second",
+            best.id
+        );
+    }
     if best.is_full {
         return format!("best endpoint {} has all its connections in use", best.id);
     }
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -133,6 +133,9 @@
     ///The time since the configuration was last confirmed to be current, in milliseconds; absent without a confirmation.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub proof_age_ms: ::std::option::Option<u64>,
+    ///The rank of the requester; absent if it is of another data centre or not known yet.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub rank: ::std::option::Option<Rank>,
     ///The store reader of the responder's data centre, if known.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub reader: ::std::option::Option<FeedPeer>,
@@ -145,6 +148,15 @@
     ///The time from the arrival of the request to this response, in milliseconds.
     pub waited_ms: u64,
 }
+///An endpoint stated how many requests it takes.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LimitNotice {
+    ///The id of the endpoint.
+    pub endpoint: ::std::string::String,
+    ///Requests a second from all daemons together; absent if it no longer states a limit.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub per_second: ::std::option::Option<f64>,
+}
 ///The fields of an EndpointLoad in the order of its schema, without their names: reports of large fleets have hundreds of rows.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(transparent)]
@@ -174,11 +186,21 @@
     pub completion: ::std::option::Option<CompletionNotice>,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub crash: ::std::option::Option<CrashNotice>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub limit: ::std::option::Option<LimitNotice>,
     ///The incarnation of the daemon that observed it.
     pub origin: u64,
     ///Counts the notices of that incarnation.
     pub sequence: u64,
 }
+///The position of a daemon among those of its data centre, by which rights are divided.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Rank {
+    ///The number of daemons of the data centre.
+    pub daemons: u32,
+    ///The position, from 0.
+    pub position: u32,
+}
 /// Error types.
 pub mod error {
     /// Error from a `TryFrom` or `FromStr` implementation.
