Send prompts that crash endpoints, and state limits, in the soak

It counts the requests from gateways in touch that arrive later than the contact time after the fifth crash, and those in each window of 4 s at the endpoint with the limit, against the bounds of the platform. The first gateway stays in touch; the others are killed, stopped and suspended.

--- a/fakes/src/soak/check.rs
+++ b/fakes/src/soak/check.rs
@@ -40,7 +40,16 @@
     let unlogged: Vec<&&Observation> = unlogged.collect();
     match unlogged.first() {
         Some(one) if unlogged.len() as u64 > left_out_lines(log) => {
-            Err(format!("{} refusals have no log line, first: {one:?}", unlogged.len()))
+            let after_kill =
+                killed_at.iter().map(|kill| one.received_at.saturating_duration_since(*kill));
+            let before_kill =
+                killed_at.iter().map(|kill| kill.saturating_duration_since(one.received_at));
+            Err(format!(
+                "{} refusals have no log line, first: {one:?}; received {:?} after and {:?} before a kill",
+                unlogged.len(),
+                after_kill.filter(|time| !time.is_zero()).min(),
+                before_kill.filter(|time| !time.is_zero()).min(),
+            ))
         }
         _ => Ok(refused.len()),
     }
--- a/fakes/src/soak/clients.rs
+++ b/fakes/src/soak/clients.rs
@@ -17,10 +17,16 @@
     ("/stream/", true),
 ];
 
+/// The prompt part that crashes endpoints, and the share of requests that have it.
+pub const CRASHING_PART: &str = "bad0";
+const CRASHING_SHARE: f64 = 0.01;
+
 /// What a client observed of a request.
 #[derive(Clone, Debug)]
 pub struct Observation {
     pub id: String,
+    /// The index of the gateway that it was sent to.
+    pub gateway: usize,
     /// The index of its path in `TARGETS`.
     pub target: usize,
     /// The status, or none if there was no response.
@@ -39,16 +45,25 @@
     number: usize,
     seed: u64,
     gateways: &[SocketAddr],
+    has_prompts: bool,
     stop: &AtomicBool,
 ) -> Vec<Observation> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(number as u64));
     let mut observations = Vec::new();
-    let mut connection: Option<Client> = None;
+    let mut connection: Option<(usize, Client)> = None;
     while !stop.load(Ordering::SeqCst) {
         let id = format!("s{seed}-c{number}-{}", observations.len());
         let target = rng.random_range(0..TARGETS.len());
-        let gateway = gateways[rng.random_range(0..gateways.len())];
-        let observation = send_request(&mut connection, gateway, target, &id);
+        let gateway = rng.random_range(0..gateways.len());
+        let open = connection.take();
+        let gateway = open.as_ref().map_or(gateway, |(gateway, _)| *gateway);
+        let client = open.map(|(_, client)| client);
+        let client = client.or_else(|| Client::connect(gateways[gateway]).ok());
+        let headers =
+            if has_prompts { prompt_headers(&mut rng, observations.len()) } else { String::new() };
+        let request = Request { id: &id, gateway, target, headers: &headers };
+        let (observation, client) = send_request(client, &request);
+        connection = client.map(|client| (gateway, client));
         let failed = observation.status != Some(200);
         observations.push(observation);
         let pause_ms = if failed { 20..60 } else { 1..15 };
@@ -57,36 +72,49 @@
     observations
 }
 
-fn send_request(
-    connection: &mut Option<Client>,
-    gateway: SocketAddr,
+struct Request<'a> {
+    id: &'a str,
+    gateway: usize,
     target: usize,
-    id: &str,
-) -> Observation {
+    headers: &'a str,
+}
+
+/// The headers of a prompt with a first part and a session that other requests share, and a part
+/// that crashes endpoints in some.
+fn prompt_headers(rng: &mut Pcg64Mcg, number: usize) -> String {
+    let first = rng.random_range(0..3);
+    let session = rng.random_range(0..10);
+    let is_crashing = rng.random::<f64>() < CRASHING_SHARE;
+    let middle = if is_crashing { format!("{CRASHING_PART}:100,") } else { String::new() };
+    format!(
+        "X-Chervilspur-Token-Counts: 400,10\r\n\
+         X-Chervilspur-Prompt-Prefix: f{first}:100,{middle}5e{session}:100,{number:x}0000:100\r\n"
+    )
+}
+
+/// Sends a request and reads its response; returns the connection if it can be used again.
+fn send_request(client: Option<Client>, request: &Request<'_>) -> (Observation, Option<Client>) {
     let mut observation = Observation {
-        id: id.to_owned(),
-        target,
+        id: request.id.to_owned(),
+        gateway: request.gateway,
+        target: request.target,
         status: None,
         is_complete: false,
         body: String::new(),
         is_signed: false,
         received_at: Instant::now(),
     };
-    let Some(mut client) = connection.take().or_else(|| Client::connect(gateway).ok()) else {
-        return observation;
-    };
-    if client.send_request(TARGETS[target].0, id, KEY, "body").is_err() {
-        return observation;
-    }
-    if let Ok(response) = client.read_response() {
-        observation.status = Some(response.message.status());
-        observation.is_complete = response.is_complete;
-        observation.is_signed = !response.message.header("x-chervilspur-server-seal").is_empty();
-        observation.received_at = Instant::now();
-        observation.body = String::from_utf8_lossy(&response.message.body).into_owned();
-        if response.is_complete && response.message.header("connection") != "close" {
-            *connection = Some(client);
-        }
+    let Some(mut client) = client else { return (observation, None) };
+    let target = TARGETS[request.target].0;
+    if client.send_request_with(target, request.id, KEY, "body", request.headers).is_err() {
+        return (observation, None);
     }
-    observation
+    let Ok(response) = client.read_response() else { return (observation, None) };
+    observation.status = Some(response.message.status());
+    observation.is_complete = response.is_complete;
+    observation.is_signed = !response.message.header("x-chervilspur-server-seal").is_empty();
+    observation.received_at = Instant::now();
+    observation.body = String::from_utf8_lossy(&response.message.body).into_owned();
+    let is_open = response.is_complete && response.message.header("connection") != "close";
+    (observation, is_open.then_some(client))
 }
--- a/fakes/src/soak/main.rs
+++ b/fakes/src/soak/main.rs
@@ -4,6 +4,7 @@
 mod check;
 mod clients;
 mod faults;
+mod prompts;
 mod run;
 
 use argh::FromArgs;
@@ -31,13 +32,17 @@
     /// number of clients in each run
     #[argh(option, default = "8")]
     clients: usize,
+
+    /// send prompts, a part of which crashes endpoints, while one endpoint states a limit
+    #[argh(switch)]
+    prompts: bool,
 }
 
 fn main() -> ExitCode {
     let flags: Flags = argh::from_env();
     let mut failed = 0;
     for seed in flags.first_seed..flags.first_seed + flags.seeds {
-        match run::soak(seed, flags.seconds, flags.gateways, flags.clients) {
+        match run::soak(seed, flags.seconds, flags.gateways, flags.clients, flags.prompts) {
             Ok(summary) => println!("seed {seed}: {summary}"),
             Err(text) => {
                 failed += 1;
--- a/fakes/src/soak/run.rs
+++ b/fakes/src/soak/run.rs
@@ -1,8 +1,10 @@
 use crate::check::{check_observations, check_refusal_lines};
-use crate::clients::{KEY, TARGETS, run_client};
+use crate::clients::{CRASHING_PART, KEY, TARGETS, run_client};
 use crate::faults::{Fault, ScheduledFault, generate_faults, generate_unframed_responses};
+use crate::prompts::{AppliedFault, check_prompts, is_used_with_prompts, random_limit};
 use fakes::{
-    GatewayConfig, GatewayProcess, Link, PlatformEndpoint, PlatformStore, Proxy, StoreMode,
+    CrashingPart, GatewayConfig, GatewayProcess, Link, PlatformEndpoint, PlatformStore, Proxy,
+    StoreMode,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -18,6 +20,7 @@
 const EVENTS: u32 = 6;
 /// The time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(4);
+const RESTART_AFTER: Duration = Duration::from_millis(400);
 /// The time limit for all gateways to serve every path after the last fault.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -55,10 +58,13 @@
     version: u64,
     /// When gateways were killed with `SIGKILL`.
     killed_at: Vec<Instant>,
+    applied: Vec<AppliedFault>,
 }
 
 impl Site {
-    fn start(gateways: usize) -> io::Result<Site> {
+    /// Starts a site. With prompts, a part of them crashes endpoints. Gateways then connect to the
+    /// endpoints without a proxy, which would accept connections to a crashed one.
+    fn start(gateways: usize, has_prompts: bool) -> io::Result<Site> {
         let store = PlatformStore::start()?;
         let store_link = Proxy::start(store.address)?;
         store.put("config", "main", configuration(1));
@@ -67,8 +73,13 @@
         for number in 0..ENDPOINTS {
             let endpoint = PlatformEndpoint::start(&format!("i-{number}"), EVENTS, EVENT_INTERVAL)?;
             let link = Proxy::start(endpoint.address)?;
+            let address = if has_prompts { endpoint.address } else { link.address };
+            if has_prompts {
+                let id = CRASHING_PART.to_owned();
+                endpoint.set_crashing_part(Some(CrashingPart { id, restart_after: RESTART_AFTER }));
+            }
             let registration = json!({
-                "service": "pool", "address": link.address.to_string(), "zone": "a",
+                "service": "pool", "address": address.to_string(), "zone": "a",
                 "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
                 "sequence": 1, "born": 1,
             });
@@ -92,10 +103,12 @@
             gateways,
             version: 1,
             killed_at: Vec::new(),
+            applied: Vec::new(),
         })
     }
 
     fn apply(&mut self, fault: Fault) -> io::Result<()> {
+        self.applied.push((Instant::now(), fault));
         match fault {
             Fault::Endpoint(number, behaviour) => self.endpoints[number].set_behaviour(behaviour),
             Fault::Link(number, link) => self.links[number].set(link),
@@ -127,20 +140,31 @@
 }
 
 /// Runs the soak test with one seed; returns a summary, or the first violated guarantee.
-pub fn soak(seed: u64, seconds: u64, gateways: usize, clients: usize) -> Result<String, String> {
-    let mut site = Site::start(gateways).map_err(|e| e.to_string())?;
+pub fn soak(
+    seed: u64,
+    seconds: u64,
+    gateways: usize,
+    clients: usize,
+    has_prompts: bool,
+) -> Result<String, String> {
+    let mut site = Site::start(gateways, has_prompts).map_err(|e| e.to_string())?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut faults = generate_faults(&mut rng, seconds * 1_000, gateways, ENDPOINTS);
     // Drawn after the others, so that a seed keeps the faults with which it once failed.
     faults.extend(generate_unframed_responses(&mut rng, seconds * 1_000, ENDPOINTS));
     faults.sort_by_key(|(at_ms, _)| *at_ms);
+    let limit = random_limit(&mut rng);
+    if has_prompts {
+        faults.retain(|(_, fault)| is_used_with_prompts(fault));
+        site.endpoints[0].set_stated_limit(Some(&limit.to_string()));
+    }
     let addresses: Vec<SocketAddr> = site.gateways.iter().map(|g| g.address).collect();
     let stop = AtomicBool::new(false);
     let (applied, observations) = thread::scope(|scope| {
         let clients: Vec<_> = (0..clients)
             .map(|number| {
                 let (addresses, stop) = (&addresses, &stop);
-                scope.spawn(move || run_client(number, seed, addresses, stop))
+                scope.spawn(move || run_client(number, seed, addresses, has_prompts, stop))
             })
             .collect();
         let applied = apply_all(&mut site, &faults);
@@ -151,7 +175,11 @@
     });
     applied.map_err(|e| e.to_string())?;
     check_recovery(&mut site, &addresses, seed)?;
-    let summary = check_observations(&observations, &site.endpoints, EVENTS)?;
+    let mut summary = check_observations(&observations, &site.endpoints, EVENTS)?;
+    if has_prompts {
+        let prompts = check_prompts(&observations, &site.endpoints, limit, &site.applied)?;
+        summary = format!("{summary}, {prompts}");
+    }
     let log: Vec<String> = site.gateways.iter().flat_map(GatewayProcess::log).collect();
     let refusals = check_refusal_lines(&observations, &log, &site.killed_at)?;
     Ok(format!("{summary}, {refusals} refusals with a log line, {} faults", faults.len()))
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,15 +10,26 @@
 /// 3001: a stream with neither a length nor chunks that was cut before its first event was completed.
 const SEEDS: [u64; 4] = [1, 2, 201, 3001];
 
+/// A run with prompts is longer, since gateways have four seconds to act on what they observe.
+const PROMPT_RUN: [&str; 7] =
+    ["--prompts", "--first-seed", "1", "--seconds", "12", "--gateways", "3"];
+
+#[test]
+fn gateways_keep_crashing_prompts_and_limits_in_a_short_soak_run() {
+    run_soak(&PROMPT_RUN);
+}
+
 #[test]
 fn gateway_keeps_its_guarantees_in_a_short_soak_run() {
-    fakes::build_programs().unwrap();
     for seed in SEEDS {
-        let output = Command::new(fakes::binary("chervilspur-soak").unwrap())
-            .args(["--first-seed", &seed.to_string(), "--seconds", "5"])
-            .output()
-            .unwrap();
-        let text = String::from_utf8_lossy(&output.stdout).into_owned();
-        assert!(output.status.success(), "{text}");
+        run_soak(&["--first-seed", &seed.to_string(), "--seconds", "5"]);
     }
 }
+
+fn run_soak(args: &[&str]) {
+    fakes::build_programs().unwrap();
+    let soak = fakes::binary("chervilspur-soak").unwrap();
+    let output = Command::new(soak).args(args).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success(), "{text}");
+}
