Bound what long prompts and many crashes add to memory and log

A prompt may have about a thousand parts within the limit of the header. Of each, 32 are reported with a crash, and the completions that a daemon keeps are cleared above 4,096 parts, so that they take less than 1 MB. Lines about reported crashes count against the quota of failures, except those that condemn a part.

--- a/components/decision/src/routing/quarantine.rs
+++ b/components/decision/src/routing/quarantine.rs
@@ -165,6 +165,9 @@
         if known.own_completions.len() > MAX_OWN_COMPLETIONS {
             known.own_completions.retain(|_, at| now.since(*at) < OWN_COMPLETION_MAX_AGE);
         }
+        if known.own_completions.len() > MAX_OWN_COMPLETIONS {
+            known.own_completions.clear();
+        }
         let known = &self.services[service];
         // The own completion is left out: it clears the parts for this daemon only.
         let is_suspected = |part: &u64| {
--- a/components/gateway/src/broken_response.rs
+++ b/components/gateway/src/broken_response.rs
@@ -18,6 +18,9 @@
 /// is not known to have crashed.
 const CONNECT_TIMEOUT: Millis = Millis(300);
 
+/// Maximum number of prompt parts that are reported; prompts have a few.
+const MAX_PARTS: usize = 32;
+
 /// A response to a request with a prompt that its endpoint broke off after the head.
 #[derive(Debug)]
 pub(crate) struct BrokenResponse {
@@ -100,7 +103,7 @@
 }
 
 fn shared_parts(prompt: &Prompt) -> Vec<u64> {
-    prompt.shared().iter().map(|part| part.id).collect()
+    prompt.shared().iter().map(|part| part.id).take(MAX_PARTS).collect()
 }
 
 /// Whether nothing listens at the address. An endpoint that only cut or reset a connection still
--- a/components/gateway/src/notices.rs
+++ b/components/gateway/src/notices.rs
@@ -1,6 +1,7 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
 use crate::gateway::{Change, Gateway};
+use crate::log::LineKind;
 use crate::routed_request::RoutedRequest;
 use decision::Millis;
 use decision::routing::{Judgement, NoticeId, NoticeSource};
@@ -97,15 +98,17 @@
     let mut quarantine = gateway.quarantine.borrow_mut();
     if let Some(crash) = &notice.crash {
         let condemned = quarantine.record_crash(NoticeId::of(notice), crash, observed_at);
-        tracing::info!(
-            event = "crash_reported",
-            service = %crash.service,
-            endpoint = %crash.endpoint,
-            parts = hex(&crash.parts),
-            condemned = hex(&condemned),
-            origin = notice.origin,
-            age_ms = notice.age_ms,
-        );
+        if !condemned.is_empty() || gateway.log_quota.borrow_mut().admits(LineKind::Failure, now) {
+            tracing::info!(
+                event = "crash_reported",
+                service = %crash.service,
+                endpoint = %crash.endpoint,
+                parts = hex(&crash.parts),
+                condemned = hex(&condemned),
+                origin = notice.origin,
+                age_ms = notice.age_ms,
+            );
+        }
         if !condemned.is_empty() {
             gateway.quarantine_changed.notify_waiters();
         }
