State when a refused request may be sent to an endpoint with a limit

If all endpoints of a service state limits, the Retry-After of a refusal was 0.2 to 0.8 s at random, also if the daemon's next right was ten seconds away. It now includes that time. The test of the refusal expects it and failed before. Lines about stated limits count against the quota of routine lines.

--- a/components/decision/src/routing/endpoint_limits.rs
+++ b/components/decision/src/routing/endpoint_limits.rs
@@ -101,18 +101,22 @@
     /// Returns whether this daemon may send a request to an endpoint now; `is_local` says whether
     /// it is in the data centre of this daemon.
     pub fn admits(&self, endpoint: &str, is_local: bool, now: Millis) -> bool {
-        let Some(limit) = self.limits.get(endpoint) else { return true };
-        let Some(per_second) = limit.per_second else { return true };
-        let Some((place, daemons)) = self.right(endpoint, per_second).filter(|_| is_local) else {
-            return false;
-        };
+        self.wait(endpoint, is_local, now) == Some(Millis(0))
+    }
+
+    /// Returns the time until this daemon may send a request to an endpoint; `None` if it has no
+    /// right to.
+    pub fn wait(&self, endpoint: &str, is_local: bool, now: Millis) -> Option<Millis> {
+        let Some(limit) = self.limits.get(endpoint) else { return Some(Millis(0)) };
+        let Some(per_second) = limit.per_second else { return Some(Millis(0)) };
+        let (place, daemons) = self.right(endpoint, per_second).filter(|_| is_local)?;
         let interval_ms = (daemons * 1_000.0 / per_second).min(MAX_INTERVAL_MS);
         let (from, wait_ms) = match limit.last_sent {
             Some(sent) => (sent, interval_ms),
             // The first intervals of the daemons with a right end one after the other.
             None => (limit.since, interval_ms * (place + 1.0) / daemons),
         };
-        now >= from + Millis(wait_ms.ceil() as u64)
+        Some((from + Millis(wait_ms.ceil() as u64)).since(now))
     }
 
     /// Records that this daemon sends a request to an endpoint.
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -204,7 +204,11 @@
         let had_endpoint =
             last_failure.is_some() || matches!(stop_reason, StopReason::Saturated(_));
         let reason = if had_endpoint { Reason::Overloaded } else { Reason::NoEndpoint };
-        return refuse(gateway, &refused_request, not_run_refusal(gateway, reason), &text);
+        let mut refusal = not_run_refusal(gateway, reason);
+        let limit_wait = limit_wait(gateway, &request.service, now()).map(|wait| wait.0 as f64);
+        refusal.retry_after =
+            refusal.retry_after.map(|seconds| seconds + limit_wait.unwrap_or(0.0) / 1_000.0);
+        return refuse(gateway, &refused_request, refusal, &text);
     }
     let timed_out = last_failure.as_ref().is_some_and(|failure| failure.timed_out);
     if let Some(response) = last_failure.and_then(|failure| failure.response) {
@@ -225,6 +229,18 @@
     refuse(gateway, &refused_request, refusal, &text)
 }
 
+/// The time until this daemon may send a request to an endpoint of a service all of whose endpoints
+/// state limits; `None` if that is unknown or one of them states none.
+fn limit_wait<A: Adapter>(gateway: &Gateway<A>, service: &str, now: Millis) -> Option<Millis> {
+    let directory = gateway.directory();
+    let limits = gateway.limits.borrow();
+    let waits = directory.of_service(service).filter_map(|(id, registration)| {
+        let distance = gateway.adapter.distance(&registration.data_centre);
+        limits.wait(id, distance == Distance::DataCentre, now)
+    });
+    waits.min()
+}
+
 /// Builds the refusal of a request that did not run, with a random retry-after time.
 pub(crate) fn not_run_refusal<A: Adapter>(gateway: &Gateway<A>, reason: Reason) -> Refusal {
     let jitter: f64 = gateway.rng.borrow_mut().random();
--- a/components/gateway/src/notices.rs
+++ b/components/gateway/src/notices.rs
@@ -126,13 +126,15 @@
         let mut limits = gateway.limits.borrow_mut();
         limits.apply(&limit.endpoint, limit.per_second, observed_at);
         gateway.metrics.limited_endpoints.set(limits.len() as i64);
-        tracing::info!(
-            event = "limit_stated",
-            endpoint = %limit.endpoint,
-            per_second = limit.per_second,
-            origin = notice.origin,
-            age_ms = notice.age_ms,
-        );
+        if gateway.log_quota.borrow_mut().admits(LineKind::Routine, now) {
+            tracing::info!(
+                event = "limit_stated",
+                endpoint = %limit.endpoint,
+                per_second = limit.per_second,
+                origin = notice.origin,
+                age_ms = notice.age_ms,
+            );
+        }
     }
 }
 
--- a/tests/gateway/stated_limits.rs
+++ b/tests/gateway/stated_limits.rs
@@ -90,12 +90,13 @@
 #[test]
 fn requests_beyond_the_limits_of_all_endpoints_are_refused_with_a_time_to_retry() {
     let site = Site::start();
-    site.runners.iter().for_each(|runner| runner.set_stated_limit(Some("0.5")));
+    site.runners.iter().for_each(|runner| runner.set_stated_limit(Some("0.1")));
     send_requests(&[site.gateway.address], "/safe/", Duration::from_secs(1));
     let response = site.send_request("/safe/", "late");
     assert_eq!(response.message.status(), 503);
     let retry_after: f64 = response.message.header("retry-after").parse().unwrap();
-    assert!(retry_after > 0.0);
+    // The first request is allowed ten seconds after the limit was stated.
+    assert!((5.0..11.0).contains(&retry_after), "{retry_after} s");
 }
 
 #[rstest]
