Bound the reports of endpoints that crash together, and what they cost

When half of the engines crash, each interrupts some 25 streams, and each of 80 daemons got a report of each, evaluated all crashes at that time for each part of it, and used up its eighth of a core.

A response counts only if it broke off within a second of its head, as one whose prompt crashes the endpoint does. A daemon publishes and accepts 32 reports of a kind a second. Half as many crashes are kept, and the endpoints that crashed together are counted only where a crash may be the next in a row.

--- a/components/decision/src/routing/notices.rs
+++ b/components/decision/src/routing/notices.rs
@@ -10,6 +10,35 @@
 /// Maximum number of notices that are kept.
 const MAX_NOTICES: usize = 512;
 
+/// Maximum number of notices of a kind that a daemon publishes and accepts in a period. When many
+/// endpoints crash together, each interrupts many requests, and a part of the reports suffices.
+const MAX_NOTICES_PER_PERIOD: u32 = 32;
+const RATE_PERIOD: Millis = Millis(1_000);
+
+/// Counts the notices of each kind in the current period.
+#[derive(Clone, Copy, Debug, Default)]
+struct NoticeRate {
+    period_started: Millis,
+    crashes: u32,
+    completions: u32,
+}
+
+impl NoticeRate {
+    /// Counts a notice and returns whether it is within the limit.
+    fn admits(&mut self, notice: &Notice, now: Millis) -> bool {
+        if now.since(self.period_started) >= RATE_PERIOD {
+            *self = NoticeRate { period_started: now, ..NoticeRate::default() };
+        }
+        let count = match notice {
+            Notice { crash: Some(_), .. } => &mut self.crashes,
+            Notice { completion: Some(_), .. } => &mut self.completions,
+            _ => return true,
+        };
+        *count += 1;
+        *count <= MAX_NOTICES_PER_PERIOD
+    }
+}
+
 /// Identifies a notice: the incarnation of the daemon that observed it, and its number there.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct NoticeId {
@@ -51,6 +80,7 @@
 pub struct NoticeBoard {
     origin: u64,
     last_sequence: u64,
+    rate: NoticeRate,
     entries: BTreeMap<NoticeId, Entry>,
 }
 
@@ -60,21 +90,31 @@
         NoticeBoard { origin, ..NoticeBoard::default() }
     }
 
-    /// Adds a notice that this daemon observed; the fields that identify it are set here.
-    pub fn publish(&mut self, content: Notice, now: Millis) -> Notice {
+    /// Adds a notice that this daemon observed; the fields that identify it are set here. `None` if
+    /// there are too many of its kind.
+    pub fn publish(&mut self, content: Notice, now: Millis) -> Option<Notice> {
+        if !self.rate.admits(&content, now) {
+            return None;
+        }
         self.last_sequence += 1;
         let (origin, sequence) = (self.origin, self.last_sequence);
         let notice = Notice { origin, sequence, age_ms: 0, ..content };
         self.insert(&notice, now + FORWARDED_FOR, now);
-        notice
+        Some(notice)
     }
 
-    /// Adds a notice of another daemon. Returns whether it was unknown.
+    /// Adds a notice of another daemon. Returns whether it was unknown and not one too many of its
+    /// kind.
     pub fn receive(&mut self, notice: &Notice, source: NoticeSource, now: Millis) -> bool {
         let is_known = self.entries.contains_key(&NoticeId::of(notice));
         if is_known || Millis(notice.age_ms) >= MAX_AGE {
             return false;
         }
+        // A follower of a new reader gets all notices at once; old ones are not a burst.
+        let is_recent = Millis(notice.age_ms) < FORWARDED_FOR;
+        if is_recent && !self.rate.admits(notice, now) {
+            return false;
+        }
         let forwarded_until = match source {
             NoticeSource::Follower => now + FORWARDED_FOR,
             NoticeSource::Peer => Millis(0),
--- a/components/decision/src/routing/quarantine.rs
+++ b/components/decision/src/routing/quarantine.rs
@@ -14,13 +14,15 @@
 const SUSPECTED_IN_ROW: usize = 2;
 /// Time within which crashes of several endpoints may have one cause.
 const SIMULTANEOUS: Millis = Millis(250);
+/// Time after a crash that a part does not explain in which further ones are not looked at.
+const UNEXPLAINED_INTERVAL: Millis = Millis(50);
 /// Share of the endpoints that crashed at the same time of which a part must have been in requests,
 /// for these crashes to be evidence against it.
 const MIN_EXPLAINED_SHARE: f64 = 0.6;
 /// Age at which a crash is no longer evidence.
 const MAX_AGE: Millis = Millis(600_000);
 /// Maximum number of crashes that are kept.
-const MAX_CRASHES: usize = 256;
+const MAX_CRASHES: usize = 128;
 /// Number of own completions by part at which old ones are discarded.
 const MAX_OWN_COMPLETIONS: usize = 4_096;
 /// Age at which an own completion may be discarded.
@@ -313,14 +315,23 @@
         if crashes.len() < SUSPECTED_IN_ROW {
             return crashes.len();
         }
-        crashes.retain(|crash| self.explains(part, crash));
         crashes.sort_by_key(|crash| crash.crashed_at);
         let mut last_crash = None;
+        let mut last_unexplained: Option<Millis> = None;
         let mut in_row = 0;
         for crash in crashes {
-            if last_crash.is_none_or(|last_crash| crash.sent_at >= last_crash) {
+            let is_next = last_crash.is_none_or(|last_crash| crash.sent_at >= last_crash);
+            // What does not explain a crash does not explain those right after it either.
+            let is_unexplained = last_unexplained
+                .is_some_and(|at| crash.crashed_at.since(at) < UNEXPLAINED_INTERVAL);
+            if !is_next || is_unexplained {
+                continue;
+            }
+            if self.explains(part, crash) {
                 in_row += 1;
                 last_crash = Some(crash.crashed_at);
+            } else {
+                last_unexplained = Some(crash.crashed_at);
             }
         }
         in_row
--- a/components/fleet/src/notice_fleet.rs
+++ b/components/fleet/src/notice_fleet.rs
@@ -133,8 +133,9 @@
     /// Publishes a notice that a daemon observed.
     pub(crate) fn publish(&mut self, daemon: usize, content: Notice, now: Millis) {
         let daemon = &mut self.daemons[daemon];
-        let notice = daemon.board.publish(content, now);
-        daemon.apply(&notice, now);
+        if let Some(notice) = daemon.board.publish(content, now) {
+            daemon.apply(&notice, now);
+        }
     }
 
     pub(crate) fn is_up(&self, daemon: usize) -> bool {
--- a/components/gateway/src/broken_response.rs
+++ b/components/gateway/src/broken_response.rs
@@ -18,6 +18,9 @@
 /// is not known to have crashed.
 const CONNECT_TIMEOUT: Millis = Millis(300);
 
+/// Time from the head of a response within which a prompt that crashes endpoints does so.
+const MAX_RESPONSE_TIME: Millis = Millis(1_000);
+
 /// Maximum number of prompt parts that are reported; prompts have a few.
 const MAX_PARTS: usize = 32;
 
@@ -36,12 +39,17 @@
 }
 
 impl BrokenResponse {
-    /// Describes a response that broke off at `broken_at`; `None` if the request has no prompt.
+    /// Describes a response that broke off at `broken_at`; `None` if the request has no prompt, or
+    /// the endpoint had responded for so long that the prompt did not crash it.
     pub(crate) fn new<A: Adapter>(
         request: &RoutedRequest,
         connection: &BusyConnection<A>,
         broken_at: Millis,
     ) -> Option<BrokenResponse> {
+        let began_at = connection.in_flight.first_byte_at()?;
+        if broken_at.since(began_at) > MAX_RESPONSE_TIME {
+            return None;
+        }
         Some(BrokenResponse {
             request: request.id().to_owned(),
             route: request.route.clone(),
--- a/components/gateway/src/in_flight.rs
+++ b/components/gateway/src/in_flight.rs
@@ -4,6 +4,7 @@
 use crate::routed_request::RoutedRequest;
 use decision::Millis;
 use decision::routing::{Choice, InFlightId, Outcome};
+use std::cell::Cell;
 use std::rc::Rc;
 
 /// A request that this daemon has in flight at an endpoint. Dropping it without `close`, as when
@@ -14,6 +15,7 @@
     endpoint: String,
     fetch_from: Option<String>,
     sent_at: Millis,
+    first_byte_at: Cell<Option<Millis>>,
     in_flight_id: Option<InFlightId>,
 }
 
@@ -32,6 +34,7 @@
             endpoint: choice.id.clone(),
             fetch_from: choice.fetch_from.clone(),
             sent_at: now,
+            first_byte_at: Cell::default(),
             in_flight_id: Some(in_flight_id),
         }
     }
@@ -44,6 +47,11 @@
         self.sent_at
     }
 
+    /// When the response head arrived.
+    pub(crate) fn first_byte_at(&self) -> Option<Millis> {
+        self.first_byte_at.get()
+    }
+
     /// The id of another endpoint from which a part of the prompt can be fetched.
     pub(crate) fn fetch_from(&self) -> Option<&str> {
         self.fetch_from.as_deref()
@@ -51,6 +59,7 @@
 
     /// Records the arrival of the response head.
     pub(crate) fn record_first_byte(&self, request: &RoutedRequest) {
+        self.first_byte_at.set(Some(now()));
         if let Some(in_flight_id) = self.in_flight_id {
             let mut loads = self.gateway.loads.borrow_mut();
             loads.record_first_byte(&self.endpoint, in_flight_id, request.prompt.as_ref(), now());
--- a/components/gateway/src/notices.rs
+++ b/components/gateway/src/notices.rs
@@ -48,7 +48,7 @@
 }
 
 fn publish<A: Adapter>(gateway: &Rc<Gateway<A>>, content: Notice) {
-    let notice = gateway.notices.borrow_mut().publish(content, now());
+    let Some(notice) = gateway.notices.borrow_mut().publish(content, now()) else { return };
     apply(gateway, &notice, now());
     pass_on(gateway, NoticeId::of(&notice));
 }
