Count condemned parts in the rounds of maintenance only

Each notice counted all condemned parts for the metric, which looks at the crashes of every part. The metric is set four times a second anyway.

--- a/components/gateway/src/notices.rs
+++ b/components/gateway/src/notices.rs
@@ -121,7 +121,6 @@
             tracing::info!(event = "parts_acquitted", %service, parts, origin = notice.origin);
         }
     }
-    gateway.metrics.condemned_parts.set(quarantine.condemned_parts() as i64);
     if let Some(limit) = &notice.limit {
         let mut limits = gateway.limits.borrow_mut();
         limits.apply(&limit.endpoint, limit.per_second, observed_at);
