Log responses in which an endpoint states that it is leaving

The hypotheses (header not read; departure undone; choice older than the departure) cannot be told apart, since no line says that a response bore the header. The adapter reads it now, and the gateway logs leaving_stated. Nothing is decided by it yet.

--- a/components/gateway/src/adapter.rs
+++ b/components/gateway/src/adapter.rs
@@ -45,6 +45,8 @@
     pub not_run: bool,
     /// The requests a second that the endpoint takes from all daemons together, if it states them.
     pub limit_per_second: Option<f64>,
+    /// Whether the endpoint states that it is leaving and wants no new requests.
+    pub is_leaving: bool,
 }
 
 /// The kinds of stored objects that a daemon reads.
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -185,6 +185,14 @@
     let server_closes = has_close_token(&head.headers);
     let busy = BusyConnection { in_flight, connection, address, idle_timeout, server_closes };
     let response_head = gateway.adapter.read_response(head.status, &head.headers);
+    if response_head.is_leaving && gateway.log_quota.borrow_mut().admits(LineKind::Failure, now()) {
+        tracing::info!(
+            event = "leaving_stated",
+            request = %request.id(),
+            endpoint = busy.in_flight.endpoint(),
+            status = head.status.as_u16(),
+        );
+    }
     if response_head.request_id != request.request_id {
         busy.in_flight.close(Outcome::Failed);
         return Err(AttemptFailure::unusable_response(
