--- a/fakes/src/platform/endpoint.rs
+++ b/fakes/src/platform/endpoint.rs
@@ -59,6 +59,7 @@
     behaviour: Behaviour,
     crashing_part: Option<CrashingPart>,
     stated_limit: Option<String>,
+    leaving_since: Option<Instant>,
     requests: Vec<ReceivedRequest>,
     connections: usize,
 }
@@ -129,6 +130,16 @@
         self.state().stated_limit = limit.map(str::to_owned);
     }
 
+    /// States from now on in each response that it is leaving, or no longer does.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.state().leaving_since = is_leaving.then(Instant::now);
+    }
+
+    /// Since when it states that it is leaving.
+    pub fn leaving_since(&self) -> Option<Instant> {
+        self.state().leaving_since
+    }
+
     /// When it crashed.
     pub fn crashes(&self) -> Vec<Instant> {
         self.sockets.crashes()
@@ -158,7 +169,8 @@
             let number = self.state().requests.len();
             self.state().requests.push(request);
             if !is_for_this_instance {
-                write!(writer, "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n")?;
+                let stated = self.stated_headers();
+                write!(writer, "HTTP/1.1 421 X\r\n{stated}content-length: 0\r\n\r\n")?;
                 continue;
             }
             if self.crashes_on(&message) {
@@ -202,9 +214,8 @@
         writer: &mut TcpStream,
     ) -> io::Result<bool> {
         let id = message.header("x-chervilspur-attempt-id");
-        let limit = self.state().stated_limit.clone();
-        let limit = limit.map_or_else(String::new, |limit| format!("server-limit: {limit}\r\n"));
-        let id_header = format!("x-chervilspur-attempt-id: {id}\r\n{limit}");
+        let stated = self.stated_headers();
+        let id_header = format!("x-chervilspur-attempt-id: {id}\r\n{stated}");
         let signed_headers = format!("{id_header}x-chervilspur-server-seal: {}\r\n", self.id);
         match behaviour {
             Behaviour::Fail => {
@@ -240,7 +251,7 @@
             }
             Behaviour::WrongRequest => write!(
                 writer,
-                "HTTP/1.1 200 X\r\nx-chervilspur-attempt-id: other\r\n\
+                "HTTP/1.1 200 X\r\nx-chervilspur-attempt-id: other\r\n{stated}\
                  x-chervilspur-server-seal: s\r\ncontent-length: 2\r\n\r\nno"
             )?,
             Behaviour::Succeed | Behaviour::Truncate | Behaviour::DuplicateResponse => {
@@ -275,6 +286,15 @@
         Ok(true)
     }
 
+    /// The headers in which it states its limit and that it is leaving.
+    fn stated_headers(&self) -> String {
+        let state = self.state();
+        let limit = state.stated_limit.as_ref();
+        let limit = limit.map_or_else(String::new, |limit| format!("server-limit: {limit}\r\n"));
+        let leaving = state.leaving_since.map_or("", |_| "server-leaving: 1\r\n");
+        format!("{limit}{leaving}")
+    }
+
     fn respond_with_stream(
         &self,
         message: &Message,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod crashing_prompts;
 mod failures;
 mod framing;
+mod leaving_endpoints;
 mod monitoring;
 mod responses;
 mod shutdown;
