Let gateways of the tests know each other's data centres

The settings of a stand-in gateway named its own data centre only, so the region of others was unknown and gateways of two regions did not exchange anything: the test of all daemons failed while it waited for them to count each other. It fails now for its own reason: other daemons send requests to the endpoint that leaves.

--- a/fakes/src/platform/gateway.rs
+++ b/fakes/src/platform/gateway.rs
@@ -1,4 +1,5 @@
 use crate::binary;
+use std::collections::BTreeMap;
 use std::fs;
 use std::io::{self, BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
@@ -22,6 +23,8 @@
     pub data_centre: String,
     /// The region of its data centre (`region`).
     pub region: String,
+    /// The regions of other data centres, by data centre (`zones`).
+    pub other_data_centres: BTreeMap<String, String>,
     /// The time limit within which a revoked key stops working (`bounds.revocation_ms`), in
     /// milliseconds.
     pub revocation_ms: u64,
@@ -37,6 +40,7 @@
             name: String::from("front-1"),
             data_centre: String::from("a"),
             region: String::from("r"),
+            other_data_centres: BTreeMap::new(),
             revocation_ms: 5_000,
             grace_s: 8,
             extra_attempts: 54,
@@ -103,11 +107,16 @@
     fn start_once(store: SocketAddr, cfg: &GatewayConfig) -> io::Result<GatewayProcess> {
         let (address, ready, metrics) = (free_address()?, free_address()?, free_address()?);
         let peer_address = free_address()?;
+        let others: String = cfg
+            .other_data_centres
+            .iter()
+            .map(|(data_centre, region)| format!("zones.{data_centre}={region}\n"))
+            .collect();
         let text = format!(
             "node={}\nip_address=127.0.0.1\nzone={}\nregion={}\nzones.{}={}\n\
              listen.front={address}\nlisten.ready={ready}\ninternal_ports={},{}\n\
              bounds.grace_s={}\nbounds.strict_revocation=true\nbounds.revocation_ms={}\nbounds.budget_ratio=0.2\n\
-             bounds.budget_window_s=10\nbounds.budget_extra_attempts={}\nplatform.address={store}\n",
+             bounds.budget_window_s=10\nbounds.budget_extra_attempts={}\nplatform.address={store}\n{others}",
             cfg.name,
             cfg.data_centre,
             cfg.region,
--- a/tests/gateway/leaving_endpoints.rs
+++ b/tests/gateway/leaving_endpoints.rs
@@ -5,6 +5,7 @@
 use fakes::{Behaviour, Client, GatewayConfig, GatewayProcess, PlatformEndpoint};
 use rstest::rstest;
 use serde_json::json;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -104,12 +105,19 @@
 
 #[test]
 fn all_daemons_learn_that_an_endpoint_leaves() {
-    let site = Site::start();
+    let regions = [("a", "r"), ("b", "s")].map(|(a, b)| (a.to_owned(), b.to_owned()));
+    let other_data_centres = BTreeMap::from(regions);
+    let terms = GatewayConfig {
+        other_data_centres: other_data_centres.clone(),
+        ..GatewayConfig::default()
+    };
+    let site = Site::with(&terms, 5, Duration::from_millis(5));
     let start = |name: &str, data_centre: &str, region: &str| {
         let cfg = GatewayConfig {
             name: name.to_owned(),
             data_centre: data_centre.to_owned(),
             region: region.to_owned(),
+            other_data_centres: other_data_centres.clone(),
             ..GatewayConfig::default()
         };
         GatewayProcess::start(site.store.address, &cfg).unwrap()
