Send nothing to endpoints that said that they leave

Callers saw requests sent to an endpoint more than drain_ms after it had said Server-Leaving: 1 to the same instance; such requests may be cut off when it exits.

Cause: the header was not evaluated; departures were learned from the registry only, which says them late or never.

Now the statement is recorded at the head of any response, for the incarnation that made it (a 421 is the statement of whoever listens at the address now), and sent to all daemons as a notice. The directory lists the endpoint as draining, whatever its entry says, until a later incarnation registers; so placement, retries, resumed streams, copies for followers and the limits on idle connections all see it. A request whose connection was being opened is checked again before it is sent, and counts as not run: before, one whose endpoint had left the registry was reported as possibly run.

--- a/components/decision/src/routing/directory.rs
+++ b/components/decision/src/routing/directory.rs
@@ -1,3 +1,4 @@
+use super::departures::{Departures, Incarnation};
 use crate::Millis;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -31,6 +32,11 @@
 }
 
 impl Registration {
+    /// Returns the incarnation that the registration belongs to.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { started: self.started, address: self.address.clone() }
+    }
+
     /// Returns whether `other`, a later registration under the same id, belongs to the same
     /// incarnation. A lower number of heartbeats means that the endpoint has restarted.
     fn is_same_incarnation(&self, other: &Registration) -> bool {
@@ -55,7 +61,7 @@
 pub enum DirectoryChange {
     /// A new endpoint, a new incarnation under a known id, or one that has stopped draining.
     Joined(String),
-    /// The endpoint is draining or was removed.
+    /// The endpoint is draining, said that it leaves, or was removed.
     Left(String),
 }
 
@@ -63,23 +69,63 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     listed: BTreeMap<String, ListedEndpoint>,
+    /// The endpoints that said that they leave. They are listed as draining, whatever their
+    /// registry entries say.
+    departures: Departures,
 }
 
 impl Directory {
     /// Adds or updates the registration of an endpoint. Returns `None` for a known incarnation that
-    /// has neither started nor stopped draining.
+    /// has neither started nor stopped draining, and for one that is known to leave.
     pub fn put(&mut self, id: &str, registration: Registration) -> Option<DirectoryChange> {
+        let has_departed = self.departures.contains(id, &registration.incarnation());
+        let draining = registration.draining || has_departed;
+        let registration = Registration { draining, ..registration };
         let before = self.listed.get(id).map(|listed| &listed.registration);
-        let rejoined = before.is_none_or(|before| {
-            !before.is_same_incarnation(&registration)
-                || (before.draining && !registration.draining)
-        });
-        let left = registration.draining && before.is_none_or(|before| !before.draining);
+        let was_usable = before.is_some_and(|before| !before.draining);
+        let is_known = before.is_some_and(|before| before.is_same_incarnation(&registration));
+        let was_listed = before.is_some();
         self.listed.insert(id.to_owned(), ListedEndpoint { registration, missing_since: None });
-        if left {
-            return Some(DirectoryChange::Left(id.to_owned()));
+        if draining {
+            let has_left = was_usable || !was_listed;
+            return has_left.then(|| DirectoryChange::Left(id.to_owned()));
         }
-        rejoined.then(|| DirectoryChange::Joined(id.to_owned()))
+        let has_joined = !was_usable || !is_known;
+        has_joined.then(|| DirectoryChange::Joined(id.to_owned()))
+    }
+
+    /// Records that an endpoint said that it leaves. Returns `None` if that changes nothing: it is
+    /// known, or the endpoint is not listed, or another incarnation of it is.
+    pub fn record_departure(
+        &mut self,
+        id: &str,
+        incarnation: &Incarnation,
+        now: Millis,
+    ) -> Option<DirectoryChange> {
+        self.departures.record(id, incarnation.clone(), now);
+        let listed = self.listed.get_mut(id)?;
+        let registration = &mut listed.registration;
+        let has_departed = self.departures.contains(id, &registration.incarnation());
+        if registration.draining || !has_departed {
+            return None;
+        }
+        registration.draining = true;
+        Some(DirectoryChange::Left(id.to_owned()))
+    }
+
+    /// Returns whether an incarnation of an endpoint said that it leaves.
+    pub fn has_departed(&self, id: &str, incarnation: &Incarnation) -> bool {
+        self.departures.contains(id, incarnation)
+    }
+
+    /// Returns the number of listed endpoints that said that they leave.
+    pub fn leaving(&self) -> usize {
+        let is_listed = |id: &&str| {
+            let listed = self.listed.get(*id);
+            let incarnation = listed.map(|listed| listed.registration.incarnation());
+            incarnation.is_some_and(|incarnation| self.departures.contains(id, &incarnation))
+        };
+        self.departures.ids().filter(is_listed).count()
     }
 
     /// Removes an endpoint whose entry was deleted while the store was available.
--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -6,6 +6,7 @@
 mod change_log;
 mod connection_budget;
 mod demand;
+mod departures;
 mod directory;
 mod endpoint;
 mod endpoint_limits;
@@ -35,6 +36,7 @@
 pub use change_log::ChangeLog;
 pub use connection_budget::ConnectionBudget;
 pub use demand::{Candidate, Choice, Demand, Distance, InFlightId, Outcome, Placement};
+pub use departures::Incarnation;
 pub use directory::{
     Directory, DirectoryChange, OUTAGE_THRESHOLD, REREGISTRATION_TIMEOUT, Registration,
 };
--- a/components/decision/tests/routing/main.rs
+++ b/components/decision/tests/routing/main.rs
@@ -2,6 +2,7 @@
 
 mod catalog;
 mod connection_budget;
+mod departures;
 mod directory;
 mod endpoint_limits;
 mod followers;
--- a/components/decision/tests/routing/notices.rs
+++ b/components/decision/tests/routing/notices.rs
@@ -14,6 +14,7 @@
         crash: None,
         completion: Some(completion),
         limit: None,
+        departure: None,
     }
 }
 
--- a/components/fleet/src/crashing_prompts.rs
+++ b/components/fleet/src/crashing_prompts.rs
@@ -277,5 +277,13 @@
 }
 
 fn empty_notice() -> Notice {
-    Notice { origin: 0, sequence: 0, age_ms: 0, crash: None, completion: None, limit: None }
+    Notice {
+        origin: 0,
+        sequence: 0,
+        age_ms: 0,
+        crash: None,
+        completion: None,
+        limit: None,
+        departure: None,
+    }
 }
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 use crate::broken_response::BrokenResponse;
 use crate::clock::now;
 use crate::connection::{Connection, ConnectionError};
+use crate::departures::observe_departure;
 use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::in_flight::InFlightRequest;
@@ -185,13 +186,8 @@
     let server_closes = has_close_token(&head.headers);
     let busy = BusyConnection { in_flight, connection, address, idle_timeout, server_closes };
     let response_head = gateway.adapter.read_response(head.status, &head.headers);
-    if response_head.is_leaving && gateway.log_quota.borrow_mut().admits(LineKind::Failure, now()) {
-        tracing::info!(
-            event = "leaving_stated",
-            request = %request.id(),
-            endpoint = busy.in_flight.endpoint(),
-            status = head.status.as_u16(),
-        );
+    if response_head.is_leaving {
+        observe_departure(gateway, request, &busy, head.status);
     }
     if response_head.request_id != request.request_id {
         busy.in_flight.close(Outcome::Failed);
@@ -289,7 +285,7 @@
         ConnectionError::Connect { .. } | ConnectionError::ConnectTimeout { .. } => Outcome::Silent,
         ConnectionError::ResponseTimeout { .. } if now >= request.first_byte_due => Outcome::Silent,
         ConnectionError::ResponseTimeout { .. } => Outcome::Abandoned,
-        ConnectionError::Unsent { .. } => Outcome::Abandoned,
+        ConnectionError::Unsent { .. } | ConnectionError::Left { .. } => Outcome::Abandoned,
         ConnectionError::Broken { .. } | ConnectionError::Body { .. } => Outcome::Failed,
     }
 }
@@ -300,14 +296,7 @@
     in_flight: &InFlightRequest<A>,
     last_event: Option<&str>,
 ) -> Result<(Response<Incoming>, SocketAddr, Connection), ConnectionError> {
-    let unregistered = || ConnectionError::Body {
-        address: SocketAddr::from(([0, 0, 0, 0], 0)),
-        max_bytes: 0,
-        text: String::from("endpoint is no longer registered"),
-    };
-    let registered = gateway.directory().get(in_flight.endpoint()).map(|r| r.address.clone());
-    let address: SocketAddr =
-        registered.and_then(|address| address.parse().ok()).ok_or_else(unregistered)?;
+    let address = registered_address(gateway, in_flight)?;
     loop {
         let only_recently_used = !request.repeat.may_run_again();
         let pooled = gateway.pool.borrow_mut().take(address, only_recently_used, now());
@@ -319,6 +308,10 @@
                 Connection::open(address, limit).await?
             }
         };
+        // It may have left while the connection was opened.
+        if registered_address(gateway, in_flight)? != address {
+            return Err(ConnectionError::Left { endpoint: in_flight.endpoint().to_owned() });
+        }
         let was_pooled = !connection.is_new;
         let req = build_request(gateway, request, in_flight, last_event);
         match connection.send(req, request.time_left(now()) + LATE_RESPONSE_MARGIN).await {
@@ -329,6 +322,17 @@
     }
 }
 
+/// The address of the endpoint of a request, unless it has left.
+fn registered_address<A: Adapter>(
+    gateway: &Gateway<A>,
+    in_flight: &InFlightRequest<A>,
+) -> Result<SocketAddr, ConnectionError> {
+    let directory = gateway.directory();
+    let registration = directory.get(in_flight.endpoint());
+    let address = registration.and_then(|registration| registration.address.parse().ok());
+    address.ok_or_else(|| ConnectionError::Left { endpoint: in_flight.endpoint().to_owned() })
+}
+
 fn build_request<A: Adapter>(
     gateway: &Gateway<A>,
     request: &RoutedRequest,
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -34,6 +34,8 @@
     ConnectTimeout { address: SocketAddr, limit: Millis },
     #[snafu(display("{address}: connection closed before the request was sent"))]
     Unsent { address: SocketAddr },
+    #[snafu(display("{endpoint} has left before the request was sent"))]
+    Left { endpoint: String },
     #[snafu(display("{address}: {source}{}", root_cause(source)))]
     Broken { address: SocketAddr, source: hyper::Error },
     #[snafu(display("{address}: no response within {} ms", limit.0))]
@@ -51,8 +53,8 @@
 impl ConnectionError {
     /// Whether no byte of the request was sent, so that it cannot have run.
     pub(crate) fn is_unsent(&self) -> bool {
-        use ConnectionError::{Connect, ConnectTimeout, Unsent};
-        matches!(self, Connect { .. } | ConnectTimeout { .. } | Unsent { .. })
+        use ConnectionError::{Connect, ConnectTimeout, Left, Unsent};
+        matches!(self, Connect { .. } | ConnectTimeout { .. } | Unsent { .. } | Left { .. })
     }
 }
 
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -287,6 +287,7 @@
         let mut limits = self.limits.borrow_mut();
         limits.retain(|id| directory.get(id).is_some());
         self.metrics.limited_endpoints.set(limits.len() as i64);
+        self.metrics.leaving_endpoints.set(directory.leaving() as i64);
         self.load_exchange.borrow_mut().expire(now);
         self.outcome_exchange.borrow_mut().expire(now);
         let mut quarantine = self.quarantine.borrow_mut();
--- a/components/gateway/src/in_flight.rs
+++ b/components/gateway/src/in_flight.rs
@@ -3,7 +3,7 @@
 use crate::gateway::Gateway;
 use crate::routed_request::RoutedRequest;
 use decision::Millis;
-use decision::routing::{Choice, InFlightId, Outcome};
+use decision::routing::{Choice, InFlightId, Incarnation, Outcome};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -13,6 +13,8 @@
 pub(crate) struct InFlightRequest<A: Adapter> {
     gateway: Rc<Gateway<A>>,
     endpoint: String,
+    /// The endpoint's incarnation when the request was sent; `None` if it had just left.
+    incarnation: Option<Incarnation>,
     fetch_from: Option<String>,
     sent_at: Millis,
     first_byte_at: Cell<Option<Millis>>,
@@ -28,10 +30,12 @@
         let now = now();
         let in_flight_id =
             gateway.loads.borrow_mut().start(choice, &request.demand(Millis(0), 0), now);
+        let incarnation = gateway.directory().get(&choice.id).map(|r| r.incarnation());
         let gateway = gateway.clone();
         InFlightRequest {
             gateway,
             endpoint: choice.id.clone(),
+            incarnation,
             fetch_from: choice.fetch_from.clone(),
             sent_at: now,
             first_byte_at: Cell::default(),
@@ -43,6 +47,10 @@
         &self.endpoint
     }
 
+    pub(crate) fn incarnation(&self) -> Option<&Incarnation> {
+        self.incarnation.as_ref()
+    }
+
     pub(crate) fn sent_at(&self) -> Millis {
         self.sent_at
     }
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -57,6 +57,7 @@
     pub(crate) configuration_version: Gauge,
     pub(crate) condemned_parts: Gauge,
     pub(crate) limited_endpoints: Gauge,
+    pub(crate) leaving_endpoints: Gauge,
     pub(crate) first_byte_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
     pub(crate) complete_response_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
@@ -75,6 +76,7 @@
             configuration_version: Gauge::default(),
             condemned_parts: Gauge::default(),
             limited_endpoints: Gauge::default(),
+            leaving_endpoints: Gauge::default(),
             first_byte_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
             complete_response_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
         };
@@ -120,6 +122,11 @@
             "Endpoints that state a limit",
             self.limited_endpoints.clone(),
         );
+        r.register(
+            "leaving_endpoints",
+            "Registered endpoints that said that they leave",
+            self.leaving_endpoints.clone(),
+        );
         r.register(
             "first_byte_seconds",
             "Time from a request to the head of its answer",
--- a/components/gateway/src/notices.rs
+++ b/components/gateway/src/notices.rs
@@ -1,11 +1,12 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
+use crate::departures::{apply_departure, is_known};
 use crate::gateway::{Change, Gateway};
 use crate::log::LineKind;
 use crate::routed_request::RoutedRequest;
 use decision::Millis;
 use decision::routing::{Judgement, NoticeId, NoticeSource};
-use messages::feed::{CompletionNotice, CrashNotice, LimitNotice, Notice};
+use messages::feed::{CompletionNotice, CrashNotice, DepartureNotice, LimitNotice, Notice};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -43,8 +44,21 @@
     }
 }
 
+/// Publishes that an endpoint said that it leaves.
+pub(crate) fn publish_departure<A: Adapter>(gateway: &Rc<Gateway<A>>, departure: DepartureNotice) {
+    publish(gateway, Notice { departure: Some(departure), ..empty_notice() });
+}
+
 fn empty_notice() -> Notice {
-    Notice { origin: 0, sequence: 0, age_ms: 0, crash: None, completion: None, limit: None }
+    Notice {
+        origin: 0,
+        sequence: 0,
+        age_ms: 0,
+        crash: None,
+        completion: None,
+        limit: None,
+        departure: None,
+    }
 }
 
 fn publish<A: Adapter>(gateway: &Rc<Gateway<A>>, content: Notice) {
@@ -71,8 +85,11 @@
 }
 
 /// Whether a notice changes nothing. Of a part that many requests share, many daemons report the
-/// completion of a request at the same time.
+/// completion of a request at the same time, and of an endpoint that leaves, what it says.
 fn is_redundant<A: Adapter>(gateway: &Gateway<A>, notice: &Notice, now: Millis) -> bool {
+    if let Some(departure) = &notice.departure {
+        return is_known(gateway, departure);
+    }
     let Some(completion) = &notice.completion else { return false };
     let at = now - Millis(notice.age_ms);
     !gateway.quarantine.borrow().is_news(&completion.service, &completion.parts, at)
@@ -94,6 +111,9 @@
 }
 
 fn apply<A: Adapter>(gateway: &Gateway<A>, notice: &Notice, now: Millis) {
+    if let Some(departure) = &notice.departure {
+        return apply_departure(gateway, notice, departure);
+    }
     let observed_at = now - Millis(notice.age_ms);
     let mut quarantine = gateway.quarantine.borrow_mut();
     if let Some(crash) = &notice.crash {
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -58,6 +58,11 @@
         idle.drain(..idle.len().saturating_sub(max_idle));
     }
 
+    /// Closes the idle connections to an endpoint.
+    pub(crate) fn close_idle(&mut self, address: SocketAddr) {
+        self.idle.remove(&address);
+    }
+
     /// Drops connections that are closed or past their idle timeout.
     pub(crate) fn remove_expired(&mut self, now: Millis) {
         for idle in self.idle.values_mut() {
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -18,6 +18,16 @@
     ///The service of the request.
     pub service: ::std::string::String,
 }
+///An endpoint said that it leaves. This is final for its incarnation.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DepartureNotice {
+    ///Its address and port.
+    pub address: ::std::string::String,
+    ///The id of the endpoint.
+    pub endpoint: ::std::string::String,
+    ///When its incarnation started, in milliseconds of Unix time; 0 if that is unknown.
+    pub started: u64,
+}
 ///A change of the endpoint registry.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct EndpointChange {
@@ -187,6 +197,8 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub crash: ::std::option::Option<CrashNotice>,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub departure: ::std::option::Option<DepartureNotice>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub limit: ::std::option::Option<LimitNotice>,
     ///The incarnation of the daemon that observed it.
     pub origin: u64,
