--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -5,6 +5,7 @@
 mod catalog;
 mod change_log;
 mod connection_budget;
+mod content;
 mod demand;
 mod departures;
 mod directory;
@@ -35,6 +36,7 @@
 };
 pub use change_log::ChangeLog;
 pub use connection_budget::ConnectionBudget;
+pub use content::Content;
 pub use demand::{Candidate, Choice, Demand, Distance, InFlightId, Outcome, Placement};
 pub use departures::Incarnation;
 pub use directory::{
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -176,6 +176,10 @@
         Ok(sent) => sent,
         Err(e) => {
             let failure = AttemptFailure::from_connection_error(&e);
+            if let ConnectionError::Broken { address, .. } = &e {
+                let broken = BrokenResponse::new(request, &in_flight, *address, now());
+                broken.into_iter().for_each(|broken| broken.spawn_investigation(gateway));
+            }
             in_flight.close(connection_outcome(&e, request, now()));
             return Err(failure);
         }
@@ -221,9 +225,8 @@
             return Err(not_run_failure(head.status, text));
         }
         Err(text) => {
-            if let Some(broken) = BrokenResponse::new(request, &busy, now()) {
-                broken.spawn_investigation(gateway);
-            }
+            let broken = BrokenResponse::new(request, &busy.in_flight, address, now());
+            broken.into_iter().for_each(|broken| broken.spawn_investigation(gateway));
             busy.in_flight.close(Outcome::Failed);
             return Err(AttemptFailure::unusable_response(text));
         }
--- a/components/gateway/src/broken_response.rs
+++ b/components/gateway/src/broken_response.rs
@@ -1,13 +1,13 @@
 use crate::adapter::Adapter;
-use crate::attempt::BusyConnection;
 use crate::clock::now;
 use crate::connection::{Connection, ConnectionError};
 use crate::gateway::Gateway;
+use crate::in_flight::InFlightRequest;
 use crate::log::LineKind;
 use crate::notices::{hex, publish_crash, record_completion};
 use crate::routed_request::RoutedRequest;
 use decision::Millis;
-use decision::routing::Prompt;
+use decision::routing::{Content, Prompt};
 use messages::feed::CrashNotice;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -24,7 +24,7 @@
 /// Maximum number of prompt parts that are reported; prompts have a few.
 const MAX_PARTS: usize = 32;
 
-/// A response to a request with a prompt that its endpoint broke off after the head.
+/// A response that its endpoint broke off, before or after the head.
 #[derive(Debug)]
 pub(crate) struct BrokenResponse {
     request: String,
@@ -34,30 +34,36 @@
     address: SocketAddr,
     /// The ids of the prompt parts that other requests may share.
     parts: Vec<u64>,
+    /// The content of the whole request.
+    content: Content,
+    has_head: bool,
     sent_at: Millis,
     broken_at: Millis,
 }
 
 impl BrokenResponse {
-    /// Describes a response that broke off at `broken_at`; `None` if the request has no prompt, or
-    /// the endpoint had responded for so long that the prompt did not crash it.
+    /// Describes a response that broke off at `broken_at`; `None` if the endpoint had responded for
+    /// so long that the request did not crash it.
     pub(crate) fn new<A: Adapter>(
         request: &RoutedRequest,
-        connection: &BusyConnection<A>,
+        in_flight: &InFlightRequest<A>,
+        address: SocketAddr,
         broken_at: Millis,
     ) -> Option<BrokenResponse> {
-        let began_at = connection.in_flight.first_byte_at()?;
-        if broken_at.since(began_at) > MAX_RESPONSE_TIME {
+        let began_at = in_flight.first_byte_at();
+        if began_at.is_some_and(|began_at| broken_at.since(began_at) > MAX_RESPONSE_TIME) {
             return None;
         }
         Some(BrokenResponse {
             request: request.id().to_owned(),
             route: request.route.clone(),
             service: request.service.clone(),
-            endpoint: connection.in_flight.endpoint().to_owned(),
-            address: connection.address(),
-            parts: shared_parts(request.prompt.as_ref()?),
-            sent_at: connection.in_flight.sent_at(),
+            endpoint: in_flight.endpoint().to_owned(),
+            address,
+            parts: request.prompt.as_ref().map(shared_parts).unwrap_or_default(),
+            content: request.content(),
+            has_head: began_at.is_some(),
+            sent_at: in_flight.sent_at(),
             broken_at,
         })
     }
@@ -66,7 +72,7 @@
     pub(crate) async fn investigate<A: Adapter>(self, gateway: &Rc<Gateway<A>>) -> bool {
         let has_crashed = has_crashed(self.address).await;
         self.log(gateway, has_crashed);
-        if has_crashed {
+        if has_crashed && self.has_head && !self.parts.is_empty() {
             let ran_ms = self.broken_at.since(self.sent_at).0;
             let BrokenResponse { service, endpoint, parts, .. } = self;
             publish_crash(gateway, CrashNotice { service, endpoint, parts, ran_ms });
@@ -105,6 +111,8 @@
             endpoint = %self.endpoint,
             has_crashed,
             parts = hex(&self.parts),
+            content = %self.content,
+            has_head = self.has_head,
             ran_ms = self.broken_at.since(self.sent_at).0,
         );
     }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -81,7 +81,7 @@
                 StreamEnd::Interrupted(interruption) => interruption,
             };
             if interruption.is_caused_by_endpoint()
-                && let Some(broken) = BrokenResponse::new(&self.request, &connection, now())
+                && let Some(broken) = self.broken_response(&connection)
             {
                 self.investigate(broken).await;
             }
@@ -138,13 +138,17 @@
         };
         if self.summary.framing == Framing::Connection
             && has_evidence()
-            && let Some(ended) = BrokenResponse::new(&self.request, connection, now())
+            && let Some(ended) = self.broken_response(connection)
         {
             return ended.spawn_completion_check(&self.gateway, self.request.clone());
         }
         record_completion(&self.gateway, &self.request);
     }
 
+    fn broken_response(&self, connection: &BusyConnection<A>) -> Option<BrokenResponse> {
+        BrokenResponse::new(&self.request, &connection.in_flight, connection.address(), now())
+    }
+
     /// Finds out whether the endpoint has crashed; before the stream is resumed, so that it is not if
     /// its prompt is to blame.
     async fn investigate(&self, broken: BrokenResponse) {
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -1,6 +1,8 @@
 use bytes::Bytes;
 use decision::Millis;
-use decision::routing::{Caller, Catalog, Demand, Lane, Prompt, Repeat, Route, WaitLimits};
+use decision::routing::{
+    Caller, Catalog, Content, Demand, Lane, Prompt, Repeat, Route, WaitLimits,
+};
 use http::{HeaderMap, Method, Uri};
 use std::collections::BTreeSet;
 
@@ -40,6 +42,13 @@
         self.request_id.as_deref().unwrap_or("-")
     }
 
+    /// The content by which repetitions of the request are recognized.
+    pub(crate) fn content(&self) -> Content {
+        let target = self.target.path_and_query().map_or("", |target| target.as_str());
+        let account = self.account.as_deref();
+        Content::of_request(self.method.as_str(), target, account, &self.body)
+    }
+
     /// The demand for placement.
     pub(crate) fn demand(&self, wait_budget: Millis, tie_breaker: u64) -> Demand<'_> {
         Demand {
