Reproduce a request that crashes one endpoint after the other, as known failures

A stand-in crashes on a request body: before the head, within a body with a length, or within an event.

--- a/fakes/src/platform/endpoint.rs
+++ b/fakes/src/platform/endpoint.rs
@@ -1,5 +1,6 @@
 use super::closing::close;
 use super::crash::{CrashableSockets, CrashingPart, rebind};
+use super::crashing_body::CrashingBody;
 use super::unframed::{UnframedEnd, UnframedResponse};
 use super::wire::{Message, read_message};
 use std::io::{self, BufReader, Read, Write};
@@ -58,12 +59,22 @@
 struct State {
     behaviour: Behaviour,
     crashing_part: Option<CrashingPart>,
+    crashing_body: Option<CrashingBody>,
     stated_limit: Option<String>,
     leaving_since: Option<Instant>,
     requests: Vec<ReceivedRequest>,
     connections: usize,
 }
 
+impl State {
+    /// The time from a crash to the restart.
+    fn restart_after(&self) -> Duration {
+        let part = self.crashing_part.as_ref().map(|part| part.restart_after);
+        let body = self.crashing_body.as_ref().map(|body| body.restart_after);
+        part.or(body).unwrap_or_default()
+    }
+}
+
 /// A stand-in for an endpoint of the platform; clones share their state.
 #[derive(Clone, Debug)]
 pub struct PlatformEndpoint {
@@ -105,8 +116,7 @@
                 // An I/O error ends only the thread of this connection.
                 thread::spawn(move || endpoint.serve(stream).unwrap_or_default());
             })?;
-            let restart_after = self.state().crashing_part.as_ref().map(|part| part.restart_after);
-            thread::sleep(restart_after.unwrap_or_default());
+            thread::sleep(self.state().restart_after());
             listener = rebind(self.address)?;
         }
     }
@@ -125,6 +135,11 @@
         self.state().crashing_part = part;
     }
 
+    /// Sets the request body that crashes it.
+    pub fn set_crashing_body(&self, body: Option<CrashingBody>) {
+        self.state().crashing_body = body;
+    }
+
     /// Sets the value of the header in which it states how many requests a second it takes.
     pub fn set_stated_limit(&self, limit: Option<&str>) {
         self.state().stated_limit = limit.map(str::to_owned);
@@ -176,6 +191,13 @@
             if self.crashes_on(&message) {
                 return self.crash_within_response(&message, &mut writer);
             }
+            let crashing_body = self.state().crashing_body.clone();
+            if let Some(crashing) = crashing_body.filter(|crashing| crashing.is_in(&message)) {
+                let id = message.header("x-chervilspur-attempt-id");
+                let sent = crashing.send(id, &self.id, self.event_interval, &mut writer);
+                self.sockets.crash();
+                return sent;
+            }
             if !self.respond(&message, behaviour, number, &mut writer)? {
                 return close(&writer);
             }
--- a/fakes/src/platform/mod.rs
+++ b/fakes/src/platform/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod closing;
 mod crash;
+mod crashing_body;
 mod endpoint;
 mod gateway;
 mod proxy;
@@ -13,6 +14,7 @@
 
 pub use client::{Client, ClientResponse};
 pub use crash::CrashingPart;
+pub use crashing_body::{CrashStage, CrashingBody};
 pub use endpoint::{Behaviour, PlatformEndpoint, ReceivedRequest};
 pub use gateway::{GatewayConfig, GatewayProcess};
 pub use proxy::{Link, Proxy};
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod connections;
 mod crashing_prompts;
+mod crashing_requests;
 mod failures;
 mod framing;
 mod leaving_endpoints;
