--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -36,7 +36,7 @@
 };
 pub use change_log::ChangeLog;
 pub use connection_budget::ConnectionBudget;
-pub use content::Content;
+pub use content::{Content, request_digest};
 pub use demand::{Candidate, Choice, Demand, Distance, InFlightId, Outcome, Placement};
 pub use departures::Incarnation;
 pub use directory::{
--- a/components/decision/src/routing/notices.rs
+++ b/components/decision/src/routing/notices.rs
@@ -7,6 +7,8 @@
 const FORWARDED_FOR: Millis = Millis(5_000);
 /// Age at which a notice is discarded.
 const MAX_AGE: Millis = Millis(600_000);
+/// The same for crashes under requests that may be repeated: what they condemn is not tried again.
+const REQUEST_CRASH_MAX_AGE: Millis = Millis(86_400_000);
 /// Maximum number of notices that are kept.
 const MAX_NOTICES: usize = 512;
 
@@ -107,7 +109,7 @@
     /// kind.
     pub fn receive(&mut self, notice: &Notice, source: NoticeSource, now: Millis) -> bool {
         let is_known = self.entries.contains_key(&NoticeId::of(notice));
-        if is_known || Millis(notice.age_ms) >= MAX_AGE {
+        if is_known || Millis(notice.age_ms) >= max_age(notice) {
             return false;
         }
         // A follower of a new reader gets all notices at once; old ones are not a burst.
@@ -155,7 +157,7 @@
     /// Discards old notices, and above the limit the oldest ones, of those that are not needed
     /// first.
     pub fn expire(&mut self, needed: &BTreeSet<NoticeId>, now: Millis) {
-        self.entries.retain(|_, entry| now.since(entry.observed_at) < MAX_AGE);
+        self.entries.retain(|_, entry| now.since(entry.observed_at) < max_age(&entry.notice));
         let excess = self.entries.len().saturating_sub(MAX_NOTICES);
         if excess == 0 {
             return;
@@ -168,6 +170,11 @@
     }
 }
 
+fn max_age(notice: &Notice) -> Millis {
+    let request = notice.crash.as_ref().and_then(|crash| crash.request);
+    if request.is_some() { REQUEST_CRASH_MAX_AGE } else { MAX_AGE }
+}
+
 impl Entry {
     fn aged(&self, now: Millis) -> Notice {
         Notice { age_ms: now.since(self.observed_at).0, ..self.notice.clone() }
--- a/components/decision/src/routing/prompt.rs
+++ b/components/decision/src/routing/prompt.rs
@@ -1,3 +1,5 @@
+use super::content::Content;
+
 /// A part of a prompt, such as a system prompt, that requests may have in common.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct PromptPart {
@@ -24,6 +26,11 @@
         &self.parts[..self.parts.len().saturating_sub(1)]
     }
 
+    /// Returns the parts that other requests may share, by which requests may be kept from endpoints.
+    pub fn contents(&self) -> impl Iterator<Item = Content> + '_ {
+        self.shared().iter().map(|part| Content::Part(part.id))
+    }
+
     /// Returns the total length in tokens of the parts that other requests may share.
     pub fn shared_tokens(&self) -> u32 {
         self.shared().iter().map(|part| part.tokens).sum()
--- a/components/decision/src/routing/quarantine.rs
+++ b/components/decision/src/routing/quarantine.rs
@@ -1,5 +1,5 @@
+use super::content::Content;
 use super::notices::NoticeId;
-use super::prompt::Prompt;
 use crate::Millis;
 use messages::feed::CrashNotice;
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,10 +19,21 @@
 /// Share of the endpoints that crashed at the same time of which a part must have been in requests,
 /// for these crashes to be evidence against it.
 const MIN_EXPLAINED_SHARE: f64 = 0.6;
-/// Age at which a crash is no longer evidence.
+/// The same for the content of a whole request: several such requests may crash endpoints at the
+/// same time.
+const MIN_REQUEST_EXPLAINED_SHARE: f64 = 0.3;
+/// Age at which a crash is no longer evidence against prompt parts.
 const MAX_AGE: Millis = Millis(600_000);
-/// Maximum number of crashes that are kept.
+/// Age at which a crash is no longer evidence against the content of a whole request.
+const REQUEST_MAX_AGE: Millis = Millis(86_400_000);
+/// Time from the last crash under a condemned request to its only trial.
+const REQUEST_TRIAL_AFTER: Millis = Millis(600_000);
+/// Maximum number of crashes that are kept, those against condemned contents included.
 const MAX_CRASHES: usize = 128;
+/// Number of crashes that are kept at least of those that condemn nothing, however many do.
+const MIN_OPEN_CRASHES: usize = 64;
+/// Maximum number of crashes against condemned contents.
+const MAX_CONDEMNING_CRASHES: usize = 1_024;
 /// Number of own completions by part at which old ones are discarded.
 const MAX_OWN_COMPLETIONS: usize = 4_096;
 /// Age at which an own completion may be discarded.
@@ -39,46 +50,51 @@
     endpoint: String,
     sent_at: Millis,
     crashed_at: Millis,
-    parts: BTreeSet<u64>,
+    /// All contents of the request.
+    contents: BTreeSet<Content>,
+    /// Those that the crash is evidence against.
+    suspects: BTreeSet<Content>,
 }
 
-/// What is known of a prompt part.
+/// What is known of a content.
 #[derive(Clone, Debug, Default)]
 struct Evidence {
-    /// The crashes under requests with the part since one with the part was last completed.
+    /// The crashes under requests with the content since one with it was last completed.
     crashes: BTreeSet<NoticeId>,
     completed_at: Option<Millis>,
-    /// When this daemon last let a request with the part through, although it is condemned.
+    /// When this daemon last let a request with the content through, although it is condemned, and
+    /// how often it did.
     tried_at: Option<Millis>,
+    trials: usize,
 }
 
-/// What is known of the prompt parts of requests to one service.
+/// What is known of the contents of requests to one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceEvidence {
-    parts: BTreeMap<u64, Evidence>,
-    /// When this daemon last completed a request with a part. Other daemons are told only if the
-    /// part is suspected.
-    own_completions: BTreeMap<u64, Millis>,
+    contents: BTreeMap<Content, Evidence>,
+    /// When this daemon last completed a request with a content. Other daemons are told only if the
+    /// content is suspected.
+    own_completions: BTreeMap<Content, Millis>,
 }
 
 impl ServiceEvidence {
-    /// Returns when a request with the part was last known to be completed.
-    fn completed_at(&self, part: u64) -> Option<Millis> {
-        let reported = self.parts.get(&part).and_then(|evidence| evidence.completed_at);
-        reported.max(self.own_completions.get(&part).copied())
+    /// Returns when a request with the content was last known to be completed.
+    fn completed_at(&self, content: Content) -> Option<Millis> {
+        let reported = self.contents.get(&content).and_then(|evidence| evidence.completed_at);
+        reported.max(self.own_completions.get(&content).copied())
     }
 }
 
 /// Why a request is not sent to endpoints.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Condemnation {
-    /// The id of the prompt part.
-    pub part: u64,
+    /// What crashes endpoints.
+    pub content: Content,
     /// The endpoints that crashed under requests with it, in order of their ids.
     pub endpoints: Vec<String>,
     /// The time since the last of these crashes.
     pub last_crash_age: Millis,
-    /// The time until a request with the part may be tried again.
+    /// The time until a request with it may be tried again.
     pub retry_after: Millis,
 }
 
@@ -89,23 +105,25 @@
     Admitted,
     /// It may, but is not continued at another endpoint if one crashes under it.
     Suspected,
-    /// It may, as the only one of this daemon, to find out whether its part still crashes endpoints.
-    Trial(u64),
+    /// It may, as the only one of this daemon, to find out whether its content still crashes
+    /// endpoints.
+    Trial(Content),
     /// It may not.
     Condemned(Condemnation),
 }
 
-/// Finds the prompt parts that crash endpoints, from the crashes that all daemons observe, and keeps
+/// Finds the contents that crash endpoints, from the crashes that all daemons observe, and keeps
 /// requests with them from the endpoints.
 ///
-/// A part crashes endpoints if each request with it does. The evidence against a part is the number
+/// A content crashes endpoints if each request with it does. The evidence against it is the number
 /// of crashes in a row, with no completed request between them. Requests that run at the same time
 /// count once, since one event may have ended all their endpoints, and a crash does not count if most
-/// of the endpoints that crashed with it had no request with the part.
+/// of the endpoints that crashed with it had no request with the content.
 ///
-/// Requests that crash endpoints also have parts in common that are sound. A condemned part is
-/// therefore refused only together with all parts that were in each of its crashes and not in a
-/// completed request since: a request that lacks one of them tells which of them is to blame.
+/// Requests that crash endpoints also have prompt parts in common that are sound. A condemned part is
+/// therefore refused only together with all contents that were in each of its crashes and not in a
+/// completed request since: a request that lacks one of them tells which of them is to blame. Nor
+/// need a digest be to blame: the bodies of sound requests may be equal.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     /// The incarnation of this daemon in ids of notices.
@@ -121,49 +139,51 @@
         Quarantine { origin, ..Quarantine::default() }
     }
 
-    /// Records a crash. Returns the parts that it condemns, which were not condemned before.
+    /// Records a crash. Returns the contents that it condemns, which were not condemned before.
     pub fn record_crash(
         &mut self,
         id: NoticeId,
         notice: &CrashNotice,
         crashed_at: Millis,
-    ) -> Vec<u64> {
+    ) -> Vec<Content> {
+        let contents = Content::set(&notice.parts, notice.request);
+        let suspects =
+            if notice.has_begun { contents.clone() } else { Content::set(&[], notice.request) };
         let crash = Crash {
             service: notice.service.clone(),
             endpoint: notice.endpoint.clone(),
             sent_at: crashed_at - Millis(notice.ran_ms),
             crashed_at,
-            parts: notice.parts.iter().copied().collect(),
+            contents,
+            suspects: suspects.clone(),
         };
-        let parts = crash.parts.clone();
-        let before = self.condemned_of(&notice.service, &parts);
+        let before = self.condemned_of(&notice.service, &suspects);
         self.crashes.insert(id, crash);
         self.by_time.insert((crashed_at, id));
         let service = self.services.entry(notice.service.clone()).or_default();
-        for part in &parts {
-            let evidence = service.parts.entry(*part).or_default();
+        for content in &suspects {
+            let evidence = service.contents.entry(*content).or_default();
             if evidence.completed_at.is_none_or(|completed| completed < crashed_at) {
                 evidence.crashes.insert(id);
             }
         }
-        let after = self.condemned_of(&notice.service, &parts);
+        let after = self.condemned_of(&notice.service, &suspects);
         after.difference(&before).copied().collect()
     }
 
-    /// Records that this daemon completed a request. Returns its parts that are suspected, of which
-    /// other daemons must be told.
+    /// Records that this daemon completed a request. Returns its contents that are suspected, of
+    /// which other daemons must be told.
     pub fn record_own_completion(
         &mut self,
         service: &str,
-        prompt: &Prompt,
+        contents: &BTreeSet<Content>,
         now: Millis,
-    ) -> Vec<u64> {
+    ) -> Vec<Content> {
         if !self.services.contains_key(service) {
             self.services.insert(service.to_owned(), ServiceEvidence::default());
         }
         let Some(known) = self.services.get_mut(service) else { return Vec::new() };
-        let ids = || prompt.shared().iter().map(|part| part.id);
-        known.own_completions.extend(ids().map(|part| (part, now)));
+        known.own_completions.extend(contents.iter().map(|content| (*content, now)));
         if known.own_completions.len() > MAX_OWN_COMPLETIONS {
             known.own_completions.retain(|_, at| now.since(*at) < OWN_COMPLETION_MAX_AGE);
         }
@@ -171,126 +191,160 @@
             known.own_completions.clear();
         }
         let known = &self.services[service];
-        // The own completion is left out: it clears the parts for this daemon only.
-        let is_suspected = |part: &u64| {
-            let evidence = known.parts.get(part);
-            evidence.is_some_and(|e| self.in_row(*part, e, e.completed_at) >= SUSPECTED_IN_ROW)
+        // The own completion is left out: it clears the contents for this daemon only.
+        let is_suspected = |content: &Content| {
+            let evidence = known.contents.get(content);
+            evidence.is_some_and(|e| self.in_row(*content, e, e.completed_at) >= SUSPECTED_IN_ROW)
         };
-        ids().filter(is_suspected).collect()
+        contents.iter().copied().filter(is_suspected).collect()
     }
 
-    /// Returns whether a request has a part under which an endpoint crashed since a request with it
-    /// was last completed.
-    pub fn has_evidence(&self, service: &str, prompt: &Prompt) -> bool {
+    /// Returns whether there is evidence against any content of requests to a service.
+    pub fn watches(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|known| !known.contents.is_empty())
+    }
+
+    /// Returns whether there is evidence against the content of a whole request to a service.
+    pub fn watches_requests(&self, service: &str) -> bool {
+        let known = self.services.get(service);
+        known.is_some_and(|known| known.contents.range(Content::Request(0)..).next().is_some())
+    }
+
+    /// Returns whether a request has a content under which an endpoint crashed since a request with
+    /// it was last completed.
+    pub fn has_evidence(&self, service: &str, contents: &BTreeSet<Content>) -> bool {
         let Some(known) = self.services.get(service) else { return false };
-        let mut evidence = prompt.shared().iter().filter_map(|part| known.parts.get(&part.id));
+        let mut evidence = contents.iter().filter_map(|content| known.contents.get(content));
         evidence.any(|evidence| !evidence.crashes.is_empty())
     }
 
-    /// Returns whether the completion of a request with these parts at the time `at` is news: there
-    /// is evidence against one of them from before.
-    pub fn is_news(&self, service: &str, parts: &[u64], at: Millis) -> bool {
+    /// Returns whether the completion of a request with these contents at the time `at` is news:
+    /// there is evidence against one of them from before.
+    pub fn is_news(&self, service: &str, contents: &BTreeSet<Content>, at: Millis) -> bool {
         let Some(known) = self.services.get(service) else { return false };
         let is_older = |crash: &Crash| crash.crashed_at <= at;
-        let mut evidence = parts.iter().filter_map(|part| known.parts.get(part));
+        let mut evidence = contents.iter().filter_map(|content| known.contents.get(content));
         evidence.any(|evidence| self.crashes_of(evidence, None).any(is_older))
     }
 
-    /// Records that a request with these parts was completed, here or at another daemon. Returns
-    /// the parts that are no longer condemned.
-    pub fn record_completion(&mut self, service: &str, parts: &[u64], at: Millis) -> Vec<u64> {
-        let parts: BTreeSet<u64> = parts.iter().copied().collect();
-        let before = self.condemned_of(service, &parts);
+    /// Records that a request with these contents was completed, here or at another daemon. Returns
+    /// the contents that are no longer condemned.
+    pub fn record_completion(
+        &mut self,
+        service: &str,
+        contents: &BTreeSet<Content>,
+        at: Millis,
+    ) -> Vec<Content> {
+        let before = self.condemned_of(service, contents);
         let known = self.services.entry(service.to_owned()).or_default();
-        for part in &parts {
-            let evidence = known.parts.entry(*part).or_default();
+        for content in contents {
+            let evidence = known.contents.entry(*content).or_default();
             evidence.completed_at = evidence.completed_at.max(Some(at));
             let crashes = &self.crashes;
             evidence.crashes.retain(|id| crashes.get(id).is_some_and(|c| c.crashed_at > at));
         }
-        let after = self.condemned_of(service, &parts);
+        let after = self.condemned_of(service, contents);
         before.difference(&after).copied().collect()
     }
 
-    /// Decides whether a request may be sent to an endpoint.
-    pub fn judge(&self, service: &str, prompt: &Prompt, now: Millis) -> Judgement {
+    /// Decides whether a request with these contents may be sent to an endpoint.
+    pub fn judge(&self, service: &str, contents: &BTreeSet<Content>, now: Millis) -> Judgement {
         let mut judgement = Judgement::Admitted;
-        let Some(known) = self.services.get(service).filter(|known| !known.parts.is_empty()) else {
+        let Some(known) = self.services.get(service).filter(|known| !known.contents.is_empty())
+        else {
             return judgement;
         };
-        let ids: BTreeSet<u64> = prompt.shared().iter().map(|part| part.id).collect();
-        for part in &ids {
-            let Some(evidence) = known.parts.get(part) else { continue };
-            let in_row = self.crashes_in_row(known, *part);
-            if in_row < SUSPECTED_IN_ROW || !self.signature(known, *part).is_subset(&ids) {
+        // Whole requests come last in their order, and are judged first: they wait longest.
+        for content in contents.iter().rev() {
+            let Some(evidence) = known.contents.get(content) else { continue };
+            let in_row = self.crashes_in_row(known, *content);
+            if in_row < SUSPECTED_IN_ROW || !self.signature(known, *content).is_subset(contents) {
                 continue;
             }
-            if !self.is_condemned(known, *part) {
+            if !self.is_condemned(known, *content) {
                 if judgement == Judgement::Admitted {
                     judgement = Judgement::Suspected;
                 }
                 continue;
             }
-            let condemnation = self.condemnation(*part, evidence, in_row, now);
+            let condemnation = self.condemnation(*content, evidence, in_row, now);
             if condemnation.retry_after > Millis(0) || !self.owns_trial(evidence) {
                 return Judgement::Condemned(condemnation);
             }
-            judgement = Judgement::Trial(*part);
+            judgement = Judgement::Trial(*content);
         }
         judgement
     }
 
     /// Records that a request was sent as a trial.
-    pub fn start_trial(&mut self, service: &str, part: u64, now: Millis) {
+    pub fn start_trial(&mut self, service: &str, content: Content, now: Millis) {
         let known = self.services.get_mut(service);
-        if let Some(evidence) = known.and_then(|known| known.parts.get_mut(&part)) {
+        if let Some(evidence) = known.and_then(|known| known.contents.get_mut(&content)) {
             evidence.tried_at = Some(now);
+            evidence.trials += 1;
         }
     }
 
-    /// Returns the crashes that are evidence against condemned parts.
+    /// Returns the crashes that are evidence against condemned contents.
     pub fn evidence(&self) -> BTreeSet<NoticeId> {
         self.condemned().flat_map(|evidence| &evidence.crashes).copied().collect()
     }
 
-    /// Returns the number of condemned parts.
-    pub fn condemned_parts(&self) -> usize {
+    /// Returns the number of condemned contents.
+    pub fn condemned_contents(&self) -> usize {
         self.condemned().count()
     }
 
-    /// Discards old crashes, and above the limit the oldest ones that condemn no part.
+    /// Discards old crashes, and above the limits the oldest ones.
     pub fn expire(&mut self, now: Millis) {
         let is_recent = |at: Millis| now.since(at) < MAX_AGE;
-        self.crashes.retain(|_, crash| is_recent(crash.crashed_at));
-        let excess = self.crashes.len().saturating_sub(MAX_CRASHES);
-        if excess > 0 {
-            let needed = self.evidence();
-            let mut ids: Vec<NoticeId> = self.crashes.keys().copied().collect();
-            ids.sort_by_key(|id| (needed.contains(id), self.crashes[id].crashed_at));
-            for id in ids.iter().take(excess) {
-                self.crashes.remove(id);
-            }
+        for crash in self.crashes.values_mut().filter(|crash| !is_recent(crash.crashed_at)) {
+            crash.suspects.retain(|content| matches!(content, Content::Request(_)));
         }
+        self.crashes.retain(|_, crash| {
+            !crash.suspects.is_empty() && now.since(crash.crashed_at) < REQUEST_MAX_AGE
+        });
+        self.discard_excess();
         let crashes = &self.crashes;
         self.by_time.retain(|(_, id)| crashes.contains_key(id));
         for known in self.services.values_mut() {
-            known.parts.retain(|_, evidence| {
-                evidence.crashes.retain(|id| crashes.contains_key(id));
+            known.contents.retain(|content, evidence| {
+                let is_evidence = |id: &NoticeId| {
+                    crashes.get(id).is_some_and(|crash| crash.suspects.contains(content))
+                };
+                evidence.crashes.retain(is_evidence);
                 !evidence.crashes.is_empty() || evidence.completed_at.is_some_and(is_recent)
             });
         }
     }
 
+    fn discard_excess(&mut self) {
+        if self.crashes.len() <= MAX_CRASHES {
+            return;
+        }
+        let condemning = self.evidence();
+        let (mut condemning, mut open): (Vec<NoticeId>, Vec<NoticeId>) =
+            self.crashes.keys().copied().partition(|id| condemning.contains(id));
+        let max_open = MAX_CRASHES.saturating_sub(condemning.len()).max(MIN_OPEN_CRASHES);
+        for (ids, max) in [(&mut condemning, MAX_CONDEMNING_CRASHES), (&mut open, max_open)] {
+            ids.sort_by_key(|id| self.crashes[id].crashed_at);
+            for id in ids.iter().take(ids.len().saturating_sub(max)) {
+                self.crashes.remove(id);
+            }
+        }
+    }
+
     fn condemned(&self) -> impl Iterator<Item = &Evidence> {
         self.services.values().flat_map(move |known| {
-            let condemned = known.parts.iter().filter(|(part, _)| self.is_condemned(known, **part));
+            let is_condemned = |content: &Content| self.is_condemned(known, *content);
+            let condemned = known.contents.iter().filter(move |(c, _)| is_condemned(c));
             condemned.map(|(_, evidence)| evidence)
         })
     }
 
-    fn condemned_of(&self, service: &str, parts: &BTreeSet<u64>) -> BTreeSet<u64> {
+    fn condemned_of(&self, service: &str, contents: &BTreeSet<Content>) -> BTreeSet<Content> {
         let Some(known) = self.services.get(service) else { return BTreeSet::new() };
-        parts.iter().copied().filter(|part| self.is_condemned(known, *part)).collect()
+        contents.iter().copied().filter(|content| self.is_condemned(known, *content)).collect()
     }
 
     /// Returns the crashes after `since`, or all.
@@ -305,12 +359,12 @@
 
     /// Returns the number of crashes since the last completion of which each request was sent after
     /// the crash before.
-    fn crashes_in_row(&self, known: &ServiceEvidence, part: u64) -> usize {
-        let evidence = known.parts.get(&part);
-        evidence.map_or(0, |evidence| self.in_row(part, evidence, known.completed_at(part)))
+    fn crashes_in_row(&self, known: &ServiceEvidence, content: Content) -> usize {
+        let evidence = known.contents.get(&content);
+        evidence.map_or(0, |evidence| self.in_row(content, evidence, known.completed_at(content)))
     }
 
-    fn in_row(&self, part: u64, evidence: &Evidence, since: Option<Millis>) -> usize {
+    fn in_row(&self, content: Content, evidence: &Evidence, since: Option<Millis>) -> usize {
         let mut crashes: Vec<&Crash> = self.crashes_of(evidence, since).collect();
         if crashes.len() < SUSPECTED_IN_ROW {
             return crashes.len();
@@ -327,7 +381,7 @@
             if !is_next || is_unexplained {
                 continue;
             }
-            if self.explains(part, crash) {
+            if self.explains(content, crash) {
                 in_row += 1;
                 last_crash = Some(crash.crashed_at);
             } else {
@@ -337,8 +391,9 @@
         in_row
     }
 
-    /// Returns whether most endpoints that crashed at the time of a crash had a request with the part.
-    fn explains(&self, part: u64, crash: &Crash) -> bool {
+    /// Returns whether enough of the endpoints that crashed at the time of a crash had a request with
+    /// the content.
+    fn explains(&self, content: Content, crash: &Crash) -> bool {
         let first = (crash.crashed_at - SIMULTANEOUS, NoticeId::default());
         let last =
             (crash.crashed_at + SIMULTANEOUS, NoticeId { origin: u64::MAX, sequence: u64::MAX });
@@ -346,20 +401,24 @@
         let simultaneous = self.by_time.range(first..=last);
         for other in simultaneous.filter_map(|(_, id)| self.crashes.get(id)) {
             if other.service == crash.service {
-                *endpoints.entry(&other.endpoint).or_default() |= other.parts.contains(&part);
+                *endpoints.entry(&other.endpoint).or_default() |= other.contents.contains(&content);
             }
         }
-        let explained = endpoints.values().filter(|had_part| **had_part).count();
-        explained as f64 >= endpoints.len() as f64 * MIN_EXPLAINED_SHARE
+        let explained = endpoints.values().filter(|had_content| **had_content).count();
+        let min_share = match content {
+            Content::Part(_) => MIN_EXPLAINED_SHARE,
+            Content::Request(_) => MIN_REQUEST_EXPLAINED_SHARE,
+        };
+        explained as f64 >= endpoints.len() as f64 * min_share
     }
 
-    fn is_condemned(&self, known: &ServiceEvidence, part: u64) -> bool {
-        let Some(evidence) = known.parts.get(&part) else { return false };
+    fn is_condemned(&self, known: &ServiceEvidence, content: Content) -> bool {
+        let Some(evidence) = known.contents.get(&content) else { return false };
         if evidence.crashes.len() < CRASHES_IN_ROW {
             return false;
         }
-        let in_row = self.crashes_in_row(known, part);
-        let endpoints = || self.endpoints(evidence, known.completed_at(part)).len();
+        let in_row = self.crashes_in_row(known, content);
+        let endpoints = || self.endpoints(evidence, known.completed_at(content)).len();
         in_row >= CRASHES_IN_ROW || (in_row >= SUSPECTED_IN_ROW && endpoints() >= MANY_ENDPOINTS)
     }
 
@@ -367,19 +426,20 @@
         self.crashes_of(evidence, since).map(|crash| &*crash.endpoint).collect()
     }
 
-    /// Returns the parts that were in all crashes under a part, without those that were in a
+    /// Returns the contents that were in all crashes under one, without those that were in a
     /// completed request since the first.
-    fn signature(&self, known: &ServiceEvidence, part: u64) -> BTreeSet<u64> {
-        let Some(evidence) = known.parts.get(&part) else { return BTreeSet::new() };
-        let since = known.completed_at(part);
+    fn signature(&self, known: &ServiceEvidence, content: Content) -> BTreeSet<Content> {
+        let Some(evidence) = known.contents.get(&content) else { return BTreeSet::new() };
+        let since = known.completed_at(content);
         let mut crashes = self.crashes_of(evidence, since);
         let Some(first) = crashes.next() else { return BTreeSet::new() };
-        let common = crashes.fold(first.parts.clone(), |common, crash| &common & &crash.parts);
+        let common =
+            crashes.fold(first.contents.clone(), |common, crash| &common & &crash.contents);
         let first_crash = self.crashes_of(evidence, since).map(|crash| crash.crashed_at).min();
-        common.into_iter().filter(|part| known.completed_at(*part) <= first_crash).collect()
+        common.into_iter().filter(|content| known.completed_at(*content) <= first_crash).collect()
     }
 
-    /// Returns whether trials of a condemned part are this daemon's: it observed the last crash.
+    /// Returns whether trials of a condemned content are this daemon's: it observed the last crash.
     fn owns_trial(&self, evidence: &Evidence) -> bool {
         let crashes = evidence.crashes.iter().filter_map(|id| Some((id, self.crashes.get(id)?)));
         let last = crashes.max_by_key(|(_, crash)| crash.crashed_at);
@@ -388,7 +448,7 @@
 
     fn condemnation(
         &self,
-        part: u64,
+        content: Content,
         evidence: &Evidence,
         in_row: usize,
         now: Millis,
@@ -396,12 +456,16 @@
         let last_crash = self.crashes_of(evidence, None).map(|crash| crash.crashed_at).max();
         let last = last_crash.max(evidence.tried_at).unwrap_or_default();
         let doublings = in_row.saturating_sub(CRASHES_IN_ROW).min(MAX_DOUBLINGS);
-        let trial_at = last + Millis(FIRST_TRIAL_AFTER.0 << doublings);
+        let retry_at = match content {
+            Content::Part(_) => last + Millis(FIRST_TRIAL_AFTER.0 << doublings),
+            Content::Request(_) if evidence.trials == 0 => last + REQUEST_TRIAL_AFTER,
+            Content::Request(_) => last + REQUEST_MAX_AGE,
+        };
         Condemnation {
-            part,
+            content,
             endpoints: self.endpoints(evidence, None).into_iter().map(str::to_owned).collect(),
             last_crash_age: now.since(last_crash.unwrap_or_default()),
-            retry_after: trial_at.since(now),
+            retry_after: retry_at.since(now),
         }
     }
 }
--- a/components/decision/tests/routing/main.rs
+++ b/components/decision/tests/routing/main.rs
@@ -2,6 +2,7 @@
 
 mod catalog;
 mod connection_budget;
+mod crashing_requests;
 mod departures;
 mod directory;
 mod endpoint_limits;
--- a/components/decision/tests/routing/notices.rs
+++ b/components/decision/tests/routing/notices.rs
@@ -6,7 +6,8 @@
 use std::collections::BTreeSet;
 
 fn content(part: u64) -> Notice {
-    let completion = CompletionNotice { service: String::from("pool"), parts: vec![part] };
+    let completion =
+        CompletionNotice { service: String::from("pool"), parts: vec![part], request: None };
     Notice {
         origin: 0,
         sequence: 0,
--- a/components/decision/tests/routing/quarantine.rs
+++ b/components/decision/tests/routing/quarantine.rs
@@ -1,9 +1,10 @@
 //! Which prompt parts are kept from endpoints, and from which evidence.
 
 use decision::Millis;
-use decision::routing::{Judgement, NoticeId, Prompt, PromptPart, Quarantine};
+use decision::routing::{Content, Judgement, NoticeId, Prompt, PromptPart, Quarantine};
 use messages::feed::CrashNotice;
 use rstest::rstest;
+use std::collections::BTreeSet;
 
 const OWN: u64 = 1;
 const OTHER: u64 = 2;
@@ -13,11 +14,16 @@
 const FIRST: u64 = 0xf1;
 const BAD: u64 = 0xbad;
 
-fn prompt(parts: &[u64]) -> Prompt {
+/// The contents of a prompt with these shared parts.
+fn contents(parts: &[u64]) -> BTreeSet<Content> {
     // The last part belongs to the request alone.
     let ids = parts.iter().copied().chain([u64::MAX]);
     let parts = ids.map(|id| PromptPart { id, tokens: 100 }).collect();
-    Prompt { parts, tokens: 300, answer_tokens: 10 }
+    Prompt { parts, tokens: 300, answer_tokens: 10 }.contents().collect()
+}
+
+fn part_ids(contents: &[Content]) -> Vec<u64> {
+    Content::split(contents).0
 }
 
 /// A quarantine, with the number of crashes recorded so far.
@@ -39,13 +45,15 @@
             service: String::from("pool"),
             endpoint: format!("i-{}", self.crashes),
             parts: parts.to_vec(),
+            request: None,
+            has_begun: true,
             ran_ms: RAN,
         };
-        self.quarantine.record_crash(id, &notice, Millis(crashed_at))
+        part_ids(&self.quarantine.record_crash(id, &notice, Millis(crashed_at)))
     }
 
     fn judge(&self, parts: &[u64], now: u64) -> Judgement {
-        self.quarantine.judge("pool", &prompt(parts), Millis(now))
+        self.quarantine.judge("pool", &contents(parts), Millis(now))
     }
 
     fn is_condemned(&self, parts: &[u64], now: u64) -> bool {
@@ -53,7 +61,7 @@
     }
 
     fn complete(&mut self, parts: &[u64], at: u64) -> Vec<u64> {
-        self.quarantine.record_completion("pool", parts, Millis(at))
+        part_ids(&self.quarantine.record_completion("pool", &contents(parts), Millis(at)))
     }
 }
 
@@ -120,14 +128,14 @@
 #[test]
 fn own_completions_count_at_once_and_are_reported_only_for_suspected_parts() {
     let mut recorder = Recorder::new();
-    let first = prompt(&[FIRST]);
+    let first = contents(&[FIRST]);
     recorder.crash(OTHER, &[FIRST], 1_000);
     assert!(recorder.quarantine.record_own_completion("pool", &first, Millis(1_200)).is_empty());
     recorder.crash(OTHER, &[FIRST], 2_000);
     recorder.crash(OTHER, &[FIRST], 3_000);
     assert_eq!(recorder.judge(&[FIRST], 3_000), Judgement::Suspected);
     let reported = recorder.quarantine.record_own_completion("pool", &first, Millis(3_200));
-    assert_eq!(reported, [FIRST]);
+    assert_eq!(part_ids(&reported), [FIRST]);
     assert_eq!(recorder.judge(&[FIRST], 3_200), Judgement::Admitted);
     assert!(recorder.crash(OTHER, &[FIRST], 4_000).is_empty());
 }
@@ -186,13 +194,13 @@
         recorder.crash(origin, &[BAD], at);
     }
     assert!(recorder.is_condemned(&[BAD], 62_999));
-    assert_eq!(recorder.judge(&[BAD], 63_000) == Judgement::Trial(BAD), is_tried);
-    recorder.quarantine.start_trial("pool", BAD, Millis(63_000));
+    assert_eq!(recorder.judge(&[BAD], 63_000) == Judgement::Trial(Content::Part(BAD)), is_tried);
+    recorder.quarantine.start_trial("pool", Content::Part(BAD), Millis(63_000));
     assert!(recorder.is_condemned(&[BAD], 63_000));
     // The trial crashed its endpoint, so the next one follows after twice the time.
     recorder.crash(origin, &[BAD], 63_500);
     assert!(recorder.is_condemned(&[BAD], 183_499));
-    assert_eq!(recorder.judge(&[BAD], 183_500) == Judgement::Trial(BAD), is_tried);
+    assert_eq!(recorder.judge(&[BAD], 183_500) == Judgement::Trial(Content::Part(BAD)), is_tried);
 }
 
 #[test]
@@ -202,9 +210,9 @@
         recorder.crash(OTHER, &[BAD], at);
     }
     recorder.quarantine.expire(Millis(600_999));
-    assert_eq!(recorder.quarantine.condemned_parts(), 1);
+    assert_eq!(recorder.quarantine.condemned_contents(), 1);
     recorder.quarantine.expire(Millis(603_000));
-    assert_eq!(recorder.quarantine.condemned_parts(), 0);
+    assert_eq!(recorder.quarantine.condemned_contents(), 0);
     assert_eq!(recorder.judge(&[BAD], 603_000), Judgement::Admitted);
 }
 
@@ -222,7 +230,7 @@
     let evidence = recorder.quarantine.evidence();
     assert!(evidence.contains(&NoticeId { origin: OTHER, sequence: 1 }));
     let kept = (0..2_000)
-        .filter(|n| recorder.quarantine.has_evidence("pool", &prompt(&[0x1_0000 + n])))
+        .filter(|n| recorder.quarantine.has_evidence("pool", &contents(&[0x1_0000 + n])))
         .count();
     assert_eq!(kept, 125);
 }
@@ -233,17 +241,17 @@
     for at in [1_000, 2_000, 3_000] {
         recorder.crash(OTHER, &[BAD], at);
     }
-    let elsewhere = recorder.quarantine.judge("other", &prompt(&[BAD]), Millis(3_000));
+    let elsewhere = recorder.quarantine.judge("other", &contents(&[BAD]), Millis(3_000));
     assert_eq!(elsewhere, Judgement::Admitted);
 }
 
 #[test]
 fn completion_is_news_only_while_there_is_evidence_from_before() {
     let mut recorder = Recorder::new();
-    assert!(!recorder.quarantine.is_news("pool", &[FIRST], Millis(1_500)));
+    assert!(!recorder.quarantine.is_news("pool", &contents(&[FIRST]), Millis(1_500)));
     recorder.crash(OTHER, &[FIRST], 1_000);
-    assert!(!recorder.quarantine.is_news("pool", &[FIRST], Millis(500)));
-    assert!(recorder.quarantine.is_news("pool", &[FIRST], Millis(1_500)));
+    assert!(!recorder.quarantine.is_news("pool", &contents(&[FIRST]), Millis(500)));
+    assert!(recorder.quarantine.is_news("pool", &contents(&[FIRST]), Millis(1_500)));
     recorder.complete(&[FIRST], 1_500);
-    assert!(!recorder.quarantine.is_news("pool", &[FIRST], Millis(1_600)));
+    assert!(!recorder.quarantine.is_news("pool", &contents(&[FIRST]), Millis(1_600)));
 }
--- a/components/fleet/src/crashing_prompts.rs
+++ b/components/fleet/src/crashing_prompts.rs
@@ -1,13 +1,16 @@
 use crate::notice_fleet::{NoticeFleet, STEP};
 use decision::Millis;
-use decision::routing::{Judgement, Prompt, PromptPart};
+use decision::routing::{Content, Judgement};
 use messages::feed::{CompletionNotice, CrashNotice, Notice};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
+use std::collections::BTreeSet;
 
 const SERVICE: &str = "pool";
 /// The part that crashes endpoints.
 const CRASHING_PART: u64 = 0xbad;
+/// The digest of the request that crashes endpoints, if there is one.
+const CRASHING_DIGEST: u64 = 0xbad;
 /// First parts that requests have in common, and sessions.
 const FIRST_PARTS: u64 = 40;
 const SESSIONS: u64 = 255;
@@ -22,8 +25,10 @@
 /// Time between the samples of which daemons refuse the part.
 const SAMPLE_INTERVAL: Millis = Millis(100);
 const DURATION: Millis = Millis(50_000);
-/// The crash from which the platform limits what reaches endpoints.
+/// The crash from which the platform limits what reaches endpoints of requests with a part, and of
+/// one request that comes again.
 const LIMITING_CRASH: usize = 5;
+const LIMITING_REPETITION: usize = 3;
 
 /// A fleet, its load, and what fails.
 #[derive(Clone, Debug)]
@@ -36,7 +41,10 @@
     pub sound_per_s: f64,
     /// Requests per second with the part that crashes endpoints.
     pub crashing_per_s: f64,
-    /// Time that daemons have to act on the fifth crash.
+    /// Whether one request comes again and again, rather than several with one part; its endpoints
+    /// crash before they respond.
+    pub repeats: bool,
+    /// Time that daemons have to act on the fifth crash, or on the third under one request.
     pub contact_time: Millis,
     /// Whether the store readers of two data centres, one of them the first of its region, are lost
     /// at the third crash.
@@ -54,6 +62,7 @@
             endpoints: 12,
             sound_per_s: 60.0,
             crashing_per_s: 1.0,
+            repeats: false,
             contact_time: Millis(4_000),
             loses_readers: false,
             separated_for: Millis(0),
@@ -67,8 +76,8 @@
 pub struct CrashResult {
     /// Endpoints that crashed.
     pub crashes: usize,
-    /// Requests with the part that were sent to endpoints later than the contact time after the
-    /// fifth crash.
+    /// Requests that crash endpoints and were sent to one later than the contact time after the
+    /// crash from which they are limited.
     pub sent_late: usize,
     /// Time from the third crash until the last daemon refused the part.
     pub condemned_after: Millis,
@@ -89,7 +98,7 @@
     sent_at: Millis,
     begins_at: Millis,
     ends_at: Millis,
-    prompt: Prompt,
+    contents: BTreeSet<Content>,
     crashes: bool,
 }
 
@@ -154,22 +163,23 @@
         self.record_condemnation(now);
     }
 
-    fn prompt(&mut self, crashes: bool) -> Prompt {
+    fn contents(&mut self, crashes: bool) -> BTreeSet<Content> {
         let first = 0x1000 + self.rng.random_range(0..FIRST_PARTS);
         let session = 0x2000 + self.rng.random_range(0..SESSIONS);
-        let middle = if crashes { CRASHING_PART } else { 0x3000 + session };
-        let ids = [first, middle, session, self.rng.random()];
-        let parts = ids.map(|id| PromptPart { id, tokens: 100 }).to_vec();
-        Prompt { parts, tokens: 400, answer_tokens: 50 }
+        let has_part = crashes && !self.cfg.repeats;
+        let middle = if has_part { CRASHING_PART } else { 0x3000 + session };
+        let is_repetition = crashes && self.cfg.repeats;
+        let digest = if is_repetition { CRASHING_DIGEST } else { self.rng.random() };
+        Content::set(&[first, middle, session], Some(digest))
     }
 
     fn send_request(&mut self, crashes: bool, now: Millis) {
-        let prompt = self.prompt(crashes);
+        let contents = self.contents(crashes);
         let daemon = self.rng.random_range(0..self.cfg.daemons);
         if !self.fleet.is_up(daemon) {
             return;
         }
-        let judgement = self.fleet.judge(daemon, SERVICE, &prompt, now);
+        let judgement = self.fleet.judge(daemon, SERVICE, &contents, now);
         let is_refused = matches!(judgement, Judgement::Condemned(_));
         if !crashes {
             self.result.sound_sent += 1;
@@ -186,12 +196,13 @@
         let begins_at = now + Millis(self.rng.random_range(FIRST_BYTE_MS));
         let ends_at = begins_at + Millis(self.rng.random_range(RESPONSE_MS));
         let running =
-            Running { daemon, endpoint, sent_at: now, begins_at, ends_at, prompt, crashes };
+            Running { daemon, endpoint, sent_at: now, begins_at, ends_at, contents, crashes };
         self.running.push(running);
     }
 
     fn is_late(&self, now: Millis) -> bool {
-        let limiting = self.crashed_at.get(LIMITING_CRASH - 1);
+        let limiting = if self.cfg.repeats { LIMITING_REPETITION } else { LIMITING_CRASH };
+        let limiting = self.crashed_at.get(limiting - 1);
         limiting.is_some_and(|at| now > *at + self.cfg.contact_time)
     }
 
@@ -203,9 +214,12 @@
         let ended: Vec<Running> = ended;
         for request in ended {
             let daemon = &mut self.fleet.daemons[request.daemon];
-            let parts = daemon.quarantine.record_own_completion(SERVICE, &request.prompt, now);
-            if !parts.is_empty() {
-                let completion = CompletionNotice { service: SERVICE.to_owned(), parts };
+            let suspected =
+                daemon.quarantine.record_own_completion(SERVICE, &request.contents, now);
+            if !suspected.is_empty() {
+                let (parts, digest) = Content::split(&suspected);
+                let service = SERVICE.to_owned();
+                let completion = CompletionNotice { service, parts, request: digest };
                 let notice = Notice { completion: Some(completion), ..empty_notice() };
                 self.pending.push((now, request.daemon, notice));
             }
@@ -234,11 +248,15 @@
             .partition(|request| request.endpoint == endpoint);
         self.running = running;
         let lost: Vec<Running> = lost;
-        for request in lost.into_iter().filter(|request| request.begins_at <= now) {
+        for request in lost {
+            let contents: Vec<Content> = request.contents.iter().copied().collect();
+            let (parts, digest) = Content::split(&contents);
             let crash = CrashNotice {
                 service: SERVICE.to_owned(),
                 endpoint: format!("i-{endpoint}-{}", self.crashed_at.len()),
-                parts: request.prompt.shared().iter().map(|part| part.id).collect(),
+                parts,
+                request: digest,
+                has_begun: request.begins_at <= now,
                 ran_ms: now.since(request.sent_at).0,
             };
             let notice = Notice { crash: Some(crash), ..empty_notice() };
@@ -258,16 +276,13 @@
         if !now.0.is_multiple_of(SAMPLE_INTERVAL.0) {
             return;
         }
-        let prompt = Prompt {
-            parts: vec![
-                PromptPart { id: CRASHING_PART, tokens: 100 },
-                PromptPart { id: 1, tokens: 100 },
-            ],
-            tokens: 200,
-            answer_tokens: 50,
+        let contents = if self.cfg.repeats {
+            Content::set(&[], Some(CRASHING_DIGEST))
+        } else {
+            Content::set(&[CRASHING_PART], None)
         };
         let refuses = |n: usize| {
-            matches!(self.fleet.judge(n, SERVICE, &prompt, now), Judgement::Condemned(_))
+            matches!(self.fleet.judge(n, SERVICE, &contents, now), Judgement::Condemned(_))
         };
         let all_refuse = (0..self.cfg.daemons).filter(|n| self.fleet.is_up(*n)).all(refuses);
         if !all_refuse {
--- a/components/fleet/src/notice_fleet.rs
+++ b/components/fleet/src/notice_fleet.rs
@@ -1,6 +1,6 @@
 use decision::Millis;
 use decision::routing::{
-    ChangeLog, Judgement, NoticeBoard, NoticeId, NoticeSource, Prompt, Quarantine,
+    ChangeLog, Content, Judgement, NoticeBoard, NoticeId, NoticeSource, Quarantine,
 };
 use messages::feed::Notice;
 use std::collections::BTreeSet;
@@ -67,8 +67,10 @@
         for notice in notices {
             let completion = notice.completion.as_ref();
             let at = now - Millis(notice.age_ms);
-            let is_redundant =
-                completion.is_some_and(|c| !self.quarantine.is_news(&c.service, &c.parts, at));
+            let is_redundant = completion.is_some_and(|completion| {
+                let contents = Content::set(&completion.parts, completion.request);
+                !self.quarantine.is_news(&completion.service, &contents, at)
+            });
             if !is_redundant && self.board.receive(notice, source, now) {
                 self.apply(notice, now);
             }
@@ -82,7 +84,8 @@
             self.quarantine.record_crash(id, crash, at);
         }
         if let Some(completion) = &notice.completion {
-            self.quarantine.record_completion(&completion.service, &completion.parts, at);
+            let contents = Content::set(&completion.parts, completion.request);
+            self.quarantine.record_completion(&completion.service, &contents, at);
         }
         if self.collected.is_empty() {
             self.collected_since = now;
@@ -146,10 +149,10 @@
         &self,
         daemon: usize,
         service: &str,
-        prompt: &Prompt,
+        contents: &BTreeSet<Content>,
         now: Millis,
     ) -> Judgement {
-        self.daemons[daemon].quarantine.judge(service, prompt, now)
+        self.daemons[daemon].quarantine.judge(service, contents, now)
     }
 
     /// Kills the store reader of a data centre; another daemon takes over.
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -2,13 +2,14 @@
 use crate::broken_response::BrokenResponse;
 use crate::clock::now;
 use crate::connection::{Connection, ConnectionError};
+use crate::contents::condemned;
 use crate::departures::observe_departure;
 use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::in_flight::InFlightRequest;
 use crate::log::LineKind;
 use crate::metrics::AttemptLabels;
-use crate::notices::{condemned, observe_limit, record_completion};
+use crate::notices::{observe_limit, record_completion};
 use crate::response::CompleteResponse;
 use crate::routed_request::RoutedRequest;
 use bytes::Bytes;
@@ -113,6 +114,11 @@
         }
     }
 
+    /// Whether the endpoint may have crashed under the request: it gave no answer, and not too late.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.verdict == Verdict::MayHaveRun && self.response.is_none() && !self.timed_out
+    }
+
     fn unusable_response(text: String) -> AttemptFailure {
         let verdict = Verdict::MayHaveRun;
         AttemptFailure { verdict, sent: true, response: None, timed_out: false, text }
@@ -131,7 +137,7 @@
     let result = tokio::select! {
         result = run(gateway, request, in_flight, last_event) => result,
         () = condemned(gateway, request) => Err(AttemptFailure::unusable_response(String::from(
-            "a prompt part of the request was found to crash endpoints, and it was cancelled",
+            "the request or a part of its prompt was found to crash endpoints, and it was cancelled",
         ))),
     };
     let (outcome, text) = match &result {
@@ -176,11 +182,16 @@
         Ok(sent) => sent,
         Err(e) => {
             let failure = AttemptFailure::from_connection_error(&e);
-            if let ConnectionError::Broken { address, .. } = &e {
-                let broken = BrokenResponse::new(request, &in_flight, *address, now());
-                broken.into_iter().for_each(|broken| broken.spawn_investigation(gateway));
-            }
+            let broken = match &e {
+                ConnectionError::Broken { address, .. } => {
+                    BrokenResponse::new(request, &in_flight, *address, now())
+                }
+                _ => None,
+            };
             in_flight.close(connection_outcome(&e, request, now()));
+            if let Some(broken) = broken {
+                broken.investigate_before_retry(gateway, request).await;
+            }
             return Err(failure);
         }
     };
@@ -226,8 +237,10 @@
         }
         Err(text) => {
             let broken = BrokenResponse::new(request, &busy.in_flight, address, now());
-            broken.into_iter().for_each(|broken| broken.spawn_investigation(gateway));
             busy.in_flight.close(Outcome::Failed);
+            if let Some(broken) = broken {
+                broken.investigate_before_retry(gateway, request).await;
+            }
             return Err(AttemptFailure::unusable_response(text));
         }
     };
@@ -238,6 +251,10 @@
     let response = CompleteResponse { status: head.status, headers, body };
     if head.status.is_server_error() || signals_not_run(head.status) {
         busy.close(gateway, Outcome::Failed);
+        if response_head.signed {
+            // The endpoint ran it and has not crashed.
+            record_completion(gateway, request);
+        }
         return Err(endpoint_failure(response));
     }
     busy.close(gateway, Outcome::Answered);
--- a/components/gateway/src/broken_response.rs
+++ b/components/gateway/src/broken_response.rs
@@ -1,10 +1,11 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
 use crate::connection::{Connection, ConnectionError};
+use crate::contents::{content_list, has_evidence};
 use crate::gateway::Gateway;
 use crate::in_flight::InFlightRequest;
 use crate::log::LineKind;
-use crate::notices::{hex, publish_crash, record_completion};
+use crate::notices::{publish_crash, record_completion};
 use crate::routed_request::RoutedRequest;
 use decision::Millis;
 use decision::routing::{Content, Prompt};
@@ -34,8 +35,8 @@
     address: SocketAddr,
     /// The ids of the prompt parts that other requests may share.
     parts: Vec<u64>,
-    /// The content of the whole request.
-    content: Content,
+    /// The digest of the whole request.
+    digest: u64,
     has_head: bool,
     sent_at: Millis,
     broken_at: Millis,
@@ -61,7 +62,7 @@
             endpoint: in_flight.endpoint().to_owned(),
             address,
             parts: request.prompt.as_ref().map(shared_parts).unwrap_or_default(),
-            content: request.content(),
+            digest: request.digest(),
             has_head: began_at.is_some(),
             sent_at: in_flight.sent_at(),
             broken_at,
@@ -72,10 +73,13 @@
     pub(crate) async fn investigate<A: Adapter>(self, gateway: &Rc<Gateway<A>>) -> bool {
         let has_crashed = has_crashed(self.address).await;
         self.log(gateway, has_crashed);
-        if has_crashed && self.has_head && !self.parts.is_empty() {
+        if has_crashed {
             let ran_ms = self.broken_at.since(self.sent_at).0;
+            let request = Some(self.digest);
+            let has_begun = self.has_head;
             let BrokenResponse { service, endpoint, parts, .. } = self;
-            publish_crash(gateway, CrashNotice { service, endpoint, parts, ran_ms });
+            let crash = CrashNotice { service, endpoint, parts, request, has_begun, ran_ms };
+            publish_crash(gateway, crash);
         }
         has_crashed
     }
@@ -94,6 +98,20 @@
         });
     }
 
+    /// Investigates; in the background unless there is evidence already by which the request may be
+    /// kept from further endpoints.
+    pub(crate) async fn investigate_before_retry<A: Adapter>(
+        self,
+        gateway: &Rc<Gateway<A>>,
+        request: &RoutedRequest,
+    ) {
+        if has_evidence(gateway, request) {
+            self.investigate(gateway).await;
+        } else {
+            self.spawn_investigation(gateway);
+        }
+    }
+
     /// Investigates in the background.
     pub(crate) fn spawn_investigation<A: Adapter>(self, gateway: &Rc<Gateway<A>>) {
         let gateway = gateway.clone();
@@ -104,14 +122,15 @@
         if !gateway.log_quota.borrow_mut().admits(LineKind::Failure, now()) {
             return;
         }
+        let parts: Vec<Content> = self.parts.iter().copied().map(Content::Part).collect();
         tracing::info!(
             event = "response_broken",
             request = %self.request,
             route = %self.route,
             endpoint = %self.endpoint,
             has_crashed,
-            parts = hex(&self.parts),
-            content = %self.content,
+            parts = content_list(&parts),
+            content = %Content::Request(self.digest),
             has_head = self.has_head,
             ran_ms = self.broken_at.since(self.sent_at).0,
         );
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -1,6 +1,7 @@
 use crate::adapter::Adapter;
 use crate::attempt::{AttemptFailure, EndpointResponse, attempt};
 use crate::clock::now;
+use crate::contents::judge;
 use crate::gateway::Gateway;
 use crate::queue::{WaitOutcome, wait_for_endpoint};
 use crate::relay::relay;
@@ -8,7 +9,7 @@
 use crate::routed_request::RoutedRequest;
 use crate::serve::{ANSWERED, FinishedRequest, RefusedRequest, finish, refuse};
 use decision::Millis;
-use decision::routing::{Candidate, Condemnation, Distance, Placement, WaitLimits};
+use decision::routing::{Candidate, Condemnation, Distance, Judgement, Placement, WaitLimits};
 use errors::{Reason, Verdict};
 use http::{Response, StatusCode};
 use rand::RngExt;
@@ -61,8 +62,10 @@
     /// No endpoint could start the request in time; the text states the wait.
     Saturated(String),
     NoEndpoint,
-    /// The prompt of the request has a part that crashes endpoints.
+    /// The request, or a part of its prompt, crashes endpoints.
     Condemned(Condemnation),
+    /// The request may be what crashed its endpoint, as others like it did before.
+    Suspected,
     RetryBudgetExhausted,
     MayHaveRun,
     DeadlineTooClose(Millis),
@@ -75,6 +78,9 @@
             StopReason::Saturated(text) => text.clone(),
             StopReason::NoEndpoint => String::from("no further endpoint is registered"),
             StopReason::Condemned(condemnation) => condemnation_text(condemnation),
+            StopReason::Suspected => {
+                String::from("endpoints crashed under such requests before; not sent to another")
+            }
             StopReason::RetryBudgetExhausted => String::from("retry budget exhausted"),
             StopReason::MayHaveRun => String::from("request may have run and must not be repeated"),
             StopReason::DeadlineTooClose(left) => {
@@ -89,8 +95,8 @@
 
 fn condemnation_text(condemnation: &Condemnation) -> String {
     format!(
-        "requests with prompt part {:x} crashed {} endpoints, the last {} ms ago: {}",
-        condemnation.part,
+        "requests with content {} crashed {} endpoints, the last {} ms ago: {}",
+        condemnation.content,
         condemnation.endpoints.len(),
         condemnation.last_crash_age.0,
         condemnation.endpoints.join(", ")
@@ -146,9 +152,13 @@
                 return relay(gateway, request, *streaming, tried, attempts_made.sends + 1);
             }
             Err(failure) => {
+                let is_broken = failure.is_broken();
                 if let Some(stop_reason) = attempts_made.record_failure(failure, &request, now()) {
                     break stop_reason;
                 }
+                if is_broken && judge(gateway, &request, now()) == Judgement::Suspected {
+                    break StopReason::Suspected;
+                }
             }
         }
     };
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -90,7 +90,7 @@
     /// Notices that are passed on to followers soon.
     pub(crate) collected_notices: RefCell<Vec<NoticeId>>,
     pub(crate) quarantine: RefCell<Quarantine>,
-    /// Notified when prompt parts are condemned.
+    /// Notified when contents are condemned.
     pub(crate) quarantine_changed: Notify,
     /// The packed endpoints and the change log sequence at which they were packed. Cached
     /// because many followers may request them at the same time.
@@ -293,7 +293,7 @@
         let mut quarantine = self.quarantine.borrow_mut();
         quarantine.expire(now);
         self.notices.borrow_mut().expire(&quarantine.evidence(), now);
-        self.metrics.condemned_parts.set(quarantine.condemned_parts() as i64);
+        self.metrics.condemned_parts.set(quarantine.condemned_contents() as i64);
         self.log_quota.borrow_mut().report(now);
         self.metrics.idle_connections.set(self.pool.borrow().len() as i64);
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod broken_response;
 mod clock;
 mod connection;
+mod contents;
 mod departures;
 mod dispatch;
 mod follow;
--- a/components/gateway/src/notices.rs
+++ b/components/gateway/src/notices.rs
@@ -1,11 +1,12 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
+use crate::contents::{content_list, contents};
 use crate::departures::{apply_departure, is_known};
 use crate::gateway::{Change, Gateway};
 use crate::log::LineKind;
 use crate::routed_request::RoutedRequest;
 use decision::Millis;
-use decision::routing::{Judgement, NoticeId, NoticeSource};
+use decision::routing::{Content, NoticeId, NoticeSource};
 use messages::feed::{CompletionNotice, CrashNotice, DepartureNotice, LimitNotice, Notice};
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,14 +21,19 @@
     publish(gateway, Notice { crash: Some(crash), ..empty_notice() });
 }
 
-/// Records that a request was completed, and publishes it if its prompt has suspected parts.
+/// Records that a request was completed, and publishes it if it has suspected contents.
 pub(crate) fn record_completion<A: Adapter>(gateway: &Rc<Gateway<A>>, request: &RoutedRequest) {
-    let Some(prompt) = &request.prompt else { return };
+    let contents = contents(gateway, request);
+    if contents.is_empty() {
+        return;
+    }
     let mut quarantine = gateway.quarantine.borrow_mut();
-    let parts = quarantine.record_own_completion(&request.service, prompt, now());
+    let suspected = quarantine.record_own_completion(&request.service, &contents, now());
     drop(quarantine);
-    if !parts.is_empty() {
-        let completion = CompletionNotice { service: request.service.clone(), parts };
+    if !suspected.is_empty() {
+        let (parts, digest) = Content::split(&suspected);
+        let service = request.service.clone();
+        let completion = CompletionNotice { service, parts, request: digest };
         publish(gateway, Notice { completion: Some(completion), ..empty_notice() });
     }
 }
@@ -92,7 +98,8 @@
     }
     let Some(completion) = &notice.completion else { return false };
     let at = now - Millis(notice.age_ms);
-    !gateway.quarantine.borrow().is_news(&completion.service, &completion.parts, at)
+    let contents = Content::set(&completion.parts, completion.request);
+    !gateway.quarantine.borrow().is_news(&completion.service, &contents, at)
 }
 
 /// Passes a notice on to the followers of this daemon, together with those of the next moment.
@@ -118,13 +125,15 @@
     let mut quarantine = gateway.quarantine.borrow_mut();
     if let Some(crash) = &notice.crash {
         let condemned = quarantine.record_crash(NoticeId::of(notice), crash, observed_at);
+        let contents: Vec<Content> =
+            Content::set(&crash.parts, crash.request).into_iter().collect();
         if !condemned.is_empty() || gateway.log_quota.borrow_mut().admits(LineKind::Failure, now) {
             tracing::info!(
                 event = "crash_reported",
                 service = %crash.service,
                 endpoint = %crash.endpoint,
-                parts = hex(&crash.parts),
-                condemned = hex(&condemned),
+                contents = content_list(&contents),
+                condemned = content_list(&condemned),
                 origin = notice.origin,
                 age_ms = notice.age_ms,
             );
@@ -134,11 +143,11 @@
         }
     }
     if let Some(completion) = &notice.completion {
-        let parts = &completion.parts;
-        let acquitted = quarantine.record_completion(&completion.service, parts, observed_at);
+        let contents = Content::set(&completion.parts, completion.request);
+        let acquitted = quarantine.record_completion(&completion.service, &contents, observed_at);
         if !acquitted.is_empty() {
-            let (service, parts) = (&completion.service, hex(&acquitted));
-            tracing::info!(event = "parts_acquitted", %service, parts, origin = notice.origin);
+            let (service, contents) = (&completion.service, content_list(&acquitted));
+            tracing::info!(event = "parts_acquitted", %service, contents, origin = notice.origin);
         }
     }
     if let Some(limit) = &notice.limit {
@@ -156,30 +165,3 @@
         }
     }
 }
-
-/// Formats ids of prompt parts as in requests, separated by commas.
-pub(crate) fn hex(parts: &[u64]) -> String {
-    let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
-    parts.join(",")
-}
-
-/// Decides whether a request may be sent to an endpoint.
-pub(crate) fn judge<A: Adapter>(
-    gateway: &Gateway<A>,
-    request: &RoutedRequest,
-    now: Millis,
-) -> Judgement {
-    let quarantine = gateway.quarantine.borrow();
-    let prompt = request.prompt.as_ref();
-    prompt.map_or(Judgement::Admitted, |p| quarantine.judge(&request.service, p, now))
-}
-
-/// Waits until a request may no longer be sent to endpoints; forever if that does not happen.
-pub(crate) async fn condemned<A: Adapter>(gateway: &Gateway<A>, request: &RoutedRequest) {
-    loop {
-        gateway.quarantine_changed.notified().await;
-        if matches!(judge(gateway, request, now()), Judgement::Condemned(_)) {
-            return;
-        }
-    }
-}
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -1,8 +1,8 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
+use crate::contents::judge;
 use crate::dispatch::place;
 use crate::gateway::Gateway;
-use crate::notices::judge;
 use crate::routed_request::RoutedRequest;
 use decision::routing::{Choice, Condemnation, Judgement, Placement, QueueKey, Ticket, WaitLimits};
 use std::collections::BTreeSet;
@@ -37,7 +37,7 @@
     TimedOut(String),
     /// No endpoint is registered that was not tried yet.
     NoEndpoint,
-    /// The prompt of the request has a part that crashes endpoints.
+    /// The request, or a part of its prompt, crashes endpoints.
     Condemned(Condemnation),
 }
 
@@ -66,9 +66,9 @@
                     text = saturation_text(limits, &best, stated_limit);
                 }
                 Placement::Send(choice) => {
-                    if let Judgement::Trial(part) = judgement {
+                    if let Judgement::Trial(content) = judgement {
                         let mut quarantine = gateway.quarantine.borrow_mut();
-                        quarantine.start_trial(&request.service, part, now());
+                        quarantine.start_trial(&request.service, content, now());
                     }
                     gateway.limits.borrow_mut().record_send(&choice.id, now());
                     return WaitOutcome::Placed(choice);
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -2,10 +2,11 @@
 use crate::attempt::{BusyConnection, EndpointResponse, StreamingResponse, attempt};
 use crate::broken_response::BrokenResponse;
 use crate::clock::now;
+use crate::contents::{has_evidence, judge};
 use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::metrics::StreamEndLabels;
-use crate::notices::{judge, record_completion};
+use crate::notices::record_completion;
 use crate::queue::{WaitOutcome, wait_for_endpoint};
 use crate::response::ResponseBody;
 use crate::routed_request::RoutedRequest;
@@ -131,13 +132,8 @@
     /// Records that the stream was complete. One that ends with its connection also looks complete
     /// if the endpoint crashed between two events, so a suspected one is checked.
     fn record_completion(&self, connection: &BusyConnection<A>) {
-        let has_evidence = || {
-            let quarantine = self.gateway.quarantine.borrow();
-            let prompt = self.request.prompt.as_ref();
-            prompt.is_some_and(|prompt| quarantine.has_evidence(&self.request.service, prompt))
-        };
         if self.summary.framing == Framing::Connection
-            && has_evidence()
+            && has_evidence(&self.gateway, &self.request)
             && let Some(ended) = self.broken_response(connection)
         {
             return ended.spawn_completion_check(&self.gateway, self.request.clone());
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -1,9 +1,10 @@
 use bytes::Bytes;
 use decision::Millis;
 use decision::routing::{
-    Caller, Catalog, Content, Demand, Lane, Prompt, Repeat, Route, WaitLimits,
+    Caller, Catalog, Demand, Lane, Prompt, Repeat, Route, WaitLimits, request_digest,
 };
 use http::{HeaderMap, Method, Uri};
+use std::cell::OnceCell;
 use std::collections::BTreeSet;
 
 /// An authorized client request with its complete body and the service that it is sent to.
@@ -29,6 +30,8 @@
     pub(crate) prompt: Option<Prompt>,
     pub(crate) lane: Lane,
     pub(crate) last_event: Option<String>,
+    /// Computed when it is first needed.
+    pub(crate) digest: OnceCell<u64>,
     pub(crate) arrived: Millis,
     /// Time by which the complete response must be sent.
     pub(crate) deadline: Millis,
@@ -42,11 +45,13 @@
         self.request_id.as_deref().unwrap_or("-")
     }
 
-    /// The content by which repetitions of the request are recognized.
-    pub(crate) fn content(&self) -> Content {
-        let target = self.target.path_and_query().map_or("", |target| target.as_str());
-        let account = self.account.as_deref();
-        Content::of_request(self.method.as_str(), target, account, &self.body)
+    /// The digest by which repetitions of the request are recognized.
+    pub(crate) fn digest(&self) -> u64 {
+        *self.digest.get_or_init(|| {
+            let target = self.target.path_and_query().map_or("", |target| target.as_str());
+            let account = self.account.as_deref();
+            request_digest(self.method.as_str(), target, account, &self.body)
+        })
     }
 
     /// The demand for placement.
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -17,6 +17,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -140,6 +141,7 @@
         prompt: head.prompt,
         lane: catalog.lane(route, service),
         last_event: head.last_event,
+        digest: OnceCell::new(),
         arrived,
         deadline: arrived + limit,
         first_byte_due: arrived + route.objective.min(limit),
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -1,20 +1,29 @@
-///A request with prompt parts that were suspected of crashing endpoints got its complete response.
+///A request got its complete response that was suspected of crashing endpoints, or has suspected prompt parts.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct CompletionNotice {
     ///The ids of the suspected parts.
     pub parts: ::std::vec::Vec<u64>,
+    ///The digest of the whole request, if it was suspected.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub request: ::std::option::Option<u64>,
     ///The service of the request.
     pub service: ::std::string::String,
 }
-///An endpoint crashed while it sent the response to a request with a prompt.
+///An endpoint crashed while it ran a request.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct CrashNotice {
     ///The id of the endpoint.
     pub endpoint: ::std::string::String,
+    ///Whether the endpoint had begun to respond. Otherwise it may not have begun with the prompt, and the crash is no evidence against its parts.
+    #[serde(default = "defaults::default_bool::<true>")]
+    pub has_begun: bool,
     ///The ids of the prompt parts that other requests may share.
     pub parts: ::std::vec::Vec<u64>,
     ///The time from sending the request to the crash, in milliseconds.
     pub ran_ms: u64,
+    ///The digest of the whole request, which its repetitions share.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub request: ::std::option::Option<u64>,
     ///The service of the request.
     pub service: ::std::string::String,
 }
@@ -213,6 +222,12 @@
     ///The position, from 0.
     pub position: u32,
 }
+/// Generation of default values for serde.
+pub mod defaults {
+    pub(super) fn default_bool<const V: bool>() -> bool {
+        V
+    }
+}
 /// Error types.
 pub mod error {
     /// Error from a `TryFrom` or `FromStr` implementation.
