--- a/components/decision/src/routing/departures.rs
+++ b/components/decision/src/routing/departures.rs
@@ -1,4 +1,3 @@
-use crate::Millis;
 use std::collections::BTreeMap;
 
 /// Maximum number of departures that are kept; the oldest ones are discarded first.
@@ -27,7 +26,8 @@
 #[derive(Clone, Debug)]
 struct Departure {
     incarnation: Incarnation,
-    since: Millis,
+    /// Its position in the order of all departures.
+    number: u64,
 }
 
 /// The endpoints that are known to leave.
@@ -37,21 +37,23 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Departures {
     by_id: BTreeMap<String, Departure>,
+    last_number: u64,
 }
 
 impl Departures {
-    /// Records that an incarnation leaves. Returns whether that was not known.
-    pub(super) fn record(&mut self, id: &str, incarnation: Incarnation, now: Millis) -> bool {
+    /// Records that an incarnation leaves.
+    pub(super) fn record(&mut self, id: &str, incarnation: Incarnation) {
         if self.contains(id, &incarnation) {
-            return false;
+            return;
         }
-        self.by_id.insert(id.to_owned(), Departure { incarnation, since: now });
+        self.last_number += 1;
+        let departure = Departure { incarnation, number: self.last_number };
+        self.by_id.insert(id.to_owned(), departure);
         if self.by_id.len() > MAX_DEPARTURES {
-            let oldest = self.by_id.iter().min_by_key(|(_, departure)| departure.since);
+            let oldest = self.by_id.iter().min_by_key(|(_, departure)| departure.number);
             let oldest = oldest.map(|(id, _)| id.clone());
             oldest.and_then(|id| self.by_id.remove(&id));
         }
-        true
     }
 
     /// Returns the ids of the endpoints of which an incarnation left.
--- a/components/decision/src/routing/directory.rs
+++ b/components/decision/src/routing/directory.rs
@@ -59,7 +59,7 @@
 /// A change to the endpoints that requests may be sent to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum DirectoryChange {
-    /// A new endpoint, a new incarnation under a known id, or one that has stopped draining.
+    /// A new endpoint, or a new incarnation under a known id.
     Joined(String),
     /// The endpoint is draining, said that it leaves, or was removed.
     Left(String),
@@ -69,24 +69,26 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     listed: BTreeMap<String, ListedEndpoint>,
-    /// The endpoints that said that they leave. They are listed as draining, whatever their
-    /// registry entries say.
+    /// The endpoints that leave, as they said in an entry or a response. They are listed as
+    /// draining, whatever their entries say later.
     departures: Departures,
 }
 
 impl Directory {
     /// Adds or updates the registration of an endpoint. Returns `None` for a known incarnation that
-    /// has neither started nor stopped draining, and for one that is known to leave.
+    /// does not start to drain, and for one that is known to leave.
     pub fn put(&mut self, id: &str, registration: Registration) -> Option<DirectoryChange> {
+        if registration.draining {
+            self.departures.record(id, registration.incarnation());
+        }
         let has_departed = self.departures.contains(id, &registration.incarnation());
-        let draining = registration.draining || has_departed;
-        let registration = Registration { draining, ..registration };
+        let registration = Registration { draining: has_departed, ..registration };
         let before = self.listed.get(id).map(|listed| &listed.registration);
         let was_usable = before.is_some_and(|before| !before.draining);
         let is_known = before.is_some_and(|before| before.is_same_incarnation(&registration));
         let was_listed = before.is_some();
         self.listed.insert(id.to_owned(), ListedEndpoint { registration, missing_since: None });
-        if draining {
+        if has_departed {
             let has_left = was_usable || !was_listed;
             return has_left.then(|| DirectoryChange::Left(id.to_owned()));
         }
@@ -100,9 +102,8 @@
         &mut self,
         id: &str,
         incarnation: &Incarnation,
-        now: Millis,
     ) -> Option<DirectoryChange> {
-        self.departures.record(id, incarnation.clone(), now);
+        self.departures.record(id, incarnation.clone());
         let listed = self.listed.get_mut(id)?;
         let registration = &mut listed.registration;
         let has_departed = self.departures.contains(id, &registration.incarnation());
@@ -118,7 +119,7 @@
         self.departures.contains(id, incarnation)
     }
 
-    /// Returns the number of listed endpoints that said that they leave.
+    /// Returns the number of listed endpoints that leave.
     pub fn leaving(&self) -> usize {
         let is_listed = |id: &&str| {
             let listed = self.listed.get(*id);
--- a/components/decision/tests/routing/departures.rs
+++ b/components/decision/tests/routing/departures.rs
@@ -30,7 +30,7 @@
 fn directory_with_a_departure(started: u64) -> Directory {
     let mut directory = Directory::default();
     directory.put("e", registration(started, ADDRESS));
-    assert_eq!(directory.record_departure("e", &incarnation(started), Millis(0)), left());
+    assert_eq!(directory.record_departure("e", &incarnation(started)), left());
     assert!(directory.get("e").is_none());
     directory
 }
@@ -63,11 +63,28 @@
     assert_eq!(directory.leaving(), 0);
 }
 
+/// A store that was restored from a copy some seconds old, or a stale read.
+#[rstest]
+#[case::older_heartbeat(Registration { heartbeats: 1, ..registration(2, ADDRESS) })]
+#[case::later_heartbeat(Registration { heartbeats: 9, ..registration(2, ADDRESS) })]
+fn ready_entry_does_not_end_draining(
+    #[case] entry: Registration,
+    #[values(true, false)] removed: bool,
+) {
+    let mut directory = Directory::default();
+    directory.put("e", Registration { draining: true, ..registration(2, ADDRESS) });
+    if removed {
+        directory.remove("e");
+    }
+    directory.put("e", entry);
+    assert!(directory.get("e").is_none());
+}
+
 #[test]
 fn departure_of_an_older_incarnation_changes_nothing() {
     let mut directory = Directory::default();
     directory.put("e", registration(3, ADDRESS));
-    assert_eq!(directory.record_departure("e", &incarnation(2), Millis(0)), None);
+    assert_eq!(directory.record_departure("e", &incarnation(2)), None);
     assert!(directory.get("e").is_some());
 }
 
@@ -88,7 +105,7 @@
 fn departures_of_endpoints_that_are_not_listed_are_bounded() {
     let mut directory = directory_with_a_departure(2);
     for number in 1..10_000 {
-        directory.record_departure(&format!("gone-{number}"), &incarnation(1), Millis(number));
+        directory.record_departure(&format!("gone-{number}"), &incarnation(1));
     }
     assert!(!directory.has_departed("gone-1", &incarnation(1)));
     assert!(directory.has_departed("gone-9999", &incarnation(1)));
--- a/components/gateway/src/departures.rs
+++ b/components/gateway/src/departures.rs
@@ -67,7 +67,7 @@
     departure: &DepartureNotice,
 ) {
     let mut directory = gateway.directory.borrow_mut();
-    let change = directory.record_departure(&departure.endpoint, &incarnation(departure), now());
+    let change = directory.record_departure(&departure.endpoint, &incarnation(departure));
     drop(directory);
     if gateway.log_quota.borrow_mut().admits(LineKind::Failure, now()) {
         tracing::info!(
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -124,7 +124,7 @@
         );
         r.register(
             "leaving_endpoints",
-            "Registered endpoints that said that they leave",
+            "Registered endpoints that leave",
             self.leaving_endpoints.clone(),
         );
         r.register(
