--- a/components/gateway/src/load_reports.rs
+++ b/components/gateway/src/load_reports.rs
@@ -21,11 +21,19 @@
 /// Time after which a new store reader knows its followers, so that their number counts.
 const FOLLOWERS_KNOWN_AFTER: Millis = Millis(1_500);
 
+/// The store reader of another data centre with which this daemon exchanges loads.
+#[derive(Debug, Default)]
+struct Partner {
+    connection: Option<Connection>,
+    /// The incarnation of the daemon that responded last.
+    incarnation: Option<u64>,
+}
+
 /// Does the duties of a store reader while this daemon is one: names its standbys, counts the
 /// daemons and, if it does not follow the reader of another data centre, exchanges loads with those.
 /// Never returns.
 pub(crate) async fn exchange_loads<A: Adapter>(gateway: Rc<Gateway<A>>) {
-    let mut connections: BTreeMap<String, Option<Connection>> = BTreeMap::new();
+    let mut partners: BTreeMap<String, Partner> = BTreeMap::new();
     let mut reading_since = None;
     let mut reader_since = None;
     loop {
@@ -37,11 +45,11 @@
             gateway.readers.borrow_mut().choose_standbys(followers);
         }
         if gateway.update_source.get() == UpdateSource::Peer {
-            connections.clear();
+            partners.clear();
             reading_since = None;
             continue;
         }
-        exchange_with_partners(&gateway, &mut connections).await;
+        exchange_with_partners(&gateway, &mut partners).await;
         let rows = gateway.load_exchange.borrow().fleet_loads(&[], "");
         let outcomes = gateway.outcome_exchange.borrow().fleet_outcomes(&[], "");
         let mut loads = gateway.loads.borrow_mut();
@@ -58,19 +66,30 @@
 
 async fn exchange_with_partners<A: Adapter>(
     gateway: &Rc<Gateway<A>>,
-    connections: &mut BTreeMap<String, Option<Connection>>,
+    partners: &mut BTreeMap<String, Partner>,
 ) {
-    let partners = gateway.readers.borrow().exchange_partners();
-    for (data_centre, partner) in partners {
-        let Ok(address) = partner.address.parse() else {
-            tracing::warn!(event = "reader_unreadable", name = %partner.name,
-                address = partner.address);
+    let readers = gateway.readers.borrow().exchange_partners();
+    for (data_centre, reader) in readers {
+        let Ok(address) = reader.address.parse() else {
+            tracing::warn!(event = "reader_unreadable", name = %reader.name,
+                address = reader.address);
             continue;
         };
-        let feed_req = FeedRequest { whole_data_centre: true, ..feed_request(gateway) };
-        let connection_slot = connections.entry(data_centre.clone()).or_default();
+        let partner = partners.entry(data_centre.clone()).or_default();
+        let feed_req = FeedRequest {
+            whole_data_centre: true,
+            all_notices: partner.incarnation.is_none(),
+            ..feed_request(gateway)
+        };
+        let connection_slot = &mut partner.connection;
         match call(connection_slot, address, &feed_req, REMOTE_TIMEOUT, REMOTE_TIMEOUT).await {
             Ok(feed) => {
+                // Another daemon, or the same after a restart, may lack old notices.
+                if partner.incarnation.replace(feed.position.incarnation)
+                    != Some(feed.position.incarnation)
+                {
+                    gateway.notices.borrow_mut().forward_again(now());
+                }
                 receive_notices(gateway, &feed.notices, NoticeSource::Peer);
                 let daemons = feed.daemons.unwrap_or(1) as usize;
                 let mut exchange = gateway.load_exchange.borrow_mut();
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -134,6 +134,7 @@
         daemons: u32::try_from(load_exchange.followers_and_self()).ok(),
         takes_over: false,
         whole_data_centre: false,
+        all_notices: false,
         from: None,
         wait_ms: 0,
         loads: load_rows(load_exchange.data_centre_loads(&own)),
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -192,7 +192,8 @@
         feed.daemons = count(load_exchange.followers_and_self());
         feed.loads = load_rows(load_exchange.data_centre_loads(&own));
         feed.outcomes = outcome_exchange.data_centre_outcomes(&own_outcomes);
-        feed.notices = gateway.notices.borrow().forwarded(now());
+        let notices = gateway.notices.borrow();
+        feed.notices = if req.all_notices { notices.all(now()) } else { notices.forwarded(now()) };
         return feed;
     }
     feed.daemons = gateway.daemon_count(now()).and_then(count);
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -94,6 +94,9 @@
     ///The address at which other daemons reach the sender.
     #[serde(default)]
     pub address: ::std::string::String,
+    ///Whether the response is to hold all notices, since the sender may lack old ones, in place of recent ones.
+    #[serde(default)]
+    pub all_notices: bool,
     ///The number of daemons whose load the request reports.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub daemons: ::std::option::Option<u32>,
--- a/tests/gateway/leaving_endpoints.rs
+++ b/tests/gateway/leaving_endpoints.rs
@@ -12,6 +12,10 @@
 
 /// The time after which no request may be sent to the endpoint any more (`drain_ms`).
 const DRAIN_TIME: Duration = Duration::from_secs(3);
+/// The time in which a daemon reports what it observed, with some margin.
+const NOTICE_FORWARDING_TIME: Duration = Duration::from_secs(6);
+/// The time in which a daemon is in touch after a restart (`contact_ms`).
+const CONTACT_TIME: Duration = Duration::from_secs(4);
 /// Requests that are sent before and after that time.
 const REQUESTS: usize = 12;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
@@ -103,34 +107,72 @@
     assert!(received_since(&site.runners[0], started_at) > 0);
 }
 
-#[test]
-fn all_daemons_learn_that_an_endpoint_leaves() {
-    let regions = [("a", "r"), ("b", "s")].map(|(a, b)| (a.to_owned(), b.to_owned()));
-    let other_data_centres = BTreeMap::from(regions);
-    let terms = GatewayConfig {
-        other_data_centres: other_data_centres.clone(),
-        ..GatewayConfig::default()
-    };
-    let site = Site::with(&terms, 5, Duration::from_millis(5));
-    let start = |name: &str, data_centre: &str, region: &str| {
-        let cfg = GatewayConfig {
-            name: name.to_owned(),
-            data_centre: data_centre.to_owned(),
-            region: region.to_owned(),
+/// A site with a daemon in each of two regions, and a second one in the first.
+struct Regions {
+    site: Site,
+    /// The second daemon of the first region, and that of the other.
+    others: [GatewayProcess; 2],
+    other_data_centres: BTreeMap<String, String>,
+}
+
+impl Regions {
+    fn start() -> Regions {
+        let regions = [("a", "r"), ("b", "s")].map(|(a, b)| (a.to_owned(), b.to_owned()));
+        let other_data_centres = BTreeMap::from(regions);
+        let terms = GatewayConfig {
             other_data_centres: other_data_centres.clone(),
             ..GatewayConfig::default()
         };
-        GatewayProcess::start(site.store.address, &cfg).unwrap()
-    };
-    let others = [start("front-2", "a", "r"), start("front-3", "b", "s")];
-    for gateway in others.iter().chain([&site.gateway]) {
-        gateway.wait_for_log(&["daemons_counted", "\"count\":3"]).unwrap();
+        let site = Site::with(&terms, 5, Duration::from_millis(5));
+        let start = |name, data_centre, region| {
+            start_gateway(&site, name, data_centre, region, &other_data_centres)
+        };
+        let others = [start("front-2", "a", "r"), start("front-3", "b", "s")];
+        for gateway in others.iter().chain([&site.gateway]) {
+            gateway.wait_for_log(&["daemons_counted", "\"count\":3"]).unwrap();
+        }
+        Regions { site, others, other_data_centres }
     }
+}
+
+fn start_gateway(
+    site: &Site,
+    name: &str,
+    data_centre: &str,
+    region: &str,
+    other_data_centres: &BTreeMap<String, String>,
+) -> GatewayProcess {
+    let cfg = GatewayConfig {
+        name: name.to_owned(),
+        data_centre: data_centre.to_owned(),
+        region: region.to_owned(),
+        other_data_centres: other_data_centres.clone(),
+        ..GatewayConfig::default()
+    };
+    GatewayProcess::start(site.store.address, &cfg).unwrap()
+}
+
+#[test]
+fn all_daemons_learn_that_an_endpoint_leaves() {
+    let Regions { site, others, other_data_centres } = Regions::start();
     let stated_at = state_leaving(&site, &[site.gateway.address], "/safe/");
-    let started_later = start("front-4", "b", "s");
+    let started_later = start_gateway(&site, "front-4", "b", "s", &other_data_centres);
     sleep((stated_at + DRAIN_TIME).saturating_duration_since(Instant::now()));
     let late_from = Instant::now();
     let addresses = [others[0].address, others[1].address, started_later.address];
     send_requests(&addresses, "/safe/", "late");
     assert_eq!(received_since(&site.runners[0], late_from), 0);
 }
+
+/// The only daemon of a region has nobody to get old notices from but the reader of another region.
+#[test]
+fn daemon_that_restarts_alone_in_its_region_learns_that_an_endpoint_leaves() {
+    let Regions { site, mut others, .. } = Regions::start();
+    state_leaving(&site, &[site.gateway.address], "/safe/");
+    sleep(NOTICE_FORWARDING_TIME);
+    others[1].restart("KILL").unwrap();
+    sleep(CONTACT_TIME);
+    let late_from = Instant::now();
+    send_requests(&[others[1].address], "/safe/", "late");
+    assert_eq!(received_since(&site.runners[0], late_from), 0);
+}
