Do not blame prompt parts beside a request that crashes endpoints

In virtual time, with three endpoints under 60 sound requests a second that have prompts, up to 2.5% of the sound requests were refused beside a request that comes again: all endpoints were gone together, so nothing was completed that would clear the parts of the sound ones. A crash is no longer evidence against a part if a request ran at that endpoint that crashed others before.

--- a/components/decision/src/routing/quarantine.rs
+++ b/components/decision/src/routing/quarantine.rs
@@ -391,18 +391,21 @@
         in_row
     }
 
-    /// Returns whether enough of the endpoints that crashed at the time of a crash had a request with
-    /// the content.
+    /// Returns whether a crash may be due to a content: enough of the endpoints that crashed at the
+    /// same time had a request with it. A part is not to blame for the crash of an endpoint at which
+    /// another request ran that crashes endpoints.
     fn explains(&self, content: Content, crash: &Crash) -> bool {
-        let first = (crash.crashed_at - SIMULTANEOUS, NoticeId::default());
-        let last =
-            (crash.crashed_at + SIMULTANEOUS, NoticeId { origin: u64::MAX, sequence: u64::MAX });
         let mut endpoints: BTreeMap<&str, bool> = BTreeMap::new();
-        let simultaneous = self.by_time.range(first..=last);
-        for other in simultaneous.filter_map(|(_, id)| self.crashes.get(id)) {
-            if other.service == crash.service {
-                *endpoints.entry(&other.endpoint).or_default() |= other.contents.contains(&content);
+        for other in self.simultaneous(crash) {
+            let is_elsewhere =
+                other.endpoint != crash.endpoint || other.suspects.contains(&content);
+            if matches!(content, Content::Part(_))
+                && !is_elsewhere
+                && self.has_crashing_request(other)
+            {
+                return false;
             }
+            *endpoints.entry(&other.endpoint).or_default() |= other.suspects.contains(&content);
         }
         let explained = endpoints.values().filter(|had_content| **had_content).count();
         let min_share = match content {
@@ -412,6 +415,26 @@
         explained as f64 >= endpoints.len() as f64 * min_share
     }
 
+    /// Returns the crashes of endpoints of the service at the time of a crash.
+    fn simultaneous<'a>(&'a self, crash: &'a Crash) -> impl Iterator<Item = &'a Crash> {
+        let first = (crash.crashed_at - SIMULTANEOUS, NoticeId::default());
+        let last =
+            (crash.crashed_at + SIMULTANEOUS, NoticeId { origin: u64::MAX, sequence: u64::MAX });
+        let crashes = self.by_time.range(first..=last).filter_map(|(_, id)| self.crashes.get(id));
+        crashes.filter(|other| other.service == crash.service)
+    }
+
+    /// Returns whether the request of a crash was repeated and crashed other endpoints as well.
+    fn has_crashing_request(&self, crash: &Crash) -> bool {
+        let known = self.services.get(&crash.service);
+        let crashes = |request: &Content| {
+            let evidence = known.and_then(|known| known.contents.get(request));
+            evidence.map_or(0, |evidence| evidence.crashes.len())
+        };
+        let mut requests = crash.suspects.range(Content::Request(0)..);
+        requests.any(|request| crashes(request) >= CRASHES_IN_ROW)
+    }
+
     fn is_condemned(&self, known: &ServiceEvidence, content: Content) -> bool {
         let Some(evidence) = known.contents.get(&content) else { return false };
         if evidence.crashes.len() < CRASHES_IN_ROW {
--- a/components/decision/tests/routing/crashing_requests.rs
+++ b/components/decision/tests/routing/crashing_requests.rs
@@ -32,6 +32,28 @@
         parts: &[u64],
         digest: u64,
         crashed_at: u64,
+    ) -> Vec<Content> {
+        self.record(endpoint, parts, digest, false, crashed_at)
+    }
+
+    /// Records that an endpoint crashed after it had begun to respond to a request.
+    fn crash_begun(
+        &mut self,
+        endpoint: &str,
+        parts: &[u64],
+        digest: u64,
+        crashed_at: u64,
+    ) -> Vec<Content> {
+        self.record(endpoint, parts, digest, true, crashed_at)
+    }
+
+    fn record(
+        &mut self,
+        endpoint: &str,
+        parts: &[u64],
+        digest: u64,
+        has_begun: bool,
+        crashed_at: u64,
     ) -> Vec<Content> {
         self.crashes += 1;
         let id = NoticeId { origin: 1, sequence: self.crashes };
@@ -40,7 +62,7 @@
             endpoint: endpoint.to_owned(),
             parts: parts.to_vec(),
             request: Some(digest),
-            has_begun: false,
+            has_begun,
             ran_ms: RAN,
         };
         self.quarantine.record_crash(id, &notice, Millis(crashed_at))
@@ -233,3 +255,15 @@
     assert_eq!(digest, request_digest("POST", "/a/?x=1", Some("north"), b"body"));
     assert_ne!(digest, request_digest(method, target, account, body.as_bytes()));
 }
+
+/// While all endpoints are gone, no request is completed that would clear those beside it.
+#[test]
+fn prompt_parts_beside_a_request_that_crashes_endpoints_are_not_condemned() {
+    let mut recorder = Recorder::default();
+    for (endpoint, at) in [("a", 1_000), ("b", 2_000), ("c", 3_000), ("d", 4_000)] {
+        recorder.crash(endpoint, BAD, at);
+        recorder.crash_begun(endpoint, &[FIRST], at, at + 10);
+    }
+    assert!(recorder.is_condemned(BAD, 4_100));
+    assert_eq!(recorder.judge(SOUND, 4_100), Judgement::Admitted);
+}
--- a/components/fleet/tests/crashing_prompts.rs
+++ b/components/fleet/tests/crashing_prompts.rs
@@ -4,7 +4,8 @@
 use fleet::{CrashConfig, measure_crashes};
 use rstest::rstest;
 
-/// Requests with the part that may reach endpoints later than the contact time after the fifth crash.
+/// Requests that may reach endpoints later than the contact time after the fifth crash under a part,
+/// or the third under one request.
 const MAX_SENT_LATE: usize = 3;
 
 fn small() -> CrashConfig {
@@ -48,3 +49,18 @@
 ) {
     check(cfg);
 }
+
+#[rstest]
+#[case::undisturbed(small())]
+#[case::three_daemons(CrashConfig { daemons: 4, endpoints: 3, ..small() })]
+#[case::readers_lost(CrashConfig { loses_readers: true, ..small() })]
+#[case::rare_requests(CrashConfig { crashing_per_s: 0.3, ..small() })]
+#[case::separated_regions(CrashConfig { separated_for: Millis(3_000), ..small() })]
+#[case::large(large())]
+#[case::large_with_readers_lost(CrashConfig { loses_readers: true, ..large() })]
+fn request_that_crashed_three_endpoints_reaches_at_most_three_more_in_the_fleet(
+    #[case] cfg: CrashConfig,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    check(CrashConfig { repeats: true, seed, ..cfg });
+}
