Let endpoints leave, and a crashing request come again, in the soak

Each run has endpoints that say that they leave while their entries stay ready, and start anew some seconds later; no gateway that passed the statement on may send them what a client sends later than 3 s after it.

--- a/fakes/src/soak/clients.rs
+++ b/fakes/src/soak/clients.rs
@@ -21,6 +21,21 @@
 pub const CRASHING_PART: &str = "bad0";
 const CRASHING_SHARE: f64 = 0.01;
 
+/// The body that crashes endpoints, and how many requests of a client lie between two with it.
+pub const CRASHING_BODY: &str = "crash";
+const REPETITION_INTERVAL: usize = 40;
+
+/// What is special about the requests of a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Load {
+    /// Nothing.
+    Plain,
+    /// They have prompts, a part of which crashes endpoints.
+    Prompts,
+    /// One of them crashes endpoints and comes again.
+    Repetitions,
+}
+
 /// What a client observed of a request.
 #[derive(Clone, Debug)]
 pub struct Observation {
@@ -36,6 +51,9 @@
     pub body: String,
     /// Whether the response has the signature of an endpoint.
     pub is_signed: bool,
+    /// The endpoint that stated in its response that it leaves.
+    pub leaving_endpoint: Option<String>,
+    pub sent_at: Instant,
     /// When the response was read, else when the request was sent.
     pub received_at: Instant,
 }
@@ -45,7 +63,7 @@
     number: usize,
     seed: u64,
     gateways: &[SocketAddr],
-    has_prompts: bool,
+    load: Load,
     stop: &AtomicBool,
 ) -> Vec<Observation> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(number as u64));
@@ -59,9 +77,14 @@
         let gateway = open.as_ref().map_or(gateway, |(gateway, _)| *gateway);
         let client = open.map(|(_, client)| client);
         let client = client.or_else(|| Client::connect(gateways[gateway]).ok());
-        let headers =
-            if has_prompts { prompt_headers(&mut rng, observations.len()) } else { String::new() };
-        let request = Request { id: &id, gateway, target, headers: &headers };
+        let headers = if load == Load::Prompts {
+            prompt_headers(&mut rng, observations.len())
+        } else {
+            String::new()
+        };
+        let is_repetition = observations.len() % REPETITION_INTERVAL == REPETITION_INTERVAL / 2;
+        let body = if load == Load::Repetitions && is_repetition { CRASHING_BODY } else { "body" };
+        let request = Request { id: &id, gateway, target, headers: &headers, body };
         let (observation, client) = send_request(client, &request);
         connection = client.map(|client| (gateway, client));
         let failed = observation.status != Some(200);
@@ -77,6 +100,7 @@
     gateway: usize,
     target: usize,
     headers: &'a str,
+    body: &'a str,
 }
 
 /// The headers of a prompt with a first part and a session that other requests share, and a part
@@ -102,17 +126,22 @@
         is_complete: false,
         body: String::new(),
         is_signed: false,
+        leaving_endpoint: None,
+        sent_at: Instant::now(),
         received_at: Instant::now(),
     };
     let Some(mut client) = client else { return (observation, None) };
     let target = TARGETS[request.target].0;
-    if client.send_request_with(target, request.id, KEY, "body", request.headers).is_err() {
+    if client.send_request_with(target, request.id, KEY, request.body, request.headers).is_err() {
         return (observation, None);
     }
     let Ok(response) = client.read_response() else { return (observation, None) };
     observation.status = Some(response.message.status());
     observation.is_complete = response.is_complete;
     observation.is_signed = !response.message.header("x-chervilspur-server-seal").is_empty();
+    let is_leaving = response.message.header("server-leaving") == "1";
+    observation.leaving_endpoint =
+        is_leaving.then(|| response.message.header("x-chervilspur-server-seal").to_owned());
     observation.received_at = Instant::now();
     observation.body = String::from_utf8_lossy(&response.message.body).into_owned();
     let is_open = response.is_complete && response.message.header("connection") != "close";
--- a/fakes/src/soak/faults.rs
+++ b/fakes/src/soak/faults.rs
@@ -23,6 +23,10 @@
     Terminate(usize),
     /// A new version of the configuration is published.
     Configure,
+    /// An endpoint states from now on that it leaves; its entry says that it is ready.
+    Leave(usize),
+    /// An endpoint that left starts anew.
+    Return(usize),
 }
 
 /// A fault and its time after the start of the run, in milliseconds.
--- a/fakes/src/soak/main.rs
+++ b/fakes/src/soak/main.rs
@@ -3,11 +3,13 @@
 
 mod check;
 mod clients;
+mod departures;
 mod faults;
 mod prompts;
 mod run;
 
 use argh::FromArgs;
+use clients::Load;
 use std::process::ExitCode;
 
 /// Run seeded soak tests of the gateway and check its guarantees.
@@ -36,13 +38,26 @@
     /// send prompts, a part of which crashes endpoints, while one endpoint states a limit
     #[argh(switch)]
     prompts: bool,
+
+    /// send a request again and again that crashes endpoints
+    #[argh(switch)]
+    repetitions: bool,
 }
 
 fn main() -> ExitCode {
     let flags: Flags = argh::from_env();
+    let load = match (flags.prompts, flags.repetitions) {
+        (true, true) => {
+            eprintln!("--prompts and --repetitions: choose one of them");
+            return ExitCode::FAILURE;
+        }
+        (true, false) => Load::Prompts,
+        (false, true) => Load::Repetitions,
+        (false, false) => Load::Plain,
+    };
     let mut failed = 0;
     for seed in flags.first_seed..flags.first_seed + flags.seeds {
-        match run::soak(seed, flags.seconds, flags.gateways, flags.clients, flags.prompts) {
+        match run::soak(seed, flags.seconds, flags.gateways, flags.clients, load) {
             Ok(summary) => println!("seed {seed}: {summary}"),
             Err(text) => {
                 failed += 1;
--- a/fakes/src/soak/prompts.rs
+++ b/fakes/src/soak/prompts.rs
@@ -1,4 +1,4 @@
-use crate::clients::{CRASHING_PART, Observation};
+use crate::clients::{CRASHING_BODY, CRASHING_PART, Observation};
 use crate::faults::Fault;
 use fakes::{Behaviour, PlatformEndpoint};
 use rand::RngExt;
@@ -9,9 +9,10 @@
 /// Time for which a gateway is not in touch after a disturbance, and that it has to act
 /// (`contact_ms`).
 const CONTACT_TIME: Duration = Duration::from_secs(4);
-/// The crash from which the platform limits the requests with a part that reach endpoints, and how
-/// many may.
+/// The crash from which the platform limits the requests with a part that reach endpoints, and of one
+/// request that comes again, and how many may.
 const LIMITING_CRASH: usize = 5;
+const LIMITING_REPETITION: usize = 3;
 const ALLOWED_LATE: usize = 3;
 /// The length of the windows in which requests to an endpoint with a limit are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -64,6 +65,46 @@
     Ok(format!("{crashes} crashes, {most} requests in a window at a limit of {limit} a second"))
 }
 
+/// Checks what reached endpoints of requests that crash them and come again, from gateways in touch.
+/// Returns a summary, or the first violated guarantee.
+pub fn check_repetitions(
+    observations: &[Observation],
+    endpoints: &[PlatformEndpoint],
+    applied: &[AppliedFault],
+) -> Result<String, String> {
+    let gateways: BTreeMap<&str, usize> =
+        observations.iter().map(|one| (one.id.as_str(), one.gateway)).collect();
+    // A request to another path is another request. Each that arrives crashes its endpoint.
+    let mut by_path: BTreeMap<String, Vec<(Instant, String)>> = BTreeMap::new();
+    for request in endpoints.iter().flat_map(PlatformEndpoint::received_requests) {
+        if request.ran && request.message.body == CRASHING_BODY.as_bytes() {
+            let id = request.message.header("x-chervilspur-attempt-id").to_owned();
+            let path = request.message.word(1).to_owned();
+            by_path.entry(path).or_default().push((request.arrived, id));
+        }
+    }
+    for (path, arrivals) in &mut by_path {
+        arrivals.sort();
+        let Some(limiting) = arrivals.get(LIMITING_REPETITION - 1).map(|(at, _)| *at) else {
+            continue;
+        };
+        let is_late = |(at, id): &&(Instant, String)| {
+            let gateway = gateways.get(id.as_str());
+            *at > limiting + CONTACT_TIME
+                && gateway.is_some_and(|gateway| is_in_touch(*gateway, *at, applied))
+        };
+        let late = arrivals.iter().filter(is_late).count();
+        if late > ALLOWED_LATE {
+            let total = arrivals.len();
+            return Err(format!(
+                "{late} of {total} requests to {path} that crash endpoints sent late"
+            ));
+        }
+    }
+    let crashes: usize = endpoints.iter().map(|endpoint| endpoint.crashes().len()).sum();
+    Ok(format!("{crashes} crashes under {} requests", by_path.len()))
+}
+
 fn check_crashes(
     gateways: &BTreeMap<&str, usize>,
     endpoints: &[PlatformEndpoint],
@@ -131,6 +172,10 @@
         | Fault::Kill(number)
         | Fault::Terminate(number) => *number != 0,
         Fault::Store(_) | Fault::StoreLink(_) => false,
-        Fault::Endpoint(..) | Fault::Link(..) | Fault::Configure => true,
+        Fault::Endpoint(..)
+        | Fault::Link(..)
+        | Fault::Configure
+        | Fault::Leave(_)
+        | Fault::Return(_) => true,
     }
 }
--- a/fakes/src/soak/run.rs
+++ b/fakes/src/soak/run.rs
@@ -1,10 +1,13 @@
 use crate::check::{check_observations, check_refusal_lines};
-use crate::clients::{CRASHING_PART, KEY, TARGETS, run_client};
+use crate::clients::{CRASHING_BODY, CRASHING_PART, KEY, Load, TARGETS, run_client};
+use crate::departures::{check_departures, generate_departures};
 use crate::faults::{Fault, ScheduledFault, generate_faults, generate_unframed_responses};
-use crate::prompts::{AppliedFault, check_prompts, is_used_with_prompts, random_limit};
+use crate::prompts::{
+    AppliedFault, check_prompts, check_repetitions, is_used_with_prompts, random_limit,
+};
 use fakes::{
-    CrashingPart, GatewayConfig, GatewayProcess, Link, PlatformEndpoint, PlatformStore, Proxy,
-    StoreMode,
+    CrashStage, CrashingBody, CrashingPart, GatewayConfig, GatewayProcess, Link, PlatformEndpoint,
+    PlatformStore, Proxy, StoreMode,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -50,42 +53,64 @@
     })
 }
 
+fn registration(address: SocketAddr, start: u64, heartbeats: u64) -> Value {
+    json!({
+        "service": "pool", "address": address.to_string(), "zone": "a", "version": "v1",
+        "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": heartbeats,
+        "born": start,
+    })
+}
+
+fn set_crashes(endpoint: &PlatformEndpoint, load: Load) {
+    let restart_after = RESTART_AFTER;
+    match load {
+        Load::Plain => {}
+        Load::Prompts => {
+            let id = CRASHING_PART.to_owned();
+            endpoint.set_crashing_part(Some(CrashingPart { id, restart_after }));
+        }
+        Load::Repetitions => {
+            let body = CRASHING_BODY.to_owned();
+            let stage = CrashStage::BeforeHead;
+            endpoint.set_crashing_body(Some(CrashingBody { body, stage, restart_after }));
+        }
+    }
+}
+
 struct Site {
     store: PlatformStore,
     store_link: Proxy,
     endpoints: Vec<PlatformEndpoint>,
+    /// The addresses at which the endpoints are registered.
+    addresses: Vec<SocketAddr>,
     /// The links to the endpoints, in the order of `endpoints`.
     links: Vec<Proxy>,
     gateways: Vec<GatewayProcess>,
     version: u64,
+    /// The number of starts of each endpoint.
+    starts: Vec<u64>,
     /// When gateways were killed with `SIGKILL`.
     killed_at: Vec<Instant>,
     applied: Vec<AppliedFault>,
 }
 
 impl Site {
-    /// Starts a site. With prompts, a part of them crashes endpoints. Gateways then connect to the
-    /// endpoints without a proxy, which would accept connections to a crashed one.
-    fn start(gateways: usize, has_prompts: bool) -> io::Result<Site> {
+    /// Starts a site. If requests crash endpoints, gateways connect to these without a proxy, which
+    /// would accept connections to a crashed one.
+    fn start(gateways: usize, load: Load) -> io::Result<Site> {
         let store = PlatformStore::start()?;
         let store_link = Proxy::start(store.address)?;
         store.put("config", "main", configuration(1));
         let mut endpoints = Vec::new();
         let mut links = Vec::new();
+        let mut addresses = Vec::new();
         for number in 0..ENDPOINTS {
             let endpoint = PlatformEndpoint::start(&format!("i-{number}"), EVENTS, EVENT_INTERVAL)?;
             let link = Proxy::start(endpoint.address)?;
-            let address = if has_prompts { endpoint.address } else { link.address };
-            if has_prompts {
-                let id = CRASHING_PART.to_owned();
-                endpoint.set_crashing_part(Some(CrashingPart { id, restart_after: RESTART_AFTER }));
-            }
-            let registration = json!({
-                "service": "pool", "address": address.to_string(), "zone": "a",
-                "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
-                "sequence": 1, "born": 1,
-            });
-            store.put("servers", &endpoint.id, registration);
+            let address = if load == Load::Plain { link.address } else { endpoint.address };
+            set_crashes(&endpoint, load);
+            store.put("servers", &endpoint.id, registration(address, 1, 1));
+            addresses.push(address);
             endpoints.push(endpoint);
             links.push(link);
         }
@@ -101,9 +126,11 @@
             store,
             store_link,
             endpoints,
+            addresses,
             links,
             gateways,
             version: 1,
+            starts: vec![1; ENDPOINTS],
             killed_at: Vec::new(),
             applied: Vec::new(),
         })
@@ -127,12 +154,32 @@
                 self.version += 1;
                 self.store.put("config", "main", configuration(self.version));
             }
+            Fault::Leave(number) => {
+                self.endpoints[number].set_leaving(true);
+                self.register(number, 2);
+            }
+            Fault::Return(number) => {
+                self.starts[number] += 1;
+                self.endpoints[number].set_leaving(false);
+                self.register(number, 1);
+            }
         }
         Ok(())
     }
 
+    /// Writes the entry of an endpoint, which says that it is ready.
+    fn register(&self, number: usize, heartbeats: u64) {
+        let entry = registration(self.addresses[number], self.starts[number], heartbeats);
+        self.store.put("servers", &self.endpoints[number].id, entry);
+    }
+
     /// Ends all temporary faults.
     fn end_faults(&mut self) -> io::Result<()> {
+        for number in 0..self.endpoints.len() {
+            if self.endpoints[number].leaving_since().is_some() {
+                self.apply(Fault::Return(number))?;
+            }
+        }
         self.endpoints.iter().for_each(|endpoint| endpoint.set_behaviour(Default::default()));
         self.links.iter().for_each(|link| link.set(Link::Healthy));
         self.store.set_mode(StoreMode::Up);
@@ -147,17 +194,21 @@
     seconds: u64,
     gateways: usize,
     clients: usize,
-    has_prompts: bool,
+    load: Load,
 ) -> Result<String, String> {
-    let mut site = Site::start(gateways, has_prompts).map_err(|e| e.to_string())?;
+    let mut site = Site::start(gateways, load).map_err(|e| e.to_string())?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut faults = generate_faults(&mut rng, seconds * 1_000, gateways, ENDPOINTS);
     // Drawn after the others, so that a seed keeps the faults with which it once failed.
     faults.extend(generate_unframed_responses(&mut rng, seconds * 1_000, ENDPOINTS));
     faults.sort_by_key(|(at_ms, _)| *at_ms);
     let limit = random_limit(&mut rng);
-    if has_prompts {
+    faults.extend(generate_departures(&mut rng, seconds * 1_000, ENDPOINTS));
+    faults.sort_by_key(|(at_ms, _)| *at_ms);
+    if load != Load::Plain {
         faults.retain(|(_, fault)| is_used_with_prompts(fault));
+    }
+    if load == Load::Prompts {
         site.endpoints[0].set_stated_limit(Some(&limit.to_string()));
     }
     let addresses: Vec<SocketAddr> = site.gateways.iter().map(|g| g.address).collect();
@@ -166,7 +217,7 @@
         let clients: Vec<_> = (0..clients)
             .map(|number| {
                 let (addresses, stop) = (&addresses, &stop);
-                scope.spawn(move || run_client(number, seed, addresses, has_prompts, stop))
+                scope.spawn(move || run_client(number, seed, addresses, load, stop))
             })
             .collect();
         let applied = apply_all(&mut site, &faults);
@@ -178,10 +229,13 @@
     applied.map_err(|e| e.to_string())?;
     check_recovery(&mut site, &addresses, seed)?;
     let mut summary = check_observations(&observations, &site.endpoints, EVENTS)?;
-    if has_prompts {
-        let prompts = check_prompts(&observations, &site.endpoints, limit, &site.applied)?;
-        summary = format!("{summary}, {prompts}");
-    }
+    let crashes = match load {
+        Load::Plain => String::from("no crashes"),
+        Load::Prompts => check_prompts(&observations, &site.endpoints, limit, &site.applied)?,
+        Load::Repetitions => check_repetitions(&observations, &site.endpoints, &site.applied)?,
+    };
+    let statements = check_departures(&observations, &site.endpoints, &site.applied)?;
+    summary = format!("{summary}, {crashes}, {statements} gateways told of departures");
     thread::sleep(LOG_DELAY);
     let log: Vec<String> = site.gateways.iter().flat_map(GatewayProcess::log).collect();
     let refusals = check_refusal_lines(&observations, &log, &site.killed_at)?;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -14,6 +14,15 @@
 const PROMPT_RUN: [&str; 7] =
     ["--prompts", "--first-seed", "1", "--seconds", "12", "--gateways", "3"];
 
+/// The same with a request that crashes endpoints and comes again.
+const REPETITION_RUN: [&str; 7] =
+    ["--repetitions", "--first-seed", "1", "--seconds", "12", "--gateways", "3"];
+
+#[test]
+fn gateways_keep_a_repeated_crashing_request_from_endpoints_in_a_short_soak_run() {
+    run_soak(&REPETITION_RUN);
+}
+
 #[test]
 fn gateways_keep_crashing_prompts_and_limits_in_a_short_soak_run() {
     run_soak(&PROMPT_RUN);
