Bound the reports of requests that were interrupted before a response

Instances then apply hundreds of crash notices that they get again with complete copies. A daemon now publishes 8 crashes a second of endpoints that had not begun to respond, crashes are discarded above twice their limit at once, digests of completed requests are kept only while there is evidence against them, and all notices are sent once, not for 5 s, to the reader of another region.

--- a/components/decision/src/routing/notices.rs
+++ b/components/decision/src/routing/notices.rs
@@ -15,6 +15,9 @@
 /// Maximum number of notices of a kind that a daemon publishes and accepts in a period. When many
 /// endpoints crash together, each interrupts many requests, and a part of the reports suffices.
 const MAX_NOTICES_PER_PERIOD: u32 = 32;
+/// The same for the crashes that a daemon publishes of endpoints that had not begun to respond: each
+/// has a queue of such requests.
+const MAX_INTERRUPTED_PER_PERIOD: u32 = 8;
 const RATE_PERIOD: Millis = Millis(1_000);
 
 /// Counts the notices of each kind in the current period.
@@ -22,22 +25,27 @@
 struct NoticeRate {
     period_started: Millis,
     crashes: u32,
+    /// Crashes of endpoints that had not begun to respond.
+    interrupted: u32,
     completions: u32,
 }
 
 impl NoticeRate {
     /// Counts a notice and returns whether it is within the limit.
-    fn admits(&mut self, notice: &Notice, now: Millis) -> bool {
+    fn admits(&mut self, notice: &Notice, max_interrupted: u32, now: Millis) -> bool {
         if now.since(self.period_started) >= RATE_PERIOD {
             *self = NoticeRate { period_started: now, ..NoticeRate::default() };
         }
-        let count = match notice {
-            Notice { crash: Some(_), .. } => &mut self.crashes,
-            Notice { completion: Some(_), .. } => &mut self.completions,
+        let (count, max) = match notice {
+            Notice { crash: Some(crash), .. } if !crash.has_begun => {
+                (&mut self.interrupted, max_interrupted)
+            }
+            Notice { crash: Some(_), .. } => (&mut self.crashes, MAX_NOTICES_PER_PERIOD),
+            Notice { completion: Some(_), .. } => (&mut self.completions, MAX_NOTICES_PER_PERIOD),
             _ => return true,
         };
         *count += 1;
-        *count <= MAX_NOTICES_PER_PERIOD
+        *count <= max
     }
 }
 
@@ -95,7 +103,7 @@
     /// Adds a notice that this daemon observed; the fields that identify it are set here. `None` if
     /// there are too many of its kind.
     pub fn publish(&mut self, content: Notice, now: Millis) -> Option<Notice> {
-        if !self.rate.admits(&content, now) {
+        if !self.rate.admits(&content, MAX_INTERRUPTED_PER_PERIOD, now) {
             return None;
         }
         self.last_sequence += 1;
@@ -114,7 +122,7 @@
         }
         // A follower of a new reader gets all notices at once; old ones are not a burst.
         let is_recent = Millis(notice.age_ms) < FORWARDED_FOR;
-        if is_recent && !self.rate.admits(notice, now) {
+        if is_recent && !self.rate.admits(notice, MAX_NOTICES_PER_PERIOD, now) {
             return false;
         }
         let forwarded_until = match source {
--- a/components/decision/src/routing/quarantine/mod.rs
+++ b/components/decision/src/routing/quarantine/mod.rs
@@ -73,6 +73,9 @@
             contents,
             suspects: suspects.clone(),
         };
+        if self.crashes.len() > 2 * MAX_CRASHES {
+            self.discard_excess();
+        }
         let before = self.condemned_of(&notice.service, &suspects);
         self.crashes.insert(id, crash);
         self.by_time.insert((crashed_at, id));
@@ -99,7 +102,12 @@
             self.services.insert(service.to_owned(), ServiceEvidence::default());
         }
         let Some(known) = self.services.get_mut(service) else { return Vec::new() };
-        known.own_completions.extend(contents.iter().map(|content| (*content, now)));
+        // Nobody shares a digest before an endpoint has crashed under it.
+        let is_shared = |content: &&Content| {
+            matches!(content, Content::Part(_)) || known.contents.contains_key(content)
+        };
+        let shared: Vec<Content> = contents.iter().filter(is_shared).copied().collect();
+        known.own_completions.extend(shared.into_iter().map(|content| (content, now)));
         if known.own_completions.len() > MAX_OWN_COMPLETIONS {
             known.own_completions.retain(|_, at| now.since(*at) < OWN_COMPLETION_MAX_AGE);
         }
@@ -220,9 +228,12 @@
         self.crashes.retain(|_, crash| {
             !crash.suspects.is_empty() && now.since(crash.crashed_at) < REQUEST_MAX_AGE
         });
-        self.discard_excess();
         let crashes = &self.crashes;
         self.by_time.retain(|(_, id)| crashes.contains_key(id));
+        if self.crashes.len() > MAX_CRASHES {
+            self.discard_excess();
+        }
+        let crashes = &self.crashes;
         for known in self.services.values_mut() {
             known.contents.retain(|content, evidence| {
                 let is_evidence = |id: &NoticeId| {
@@ -235,9 +246,6 @@
     }
 
     fn discard_excess(&mut self) {
-        if self.crashes.len() <= MAX_CRASHES {
-            return;
-        }
         let condemning = self.evidence();
         let (mut condemning, mut open): (Vec<NoticeId>, Vec<NoticeId>) =
             self.crashes.keys().copied().partition(|id| condemning.contains(id));
@@ -248,6 +256,8 @@
                 self.crashes.remove(id);
             }
         }
+        let crashes = &self.crashes;
+        self.by_time.retain(|(_, id)| crashes.contains_key(id));
     }
 
     fn condemned(&self) -> impl Iterator<Item = &Evidence> {
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod crashing_prompts;
+mod departure;
 mod driver;
 mod invariants;
 mod measures;
@@ -13,6 +14,7 @@
 mod table;
 
 pub use crashing_prompts::{CrashConfig, CrashResult, measure_crashes};
+pub use departure::measure_departure;
 pub use driver::{Fleet, FleetConfig};
 pub use invariants::Invariants;
 pub use measures::{Times, Traffic};
--- a/components/fleet/src/main.rs
+++ b/components/fleet/src/main.rs
@@ -5,8 +5,8 @@
 use decision::cluster::ClusterConfig;
 use fleet::{
     ChangeTimes, CrashConfig, FleetConfig, Table, bytes_per_cluster, measure_changes,
-    measure_crashes, measure_deaths, measure_steady_traffic, measure_store_load, run_random_faults,
-    slope,
+    measure_crashes, measure_deaths, measure_departure, measure_steady_traffic, measure_store_load,
+    run_random_faults, slope,
 };
 use std::thread;
 
@@ -63,7 +63,9 @@
         print_store(&sizes);
     }
     if all || args.what == "crashes" {
-        print_crashes();
+        print_crashes(false);
+        print_crashes(true);
+        print_departures();
     }
     if all || args.what == "random" {
         for seed in args.first_seed..args.first_seed + args.seeds {
@@ -275,7 +277,7 @@
     (300, 930, 600.0, 40.0),
 ];
 
-fn print_crashes() {
+fn print_crashes(repeats: bool) {
     let header = [
         "daemons",
         "endpoints",
@@ -288,7 +290,12 @@
         "notices, KB sent by a daemon, mean",
         "most",
     ];
-    let mut table = Table::new("Requests that crash endpoints, 45 s", &header);
+    let title = if repeats {
+        "A request that crashes endpoints and comes again, 45 s"
+    } else {
+        "Requests that crash endpoints, 45 s"
+    };
+    let mut table = Table::new(title, &header);
     for (daemons, endpoints, sound_per_s, crashing_per_s) in CRASH_SIZES {
         let contact_time = Millis(if daemons > 7 { 5_000 } else { 4_000 });
         let cfg = CrashConfig {
@@ -297,6 +304,7 @@
             sound_per_s,
             crashing_per_s,
             contact_time,
+            repeats,
             ..CrashConfig::default()
         };
         let disturbances = [
@@ -327,3 +335,16 @@
     }
     println!("{table}");
 }
+
+fn print_departures() {
+    let header = ["daemons", "disturbance", "known to all, ms, worst of 10 seeds"];
+    let mut table = Table::new("An endpoint that says that it leaves", &header);
+    for daemons in [7, 80, 300] {
+        for (name, loses_readers) in [("none", false), ("readers lost", true)] {
+            let times = (1..=10).map(|seed| measure_departure(daemons, loses_readers, seed));
+            let worst = times.map(|time| time.map_or(u64::MAX, |time| time.0)).max().unwrap_or(0);
+            table.row(&[daemons.to_string(), name.to_owned(), worst.to_string()]);
+        }
+    }
+    println!("{table}");
+}
--- a/components/fleet/src/notice_fleet.rs
+++ b/components/fleet/src/notice_fleet.rs
@@ -133,12 +133,17 @@
         (own != first).then_some(self.readers[first].0)
     }
 
-    /// Publishes a notice that a daemon observed.
-    pub(crate) fn publish(&mut self, daemon: usize, content: Notice, now: Millis) {
+    /// Publishes a notice that a daemon observed. Returns its id, unless there are too many.
+    pub(crate) fn publish(
+        &mut self,
+        daemon: usize,
+        content: Notice,
+        now: Millis,
+    ) -> Option<NoticeId> {
         let daemon = &mut self.daemons[daemon];
-        if let Some(notice) = daemon.board.publish(content, now) {
-            daemon.apply(&notice, now);
-        }
+        let notice = daemon.board.publish(content, now)?;
+        daemon.apply(&notice, now);
+        Some(NoticeId::of(&notice))
     }
 
     pub(crate) fn is_up(&self, daemon: usize) -> bool {
--- a/components/gateway/src/load_reports.rs
+++ b/components/gateway/src/load_reports.rs
@@ -27,6 +27,8 @@
     connection: Option<Connection>,
     /// The incarnation of the daemon that responded last.
     incarnation: Option<u64>,
+    /// Whether that daemon may lack old notices.
+    lacks_notices: bool,
 }
 
 /// Does the duties of a store reader while this daemon is one: names its standbys, counts the
@@ -81,15 +83,17 @@
             all_notices: partner.incarnation.is_none(),
             ..feed_request(gateway)
         };
+        let feed_req = if partner.lacks_notices {
+            FeedRequest { notices: gateway.notices.borrow().all(now()), ..feed_req }
+        } else {
+            feed_req
+        };
         let connection_slot = &mut partner.connection;
         match call(connection_slot, address, &feed_req, REMOTE_TIMEOUT, REMOTE_TIMEOUT).await {
             Ok(feed) => {
-                // Another daemon, or the same after a restart, may lack old notices.
-                if partner.incarnation.replace(feed.position.incarnation)
-                    != Some(feed.position.incarnation)
-                {
-                    gateway.notices.borrow_mut().forward_again(now());
-                }
+                let incarnation = Some(feed.position.incarnation);
+                partner.lacks_notices = partner.incarnation != incarnation;
+                partner.incarnation = incarnation;
                 receive_notices(gateway, &feed.notices, NoticeSource::Peer);
                 let daemons = feed.daemons.unwrap_or(1) as usize;
                 let mut exchange = gateway.load_exchange.borrow_mut();
