Open the circle of imports between attempts, departures and notices

attempt, broken_response, departures and notices of the gateway imported each other. BusyConnection has a file of its own, and what a response states about a departure is apart from what a notice of one does. Code is moved only.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,9 +1,9 @@
 use crate::adapter::{Adapter, ForwardedHead};
 use crate::broken_response::BrokenResponse;
+use crate::busy_connection::BusyConnection;
 use crate::clock::now;
 use crate::connection::{Connection, ConnectionError};
 use crate::contents::condemned;
-use crate::departures::observe_departure;
 use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::in_flight::InFlightRequest;
@@ -12,6 +12,7 @@
 use crate::notices::{observe_limit, record_completion};
 use crate::response::CompleteResponse;
 use crate::routed_request::RoutedRequest;
+use crate::stated_departure::observe_departure;
 use bytes::Bytes;
 use decision::Millis;
 use decision::routing::{Choice, Outcome};
@@ -54,41 +55,6 @@
     pub(crate) connection: BusyConnection<A>,
 }
 
-/// A connection that carries a request, with the request's entry in the load table.
-#[derive(Debug)]
-pub(crate) struct BusyConnection<A: Adapter> {
-    pub(crate) in_flight: InFlightRequest<A>,
-    connection: Connection,
-    address: SocketAddr,
-    idle_timeout: Option<Millis>,
-    /// Whether the endpoint closes the connection after this response.
-    server_closes: bool,
-}
-
-impl<A: Adapter> BusyConnection<A> {
-    pub(crate) fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Ends the request after a complete response and returns the connection to the pool.
-    pub(crate) fn close(self, gateway: &Gateway<A>, outcome: Outcome) {
-        let max_idle = max_idle_connections(gateway, self.in_flight.endpoint());
-        self.in_flight.close(outcome);
-        if !self.server_closes {
-            let mut pool = gateway.pool.borrow_mut();
-            pool.put(self.address, self.connection, self.idle_timeout, max_idle, now());
-        }
-    }
-}
-
-/// The number of idle connections to an endpoint that are kept; none if it has left.
-fn max_idle_connections<A: Adapter>(gateway: &Gateway<A>, endpoint: &str) -> usize {
-    let Some(catalog) = gateway.catalog() else { return 0 };
-    let directory = gateway.directory();
-    let service = directory.get(endpoint).and_then(|r| catalog.service(&r.service));
-    service.map_or(0, |service| gateway.connection_budget(service, now()).idle as usize)
-}
-
 /// A failed attempt. `verdict` and the route decide whether the request may be tried again.
 #[derive(Debug)]
 pub(crate) struct AttemptFailure {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod adapter;
 mod attempt;
 mod broken_response;
+mod busy_connection;
 mod clock;
 mod connection;
 mod contents;
@@ -39,6 +40,7 @@
 mod settings;
 mod shutdown;
 mod sse;
+mod stated_departure;
 mod store_reader;
 mod stream_body;
 mod stream_end;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,6 +1,7 @@
 use crate::adapter::Adapter;
-use crate::attempt::{BusyConnection, EndpointResponse, StreamingResponse, attempt};
+use crate::attempt::{EndpointResponse, StreamingResponse, attempt};
 use crate::broken_response::BrokenResponse;
+use crate::busy_connection::BusyConnection;
 use crate::clock::now;
 use crate::contents::{has_evidence, judge};
 use crate::framing::Framing;
@@ -142,7 +143,7 @@
     }
 
     fn broken_response(&self, connection: &BusyConnection<A>) -> Option<BrokenResponse> {
-        BrokenResponse::new(&self.request, &connection.in_flight, connection.address(), now())
+        BrokenResponse::new(&self.request, &connection.in_flight, connection.address, now())
     }
 
     /// Finds out whether the endpoint has crashed; before the stream is resumed, so that it is not if
