Log the software version of endpoints and the stream that a client continues

The registry entry's version was parsed and dropped, and the header that names the request that began a stream was not read, so the logs could not tell where streams are joined. Attempts now log both; endpoints that join log their version. Nothing is decided by them yet.

--- a/components/decision/src/routing/directory.rs
+++ b/components/decision/src/routing/directory.rs
@@ -23,6 +23,8 @@
     pub data_centre: String,
     /// The number of requests that it runs concurrently.
     pub slots: u32,
+    /// The version of its software, not of the weights that it serves; empty if it is unknown.
+    pub software_version: String,
     /// Whether it is shutting down and accepts no new requests.
     pub draining: bool,
     /// When it started, in milliseconds of Unix time; distinguishes incarnations under one id.
@@ -43,6 +45,7 @@
         self.started == other.started
             && self.address == other.address
             && self.service == other.service
+            && self.software_version == other.software_version
             && self.heartbeats <= other.heartbeats
     }
 }
--- a/components/gateway/src/adapter.rs
+++ b/components/gateway/src/adapter.rs
@@ -15,6 +15,8 @@
     pub prompt: Option<Prompt>,
     /// The id of the last event that the client received of an interrupted stream.
     pub last_event: Option<String>,
+    /// The id of the request that brought the first event of that stream, if the client states it.
+    pub resumes: Option<String>,
 }
 
 /// The values that the gateway sends to an endpoint in the headers of a request.
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -100,6 +100,7 @@
 ) -> Result<EndpointResponse<A>, AttemptFailure> {
     let started = now();
     let in_flight = InFlightRequest::start(gateway, choice, request);
+    let software_version = in_flight.software_version().map(str::to_owned);
     let result = tokio::select! {
         result = run(gateway, request, in_flight, last_event) => result,
         () = condemned(gateway, request) => Err(AttemptFailure::unusable_response(String::from(
@@ -124,6 +125,9 @@
             proof_age_ms = gateway.freshness.borrow().age(started).map(|age| age.0),
             priority = request.priority,
             endpoint = %choice.id,
+            software_version,
+            resumes = request.resumes,
+            last_event = last_event.or(request.last_event.as_deref()),
             outcome,
             text,
             expected_ms = choice.expected_ms as u64,
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -262,7 +262,7 @@
     /// Logs registry changes, publishes them to followers and resets the loads of endpoints that
     /// joined.
     pub(crate) fn publish_registry_changes(&self, changes: &[DirectoryChange]) {
-        log_registry_changes(changes);
+        log_registry_changes(changes, &self.directory());
         for change in changes {
             let (endpoint, registration) = match change {
                 DirectoryChange::Joined(id) => {
--- a/components/gateway/src/in_flight.rs
+++ b/components/gateway/src/in_flight.rs
@@ -15,6 +15,8 @@
     endpoint: String,
     /// The endpoint's incarnation when the request was sent; `None` if it had just left.
     incarnation: Option<Incarnation>,
+    /// The endpoint's software version when the request was sent; `None` if it had just left.
+    software_version: Option<String>,
     fetch_from: Option<String>,
     sent_at: Millis,
     first_byte_at: Cell<Option<Millis>>,
@@ -30,12 +32,15 @@
         let now = now();
         let in_flight_id =
             gateway.loads.borrow_mut().start(choice, &request.demand(Millis(0), 0), now);
-        let incarnation = gateway.directory().get(&choice.id).map(|r| r.incarnation());
+        let registration = gateway.directory().get(&choice.id).cloned();
+        let incarnation = registration.as_ref().map(|r| r.incarnation());
+        let software_version = registration.map(|r| r.software_version);
         let gateway = gateway.clone();
         InFlightRequest {
             gateway,
             endpoint: choice.id.clone(),
             incarnation,
+            software_version,
             fetch_from: choice.fetch_from.clone(),
             sent_at: now,
             first_byte_at: Cell::default(),
@@ -51,6 +56,10 @@
         self.incarnation.as_ref()
     }
 
+    pub(crate) fn software_version(&self) -> Option<&str> {
+        self.software_version.as_deref()
+    }
+
     pub(crate) fn sent_at(&self) -> Millis {
         self.sent_at
     }
--- a/components/gateway/src/registry_log.rs
+++ b/components/gateway/src/registry_log.rs
@@ -1,11 +1,11 @@
-use decision::routing::DirectoryChange;
+use decision::routing::{Directory, DirectoryChange};
 
 /// Number of registry changes at a time above which only their number is logged.
 const MAX_LOGGED_CHANGES: usize = 100;
 
 /// Logs each change, or only their number if there are many, as when a daemon receives its first
 /// copy of the registry.
-pub(crate) fn log_registry_changes(changes: &[DirectoryChange]) {
+pub(crate) fn log_registry_changes(changes: &[DirectoryChange], directory: &Directory) {
     let is_joined = |change: &&DirectoryChange| matches!(change, DirectoryChange::Joined(_));
     if changes.len() > MAX_LOGGED_CHANGES {
         let joined = changes.iter().filter(is_joined).count();
@@ -15,7 +15,13 @@
     for change in changes {
         match change {
             DirectoryChange::Joined(id) => {
-                tracing::info!(event = "endpoint_joined", endpoint = %id)
+                let registration = directory.get(id);
+                tracing::info!(
+                    event = "endpoint_joined",
+                    endpoint = %id,
+                    service = registration.map(|r| &*r.service),
+                    software_version = registration.map(|r| &*r.software_version),
+                );
             }
             DirectoryChange::Left(id) => tracing::info!(event = "endpoint_left", endpoint = %id),
         }
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -30,6 +30,8 @@
     pub(crate) prompt: Option<Prompt>,
     pub(crate) lane: Lane,
     pub(crate) last_event: Option<String>,
+    /// The id of the request that brought the first event of the stream that the client continues.
+    pub(crate) resumes: Option<String>,
     /// Computed when it is first needed.
     pub(crate) digest: OnceCell<u64>,
     pub(crate) arrived: Millis,
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -141,6 +141,7 @@
         prompt: head.prompt,
         lane: catalog.lane(route, service),
         last_event: head.last_event,
+        resumes: head.resumes,
         digest: OnceCell::new(),
         arrived,
         deadline: arrived + limit,
