Reproduce streams joined from two software versions, as known failures

Stand-ins for endpoints have a software version, which their entries and events state, so that a joined stream shows.

--- a/fakes/src/platform/client.rs
+++ b/fakes/src/platform/client.rs
@@ -96,7 +96,12 @@
 
     /// Reads the remaining chunks of a body after `read_first_chunk`; true if the last chunk arrives.
     pub fn read_to_end(&mut self) -> bool {
-        self.read_chunks(Message::default()).is_complete
+        self.read_rest().is_complete
+    }
+
+    /// Reads the remaining chunks of a body after `read_first_chunk`, without a head.
+    pub fn read_rest(&mut self) -> ClientResponse {
+        self.read_chunks(Message::default())
     }
 
     /// Whether the gateway closed the connection without another response. Blocks until it does.
--- a/fakes/src/platform/endpoint.rs
+++ b/fakes/src/platform/endpoint.rs
@@ -62,6 +62,7 @@
     crashing_body: Option<CrashingBody>,
     stated_limit: Option<String>,
     leaving_since: Option<Instant>,
+    software_version: Option<String>,
     requests: Vec<ReceivedRequest>,
     connections: usize,
 }
@@ -150,6 +151,16 @@
         self.state().leaving_since = is_leaving.then(Instant::now);
     }
 
+    /// Sets the version of its software, which its events then state, as long as it is set.
+    pub fn set_software_version(&self, version: Option<&str>) {
+        self.state().software_version = version.map(str::to_owned);
+    }
+
+    /// The version of its software, `v1` unless it is set.
+    pub fn software_version(&self) -> String {
+        self.state().software_version.clone().unwrap_or_else(|| String::from("v1"))
+    }
+
     /// Since when it states that it is leaving.
     pub fn leaving_since(&self) -> Option<Instant> {
         self.state().leaving_since
@@ -354,7 +365,10 @@
     /// The events of a stream, from the one after the last that the client has received.
     fn event_texts(&self, message: &Message) -> impl Iterator<Item = String> + use<> {
         let first = message.header("last-event-id").parse().map_or(1, |last: u32| last + 1);
-        (first..=self.events).map(|event| format!("id: {event}\ndata: piece {event}\n\n"))
+        let version = self.state().software_version.clone();
+        let version = version.map_or_else(String::new, |version| format!(" of {version}"));
+        (first..=self.events)
+            .map(move |event| format!("id: {event}\ndata: piece {event}{version}\n\n"))
     }
 
     fn unframed_response(&self, message: &Message, headers: String) -> UnframedResponse {
--- a/fakes/src/platform/store.rs
+++ b/fakes/src/platform/store.rs
@@ -90,6 +90,17 @@
         self.shared.1.notify_all();
     }
 
+    /// An object with its metadata, if it exists.
+    pub fn object(&self, kind: &str, name: &str) -> Option<Value> {
+        let key = (kind.to_owned(), name.to_owned());
+        self.state().objects.get(&key).map(|(_, object)| object.clone())
+    }
+
+    /// The number of objects of a kind.
+    pub fn count(&self, kind: &str) -> usize {
+        self.state().objects.keys().filter(|(k, _)| k == kind).count()
+    }
+
     /// Deletes an object, if it exists, under the next revision.
     pub fn delete(&self, kind: &str, name: &str) {
         let mut state = self.state();
@@ -139,11 +150,24 @@
                 (410, json!({ "since": since }))
             }
             ("GET", Some(since)) => self.watch(&kind, since, parameter("wait_ms").unwrap_or(0)),
-            ("GET", None) => self.list(&kind),
+            ("GET", None) => match parts.next() {
+                Some(name) => self.read(&kind, name),
+                None => self.list(&kind),
+            },
+            ("DELETE", _) => {
+                let name = parts.next().unwrap_or("");
+                self.delete(&kind, name);
+                (200, json!({}))
+            }
             (method, _) => self.write(method, &kind, parts.next(), &call.body),
         }
     }
 
+    fn read(&self, kind: &str, name: &str) -> (u16, Value) {
+        let object = self.object(kind, name);
+        object.map_or((404, json!({})), |object| (200, object))
+    }
+
     fn list(&self, kind: &str) -> (u16, Value) {
         let state = self.state();
         let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod monitoring;
 mod responses;
 mod shutdown;
+mod software_versions;
 mod stated_limits;
 mod store_changes;
 mod streams;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -48,8 +48,8 @@
 /// The registration of an endpoint, in the platform's format.
 pub fn registration(runner: &PlatformEndpoint, state: &str, heartbeats: u64) -> Value {
     json!({
-        "service": "pool", "address": runner.address.to_string(), "zone": "a", "version": "v1",
-        "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": heartbeats, "born": 1,
+        "service": "pool", "address": runner.address.to_string(), "zone": "a",
+        "version": runner.software_version(), "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": heartbeats, "born": 1,
     })
 }
 
