Give calls to the store about own objects a connection of their own

ReaderRecords had the only connection that writes to the store. Further objects of the daemons need the same, so it is taken out as StoreConnection, with the kind of object and the time limit as its parameters. No change of behaviour.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod shutdown;
 mod sse;
 mod stated_departure;
+mod store_connection;
 mod store_reader;
 mod stream_body;
 mod stream_end;
--- a/components/gateway/src/reader_records.rs
+++ b/components/gateway/src/reader_records.rs
@@ -1,24 +1,26 @@
 use crate::adapter::{Adapter, ObjectKind};
-use crate::connection::{Connection, ConnectionError};
 use crate::gateway::Gateway;
-use crate::metrics::StoreLabels;
+use crate::store_connection::StoreConnection;
 use bytes::Bytes;
 use decision::Millis;
 use decision::routing::{ClaimOutcome, Peer, ReaderRecord};
-use http::header::{CONTENT_TYPE, HOST};
-use http::{HeaderValue, Method, Request, StatusCode};
-use http_body_util::Full;
+use http::{Method, StatusCode};
 use std::collections::BTreeMap;
 
 /// Time limit of a call, twice the response time of a slow store: while it lasts, a follower gets no
 /// updates from its peer.
 const STORE_TIMEOUT: Millis = Millis(400);
-const MAX_RESPONSE_BYTES: usize = 1 << 20;
 
 /// Reads and writes the records of the data centres' store readers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ReaderRecords {
-    connection: Option<Connection>,
+    store: StoreConnection,
+}
+
+impl Default for ReaderRecords {
+    fn default() -> ReaderRecords {
+        ReaderRecords { store: StoreConnection::new(ObjectKind::Readers, STORE_TIMEOUT) }
+    }
 }
 
 impl ReaderRecords {
@@ -33,13 +35,7 @@
         let mut after: Option<String> = None;
         loop {
             let target = gateway.adapter.list_target(ObjectKind::Readers, after.as_deref(), stale);
-            let (status, body) = self
-                .call(gateway, Method::GET, &target, Bytes::new())
-                .await
-                .map_err(|e| e.to_string())?;
-            if status != StatusCode::OK {
-                return Err(format!("{target}: store responded with status {status}"));
-            }
+            let body = self.store.get(gateway, &target).await?;
             let page = gateway.adapter.read_readers(&body)?;
             after = page.items.last().map(|item| item.name.clone());
             for item in page.items {
@@ -74,7 +70,7 @@
             None => (Method::POST, None),
         };
         let target = gateway.adapter.object_target(ObjectKind::Readers, name);
-        let result = self.call(gateway, method, &target, Bytes::from(body)).await;
+        let result = self.store.call(gateway, method, &target, Bytes::from(body)).await;
         let (outcome, text) = match result {
             Ok((status, _)) if status.is_success() => (ClaimOutcome::Written, status.to_string()),
             Ok((status @ (StatusCode::CONFLICT | StatusCode::NOT_FOUND), _)) => {
@@ -86,47 +82,4 @@
         tracing::info!(event = "reader_claimed", outcome = ?outcome, replaces, text);
         outcome
     }
-
-    async fn call<A: Adapter>(
-        &mut self,
-        gateway: &Gateway<A>,
-        method: Method,
-        target: &str,
-        body: Bytes,
-    ) -> Result<(StatusCode, Bytes), ConnectionError> {
-        let result = self.send(gateway, method, target, body).await;
-        let label = match &result {
-            Ok((status, _)) if status.is_success() => "ok",
-            Ok(_) => "refused",
-            Err(_) => "unreachable",
-        };
-        let labels = StoreLabels { kind: ObjectKind::Readers.as_str(), result: label };
-        gateway.metrics.store_calls.get_or_create(&labels).inc();
-        result
-    }
-
-    async fn send<A: Adapter>(
-        &mut self,
-        gateway: &Gateway<A>,
-        method: Method,
-        target: &str,
-        body: Bytes,
-    ) -> Result<(StatusCode, Bytes), ConnectionError> {
-        let address = gateway.settings().store;
-        let mut connection = match self.connection.take().filter(Connection::is_ready) {
-            Some(connection) => connection,
-            None => Connection::open(address, STORE_TIMEOUT).await?,
-        };
-        let mut req = Request::new(Full::new(body));
-        *req.method_mut() = method;
-        *req.uri_mut() = target.parse().map_err(|e: http::uri::InvalidUri| {
-            ConnectionError::Body { address, max_bytes: 0, text: e.to_string() }
-        })?;
-        let host = address.to_string();
-        req.headers_mut().extend(host.parse().ok().map(|host| (HOST, host)));
-        req.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        let response = connection.send_and_read(req, STORE_TIMEOUT, MAX_RESPONSE_BYTES).await?;
-        self.connection = Some(connection);
-        Ok(response)
-    }
 }
