Let streams go on only at the software version that began them

Cause: the registry entry's version was required and dropped, and the header that names the request that began a stream was not read. relay::resume and the placement of a stream that a client continues chose among all endpoints of the service.

The record of the versions at which streams may have begun is in the store; a version is added before its first endpoint is used. While a service has several, daemons write the streams that they begin in batches. A stream that is continued goes on at the version in memory, at the only one of the record, or at that which a daemon wrote; else it is refused with 503 and a time to come back. A stream that is resumed within its response asks the same records. Cached parts of prompts are not fetched across versions.

--- a/components/decision/src/routing/content.rs
+++ b/components/decision/src/routing/content.rs
@@ -47,8 +47,13 @@
 /// nobody can have the same digest as a request of another account.
 pub fn request_digest(method: &str, target: &str, account: Option<&str>, body: &[u8]) -> u64 {
     let account = account.map_or(&[][..], str::as_bytes);
+    digest(&[method.as_bytes(), target.as_bytes(), account, body])
+}
+
+/// Returns a digest of some fields and of their lengths.
+pub(super) fn digest(fields: &[&[u8]]) -> u64 {
     let mut hasher = Sha256::new();
-    for field in [method.as_bytes(), target.as_bytes(), account, body] {
+    for field in fields {
         hasher.update((field.len() as u64).to_be_bytes());
         hasher.update(field);
     }
--- a/components/decision/src/routing/directory.rs
+++ b/components/decision/src/routing/directory.rs
@@ -1,7 +1,8 @@
 use super::departures::{Departures, Incarnation};
+use super::version_record::SoftwareVersion;
 use crate::Millis;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time that endpoints have to register again after an outage of the store in which their entries
 /// expired. According to the platform, they do so within about two seconds.
@@ -34,6 +35,11 @@
 }
 
 impl Registration {
+    /// Returns the software version and its service.
+    pub fn version(&self) -> SoftwareVersion {
+        SoftwareVersion { service: self.service.clone(), version: self.software_version.clone() }
+    }
+
     /// Returns the incarnation that the registration belongs to.
     pub fn incarnation(&self) -> Incarnation {
         Incarnation { started: self.started, address: self.address.clone() }
@@ -201,6 +207,24 @@
         self.listed.iter().map(|(id, listed)| (id.as_str(), &listed.registration))
     }
 
+    /// Returns the latest registration of an endpoint, also of one that is draining.
+    pub fn listed_registration(&self, id: &str) -> Option<&Registration> {
+        self.listed.get(id).map(|listed| &listed.registration)
+    }
+
+    /// Returns the software versions of all endpoints, draining ones included.
+    pub fn software_versions(&self) -> BTreeSet<SoftwareVersion> {
+        let mut versions: BTreeSet<(&str, &str)> = BTreeSet::new();
+        for (_, registration) in self.listed() {
+            versions.insert((&registration.service, &registration.software_version));
+        }
+        let owned = |(service, version): (&str, &str)| SoftwareVersion {
+            service: service.to_owned(),
+            version: version.to_owned(),
+        };
+        versions.into_iter().map(owned).collect()
+    }
+
     /// Returns all endpoints that accept new requests, by id.
     pub fn usable(&self) -> impl Iterator<Item = (&str, &Registration)> {
         self.listed().filter(|(_, r)| !r.draining)
--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -27,6 +27,8 @@
 mod rendezvous;
 mod retry_budget;
 mod start_wait;
+mod stream_records;
+mod version_record;
 mod wait_estimate;
 mod wait_queues;
 
@@ -57,4 +59,6 @@
 pub use readers::{ClaimOutcome, Peer, PeerFault, ReaderRecord, Step};
 pub use retry_budget::{RetryBudget, RetryBudgetConfig};
 pub use start_wait::start_wait;
+pub use stream_records::{BegunStream, StreamBatch, StreamKey, StreamRecords, batch_interval};
+pub use version_record::{SoftwareVersion, VersionKeeper, VersionRecord};
 pub use wait_queues::{QueueKey, Ticket, WaitLimits, WaitQueues};
--- a/components/decision/src/routing/wait_queues.rs
+++ b/components/decision/src/routing/wait_queues.rs
@@ -15,8 +15,16 @@
     sequence: u64,
 }
 
-/// The service and lane whose engines the requests of a queue wait for.
-pub type QueueKey = (String, Lane);
+/// Names a queue: the requests in it wait for the same engines.
+#[derive(Clone, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct QueueKey {
+    /// The service of the engines.
+    pub service: String,
+    /// The lane of the requests.
+    pub lane: Lane,
+    /// The software version of the engines; `None` if any may run the requests.
+    pub software_version: Option<String>,
+}
 
 /// Requests that wait at this daemon while all their engines are saturated, by priority and then in
 /// order of arrival.
--- a/components/decision/tests/routing/wait_queues.rs
+++ b/components/decision/tests/routing/wait_queues.rs
@@ -1,10 +1,10 @@
 use decision::Millis;
-use decision::routing::{Lane, WaitLimits, WaitQueues};
+use decision::routing::{Lane, QueueKey, WaitLimits, WaitQueues};
 
 #[test]
 fn wait_queue_serves_higher_priorities_first_and_then_older_requests() {
     let mut queues = WaitQueues::default();
-    let key = ("pool".to_owned(), Lane::Bulk);
+    let key = QueueKey { service: "pool".to_owned(), lane: Lane::Bulk, ..QueueKey::default() };
     let low_priority = queues.enqueue(&key, 5);
     let high_priority = queues.enqueue(&key, 3);
     let second_high_priority = queues.enqueue(&key, 3);
@@ -20,8 +20,9 @@
 #[test]
 fn queues_of_different_lanes_are_independent() {
     let mut queues = WaitQueues::default();
-    let bulk = ("pool".to_owned(), Lane::Bulk);
-    let interactive = ("pool".to_owned(), Lane::Interactive);
+    let bulk = QueueKey { service: "pool".to_owned(), lane: Lane::Bulk, ..QueueKey::default() };
+    let interactive =
+        QueueKey { service: "pool".to_owned(), lane: Lane::Interactive, ..QueueKey::default() };
     let plan = queues.enqueue(&bulk, 0);
     let chat = queues.enqueue(&interactive, 9);
     assert!(queues.is_first(&bulk, plan) && queues.is_first(&interactive, chat));
--- a/components/errors/src/refusal.rs
+++ b/components/errors/src/refusal.rs
@@ -22,6 +22,8 @@
     Overloaded,
     /// No suitable endpoint is known.
     NoEndpoint,
+    /// The software version at which a stream would have to go on is unknown or has no endpoint.
+    CannotResume,
     /// Endpoints crash under requests with a part of this prompt.
     CrashesEndpoints,
     /// The endpoint failed while processing the request.
@@ -52,6 +54,7 @@
             Reason::LimitReached => "limit_reached",
             Reason::Overloaded => "overloaded",
             Reason::NoEndpoint => "no_endpoint",
+            Reason::CannotResume => "cannot_resume",
             Reason::CrashesEndpoints => "crashes_endpoints",
             Reason::EndpointFailed => "endpoint_failed",
             Reason::BadIdempotencyKey => "bad_idempotency_key",
@@ -76,6 +79,7 @@
             Reason::EndpointFailed => 502,
             Reason::Overloaded
             | Reason::NoEndpoint
+            | Reason::CannotResume
             | Reason::CrashesEndpoints
             | Reason::StoreUnavailable
             | Reason::NotReady => 503,
--- a/components/gateway/src/adapter.rs
+++ b/components/gateway/src/adapter.rs
@@ -1,6 +1,8 @@
 use decision::Millis;
 use decision::routing::{Configuration, Peer, Prompt, ReaderRecord, Registration};
 use http::{HeaderMap, HeaderName, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 /// The headers of a client request that the gateway evaluates.
 #[derive(Clone, Debug, Default)]
@@ -60,6 +62,10 @@
     Endpoints,
     /// The records of the data centres' store readers.
     Readers,
+    /// The record of software versions at which streams may have begun.
+    SoftwareVersions,
+    /// The streams that daemons began while a service had several software versions.
+    Streams,
 }
 
 impl ObjectKind {
@@ -69,6 +75,8 @@
             ObjectKind::Configuration => "configuration",
             ObjectKind::Endpoints => "endpoints",
             ObjectKind::Readers => "readers",
+            ObjectKind::SoftwareVersions => "software_versions",
+            ObjectKind::Streams => "streams",
         }
     }
 }
@@ -82,6 +90,15 @@
     pub value: Option<Result<T, String>>,
 }
 
+/// A decoded object with the revision of its last change.
+#[derive(Clone, Debug)]
+pub struct Stored<T> {
+    /// The value.
+    pub value: T,
+    /// The revision.
+    pub revision: u64,
+}
+
 /// One page of a list of objects.
 #[derive(Clone, Debug)]
 pub struct Page<T> {
@@ -130,6 +147,16 @@
     /// Decodes a page of records of store readers, named by data centre.
     fn read_readers(&self, body: &[u8]) -> Result<Page<ReaderRecord>, String>;
 
+    /// Encodes an object of this daemon, to be written on condition that it replaces the revision
+    /// `replaces`, or without a condition.
+    fn write_object<T: Serialize>(&self, name: &str, value: &T, replaces: Option<u64>) -> String;
+
+    /// Decodes an object that a daemon wrote.
+    fn read_object<T: DeserializeOwned>(&self, body: &[u8]) -> Result<Stored<T>, String>;
+
+    /// Decodes a page of objects that daemons wrote.
+    fn read_objects<T: DeserializeOwned>(&self, body: &[u8]) -> Result<Page<Stored<T>>, String>;
+
     /// The request target of a watch for changes after the revision `since`, which the store may
     /// hold open for `wait`.
     fn watch_target(&self, kind: ObjectKind, since: u64, wait: Millis) -> String;
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -334,7 +334,11 @@
     *req.uri_mut() = request.target.clone();
     *req.headers_mut() = request.headers.clone();
     let directory = gateway.directory();
-    let source = in_flight.fetch_from().and_then(|id| directory.get(id));
+    // What endpoints of two software versions keep need not fit together.
+    let source = in_flight
+        .fetch_from()
+        .and_then(|id| directory.get(id))
+        .filter(|source| Some(source.software_version.as_str()) == in_flight.software_version());
     let forwarded = ForwardedHead {
         endpoint: in_flight.endpoint(),
         remaining: request.time_left(now()),
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -9,7 +9,9 @@
 use crate::routed_request::RoutedRequest;
 use crate::serve::{ANSWERED, FinishedRequest, RefusedRequest, finish, refuse};
 use decision::Millis;
-use decision::routing::{Candidate, Condemnation, Distance, Judgement, Placement, WaitLimits};
+use decision::routing::{
+    Candidate, Condemnation, Distance, Judgement, Placement, Registration, WaitLimits,
+};
 use errors::{Reason, Verdict};
 use http::{Response, StatusCode};
 use rand::RngExt;
@@ -37,7 +39,13 @@
     let max_in_flight = gateway.connection_budget(service, now).running;
     let directory = gateway.directory();
     let stated_limits = gateway.limits.borrow();
-    let untried = directory.of_service(&request.service).filter(|(id, _)| !tried.contains(*id));
+    let may_go_on = |registration: &Registration| {
+        let origin = request.origin.as_ref();
+        origin.is_none_or(|origin| origin.version == registration.software_version)
+    };
+    let untried = directory
+        .of_service(&request.service)
+        .filter(|(id, registration)| !tried.contains(*id) && may_go_on(registration));
     let candidates = untried.map(|(id, registration)| {
         let distance = gateway.adapter.distance(&registration.data_centre);
         let is_admitted = stated_limits.admits(id, distance == Distance::DataCentre, now);
@@ -197,7 +205,10 @@
     stop_reason: &StopReason,
 ) -> Response<ResponseBody> {
     let Attempts { verdict, last_failure, sends } = attempts_made;
-    let reason_text = stop_reason.text();
+    let mut reason_text = stop_reason.text();
+    if let Some(origin) = &request.origin {
+        reason_text = format!("{reason_text} at software version {}", origin.version);
+    }
     let text = last_failure
         .as_ref()
         .map_or(reason_text.clone(), |failure| format!("{}; {reason_text}", failure.text));
@@ -213,7 +224,11 @@
     if verdict == Verdict::NotRun {
         let had_endpoint =
             last_failure.is_some() || matches!(stop_reason, StopReason::Saturated(_));
-        let reason = if had_endpoint { Reason::Overloaded } else { Reason::NoEndpoint };
+        let reason = match (had_endpoint, &request.origin) {
+            (true, _) => Reason::Overloaded,
+            (false, Some(_)) => Reason::CannotResume,
+            (false, None) => Reason::NoEndpoint,
+        };
         let mut refusal = not_run_refusal(gateway, reason);
         let limit_wait = limit_wait(gateway, &request.service, now()).map(|wait| wait.0 as f64);
         refusal.retry_after =
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
+use crate::continuation::StreamLookup;
 use crate::log::LogQuota;
 use crate::metrics::Metrics;
 use crate::object_feed::to_json;
@@ -8,12 +9,14 @@
 use crate::registry_log::log_registry_changes;
 use crate::settings::Settings;
 use crate::shutdown::Shutdown;
+use crate::software_versions::SoftwareVersions;
 use crate::update_source::CurrentSource;
 use decision::Millis;
 use decision::routing::{
     Catalog, ChangeLog, ConnectionBudget, Directory, DirectoryChange, EndpointLimits, FleetSize,
     Freshness, LoadExchange, LoadTable, NoticeBoard, NoticeId, OutcomeExchange, Peer,
-    PlacementConfig, Quarantine, ReaderElection, RetryBudget, Service, WaitQueues, start_wait,
+    PlacementConfig, Quarantine, ReaderElection, RetryBudget, Service, StreamRecords, WaitQueues,
+    start_wait,
 };
 use messages::feed::EndpointChange;
 use rand::SeedableRng;
@@ -23,7 +26,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Mutex, Notify, Semaphore};
 use tokio::time::timeout;
 
 /// Changes kept for followers: enough for some seconds of rapid registry changes.
@@ -98,6 +101,11 @@
     /// Permits for responses with the complete registry.
     pub(crate) full_copies: Arc<Semaphore>,
     pub(crate) update_source: CurrentSource,
+    pub(crate) versions: SoftwareVersions,
+    pub(crate) streams: RefCell<StreamRecords>,
+    pub(crate) stream_lookup: Mutex<StreamLookup>,
+    /// The number of reads of the streams of other daemons so far.
+    pub(crate) stream_reads: Cell<u64>,
     pub(crate) wait_queues: RefCell<WaitQueues>,
     /// Notified when a response begins, a request ends, or one leaves its queue.
     pub(crate) queue_progress: Notify,
@@ -144,6 +152,10 @@
             cached_endpoints: RefCell::new((0, Rc::from([]))),
             full_copies: Arc::new(Semaphore::new(CONCURRENT_FULL_COPIES)),
             update_source: CurrentSource::default(),
+            versions: SoftwareVersions::default(),
+            streams: RefCell::default(),
+            stream_lookup: Mutex::default(),
+            stream_reads: Cell::default(),
             wait_queues: RefCell::default(),
             queue_progress: Notify::new(),
         }
@@ -268,6 +280,7 @@
                 DirectoryChange::Joined(id) => {
                     self.loads.borrow_mut().reset(id);
                     self.limits.borrow_mut().reset(id);
+                    self.forget_restarted(id);
                     (id.clone(), self.directory().get(id).and_then(to_json))
                 }
                 DirectoryChange::Left(id) => (id.clone(), None),
@@ -276,6 +289,22 @@
         }
     }
 
+    /// Forgets the streams that an endpoint may have begun after it restarted with another software
+    /// version, and before that was known.
+    fn forget_restarted(&self, id: &str) {
+        let directory = self.directory();
+        let Some(registration) = directory.get(id) else { return };
+        let version = &registration.software_version;
+        self.streams.borrow_mut().forget_restarted(id, version, now());
+    }
+
+    /// Records that the registry was read, unless all its endpoints that could be used are withheld.
+    pub(crate) fn mark_registry_known(&self) {
+        if !self.versions.has_withheld() || self.directory().usable().next().is_some() {
+            self.registry_known.set(true);
+        }
+    }
+
     /// One round of maintenance: drops expired registry entries, loads and idle connections,
     /// updates metrics and reports omitted log lines.
     pub(crate) fn run_maintenance(&self, now: Millis) {
@@ -290,6 +319,8 @@
         self.metrics.leaving_endpoints.set(directory.leaving() as i64);
         self.load_exchange.borrow_mut().expire(now);
         self.outcome_exchange.borrow_mut().expire(now);
+        self.streams.borrow_mut().expire(now);
+        self.metrics.recorded_streams.set(self.streams.borrow().len() as i64);
         let mut quarantine = self.quarantine.borrow_mut();
         quarantine.expire(now);
         self.notices.borrow_mut().expire(&quarantine.evidence(), now);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod connection;
 mod contents;
+mod continuation;
 mod departures;
 mod dispatch;
 mod follow;
@@ -39,16 +40,19 @@
 mod serve;
 mod settings;
 mod shutdown;
+mod software_versions;
 mod sse;
 mod stated_departure;
 mod store_connection;
 mod store_reader;
 mod stream_body;
 mod stream_end;
+mod stream_writer;
 mod update_source;
+mod version_store;
 
 pub use adapter::{
-    Adapter, Changes, ForwardedHead, Item, ObjectKind, Page, RequestHead, ResponseHead,
+    Adapter, Changes, ForwardedHead, Item, ObjectKind, Page, RequestHead, ResponseHead, Stored,
 };
 pub use framing::Framing;
 pub use log::{LineKind, LogQuota, OmittedLines};
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -33,6 +33,11 @@
     pub(crate) end: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ContinuationLabels {
+    pub(crate) result: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct StoreLabels {
     pub(crate) kind: &'static str,
@@ -50,6 +55,7 @@
     pub(crate) requests: Family<RouteLabels, Counter>,
     pub(crate) attempts: Family<AttemptLabels, Counter>,
     pub(crate) stream_ends: Family<StreamEndLabels, Counter>,
+    pub(crate) continuations: Family<ContinuationLabels, Counter>,
     pub(crate) store_calls: Family<StoreLabels, Counter>,
     pub(crate) connections_opened: Counter,
     pub(crate) clients: Gauge,
@@ -58,6 +64,7 @@
     pub(crate) condemned_parts: Gauge,
     pub(crate) limited_endpoints: Gauge,
     pub(crate) leaving_endpoints: Gauge,
+    pub(crate) recorded_streams: Gauge,
     pub(crate) first_byte_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
     pub(crate) complete_response_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
@@ -69,6 +76,7 @@
             requests: Family::default(),
             attempts: Family::default(),
             stream_ends: Family::default(),
+            continuations: Family::default(),
             store_calls: Family::default(),
             connections_opened: Counter::default(),
             clients: Gauge::default(),
@@ -77,6 +85,7 @@
             condemned_parts: Gauge::default(),
             limited_endpoints: Gauge::default(),
             leaving_endpoints: Gauge::default(),
+            recorded_streams: Gauge::default(),
             first_byte_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
             complete_response_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
         };
@@ -95,6 +104,11 @@
             "Streams of endpoints by framing and end",
             self.stream_ends.clone(),
         );
+        r.register(
+            "continuations",
+            "Streams that clients continue, by what is known of their software version",
+            self.continuations.clone(),
+        );
         r.register("store_calls", "Calls to the store by result", self.store_calls.clone());
         r.register(
             "connections_opened",
@@ -127,6 +141,11 @@
             "Registered endpoints that leave",
             self.leaving_endpoints.clone(),
         );
+        r.register(
+            "recorded_streams",
+            "Streams whose software version is kept",
+            self.recorded_streams.clone(),
+        );
         r.register(
             "first_byte_seconds",
             "Time from a request to the head of its answer",
--- a/components/gateway/src/object_feed.rs
+++ b/components/gateway/src/object_feed.rs
@@ -1,5 +1,6 @@
 use crate::adapter::{Adapter, Changes, Item, ObjectKind, Page};
 use crate::gateway::{Change, Gateway};
+use crate::software_versions::admit;
 use decision::Millis;
 use decision::routing::{Catalog, Configuration, Registration};
 use serde::Serialize;
@@ -20,6 +21,17 @@
     /// Decodes the response to a watch.
     fn read_changes<A: Adapter>(adapter: &A, body: &[u8]) -> Result<Changes<Self::Value>, String>;
 
+    /// Decides which objects from the store may be applied now; `is_complete` says that these are all
+    /// of the kind.
+    fn admit<A: Adapter>(
+        _gateway: &Gateway<A>,
+        items: Vec<Item<Self::Value>>,
+        _is_complete: bool,
+        _now: Millis,
+    ) -> Vec<Item<Self::Value>> {
+        items
+    }
+
     /// Replaces all objects of the kind. With `after_outage`, an endpoint whose entry is missing
     /// has time to register again before it is removed.
     fn replace<A: Adapter>(
@@ -141,6 +153,16 @@
         adapter.read_registration_changes(body)
     }
 
+    /// Withholds endpoints at whose software version no stream may begin yet.
+    fn admit<A: Adapter>(
+        gateway: &Gateway<A>,
+        items: Vec<Item<Registration>>,
+        is_complete: bool,
+        now: Millis,
+    ) -> Vec<Item<Registration>> {
+        admit(gateway, items, is_complete, now)
+    }
+
     fn replace<A: Adapter>(
         gateway: &Gateway<A>,
         items: Vec<Item<Registration>>,
@@ -159,7 +181,7 @@
         }
         let changes = gateway.directory.borrow_mut().replace(entries, after_outage, now);
         gateway.publish_registry_changes(&changes);
-        gateway.registry_known.set(true);
+        gateway.mark_registry_known();
     }
 
     fn apply_change<A: Adapter>(
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -49,7 +49,7 @@
     limits: WaitLimits,
     tried: &BTreeSet<String>,
 ) -> WaitOutcome {
-    let key = (request.service.clone(), request.lane);
+    let key = request.queue_key();
     let ticket = gateway.wait_queues.borrow_mut().enqueue(&key, request.priority);
     let entry = QueueEntry { gateway, key, ticket };
     let mut text = String::from("requests of higher priority or earlier arrival are waiting");
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -4,6 +4,7 @@
 use crate::busy_connection::BusyConnection;
 use crate::clock::now;
 use crate::contents::{has_evidence, judge};
+use crate::continuation::{known_origin, record_beginning};
 use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::metrics::StreamEndLabels;
@@ -46,6 +47,7 @@
         writer,
         summary: StreamSummary::new(streaming.framing),
         splitter: EventSplitter::default(),
+        has_begun: false,
         tried,
         sends,
     };
@@ -60,6 +62,8 @@
     /// The stream that is being forwarded, or was forwarded last.
     summary: StreamSummary,
     splitter: EventSplitter,
+    /// Whether an event was forwarded.
+    has_begun: bool,
     tried: BTreeSet<String>,
     sends: u32,
 }
@@ -67,7 +71,7 @@
 impl<A: Adapter> Relay<A> {
     async fn run(mut self, mut body: Incoming, mut connection: BusyConnection<A>) {
         loop {
-            let end = self.forward_events(&mut body).await;
+            let end = self.forward_events(&mut body, &connection).await;
             self.count_end(&end);
             let interruption = match end {
                 StreamEnd::Complete => {
@@ -90,19 +94,24 @@
             connection.in_flight.close(Outcome::Failed);
             drop(body);
             match self.resume().await {
-                Some(next) => {
+                Ok(next) => {
                     self.summary = StreamSummary::new(next.framing);
                     (body, connection) = (next.body, next.connection);
                 }
-                None => {
-                    return self.finish("broken", &interruption.to_string());
+                Err(text) => {
+                    let text = format!("{interruption}; not resumed: {text}");
+                    return self.finish("broken", &text);
                 }
             }
         }
     }
 
     /// Forwards complete events as they arrive, until the stream ends.
-    async fn forward_events(&mut self, body: &mut Incoming) -> StreamEnd {
+    async fn forward_events(
+        &mut self,
+        body: &mut Incoming,
+        connection: &BusyConnection<A>,
+    ) -> StreamEnd {
         loop {
             let left = Duration::from_millis(self.request.time_left(now()).0);
             let frame = tokio::select! {
@@ -118,8 +127,9 @@
                 Err(_) => return StreamEnd::Interrupted(Interruption::Deadline),
             };
             let events = self.splitter.push(&chunk);
-            if !self.summary.has_events {
-                self.summary.has_events = events.as_deref().is_some_and(has_event);
+            if !self.summary.has_events && events.as_deref().is_some_and(has_event) {
+                self.summary.has_events = true;
+                self.record_beginning(connection);
             }
             self.summary.unfinished_bytes = self.splitter.partial_bytes();
             if let Some(events) = events
@@ -130,6 +140,17 @@
         }
     }
 
+    /// Records the software version of the stream with the first event that is forwarded.
+    fn record_beginning(&mut self, connection: &BusyConnection<A>) {
+        if self.has_begun {
+            return;
+        }
+        self.has_begun = true;
+        let in_flight = &connection.in_flight;
+        let version = in_flight.software_version().unwrap_or_default();
+        record_beginning(&self.gateway, &self.request, in_flight.endpoint(), version);
+    }
+
     /// Records that the stream was complete. One that ends with its connection also looks complete
     /// if the endpoint crashed between two events, so a suspected one is checked.
     fn record_completion(&self, connection: &BusyConnection<A>) {
@@ -156,12 +177,18 @@
         }
     }
 
-    /// Resumes the stream at another endpoint after the last complete event.
-    async fn resume(&mut self) -> Option<StreamingResponse<A>> {
+    /// Resumes the stream at another endpoint after the last complete event. The error states why
+    /// it is not.
+    async fn resume(&mut self) -> Result<StreamingResponse<A>, &'static str> {
         self.splitter.take_partial();
+        if self.has_begun {
+            let origin = known_origin(&self.gateway, self.request.stream_key());
+            self.request.origin =
+                Some(origin.ok_or("the software version of the stream is unknown")?);
+        }
         let request = &self.request;
         if judge(&self.gateway, request, now()) != Judgement::Admitted {
-            return None;
+            return Err("endpoints crashed under such requests before");
         }
         while request.repeat == Repeat::Resumable
             && self.sends < request.max_attempts
@@ -170,12 +197,17 @@
             let limits = request.wait_limits(&self.tried, now());
             let placed = tokio::select! {
                 placed = wait_for_endpoint(&self.gateway, request, limits, &self.tried) => placed,
-                () = self.writer.client_left() => return None,
+                () = self.writer.client_left() => return Err("the client left"),
+            };
+            let choice = match placed {
+                WaitOutcome::Placed(choice) => choice,
+                WaitOutcome::TimedOut(_) => return Err("no endpoint could start it in time"),
+                WaitOutcome::NoEndpoint => return Err("no further endpoint is registered"),
+                WaitOutcome::Condemned(_) => return Err("such requests crash endpoints"),
             };
-            let WaitOutcome::Placed(choice) = placed else { return None };
             let daemons = self.gateway.daemon_count(now());
             if !self.gateway.retry_budget.borrow_mut().try_spend(&request.service, daemons, now()) {
-                return None;
+                return Err("retry budget exhausted");
             }
             self.sends += 1;
             self.tried.insert(choice.id.clone());
@@ -183,10 +215,10 @@
             if let Ok(EndpointResponse::Streaming(next)) =
                 attempt(&self.gateway, request, &choice, last_event).await
             {
-                return Some(*next);
+                return Ok(*next);
             }
         }
-        None
+        Err("the route allows no further attempt, or the deadline has passed")
     }
 
     /// Counts the end of one endpoint's stream.
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -1,7 +1,8 @@
 use bytes::Bytes;
 use decision::Millis;
 use decision::routing::{
-    Caller, Catalog, Demand, Lane, Prompt, Repeat, Route, WaitLimits, request_digest,
+    Caller, Catalog, Demand, Lane, Prompt, QueueKey, Repeat, Route, SoftwareVersion, StreamKey,
+    WaitLimits, request_digest,
 };
 use http::{HeaderMap, Method, Uri};
 use std::cell::OnceCell;
@@ -32,6 +33,10 @@
     pub(crate) last_event: Option<String>,
     /// The id of the request that brought the first event of the stream that the client continues.
     pub(crate) resumes: Option<String>,
+    /// The software version at which a stream that has events must go on.
+    pub(crate) origin: Option<SoftwareVersion>,
+    /// Time after which the client no longer waits for the end of a stream, whatever the route allows.
+    pub(crate) client_leaves: Millis,
     /// Computed when it is first needed.
     pub(crate) digest: OnceCell<u64>,
     pub(crate) arrived: Millis,
@@ -78,6 +83,19 @@
         }
     }
 
+    /// The queue in which the request waits for an endpoint.
+    pub(crate) fn queue_key(&self) -> QueueKey {
+        let software_version = self.origin.as_ref().map(|origin| origin.version.clone());
+        QueueKey { service: self.service.clone(), lane: self.lane, software_version }
+    }
+
+    /// The key of the stream that the request begins or continues; `None` without a request id.
+    pub(crate) fn stream_key(&self) -> Option<StreamKey> {
+        let continued = self.resumes.as_ref().filter(|_| self.last_event.is_some());
+        let id = continued.or(self.request_id.as_ref())?;
+        Some(StreamKey::new(self.account.as_deref(), id))
+    }
+
     /// Time left until the deadline.
     pub(crate) fn time_left(&self, now: Millis) -> Millis {
         self.deadline - now
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -5,7 +5,9 @@
 use crate::log::{self, Log};
 use crate::object_feed::{Configurations, Endpoints};
 use crate::settings::{Settings, SettingsFile};
+use crate::software_versions::keep_versions;
 use crate::store_reader::read_store;
+use crate::stream_writer::write_streams;
 use crate::update_source::UpdateSource;
 use crate::{follow, load_reports};
 use decision::Millis;
@@ -86,6 +88,8 @@
     }
     spawn_local(read_store::<A, Configurations>(gateway.clone()));
     spawn_local(read_store::<A, Endpoints>(gateway.clone()));
+    spawn_local(keep_versions(gateway.clone()));
+    spawn_local(write_streams(gateway.clone()));
     if let Some(address) = settings.listen_peers {
         listen(&gateway, address, Role::Peers)?;
         spawn_local(follow::run(gateway.clone()));
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -1,16 +1,17 @@
 use crate::adapter::{Adapter, RequestHead};
 use crate::attempt::is_hop_header;
 use crate::clock::now;
+use crate::continuation::find_origin;
 use crate::dispatch::{dispatch, not_run_refusal};
 use crate::gateway::Gateway;
 use crate::log::LineKind;
-use crate::metrics::{RouteLabels, ServiceLabels};
+use crate::metrics::{ContinuationLabels, RouteLabels, ServiceLabels};
 use crate::response::{Refusal, ResponseBody};
 use crate::routed_request::{RoutedRequest, destination, priority};
 use crate::stream_end::StreamSummary;
 use bytes::Bytes;
 use decision::Millis;
-use decision::routing::{Caller, Catalog, Route};
+use decision::routing::{Caller, Catalog, Route, SoftwareVersion};
 use errors::{Reason, Verdict};
 use http::header::{CONNECTION, HOST};
 use http::request::Parts;
@@ -70,7 +71,11 @@
         }
         Err(rejection) => Err(rejection),
     };
-    let mut response = match routed {
+    let continued = match routed {
+        Ok(request) => continue_stream(gateway, request).await,
+        Err(rejection) => Err(rejection),
+    };
+    let mut response = match continued {
         Ok(request) => dispatch(gateway, request).await,
         Err(rejection) => {
             let route = rejection.route.as_deref().unwrap_or("-");
@@ -85,6 +90,49 @@
     response
 }
 
+/// Finds the software version at which a stream goes on that a client continues.
+async fn continue_stream<A: Adapter>(
+    gateway: &Gateway<A>,
+    request: RoutedRequest,
+) -> Result<RoutedRequest, Rejection> {
+    if !request.streamed || request.last_event.is_none() {
+        return Ok(request);
+    }
+    let route = request.route.clone();
+    let continued = match find_origin(gateway, &request).await {
+        Ok(origin) => go_on_at(gateway, request, origin),
+        Err(text) => Err(text),
+    };
+    let result = if continued.is_ok() { "known" } else { "unknown" };
+    gateway.metrics.continuations.get_or_create(&ContinuationLabels { result }).inc();
+    continued.map_err(|text| {
+        let refusal = not_run_refusal(gateway, Reason::CannotResume);
+        Rejection { route: Some(route), ..Rejection::new(refusal, text) }
+    })
+}
+
+/// Binds a request to the service and software version that began its stream. The error states why
+/// its route does not allow that.
+fn go_on_at<A: Adapter>(
+    gateway: &Gateway<A>,
+    request: RoutedRequest,
+    origin: SoftwareVersion,
+) -> Result<RoutedRequest, String> {
+    let catalog = gateway.catalog().filter(|_| origin.service != request.service);
+    let Some(catalog) = catalog else {
+        return Ok(RoutedRequest { origin: Some(origin), ..request });
+    };
+    let routes = &catalog.configuration().routes;
+    let route = routes.iter().find(|route| route.name == request.route).filter(|route| {
+        route.destinations.iter().any(|d| d.service == origin.service && d.weight > 0)
+    });
+    let Some(route) = route else {
+        return Err(format!("the route no longer leads to service {}", origin.service));
+    };
+    let lane = catalog.lane(route, &origin.service);
+    Ok(RoutedRequest { service: origin.service.clone(), lane, origin: Some(origin), ..request })
+}
+
 /// Finds the route of a request, checks its key and selects its service.
 fn route_request<A: Adapter>(
     gateway: &Gateway<A>,
@@ -118,7 +166,9 @@
     let caller = catalog.caller(route, head.key.as_deref());
     let account =
         account(gateway, &catalog, caller).map_err(|rejection| rejection.on_route(route))?;
-    let id = head.request_id.as_deref().unwrap_or("");
+    // A stream that a client continues goes where its first request went.
+    let continued = head.resumes.as_ref().filter(|_| head.last_event.is_some());
+    let id = continued.or(head.request_id.as_ref()).map_or("", String::as_str);
     let Some(service) = destination(route, &catalog, id) else {
         let refusal = not_run_refusal(gateway, Reason::NoEndpoint);
         return Err(Rejection::new(refusal, "route has no configured service").on_route(route));
@@ -142,6 +192,8 @@
         lane: catalog.lane(route, service),
         last_event: head.last_event,
         resumes: head.resumes,
+        origin: None,
+        client_leaves: arrived + head.remaining.unwrap_or(route.timeout),
         digest: OnceCell::new(),
         arrived,
         deadline: arrived + limit,
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -18,6 +18,8 @@
     pub metrics_path: String,
     /// The address of the object store.
     pub store: SocketAddr,
+    /// The writes to the store that all daemons together may make in a second.
+    pub store_writes_per_second: f64,
     /// The time within which a revoked key stops working, even if this instance cannot reach the
     /// store. `None` accepts keys however old the configuration is.
     pub revocation_bound: Option<Millis>,
@@ -45,6 +47,7 @@
             listen_metrics: None,
             metrics_path: "/metrics".to_owned(),
             store: SocketAddr::from(([127, 0, 0, 1], 0)),
+            store_writes_per_second: 400.0,
             revocation_bound: None,
             stop_timeout: Millis(8_000),
             retry_budget: RetryBudgetConfig::default(),
--- a/components/gateway/src/store_reader.rs
+++ b/components/gateway/src/store_reader.rs
@@ -111,6 +111,7 @@
             }
         }
         let after_outage = !self.gateway.is_registry_settled(now());
+        let items = F::admit(&self.gateway, items, true, now());
         F::replace(&self.gateway, items, after_outage, now());
         F::confirm(&self.gateway, sent);
         self.revision = revision;
@@ -132,7 +133,7 @@
         let changes = F::read_changes(&self.gateway.adapter, &body)
             .map_err(|text| CallError::Unreadable { target, text })?;
         let after_outage = !self.gateway.is_registry_settled(now());
-        for item in changes.items {
+        for item in F::admit(&self.gateway, changes.items, false, now()) {
             F::apply_change(&self.gateway, item, after_outage, now());
         }
         F::confirm(&self.gateway, sent);
--- a/tests/gateway/software_versions.rs
+++ b/tests/gateway/software_versions.rs
@@ -85,7 +85,7 @@
 
     /// Kills all gateways and waits until the last one serves again.
     fn kill_all_gateways(&mut self) {
-        let seen: Vec<usize> = self.gateways.iter().map(|g| joined(g)).collect();
+        let seen: Vec<usize> = self.gateways.iter().map(joined).collect();
         for gateway in &mut self.gateways {
             gateway.restart("KILL").unwrap();
         }
