--- a/components/decision/tests/routing/main.rs
+++ b/components/decision/tests/routing/main.rs
@@ -18,4 +18,6 @@
 mod simulated_fleet;
 mod simulated_readers;
 mod start_wait;
+mod stream_records;
+mod version_record;
 mod wait_queues;
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod random_faults;
 mod scenarios;
 mod store;
+mod stream_versions;
 mod table;
 
 pub use crashing_prompts::{CrashConfig, CrashResult, measure_crashes};
@@ -24,4 +25,5 @@
     measure_steady_traffic, measure_store_load,
 };
 pub use store::{Store, lists_text};
+pub use stream_versions::{StreamFaults, StreamResult, measure_streams};
 pub use table::{Table, slope};
--- a/components/fleet/src/main.rs
+++ b/components/fleet/src/main.rs
@@ -4,9 +4,9 @@
 use decision::Millis;
 use decision::cluster::ClusterConfig;
 use fleet::{
-    ChangeTimes, CrashConfig, FleetConfig, Table, bytes_per_cluster, measure_changes,
+    ChangeTimes, CrashConfig, FleetConfig, StreamFaults, Table, bytes_per_cluster, measure_changes,
     measure_crashes, measure_deaths, measure_departure, measure_steady_traffic, measure_store_load,
-    run_random_faults, slope,
+    measure_streams, run_random_faults, slope,
 };
 use std::thread;
 
@@ -26,7 +26,7 @@
 /// Simulates a fleet of cluster state machines and prints tables of the results.
 #[derive(FromArgs)]
 struct Args {
-    /// the measurement: change, steady, death, store, memory, crashes, random or all
+    /// the measurement: change, steady, death, store, memory, crashes, streams, random or all
     #[argh(positional, default = "String::from(\"all\")")]
     what: String,
     /// number of randomised runs, each with its own seed
@@ -67,6 +67,9 @@
         print_crashes(true);
         print_departures();
     }
+    if all || args.what == "streams" {
+        print_streams();
+    }
     if all || args.what == "random" {
         for seed in args.first_seed..args.first_seed + args.seeds {
             run_random_faults(args.size, seed);
@@ -75,6 +78,24 @@
     }
 }
 
+fn print_streams() {
+    let faults = [
+        StreamFaults::Interruptions,
+        StreamFaults::AllKilled,
+        StreamFaults::HalfCutOff,
+        StreamFaults::StoreAway,
+    ];
+    println!(
+        "\nStreams that clients continue while endpoints of several software versions serve\n"
+    );
+    for daemons in [7, 80, 300] {
+        for faults in faults {
+            let result = measure_streams(daemons, faults, 1);
+            println!("{daemons} daemons, {faults:?}: {result:?}");
+        }
+    }
+}
+
 /// Measures the cases, [`WORKERS`] at a time, and returns the results in the order of the cases.
 fn measure_all<C: Copy + Sync, R: Send>(cases: &[C], measure: impl Fn(C) -> R + Sync) -> Vec<R> {
     let mut results = Vec::new();
