--- a/components/fleet/src/stream_versions.rs
+++ b/components/fleet/src/stream_versions.rs
@@ -205,13 +205,12 @@
         }
         let listed = self.daemons[number].pending[position].1.clone();
         self.result.store_calls += u64::from(number < DATA_CENTRES);
-        if !listed.iter().all(|version| self.record.is_in_service(version)) {
-            if let Some(updated) =
-                self.daemons[number].keeper.update(&self.record, &listed, RETENTION, now)
-            {
-                self.record = updated;
-                self.result.store_calls += 1;
-            }
+        let is_recorded = listed.iter().all(|version| self.record.is_in_service(version));
+        let keeper = &mut self.daemons[number].keeper;
+        if !is_recorded && let Some(updated) = keeper.update(&self.record, &listed, RETENTION, now)
+        {
+            self.record = updated;
+            self.result.store_calls += 1;
         }
         let daemon = &mut self.daemons[number];
         daemon.usable = listed;
--- a/fakes/src/soak/check.rs
+++ b/fakes/src/soak/check.rs
@@ -1,4 +1,5 @@
 use crate::clients::{Observation, TARGETS};
+use crate::versions::{BrokenStream, without_versions};
 use fakes::PlatformEndpoint;
 use gateway::RefusalLine;
 use serde_json::Value;
@@ -76,8 +77,10 @@
         let id = request.message.header("x-chervilspur-attempt-id").to_owned();
         *runs.entry(id).or_default() += 1;
     }
-    let full_stream: String =
-        (1..=events).map(|event| format!("id: {event}\ndata: piece {event}\n\n")).collect();
+    let stream_after = |last: usize| -> String {
+        let events = last + 1..=events as usize;
+        events.map(|event| format!("id: {event}\ndata: piece {event}\n\n")).collect()
+    };
     for one in observations {
         let (target, may_repeat) = TARGETS[one.target];
         let ran = runs.get(&one.id).copied().unwrap_or(0);
@@ -94,7 +97,8 @@
         }
         if one.status == Some(200) && one.is_complete {
             let is_expected = if target.contains("stream") {
-                one.body == full_stream
+                let last = one.continues.as_ref().map_or(0, BrokenStream::last_event);
+                without_versions(&one.body) == stream_after(last)
             } else {
                 one.body.ends_with(&format!("to {}", one.id))
             };
--- a/fakes/src/soak/clients.rs
+++ b/fakes/src/soak/clients.rs
@@ -1,3 +1,4 @@
+use crate::versions::{BrokenStream, STREAM_TARGET};
 use fakes::Client;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -32,6 +33,8 @@
     Plain,
     /// They have prompts, a part of which crashes endpoints.
     Prompts,
+    /// Endpoints have several software versions, and clients continue streams that broke off.
+    Versions,
     /// One of them crashes endpoints and comes again.
     Repetitions,
 }
@@ -49,6 +52,8 @@
     /// Whether the whole body was received.
     pub is_complete: bool,
     pub body: String,
+    /// The stream that the request continued.
+    pub continues: Option<BrokenStream>,
     /// Whether the response has the signature of an endpoint.
     pub is_signed: bool,
     /// The endpoint that stated in its response that it leaves.
@@ -69,23 +74,29 @@
     let mut rng = Pcg64Mcg::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(number as u64));
     let mut observations = Vec::new();
     let mut connection: Option<(usize, Client)> = None;
+    let mut broken_stream: Option<BrokenStream> = None;
     while !stop.load(Ordering::SeqCst) {
         let id = format!("s{seed}-c{number}-{}", observations.len());
         let target = rng.random_range(0..TARGETS.len());
+        let target = if broken_stream.is_some() { STREAM_TARGET } else { target };
         let gateway = rng.random_range(0..gateways.len());
         let open = connection.take();
         let gateway = open.as_ref().map_or(gateway, |(gateway, _)| *gateway);
         let client = open.map(|(_, client)| client);
         let client = client.or_else(|| Client::connect(gateways[gateway]).ok());
-        let headers = if load == Load::Prompts {
-            prompt_headers(&mut rng, observations.len())
-        } else {
-            String::new()
+        let headers = match (&broken_stream, load) {
+            (Some(stream), _) => stream.headers(),
+            (None, Load::Prompts) => prompt_headers(&mut rng, observations.len()),
+            (None, _) => String::new(),
         };
         let is_repetition = observations.len() % REPETITION_INTERVAL == REPETITION_INTERVAL / 2;
         let body = if load == Load::Repetitions && is_repetition { CRASHING_BODY } else { "body" };
         let request = Request { id: &id, gateway, target, headers: &headers, body };
-        let (observation, client) = send_request(client, &request);
+        let (mut observation, client) = send_request(client, &request);
+        observation.continues = broken_stream.take();
+        if load == Load::Versions {
+            broken_stream = BrokenStream::after(&observation, observation.continues.clone());
+        }
         connection = client.map(|client| (gateway, client));
         let failed = observation.status != Some(200);
         observations.push(observation);
@@ -125,6 +136,7 @@
         status: None,
         is_complete: false,
         body: String::new(),
+        continues: None,
         is_signed: false,
         leaving_endpoint: None,
         sent_at: Instant::now(),
--- a/fakes/src/soak/departures.rs
+++ b/fakes/src/soak/departures.rs
@@ -96,6 +96,7 @@
         | Fault::Continue(number)
         | Fault::Kill(number)
         | Fault::Terminate(number) => *number == gateway,
+        Fault::KillAll => true,
         _ => false,
     };
     applied.iter().any(|(at, fault)| of_gateway(fault) && (since..=until).contains(at))
--- a/fakes/src/soak/faults.rs
+++ b/fakes/src/soak/faults.rs
@@ -19,13 +19,15 @@
     Continue(usize),
     /// A gateway is killed with `SIGKILL` and restarted.
     Kill(usize),
+    /// All gateways are killed with `SIGKILL` at the same time and restarted.
+    KillAll,
     /// A gateway is stopped with `SIGTERM` and restarted.
     Terminate(usize),
     /// A new version of the configuration is published.
     Configure,
     /// An endpoint states from now on that it leaves; its entry says that it is ready.
     Leave(usize),
-    /// An endpoint that left starts anew.
+    /// An endpoint that left starts anew, in runs with software versions at the other one.
     Return(usize),
 }
 
--- a/fakes/src/soak/main.rs
+++ b/fakes/src/soak/main.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod prompts;
 mod run;
+mod versions;
 
 use argh::FromArgs;
 use clients::Load;
@@ -39,6 +40,10 @@
     #[argh(switch)]
     prompts: bool,
 
+    /// give endpoints several software versions, and kill all gateways at times
+    #[argh(switch)]
+    versions: bool,
+
     /// send a request again and again that crashes endpoints
     #[argh(switch)]
     repetitions: bool,
@@ -46,14 +51,15 @@
 
 fn main() -> ExitCode {
     let flags: Flags = argh::from_env();
-    let load = match (flags.prompts, flags.repetitions) {
-        (true, true) => {
-            eprintln!("--prompts and --repetitions: choose one of them");
+    let load = match (flags.prompts, flags.repetitions, flags.versions) {
+        (true, false, false) => Load::Prompts,
+        (false, true, false) => Load::Repetitions,
+        (false, false, true) => Load::Versions,
+        (false, false, false) => Load::Plain,
+        _ => {
+            eprintln!("--prompts, --repetitions and --versions: choose one of them");
             return ExitCode::FAILURE;
         }
-        (true, false) => Load::Prompts,
-        (false, true) => Load::Repetitions,
-        (false, false) => Load::Plain,
     };
     let mut failed = 0;
     for seed in flags.first_seed..flags.first_seed + flags.seeds {
--- a/fakes/src/soak/run.rs
+++ b/fakes/src/soak/run.rs
@@ -5,6 +5,7 @@
 use crate::prompts::{
     AppliedFault, check_prompts, check_repetitions, is_used_with_prompts, random_limit,
 };
+use crate::versions::{check_versions, generate_losses, set_other_version, set_version};
 use fakes::{
     CrashStage, CrashingBody, CrashingPart, GatewayConfig, GatewayProcess, Link, PlatformEndpoint,
     PlatformStore, Proxy, StoreMode,
@@ -23,6 +24,8 @@
 const EVENTS: u32 = 6;
 /// The time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(4);
+/// The same in runs in which clients continue streams: long enough for these to be recorded.
+const LONG_EVENT_INTERVAL: Duration = Duration::from_millis(80);
 /// Gateways write their lines in batches, up to 250 ms after the response. Includes a margin.
 const LOG_DELAY: Duration = Duration::from_millis(500);
 const RESTART_AFTER: Duration = Duration::from_millis(400);
@@ -64,7 +67,7 @@
 fn set_crashes(endpoint: &PlatformEndpoint, load: Load) {
     let restart_after = RESTART_AFTER;
     match load {
-        Load::Plain => {}
+        Load::Plain | Load::Versions => {}
         Load::Prompts => {
             let id = CRASHING_PART.to_owned();
             endpoint.set_crashing_part(Some(CrashingPart { id, restart_after }));
@@ -92,6 +95,8 @@
     /// When gateways were killed with `SIGKILL`.
     killed_at: Vec<Instant>,
     applied: Vec<AppliedFault>,
+    /// Whether endpoints have several software versions.
+    has_versions: bool,
 }
 
 impl Site {
@@ -104,12 +109,20 @@
         let mut endpoints = Vec::new();
         let mut links = Vec::new();
         let mut addresses = Vec::new();
+        let has_long_streams = load == Load::Versions;
+        let interval = if has_long_streams { LONG_EVENT_INTERVAL } else { EVENT_INTERVAL };
         for number in 0..ENDPOINTS {
-            let endpoint = PlatformEndpoint::start(&format!("i-{number}"), EVENTS, EVENT_INTERVAL)?;
+            let endpoint = PlatformEndpoint::start(&format!("i-{number}"), EVENTS, interval)?;
             let link = Proxy::start(endpoint.address)?;
-            let address = if load == Load::Plain { link.address } else { endpoint.address };
+            let has_link = matches!(load, Load::Plain | Load::Versions);
+            let address = if has_link { link.address } else { endpoint.address };
             set_crashes(&endpoint, load);
-            store.put("servers", &endpoint.id, registration(address, 1, 1));
+            if load == Load::Versions {
+                set_version(&endpoint, number);
+            }
+            let mut entry = registration(address, 1, 1);
+            entry["version"] = json!(endpoint.software_version());
+            store.put("servers", &endpoint.id, entry);
             addresses.push(address);
             endpoints.push(endpoint);
             links.push(link);
@@ -133,6 +146,7 @@
             starts: vec![1; ENDPOINTS],
             killed_at: Vec::new(),
             applied: Vec::new(),
+            has_versions: load == Load::Versions,
         })
     }
 
@@ -149,6 +163,11 @@
                 self.killed_at.push(Instant::now());
                 self.gateways[number].restart("KILL")?;
             }
+            Fault::KillAll => {
+                self.killed_at.push(Instant::now());
+                self.gateways.iter_mut().try_for_each(|gateway| gateway.restart("KILL"))?;
+                self.killed_at.push(Instant::now());
+            }
             Fault::Terminate(number) => self.gateways[number].restart("TERM")?,
             Fault::Configure => {
                 self.version += 1;
@@ -161,6 +180,9 @@
             Fault::Return(number) => {
                 self.starts[number] += 1;
                 self.endpoints[number].set_leaving(false);
+                if self.has_versions {
+                    set_other_version(&self.endpoints[number]);
+                }
                 self.register(number, 1);
             }
         }
@@ -169,7 +191,8 @@
 
     /// Writes the entry of an endpoint, which says that it is ready.
     fn register(&self, number: usize, heartbeats: u64) {
-        let entry = registration(self.addresses[number], self.starts[number], heartbeats);
+        let mut entry = registration(self.addresses[number], self.starts[number], heartbeats);
+        entry["version"] = json!(self.endpoints[number].software_version());
         self.store.put("servers", &self.endpoints[number].id, entry);
     }
 
@@ -205,7 +228,10 @@
     let limit = random_limit(&mut rng);
     faults.extend(generate_departures(&mut rng, seconds * 1_000, ENDPOINTS));
     faults.sort_by_key(|(at_ms, _)| *at_ms);
-    if load != Load::Plain {
+    if load == Load::Versions {
+        faults.extend(generate_losses(&mut rng, seconds * 1_000));
+        faults.sort_by_key(|(at_ms, _)| *at_ms);
+    } else if load != Load::Plain {
         faults.retain(|(_, fault)| is_used_with_prompts(fault));
     }
     if load == Load::Prompts {
@@ -231,6 +257,7 @@
     let mut summary = check_observations(&observations, &site.endpoints, EVENTS)?;
     let crashes = match load {
         Load::Plain => String::from("no crashes"),
+        Load::Versions => check_versions(&observations)?,
         Load::Prompts => check_prompts(&observations, &site.endpoints, limit, &site.applied)?,
         Load::Repetitions => check_repetitions(&observations, &site.endpoints, &site.applied)?,
     };
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -18,6 +18,15 @@
 const REPETITION_RUN: [&str; 7] =
     ["--repetitions", "--first-seed", "1", "--seconds", "12", "--gateways", "3"];
 
+/// The same with several software versions, while all gateways are killed at times.
+const VERSION_RUN: [&str; 7] =
+    ["--versions", "--first-seed", "1", "--seconds", "10", "--gateways", "3"];
+
+#[test]
+fn gateways_let_streams_go_on_only_at_their_software_version_in_a_short_soak_run() {
+    run_soak(&VERSION_RUN);
+}
+
 #[test]
 fn gateways_keep_a_repeated_crashing_request_from_endpoints_in_a_short_soak_run() {
     run_soak(&REPETITION_RUN);
