Reproduce requests at a gateway that reaches no endpoint, as known failures

A gateway has network paths of its own to all endpoints, which its view of the store names, and these are cut while the store and another gateway reach it: open connections reset and new ones refused, or both without response. None of its requests is served from 4 s after the cut, six cases; all are at the other gateway. While open connections live on and only new ones are refused, enough are served.

--- /dev/null
+++ b/fakes/src/platform/path.rs
@@ -0,0 +1,145 @@
+use super::closing::set_reset_on_close;
+use super::crash::rebind;
+use socket2::{Domain, SockRef, Socket, Type};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+/// How a network path treats connections.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PathState {
+    /// Forwards them.
+    Open,
+    /// Resets open ones and refuses new ones.
+    Reset,
+    /// Forwards open ones and refuses new ones.
+    RefusesNew,
+    /// Holds back the bytes of open ones and does not respond to new ones.
+    Hanging,
+}
+
+/// How often a path that holds back bytes checks whether it may forward them.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Connections that fill the queue of a listener that accepts none.
+const QUEUE_FILLERS: usize = 4;
+
+#[derive(Debug, Default)]
+struct Sockets {
+    listener: Option<TcpListener>,
+    connections: Vec<TcpStream>,
+    /// Connections that fill the queue of a listener that accepts none.
+    fillers: Vec<Socket>,
+}
+
+/// A network path on loopback to a process, which can be cut for those who use it.
+#[derive(Clone, Debug)]
+pub struct NetworkPath {
+    /// The address that it listens on.
+    pub address: SocketAddr,
+    target: SocketAddr,
+    sockets: Arc<Mutex<Sockets>>,
+    holds: Arc<AtomicBool>,
+}
+
+impl NetworkPath {
+    /// Starts a path to `target`.
+    pub fn start(target: SocketAddr) -> io::Result<NetworkPath> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let path = NetworkPath {
+            address: listener.local_addr()?,
+            target,
+            sockets: Arc::default(),
+            holds: Arc::default(),
+        };
+        path.accept(listener)?;
+        Ok(path)
+    }
+
+    fn sockets(&self) -> MutexGuard<'_, Sockets> {
+        self.sockets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes how it treats connections.
+    pub fn set(&self, state: PathState) -> io::Result<()> {
+        self.close_listener()?;
+        self.holds.store(state == PathState::Hanging, Ordering::SeqCst);
+        match state {
+            PathState::Open => self.accept(rebind(self.address)?),
+            PathState::RefusesNew => Ok(()),
+            PathState::Reset => {
+                for stream in self.sockets().connections.drain(..) {
+                    set_reset_on_close(&stream)?;
+                    // It may have ended already.
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
+                Ok(())
+            }
+            PathState::Hanging => self.fill_queue(),
+        }
+    }
+
+    fn close_listener(&self) -> io::Result<()> {
+        let mut sockets = self.sockets();
+        sockets.fillers.clear();
+        match sockets.listener.take() {
+            Some(listener) => SockRef::from(&listener).shutdown(Shutdown::Both),
+            None => Ok(()),
+        }
+    }
+
+    /// Listens without accepting, with a full queue, so that new connections get no response.
+    fn fill_queue(&self) -> io::Result<()> {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        listener.set_reuse_address(true)?;
+        listener.bind(&self.address.into())?;
+        listener.listen(0)?;
+        for _ in 0..QUEUE_FILLERS {
+            let filler = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+            filler.set_nonblocking(true)?;
+            // It is in progress, or waits for its place in the queue.
+            let _ = filler.connect(&self.address.into());
+            self.sockets().fillers.push(filler);
+        }
+        self.sockets().listener = Some(listener.into());
+        Ok(())
+    }
+
+    fn accept(&self, listener: TcpListener) -> io::Result<()> {
+        self.sockets().listener = Some(listener.try_clone()?);
+        let path = self.clone();
+        thread::spawn(move || {
+            while let Ok((caller, _)) = listener.accept() {
+                let path = path.clone();
+                // An I/O error ends only the threads of this connection.
+                thread::spawn(move || path.forward(&caller).unwrap_or_default());
+            }
+        });
+        Ok(())
+    }
+
+    fn forward(&self, caller: &TcpStream) -> io::Result<()> {
+        let upstream = TcpStream::connect(self.target)?;
+        self.sockets().connections.extend([caller.try_clone()?, upstream.try_clone()?]);
+        let (response_from, response_to) = (upstream.try_clone()?, caller.try_clone()?);
+        let responses = self.clone();
+        thread::spawn(move || responses.copy(response_from, response_to).unwrap_or_default());
+        self.copy(caller.try_clone()?, upstream)
+    }
+
+    fn copy(&self, mut from: TcpStream, mut to: TcpStream) -> io::Result<()> {
+        let mut buf = [0; 8_192];
+        loop {
+            let len = from.read(&mut buf).unwrap_or(0);
+            while self.holds.load(Ordering::SeqCst) {
+                thread::sleep(POLL_INTERVAL);
+            }
+            if len == 0 {
+                return to.shutdown(Shutdown::Both);
+            }
+            to.write_all(&buf[..len])?;
+        }
+    }
+}
--- a/fakes/src/platform/store.rs
+++ b/fakes/src/platform/store.rs
@@ -50,15 +50,27 @@
         let state = State { revision: 1, ..State::default() };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let store = PlatformStore { address: listener.local_addr()?, shared };
-        let served = store.clone();
+        store.clone().listen(listener, BTreeMap::new());
+        Ok(store)
+    }
+
+    /// Starts another listener of this store, in whose responses the addresses that are keys of
+    /// `paths` are replaced by their values. Returns its address.
+    pub fn start_view(&self, paths: BTreeMap<SocketAddr, SocketAddr>) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        self.clone().listen(listener, paths);
+        Ok(address)
+    }
+
+    fn listen(self, listener: TcpListener, paths: BTreeMap<SocketAddr, SocketAddr>) {
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = served.clone();
+                let (store, paths) = (self.clone(), paths.clone());
                 // An I/O error ends only the thread of this connection.
-                thread::spawn(move || store.serve(stream).unwrap_or_default());
+                thread::spawn(move || store.serve(stream, &paths).unwrap_or_default());
             }
         });
-        Ok(store)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -112,7 +124,7 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+    fn serve(&self, stream: TcpStream, paths: &BTreeMap<SocketAddr, SocketAddr>) -> io::Result<()> {
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(call) = read_message(&mut reader)? {
@@ -124,7 +136,10 @@
                 StoreMode::Closed => return Ok(()),
                 StoreMode::Up | StoreMode::Unavailable | StoreMode::HistoryGone => {}
             }
-            let body = body.to_string();
+            let mut body = body.to_string();
+            for (address, path) in paths {
+                body = body.replace(&format!("{address}\""), &format!("{path}\""));
+            }
             write!(
                 writer,
                 "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod framing;
 mod leaving_endpoints;
 mod monitoring;
+mod partitioned_gateways;
 mod responses;
 mod shutdown;
 mod software_versions;
