Pass requests on to another daemon while no endpoint is reached

Callers of instances that had lost their links to all endpoints got 503 for 0 of 128 and 15 of 50 first requests served, while the other instances reached the endpoints.

Cause: requests went only to endpoints that an instance reaches itself, and nothing looked at whether it reaches any. Class: a daemon takes its own failures for those of the endpoints, and has no way around.

A daemon to which new connections fail at all endpoints of all services passes requests on to one that reaches them, on the port for peers, with the client's key and id and what is left of its time; the peer treats them as a client's and sends them to endpoints only. Daemons state with each poll whether they reach endpoints and learn of eight that do. Connections that are opened for it tell when the state begins and ends.

--- a/components/decision/src/routing/directory.rs
+++ b/components/decision/src/routing/directory.rs
@@ -230,6 +230,15 @@
         self.listed().filter(|(_, r)| !r.draining)
     }
 
+    /// Returns the ids of the endpoints that accept new requests, by service.
+    pub fn usable_by_service(&self) -> BTreeMap<&str, BTreeSet<&str>> {
+        let mut services: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+        for (id, registration) in self.usable() {
+            services.entry(&registration.service).or_default().insert(id);
+        }
+        services
+    }
+
     /// Returns the endpoints of a service that accept new requests, by id.
     pub fn of_service<'a>(
         &'a self,
--- a/components/gateway/src/adapter.rs
+++ b/components/gateway/src/adapter.rs
@@ -130,6 +130,9 @@
     /// Sets the headers for the endpoint on a forwarded request.
     fn write_request(&self, headers: &mut HeaderMap, forwarded: &ForwardedHead<'_>);
 
+    /// Sets the headers of a client on a request that is passed on to another daemon.
+    fn write_relayed(&self, headers: &mut HeaderMap, key: Option<&str>, remaining: Millis);
+
     /// Evaluates the status and headers of an endpoint response.
     fn read_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -295,7 +295,13 @@
             None => {
                 gateway.metrics.connections_opened.inc();
                 let limit = CONNECT_TIMEOUT.min(request.time_left(now()));
-                Connection::open(address, limit).await?
+                let opened = Connection::open(address, limit).await;
+                // A limit below the connect timeout tells nothing about the endpoint.
+                if opened.is_ok() || limit == CONNECT_TIMEOUT {
+                    let (service, endpoint) = (&request.service, in_flight.endpoint());
+                    gateway.record_connection(service, endpoint, opened.is_ok(), now());
+                }
+                opened?
             }
         };
         // It may have left while the connection was opened.
@@ -375,7 +381,8 @@
         )
 }
 
-fn client_headers(headers: &HeaderMap) -> HeaderMap {
+/// The headers of a response that clients get.
+pub(crate) fn client_headers(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers.iter().filter(|(name, _)| !is_hop_header(name)) {
         forwarded.append(name.clone(), value.clone());
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -5,6 +5,7 @@
 use crate::gateway::Gateway;
 use crate::queue::{WaitOutcome, wait_for_endpoint};
 use crate::relay::relay;
+use crate::relayed_request::{RelayOutcome, relay_request};
 use crate::response::{Refusal, ResponseBody};
 use crate::routed_request::RoutedRequest;
 use crate::serve::{ANSWERED, FinishedRequest, RefusedRequest, finish, refuse};
@@ -126,6 +127,11 @@
     gateway: &Rc<Gateway<A>>,
     request: RoutedRequest,
 ) -> Response<ResponseBody> {
+    if gateway.was_cut_off.get()
+        && let Some(response) = relay_if_cut_off(gateway, &request).await
+    {
+        return response;
+    }
     gateway.retry_budget.borrow_mut().record_request(&request.service, now());
     let mut tried = BTreeSet::new();
     let mut attempts_made = Attempts { verdict: Verdict::NotRun, last_failure: None, sends: 0 };
@@ -170,9 +176,39 @@
             }
         }
     };
+    if attempts_made.verdict == Verdict::NotRun
+        && let Some(response) = relay_if_cut_off(gateway, &request).await
+    {
+        return response;
+    }
     respond_without_success(gateway, &request, attempts_made, &stop_reason)
 }
 
+/// Passes a request on to another daemon if this one reaches no endpoint. Returns `None` if the
+/// request was not passed on.
+async fn relay_if_cut_off<A: Adapter>(
+    gateway: &Gateway<A>,
+    request: &RoutedRequest,
+) -> Option<Response<ResponseBody>> {
+    if request.is_relayed || !gateway.is_cut_off() {
+        return None;
+    }
+    match relay_request(gateway, request).await {
+        RelayOutcome::Answered(response) => Some(*response),
+        RelayOutcome::NotSent => None,
+        RelayOutcome::Broken(text) => {
+            let refused_request = RefusedRequest {
+                id: request.id(),
+                route: &request.route,
+                arrived: request.arrived,
+                sends: 1,
+            };
+            let refusal = Refusal::new(Reason::EndpointFailed, Verdict::MayHaveRun);
+            Some(refuse(gateway, &refused_request, refusal, &text))
+        }
+    }
+}
+
 impl Attempts {
     /// Records a failed attempt. Returns the reason if no further attempt is allowed.
     fn record_failure(
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -15,8 +15,8 @@
 use decision::routing::{
     Catalog, ChangeLog, ConnectionBudget, Directory, DirectoryChange, EndpointLimits, FleetSize,
     Freshness, LoadExchange, LoadTable, NoticeBoard, NoticeId, OutcomeExchange, Peer,
-    PlacementConfig, Quarantine, ReaderElection, RetryBudget, Service, StreamRecords, WaitQueues,
-    start_wait,
+    PlacementConfig, Quarantine, Reachability, ReaderElection, Relays, RetryBudget, Service,
+    StreamRecords, WaitQueues, start_wait,
 };
 use messages::feed::EndpointChange;
 use rand::SeedableRng;
@@ -101,6 +101,10 @@
     /// Permits for responses with the complete registry.
     pub(crate) full_copies: Arc<Semaphore>,
     pub(crate) update_source: CurrentSource,
+    pub(crate) reachability: RefCell<Reachability>,
+    /// Whether this daemon reached no endpoint when it last looked.
+    pub(crate) was_cut_off: Cell<bool>,
+    pub(crate) relays: RefCell<Relays>,
     pub(crate) versions: SoftwareVersions,
     pub(crate) streams: RefCell<StreamRecords>,
     pub(crate) stream_lookup: Mutex<StreamLookup>,
@@ -152,6 +156,9 @@
             cached_endpoints: RefCell::new((0, Rc::from([]))),
             full_copies: Arc::new(Semaphore::new(CONCURRENT_FULL_COPIES)),
             update_source: CurrentSource::default(),
+            reachability: RefCell::default(),
+            was_cut_off: Cell::default(),
+            relays: RefCell::default(),
             versions: SoftwareVersions::default(),
             streams: RefCell::default(),
             stream_lookup: Mutex::default(),
@@ -289,6 +296,28 @@
         }
     }
 
+    /// Whether this daemon reaches no endpoint of any service.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let reachability = self.reachability.borrow();
+        reachability.is_doubtful() && reachability.is_cut_off(&self.directory().usable_by_service())
+    }
+
+    /// Records whether a new connection to an endpoint could be opened.
+    pub(crate) fn record_connection(
+        &self,
+        service: &str,
+        endpoint: &str,
+        is_open: bool,
+        now: Millis,
+    ) {
+        let mut reachability = self.reachability.borrow_mut();
+        if is_open {
+            reachability.record_connection(service, now);
+        } else {
+            reachability.record_failure(service, endpoint);
+        }
+    }
+
     /// Forgets the streams that an endpoint may have begun after it restarted with another software
     /// version, and before that was known.
     fn forget_restarted(&self, id: &str) {
@@ -319,6 +348,8 @@
         self.metrics.leaving_endpoints.set(directory.leaving() as i64);
         self.load_exchange.borrow_mut().expire(now);
         self.outcome_exchange.borrow_mut().expire(now);
+        self.reachability.borrow_mut().retain(|id| directory.get(id).is_some());
+        self.relays.borrow_mut().expire(now);
         self.streams.borrow_mut().expire(now);
         self.metrics.recorded_streams.set(self.streams.borrow().len() as i64);
         let mut quarantine = self.quarantine.borrow_mut();
--- a/components/gateway/src/listener.rs
+++ b/components/gateway/src/listener.rs
@@ -4,6 +4,7 @@
 use crate::gateway::Gateway;
 use crate::monitoring::serve_monitoring;
 use crate::peer_server;
+use crate::relayed_request::RELAYED_HEADER;
 use crate::response::ResponseBody;
 use crate::serve::serve;
 use decision::Millis;
@@ -162,8 +163,11 @@
     activity.requests.set(activity.requests.get() + 1);
     activity.is_http_1_0.set(req.version() == Version::HTTP_10);
     let response = match role {
-        Role::Clients => serve(gateway, req).await,
+        Role::Clients => serve(gateway, req, false).await,
         Role::Monitoring => serve_monitoring(gateway, req).await,
+        Role::Peers if req.headers().contains_key(RELAYED_HEADER) => {
+            serve(gateway, req, true).await
+        }
         Role::Peers => peer_server::respond(gateway, req).await,
     };
     activity.requests.set(activity.requests.get() - 1);
--- a/components/gateway/src/load_reports.rs
+++ b/components/gateway/src/load_reports.rs
@@ -3,7 +3,7 @@
 use crate::connection::Connection;
 use crate::gateway::Gateway;
 use crate::notices::receive_notices;
-use crate::peer_feed::{call, feed_request};
+use crate::peer_feed::{call, feed_request, learn_relays};
 use crate::update_source::UpdateSource;
 use decision::Millis;
 use decision::routing::NoticeSource;
@@ -95,6 +95,7 @@
                 partner.lacks_notices = partner.incarnation != incarnation;
                 partner.incarnation = incarnation;
                 receive_notices(gateway, &feed.notices, NoticeSource::Peer);
+                learn_relays(gateway, &data_centre, feed.relays);
                 let daemons = feed.daemons.unwrap_or(1) as usize;
                 let mut exchange = gateway.load_exchange.borrow_mut();
                 let loads = endpoint_loads(feed.loads);
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -135,6 +135,7 @@
         takes_over: false,
         whole_data_centre: false,
         all_notices: false,
+        reaches_endpoints: !gateway.is_cut_off(),
         from: None,
         wait_ms: 0,
         loads: load_rows(load_exchange.data_centre_loads(&own)),
@@ -217,6 +218,7 @@
     let loads = endpoint_loads(feed.loads);
     gateway.loads.borrow_mut().set_peer_loads(&loads, now());
     gateway.loads.borrow_mut().set_peer_outcomes(&feed.outcomes, now());
+    learn_relays(gateway, &feed.data_centre, feed.relays);
     if let Some(daemons) = feed.daemons {
         gateway.record_fleet_size(daemons as usize, now());
     }
@@ -231,6 +233,16 @@
     Ok(())
 }
 
+/// Records the daemons that reach endpoints, as a daemon of a data centre named them.
+pub(crate) fn learn_relays<A: Adapter>(
+    gateway: &Gateway<A>,
+    data_centre: &str,
+    relays: Vec<FeedPeer>,
+) {
+    let relays = relays.into_iter().map(peer).collect();
+    gateway.relays.borrow_mut().learn(data_centre, relays, now());
+}
+
 fn peer(peer: FeedPeer) -> Peer {
     Peer { name: peer.name, address: peer.address }
 }
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use messages::feed::{FeedPeer, FeedPosition, FeedRequest, FeedResponse};
 use messages::{endpoint_loads, load_rows};
+use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
@@ -61,6 +62,7 @@
         gateway.reader_changed.notify_waiters();
         return encode(&empty_response(gateway, arrived));
     }
+    gateway.relays.borrow_mut().report(sender.clone(), req.reaches_endpoints, arrived);
     let loads = endpoint_loads(req.loads.clone());
     let outcomes = req.outcomes.clone();
     let daemons = req.daemons.unwrap_or(1) as usize;
@@ -162,6 +164,7 @@
         data_centre: gateway.settings().data_centre.clone(),
         reader: None,
         rank: None,
+        relays: Vec::new(),
         standbys: Vec::new(),
         loads: Vec::new(),
         outcomes: Vec::new(),
@@ -177,6 +180,17 @@
     FeedPeer { name: peer.name.clone(), address: peer.address.clone() }
 }
 
+/// Some daemons that reach endpoints, this one included if it does, to name to another daemon.
+fn relays<A: Adapter>(gateway: &Gateway<A>, to: &str) -> Vec<FeedPeer> {
+    let seed = gateway.rng.borrow_mut().random();
+    let offered = gateway.relays.borrow().offered(to, seed, now());
+    let settings = gateway.settings();
+    let own = settings.listen_peers.filter(|_| !gateway.is_cut_off());
+    let own =
+        own.map(|address| FeedPeer { name: settings.name.clone(), address: address.to_string() });
+    offered.iter().map(feed_peer).chain(own).collect()
+}
+
 fn build_feed_response<A: Adapter>(
     gateway: &Gateway<A>,
     req: &FeedRequest,
@@ -188,6 +202,7 @@
     let load_exchange = gateway.load_exchange.borrow();
     let change_log = gateway.change_log.borrow();
     let mut feed = empty_response(gateway, arrived);
+    feed.relays = relays(gateway, &req.name);
     if req.whole_data_centre {
         feed.daemons = count(load_exchange.followers_and_self());
         feed.loads = load_rows(load_exchange.data_centre_loads(&own));
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -24,6 +24,10 @@
     pub(crate) version: u64,
     pub(crate) service: String,
     pub(crate) account: Option<String>,
+    /// The key of the client, for a daemon to which the request is passed on.
+    pub(crate) key: Option<String>,
+    /// Whether another daemon passed the request on.
+    pub(crate) is_relayed: bool,
     pub(crate) repeat: Repeat,
     pub(crate) streamed: bool,
     pub(crate) max_attempts: u32,
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -4,6 +4,7 @@
 use crate::listener::{Role, accept, bind};
 use crate::log::{self, Log};
 use crate::object_feed::{Configurations, Endpoints};
+use crate::reach_probe::probe_endpoints;
 use crate::settings::{Settings, SettingsFile};
 use crate::software_versions::keep_versions;
 use crate::store_reader::read_store;
@@ -90,6 +91,7 @@
     spawn_local(read_store::<A, Endpoints>(gateway.clone()));
     spawn_local(keep_versions(gateway.clone()));
     spawn_local(write_streams(gateway.clone()));
+    spawn_local(probe_endpoints(gateway.clone()));
     if let Some(address) = settings.listen_peers {
         listen(&gateway, address, Role::Peers)?;
         spawn_local(follow::run(gateway.clone()));
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::gateway::Gateway;
 use crate::log::LineKind;
 use crate::metrics::{ContinuationLabels, RouteLabels, ServiceLabels};
+use crate::relayed_request::RELAYED_HEADER;
 use crate::response::{Refusal, ResponseBody};
 use crate::routed_request::{RoutedRequest, destination, priority};
 use crate::stream_end::StreamSummary;
@@ -54,10 +55,11 @@
     pub(crate) sends: u32,
 }
 
-/// Responds to one request of a client.
+/// Responds to one request of a client; with `is_relayed`, another daemon passed it on.
 pub(crate) async fn serve<A: Adapter>(
     gateway: &Rc<Gateway<A>>,
     req: Request<Incoming>,
+    is_relayed: bool,
 ) -> Response<ResponseBody> {
     let arrived = now();
     let (parts, body) = req.into_parts();
@@ -67,7 +69,8 @@
         Ok(body) => {
             // Without a configuration after the wait, the request is refused.
             gateway.wait_until_initialized(gateway.start_wait(now())).await;
-            route_request(gateway, &parts, head, body, arrived)
+            let routed = route_request(gateway, &parts, head, body, arrived);
+            routed.map(|request| RoutedRequest { is_relayed, ..request })
         }
         Err(rejection) => Err(rejection),
     };
@@ -184,6 +187,8 @@
         version: version(&catalog),
         service: service.to_owned(),
         account,
+        key: head.key,
+        is_relayed: false,
         repeat: route.repeat,
         streamed: route.streamed,
         max_attempts: route.attempts.max(1),
@@ -284,7 +289,9 @@
         .collect();
     let mut forwarded = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
-        let is_hop_by_hop = is_hop_header(name) || listed.iter().any(|n| n == name.as_str());
+        let is_hop_by_hop = is_hop_header(name)
+            || *name == RELAYED_HEADER
+            || listed.iter().any(|n| n == name.as_str());
         if !is_hop_by_hop && gateway.adapter.forwards_header(name) {
             forwarded.append(name.clone(), value.clone());
         }
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -113,6 +113,9 @@
     ///Outcomes at endpoints with failures.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub outcomes: ::std::vec::Vec<EndpointOutcomes>,
+    ///Whether the sender reaches endpoints, so that other daemons may send it requests.
+    #[serde(default = "defaults::default_bool::<true>")]
+    pub reaches_endpoints: bool,
     ///Whether the sender has become the store reader of its data centre, which the receiver is to follow; the response then holds nothing.
     #[serde(default)]
     pub takes_over: bool,
@@ -161,6 +164,9 @@
     ///The store reader of the responder's data centre, if known.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub reader: ::std::option::Option<FeedPeer>,
+    ///Some daemons that reach endpoints.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub relays: ::std::vec::Vec<FeedPeer>,
     ///The time since the store last responded to the responder or to a daemon that it follows, in milliseconds; absent before the first response.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub response_age_ms: ::std::option::Option<u64>,
