Test who may use the port for peers, and the end of a cut

A relayed request needs the client's key, runs once, reaches endpoints without headers of the product, and a client cannot mark its request as relayed. After the cut, the gateway uses the endpoints itself.

--- a/fakes/src/platform/gateway.rs
+++ b/fakes/src/platform/gateway.rs
@@ -54,6 +54,8 @@
     child: Child,
     /// The address for clients.
     pub address: SocketAddr,
+    /// The address for other daemons.
+    pub peers: SocketAddr,
     /// The address of its readiness check.
     pub ready: SocketAddr,
     /// The address of its metrics.
@@ -136,7 +138,15 @@
         fs::write(&settings_path, text)?;
         let lines = Arc::new(Mutex::new(Vec::new()));
         let child = spawn(&settings_path, metrics, &lines)?;
-        let mut process = GatewayProcess { child, address, ready, metrics, settings_path, lines };
+        let mut process = GatewayProcess {
+            child,
+            address,
+            peers: peer_address,
+            ready,
+            metrics,
+            settings_path,
+            lines,
+        };
         process.wait_for_start()?;
         Ok(process)
     }
--- a/tests/gateway/partitioned_gateways.rs
+++ b/tests/gateway/partitioned_gateways.rs
@@ -14,13 +14,15 @@
 const CONTACT_TIME: Duration = Duration::from_secs(4);
 /// The time for which requests are counted after that.
 const COUNTED_TIME: Duration = Duration::from_secs(2);
+/// The time after the end of a cut in which a gateway uses the endpoints again.
+const RETURN_TIME: Duration = Duration::from_secs(2);
 const REQUEST_INTERVAL: Duration = Duration::from_millis(30);
 /// Clients that send requests to a gateway one after the other.
 const CLIENTS: usize = 4;
 
 /// Two gateways in two regions; the first reaches the endpoints by paths of its own.
 struct Fleet {
-    _endpoints: Vec<PlatformEndpoint>,
+    endpoints: Vec<PlatformEndpoint>,
     paths: Vec<NetworkPath>,
     gateways: [GatewayProcess; 2],
     _store: PlatformStore,
@@ -60,7 +62,7 @@
             gateway.wait_for_log(&["endpoint_joined", "i-3"]).unwrap();
             gateway.wait_for_log(&["daemons_counted", "\"count\":2"]).unwrap();
         }
-        Fleet { _endpoints: endpoints, paths, gateways, _store: store }
+        Fleet { endpoints, paths, gateways, _store: store }
     }
 
     fn set_paths(&self, state: PathState) {
@@ -115,3 +117,67 @@
         "{served} of {sent} served, at the other {others_served} of {others_sent}"
     );
 }
+
+/// The status of a request on a new connection.
+fn status(address: SocketAddr, id: &str, key: &str, headers: &str) -> u16 {
+    let mut client = Client::connect(address).unwrap();
+    client.send_request_with("/safe/", id, key, "body", headers).unwrap();
+    client.read_response().unwrap().message.status()
+}
+
+#[test]
+fn gateway_sends_requests_to_endpoints_itself_after_the_cut() {
+    let fleet = Fleet::start();
+    fleet.set_paths(PathState::Reset);
+    fleet.send_requests(0, "/safe/", CONTACT_TIME);
+    assert!(!fleet.gateways[0].log_with(&["relayed"]).is_empty());
+    fleet.set_paths(PathState::Open);
+    sleep(RETURN_TIME);
+    let before = fleet.gateways[0].log_with(&["\"relayed\""]).len();
+    let (served, sent) = fleet.send_requests(0, "/safe/", Duration::from_secs(1));
+    assert_eq!(served, sent);
+    assert_eq!(fleet.gateways[0].log_with(&["\"relayed\""]).len(), before);
+}
+
+/// Requests that are passed on run once each, and none is passed on twice.
+#[test]
+fn request_that_is_passed_on_runs_once() {
+    let fleet = Fleet::start();
+    fleet.set_paths(PathState::Reset);
+    fleet.send_requests(0, "/once/", CONTACT_TIME);
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for request in fleet.endpoints.iter().flat_map(PlatformEndpoint::received_requests) {
+        let id = request.message.header("x-chervilspur-attempt-id").to_owned();
+        assert_eq!(request.message.header("x-chervilspur-tenant"), "north", "{id}");
+        assert_eq!(request.message.header("api-key"), "", "{id}");
+        assert_eq!(request.message.header("chervilspur-relayed"), "", "{id}");
+        *runs.entry(id).or_default() += 1;
+    }
+    let repeated: Vec<&String> =
+        runs.iter().filter(|(_, runs)| **runs > 1).map(|(id, _)| id).collect();
+    assert!(runs.len() > 20 && repeated.is_empty(), "{} requests, {repeated:?}", runs.len());
+    assert!(fleet.gateways[1].log_with(&["\"relayed\""]).is_empty());
+}
+
+#[rstest]
+#[case::without_a_key("", 401)]
+#[case::with_an_unknown_key("stolen", 401)]
+#[case::with_a_key(KEY, 200)]
+fn port_for_peers_gives_no_right_that_a_client_does_not_have(
+    #[case] key: &str,
+    #[case] expected: u16,
+) {
+    let fleet = Fleet::start();
+    let gateway = &fleet.gateways[1];
+    assert_eq!(status(gateway.peers, "r1", key, "Chervilspur-Relayed: 1\r\n"), expected);
+    assert_eq!(status(gateway.address, "r2", key, ""), expected);
+}
+
+#[test]
+fn client_cannot_keep_its_request_from_being_passed_on() {
+    let fleet = Fleet::start();
+    fleet.set_paths(PathState::Reset);
+    fleet.send_requests(0, "/safe/", CONTACT_TIME);
+    let address = fleet.gateways[0].address;
+    assert_eq!(status(address, "r1", KEY, "Chervilspur-Relayed: 1\r\n"), 200);
+}
