Bound the connections that test whether endpoints are reached by service

The bound was on those of all services together and four times too high: a crashed endpoint let a daemon open up to 16 connections at a time. Now three of each service.

--- a/components/gateway/src/reach_probe.rs
+++ b/components/gateway/src/reach_probe.rs
@@ -13,8 +13,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Connect timeout: several round trips between regions.
 const CONNECT_TIMEOUT: Millis = Millis(500);
-/// Endpoints of a service to which connections are opened at a time.
-const MAX_PROBES: usize = 4;
+/// Endpoints of a service to which connections are opened at a time; one while none is reached.
+const MAX_PROBES: usize = 3;
 
 /// An endpoint to which a connection is opened to learn whether it can be reached.
 struct Probe {
@@ -41,12 +41,11 @@
 fn choose_probes<A: Adapter>(gateway: &Gateway<A>, now: Millis) -> Vec<Probe> {
     let directory = gateway.directory();
     let reachability = gateway.reachability.borrow();
-    let is_cut_off = gateway.is_cut_off();
+    let limit = if gateway.is_cut_off() { 1 } else { MAX_PROBES };
     let mut probes = Vec::new();
     for (service, endpoints) in directory.usable_by_service() {
         let mut unproven = reachability.unproven(service, &endpoints, now);
-        let limit = if is_cut_off { 1 } else { MAX_PROBES };
-        while probes.len() < limit * MAX_PROBES && !unproven.is_empty() {
+        for _ in 0..limit.min(unproven.len()) {
             let chosen = gateway.rng.borrow_mut().random_range(0..unproven.len());
             let endpoint = unproven.swap_remove(chosen);
             let address = directory.get(endpoint).and_then(|r| r.address.parse().ok());
