--- a/tests/gateway/software_versions.rs
+++ b/tests/gateway/software_versions.rs
@@ -2,10 +2,11 @@
 
 use crate::support::{KEY, configuration, registration, text};
 use fakes::{
-    Behaviour, Client, ClientResponse, GatewayConfig, GatewayProcess, PlatformEndpoint,
-    PlatformStore,
+    Behaviour, Client, ClientResponse, GatewayConfig, GatewayProcess, NetworkPath, PathState,
+    PlatformEndpoint, PlatformStore,
 };
 use serde_json::json;
+use std::collections::BTreeMap;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -213,3 +214,46 @@
     fleet.kill_all_gateways();
     assert_eq!(continue_streams(&fleet, &streams, 1), STREAMS);
 }
+
+/// An endpoint restarts under its id with another version while a request is on its way to it.
+#[test]
+fn stream_that_began_after_an_unnoticed_restart_is_not_joined_from_two_software_versions() {
+    fakes::build_programs().unwrap();
+    let store = PlatformStore::start().unwrap();
+    store.put("config", "main", configuration(1, &[KEY]));
+    let start = |id: &str| {
+        let endpoint = PlatformEndpoint::start(id, EVENTS, EVENT_INTERVAL).unwrap();
+        endpoint.set_software_version(Some("v1"));
+        endpoint
+    };
+    let restarting = start("i-1");
+    let path = NetworkPath::start(restarting.address).unwrap();
+    let view = store.start_view(BTreeMap::from([(restarting.address, path.address)])).unwrap();
+    store.put("servers", "i-1", registration(&restarting, "ready", 5));
+    let gateway = GatewayProcess::start(view, &GatewayConfig::default()).unwrap();
+    gateway.wait_for_log(&["endpoint_joined", "i-1"]).unwrap();
+    let fleet = Fleet { store, endpoints: vec![restarting], gateways: vec![gateway] };
+    let restarting = &fleet.endpoints[0];
+
+    // A connection that the gateway uses again, and that holds the next request back.
+    let mut client = Client::connect(fleet.gateways[0].address).unwrap();
+    client.send_request("/safe/", "warm", KEY, "body").unwrap();
+    assert_eq!(client.read_response().unwrap().message.status(), 200);
+    path.set(PathState::Hanging).unwrap();
+    client.send_request("/stream/", "s-1", KEY, "body").unwrap();
+    // The gateway has chosen the endpoint and sent the request.
+    sleep(Duration::from_millis(300));
+    restarting.set_software_version(Some("v2"));
+    let other = start("i-2");
+    fleet.store.put("servers", "i-2", registration(&other, "ready", 1));
+    fleet.store.put("servers", "i-1", registration(restarting, "ready", 1));
+    fleet.gateways[0].wait_for_log(&["endpoint_joined", "i-1", "v2"]).unwrap();
+    path.set(PathState::Open).unwrap();
+    let first = String::from_utf8(client.read_first_chunk().unwrap()).unwrap();
+    drop(client);
+    let first_is_of_v2 = first.contains("of v2");
+    let stream = BegunStream { id: "s-1".to_owned(), events: first };
+    let response = fleet.continue_stream(&stream, 0);
+    let events = format!("{}{}", stream.events, text(&response));
+    assert!(first_is_of_v2 && !is_joined(&events), "{events}");
+}
