Do not record streams at an endpoint that registered with another version meanwhile

Cause: the version of a stream was that of the endpoint when it was chosen. If the entry changes before the first event, the request may have reached either process. Streams recorded before the change were dropped already; those after it were not. Class: a check and its use apart.

A request whose endpoint has registered with another version is not sent, the stream is not recorded, and a response to a continued stream is not taken.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -192,6 +192,12 @@
                 "response is unsigned or content-encoded and is not forwarded".to_owned(),
             ));
         }
+        if request.origin.is_some() && busy.in_flight.has_other_version() {
+            busy.in_flight.close(Outcome::Replaced);
+            return Err(AttemptFailure::unusable_response(
+                "endpoint has restarted with another software version".to_owned(),
+            ));
+        }
         if request.streamed && is_event_stream(&headers) {
             let framing = Framing::of(&head.headers);
             let streaming =
@@ -318,13 +324,14 @@
     }
 }
 
-/// The address of the endpoint of a request, unless it has left.
+/// The address of the endpoint of a request, unless it has left or another version replaced it.
 fn registered_address<A: Adapter>(
     gateway: &Gateway<A>,
     in_flight: &InFlightRequest<A>,
 ) -> Result<SocketAddr, ConnectionError> {
     let directory = gateway.directory();
-    let registration = directory.get(in_flight.endpoint());
+    let registration =
+        directory.get(in_flight.endpoint()).filter(|_| !in_flight.has_other_version());
     let address = registration.and_then(|registration| registration.address.parse().ok());
     address.ok_or_else(|| ConnectionError::Left { endpoint: in_flight.endpoint().to_owned() })
 }
--- a/components/gateway/src/in_flight.rs
+++ b/components/gateway/src/in_flight.rs
@@ -60,6 +60,16 @@
         self.software_version.as_deref()
     }
 
+    /// Whether the endpoint has registered with another software version since the request was sent:
+    /// either may have received it.
+    pub(crate) fn has_other_version(&self) -> bool {
+        let directory = self.gateway.directory();
+        let registration = directory.listed_registration(&self.endpoint);
+        registration.is_some_and(|now| {
+            Some(now.software_version.as_str()) != self.software_version.as_deref()
+        })
+    }
+
     pub(crate) fn sent_at(&self) -> Millis {
         self.sent_at
     }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -147,6 +147,9 @@
         }
         self.has_begun = true;
         let in_flight = &connection.in_flight;
+        if in_flight.has_other_version() {
+            return;
+        }
         let version = in_flight.software_version().unwrap_or_default();
         record_beginning(&self.gateway, &self.request, in_flight.endpoint(), version);
     }
