Count the lines that a suspended gateway loses when it is killed, in the soak

Trace: the gateway was suspended at 4.479 s and killed at 5.218 s, so the lines of the last moment before it was suspended were never written. The window now also covers the start of the suspension that the kill ends.

--- a/fakes/src/soak/run.rs
+++ b/fakes/src/soak/run.rs
@@ -13,6 +13,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -92,8 +93,10 @@
     version: u64,
     /// The number of starts of each endpoint.
     starts: Vec<u64>,
-    /// When gateways were killed with `SIGKILL`.
+    /// When gateways were killed with `SIGKILL`, or suspended before that.
     killed_at: Vec<Instant>,
+    /// The gateways that are suspended, and since when.
+    paused_at: BTreeMap<usize, Instant>,
     applied: Vec<AppliedFault>,
     /// Whether endpoints have several software versions.
     has_versions: bool,
@@ -145,6 +148,7 @@
             version: 1,
             starts: vec![1; ENDPOINTS],
             killed_at: Vec::new(),
+            paused_at: BTreeMap::new(),
             applied: Vec::new(),
             has_versions: load == Load::Versions,
         })
@@ -157,14 +161,23 @@
             Fault::Link(number, link) => self.links[number].set(link),
             Fault::Store(mode) => self.store.set_mode(mode),
             Fault::StoreLink(link) => self.store_link.set(link),
-            Fault::Pause(number) => self.gateways[number].signal("STOP")?,
-            Fault::Continue(number) => self.gateways[number].signal("CONT")?,
+            Fault::Pause(number) => {
+                self.paused_at.entry(number).or_insert_with(Instant::now);
+                self.gateways[number].signal("STOP")?;
+            }
+            Fault::Continue(number) => {
+                self.paused_at.remove(&number);
+                self.gateways[number].signal("CONT")?;
+            }
             Fault::Kill(number) => {
                 self.killed_at.push(Instant::now());
+                // What it had not written when it was suspended is lost.
+                self.killed_at.extend(self.paused_at.remove(&number));
                 self.gateways[number].restart("KILL")?;
             }
             Fault::KillAll => {
                 self.killed_at.push(Instant::now());
+                self.killed_at.extend(std::mem::take(&mut self.paused_at).into_values());
                 self.gateways.iter_mut().try_for_each(|gateway| gateway.restart("KILL"))?;
                 self.killed_at.push(Instant::now());
             }
