Keep the port of an absent store bound in its test

Cause: the test bound port 0, closed the listener and used its port. The kernel may give a released port to the next socket that binds port 0, and the other tests of the program start stand-ins at the same time. The write then reached one of those, which is set to fail.

The socket now stays bound, without listening, while the test runs. The assertions are unchanged.

--- a/components/store/tests/client.rs
+++ b/components/store/tests/client.rs
@@ -3,7 +3,8 @@
 use fakes::{Process, build_programs};
 use rstest::rstest;
 use serde_json::{Value, json};
-use std::net::{SocketAddr, TcpListener};
+use socket2::{Domain, Socket, Type};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use store::{Change, Store, StoreError};
 use utils::post_json;
@@ -40,8 +41,12 @@
     }
 }
 
-fn unused_address() -> SocketAddr {
-    TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap()
+/// A bound socket that refuses connections. While it exists, no other test gets its port.
+fn bound_without_listener() -> (Socket, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    (socket, address)
 }
 
 #[rstest]
@@ -75,7 +80,8 @@
 
 #[test]
 fn write_errors_when_nothing_listens_at_the_store_address() {
-    let store = Store::new(unused_address(), TIMEOUT);
+    let (_socket, address) = bound_without_listener();
+    let store = Store::new(address, TIMEOUT);
     let error = store.put("runs", "x", &1, 0).unwrap_err();
     assert_eq!(error_kind(&error), "unreachable");
     assert!(!error.may_have_written());
