Reproduce brittle endpoints that fall over, as known failures

Rule LIMIT: endpoints that state Server-Brittle = N fall over when they reject more than N requests a second for want of room.

Hypotheses, from reading: a full endpoint is in cooldown for 250 ms at each daemon by itself, and a plain service has no saturation, so requests are sent to endpoints in cooldown once all are; each request tries as many as the route allows, and each rejection counts.

Seen: 48 clients, two endpoints with six slots that bear four rejections: 6 falls in 8 s with one gateway, 3 with three, no request served, as each endpoint falls again within 60 ms of its restart.

--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -23,7 +23,7 @@
 pub use platform::{
     Behaviour, Client, ClientResponse, CrashStage, CrashingBody, CrashingPart, GatewayConfig,
     GatewayProcess, Link, Message, NetworkPath, PathState, PlatformEndpoint, PlatformStore, Proxy,
-    ReceivedRequest, StoreMode, UnframedEnd,
+    ReceivedRequest, Room, StoreMode, UnframedEnd,
 };
 pub use process::{Process, binary, build_programs};
 pub use service::{ServiceConfig, run_service};
--- a/fakes/src/platform/endpoint.rs
+++ b/fakes/src/platform/endpoint.rs
@@ -1,6 +1,7 @@
 use super::closing::close;
 use super::crash::{CrashableSockets, CrashingPart, rebind};
 use super::crashing_body::CrashingBody;
+use super::room::{Arrival, Occupancy, Room};
 use super::unframed::{UnframedEnd, UnframedResponse};
 use super::wire::{Message, read_message};
 use std::io::{self, BufReader, Read, Write};
@@ -63,6 +64,8 @@
     stated_limit: Option<String>,
     leaving_since: Option<Instant>,
     software_version: Option<String>,
+    room: Option<Room>,
+    occupancy: Occupancy,
     requests: Vec<ReceivedRequest>,
     connections: usize,
 }
@@ -72,7 +75,8 @@
     fn restart_after(&self) -> Duration {
         let part = self.crashing_part.as_ref().map(|part| part.restart_after);
         let body = self.crashing_body.as_ref().map(|body| body.restart_after);
-        part.or(body).unwrap_or_default()
+        let room = self.room.map(|room| room.restart_after);
+        part.or(body).or(room).unwrap_or_default()
     }
 }
 
@@ -161,6 +165,11 @@
         self.state().software_version.clone().unwrap_or_else(|| String::from("v1"))
     }
 
+    /// Limits the requests that it runs at a time; `None` if it runs any number at once.
+    pub fn set_room(&self, room: Option<Room>) {
+        self.state().room = room;
+    }
+
     /// Since when it states that it is leaving.
     pub fn leaving_since(&self) -> Option<Instant> {
         self.state().leaving_since
@@ -209,13 +218,38 @@
                 self.sockets.crash();
                 return sent;
             }
-            if !self.respond(&message, behaviour, number, &mut writer)? {
+            let is_open = match self.arrive() {
+                None => self.respond(&message, behaviour, number, &mut writer)?,
+                Some((Arrival::Runs, room)) => {
+                    thread::sleep(room.work);
+                    let responded = self.respond(&message, behaviour, number, &mut writer);
+                    self.state().occupancy.leave();
+                    responded?
+                }
+                Some((Arrival::Rejected, _)) => {
+                    self.state().requests[number].ran = false;
+                    self.respond(&message, Behaviour::Reject, number, &mut writer)?
+                }
+                Some((Arrival::Falls, _)) => {
+                    self.state().requests[number].ran = false;
+                    self.sockets.crash();
+                    return Ok(());
+                }
+            };
+            if !is_open {
                 return close(&writer);
             }
         }
         Ok(())
     }
 
+    /// What becomes of a request if the room of the endpoint is limited.
+    fn arrive(&self) -> Option<(Arrival, Room)> {
+        let mut state = self.state();
+        let room = state.room?;
+        Some((state.occupancy.arrive(&room, Instant::now()), room))
+    }
+
     fn crashes_on(&self, message: &Message) -> bool {
         let parts = message.header("x-chervilspur-prompt-prefix").split(',');
         let mut ids = parts.filter_map(|part| part.split(':').next());
@@ -319,13 +353,16 @@
         Ok(true)
     }
 
-    /// The headers in which it states its limit and that it is leaving.
+    /// The headers in which it states its limit, the rejections that it bears, and that it is
+    /// leaving.
     fn stated_headers(&self) -> String {
         let state = self.state();
         let limit = state.stated_limit.as_ref();
         let limit = limit.map_or_else(String::new, |limit| format!("server-limit: {limit}\r\n"));
         let leaving = state.leaving_since.map_or("", |_| "server-leaving: 1\r\n");
-        format!("{limit}{leaving}")
+        let brittle = state.room.and_then(|room| room.max_rejections);
+        let brittle = brittle.map_or_else(String::new, |max| format!("server-brittle: {max}\r\n"));
+        format!("{limit}{brittle}{leaving}")
     }
 
     fn respond_with_stream(
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Runs the gateway process against simulated clients, endpoints and a store.
 
+mod brittle_endpoints;
 mod clients;
 mod connections;
 mod crashing_prompts;
