Send brittle endpoints no more requests than they have room for

Cause: the header was read by nothing. A full endpoint was in cooldown for 250 ms at each daemon by itself, and a plain service has no saturation.

Fix: the slots and memory of a brittle endpoint are divided among the daemons; a rejection reduces a daemon's window, and requests beyond it are trials, 0.15 N a second of all daemons together. Where daemons with one slot each exceed the slots, each keeps a rate from Erlang's loss formula. After a fall, daemons return one after the other. A crash right after a rejection is not counted against the content of requests.

--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -2,6 +2,7 @@
 //! between daemons, and the choice of the endpoint of each request. All daemons of the fleet share
 //! the endpoints.
 
+mod brittle_endpoints;
 mod catalog;
 mod change_log;
 mod connection_budget;
@@ -30,10 +31,12 @@
 mod retry_budget;
 mod start_wait;
 mod stream_records;
+mod usage;
 mod version_record;
 mod wait_estimate;
 mod wait_queues;
 
+pub use brittle_endpoints::{BrittleEndpoints, Division, Part};
 pub use catalog::{
     Account, Caller, Catalog, ClientLimits, Configuration, Destination, EngineSize, Repeat, Route,
     Service,
@@ -64,5 +67,6 @@
 pub use retry_budget::{RetryBudget, RetryBudgetConfig};
 pub use start_wait::start_wait;
 pub use stream_records::{BegunStream, StreamBatch, StreamKey, StreamRecords, batch_interval};
+pub use usage::Usage;
 pub use version_record::{SoftwareVersion, VersionKeeper, VersionRecord};
 pub use wait_queues::{QueueKey, Ticket, WaitLimits, WaitQueues};
--- a/components/decision/src/routing/placement.rs
+++ b/components/decision/src/routing/placement.rs
@@ -312,7 +312,7 @@
         let prompt = demand.prompt;
         self.update_interactive(demand.lane, 1, now);
         let id = InFlightId(self.last_id);
-        let held_tokens = prompt.map_or(0, |p| p.tokens + p.answer_tokens / 2);
+        let held_tokens = prompt.map_or(0, Prompt::held_tokens);
         let request = InFlight {
             sent_at: now,
             service_ms: prompt.map_or(self.cfg.call_ms, |_| self.prefill_ms(choice.unread_tokens)),
--- a/components/decision/src/routing/prompt.rs
+++ b/components/decision/src/routing/prompt.rs
@@ -36,6 +36,11 @@
         self.shared().iter().map(|part| part.tokens).sum()
     }
 
+    /// Returns the tokens that the request is expected to hold in the memory of an engine.
+    pub fn held_tokens(&self) -> u32 {
+        self.tokens + self.answer_tokens / 2
+    }
+
     /// Returns the id of the last shared part, by which requests of one session are routed to the
     /// same endpoints.
     pub fn session(&self) -> Option<u64> {
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -1,6 +1,7 @@
 //! Simulation of a fleet of cluster state machines in virtual time, with a simulated network and
 //! store. Measures propagation times, traffic, store calls and memory.
 
+mod brittle_endpoints;
 mod calls;
 mod crashing_prompts;
 mod departure;
@@ -14,6 +15,7 @@
 mod stream_versions;
 mod table;
 
+pub use brittle_endpoints::{BrittleConfig, BrittleResult, measure_brittle};
 pub use crashing_prompts::{CrashConfig, CrashResult, measure_crashes};
 pub use departure::measure_departure;
 pub use driver::{Fleet, FleetConfig};
--- a/components/gateway/src/adapter.rs
+++ b/components/gateway/src/adapter.rs
@@ -49,6 +49,8 @@
     pub not_run: bool,
     /// The requests a second that the endpoint takes from all daemons together, if it states them.
     pub limit_per_second: Option<f64>,
+    /// The rejections in a second after which an endpoint of its service falls over, if it states them.
+    pub max_rejections_per_second: Option<f64>,
     /// Whether the endpoint states that it is leaving and wants no new requests.
     pub is_leaving: bool,
 }
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,4 +1,5 @@
 use crate::adapter::{Adapter, ForwardedHead};
+use crate::brittle::observe_brittleness;
 use crate::broken_response::BrokenResponse;
 use crate::busy_connection::BusyConnection;
 use crate::clock::now;
@@ -184,6 +185,8 @@
     if response_head.limit_per_second.is_some() || head.status.is_success() {
         observe_limit(gateway, busy.in_flight.endpoint(), response_head.limit_per_second);
     }
+    let endpoint = busy.in_flight.endpoint();
+    observe_brittleness(gateway, &request.service, endpoint, head.status, &response_head);
     let headers = client_headers(&head.headers);
     if head.status.is_success() {
         if !response_head.signed || headers.contains_key(CONTENT_ENCODING) {
--- a/components/gateway/src/broken_response.rs
+++ b/components/gateway/src/broken_response.rs
@@ -73,7 +73,9 @@
     pub(crate) async fn investigate<A: Adapter>(self, gateway: &Rc<Gateway<A>>) -> bool {
         let has_crashed = has_crashed(self.address).await;
         self.log(gateway, has_crashed);
-        if has_crashed {
+        let has_fallen =
+            gateway.brittle.borrow().may_have_fallen(&self.service, &self.endpoint, self.broken_at);
+        if has_crashed && !has_fallen {
             let ran_ms = self.broken_at.since(self.sent_at).0;
             let request = Some(self.digest);
             let has_begun = self.has_head;
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -1,5 +1,6 @@
 use crate::adapter::Adapter;
 use crate::attempt::{AttemptFailure, EndpointResponse, attempt};
+use crate::brittle::BrittleRoom;
 use crate::clock::now;
 use crate::contents::judge;
 use crate::gateway::Gateway;
@@ -40,6 +41,8 @@
     let max_in_flight = gateway.connection_budget(service, now).running;
     let directory = gateway.directory();
     let stated_limits = gateway.limits.borrow();
+    let prompt = request.prompt.as_ref();
+    let brittle_room = BrittleRoom::new(gateway, &directory, &request.service, prompt, now);
     let may_go_on = |registration: &Registration| {
         let origin = request.origin.as_ref();
         origin.is_none_or(|origin| origin.version == registration.software_version)
@@ -49,7 +52,10 @@
         .filter(|(id, registration)| !tried.contains(*id) && may_go_on(registration));
     let candidates = untried.map(|(id, registration)| {
         let distance = gateway.adapter.distance(&registration.data_centre);
-        let is_admitted = stated_limits.admits(id, distance == Distance::DataCentre, now);
+        let has_room =
+            brittle_room.as_ref().is_none_or(|room| room.admits(gateway, id, registration, now));
+        let is_admitted =
+            has_room && stated_limits.admits(id, distance == Distance::DataCentre, now);
         Candidate {
             id,
             distance,
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -13,10 +13,10 @@
 use crate::update_source::CurrentSource;
 use decision::Millis;
 use decision::routing::{
-    Catalog, ChangeLog, ConnectionBudget, Directory, DirectoryChange, EndpointLimits, FleetSize,
-    Freshness, LoadExchange, LoadTable, NoticeBoard, NoticeId, OutcomeExchange, Peer,
-    PlacementConfig, Quarantine, Reachability, ReaderElection, Relays, RetryBudget, Service,
-    StreamRecords, WaitQueues, start_wait,
+    BrittleEndpoints, Catalog, ChangeLog, ConnectionBudget, Directory, DirectoryChange,
+    EndpointLimits, FleetSize, Freshness, LoadExchange, LoadTable, NoticeBoard, NoticeId,
+    OutcomeExchange, Peer, PlacementConfig, Quarantine, Reachability, ReaderElection, Relays,
+    RetryBudget, Service, StreamRecords, WaitQueues, start_wait,
 };
 use messages::feed::EndpointChange;
 use rand::SeedableRng;
@@ -87,6 +87,7 @@
     pub(crate) load_exchange: RefCell<LoadExchange>,
     pub(crate) outcome_exchange: RefCell<OutcomeExchange>,
     pub(crate) limits: RefCell<EndpointLimits>,
+    pub(crate) brittle: RefCell<BrittleEndpoints>,
     /// The daemons of this data centre by name, while this one is their store reader.
     pub(crate) data_centre_members: RefCell<Option<BTreeSet<String>>>,
     pub(crate) notices: RefCell<NoticeBoard>,
@@ -148,6 +149,7 @@
             load_exchange: RefCell::default(),
             outcome_exchange: RefCell::default(),
             limits: RefCell::default(),
+            brittle: RefCell::default(),
             data_centre_members: RefCell::default(),
             notices: RefCell::new(NoticeBoard::new(seed)),
             collected_notices: RefCell::default(),
@@ -345,6 +347,7 @@
         let mut limits = self.limits.borrow_mut();
         limits.retain(|id| directory.get(id).is_some());
         self.metrics.limited_endpoints.set(limits.len() as i64);
+        self.brittle.borrow_mut().retain(|id| directory.get(id).is_some());
         self.metrics.leaving_endpoints.set(directory.leaving() as i64);
         self.load_exchange.borrow_mut().expire(now);
         self.outcome_exchange.borrow_mut().expire(now);
--- a/components/gateway/src/in_flight.rs
+++ b/components/gateway/src/in_flight.rs
@@ -1,4 +1,5 @@
 use crate::adapter::Adapter;
+use crate::brittle::{record_absence, record_rejection, record_send, record_success};
 use crate::clock::now;
 use crate::gateway::Gateway;
 use crate::routed_request::RoutedRequest;
@@ -12,6 +13,7 @@
 #[derive(Debug)]
 pub(crate) struct InFlightRequest<A: Adapter> {
     gateway: Rc<Gateway<A>>,
+    service: String,
     endpoint: String,
     /// The endpoint's incarnation when the request was sent; `None` if it had just left.
     incarnation: Option<Incarnation>,
@@ -30,6 +32,8 @@
         request: &RoutedRequest,
     ) -> InFlightRequest<A> {
         let now = now();
+        let usage = gateway.loads.borrow().usage(&choice.id);
+        record_send(gateway, &request.service, &choice.id, usage, now);
         let in_flight_id =
             gateway.loads.borrow_mut().start(choice, &request.demand(Millis(0), 0), now);
         let registration = gateway.directory().get(&choice.id).cloned();
@@ -38,6 +42,7 @@
         let gateway = gateway.clone();
         InFlightRequest {
             gateway,
+            service: request.service.clone(),
             endpoint: choice.id.clone(),
             incarnation,
             software_version,
@@ -94,13 +99,32 @@
         }
     }
 
+    /// Records an outcome that tells how much room a brittle endpoint has, with the requests that are
+    /// left there.
+    fn record_brittle_outcome(&self, outcome: Outcome, left: u32) {
+        let (gateway, service, endpoint) = (&self.gateway, &self.service, &self.endpoint);
+        match outcome {
+            Outcome::Full => record_rejection(gateway, service, endpoint, left, now()),
+            Outcome::Answered => {
+                let took = now().since(self.sent_at);
+                record_success(gateway, service, endpoint, took, now());
+            }
+            Outcome::Silent => record_absence(gateway, service, endpoint, now()),
+            Outcome::Replaced | Outcome::Failed | Outcome::Abandoned => {}
+        }
+    }
+
     pub(crate) fn close(mut self, outcome: Outcome) {
         self.end(outcome);
     }
 
     fn end(&mut self, outcome: Outcome) {
         if let Some(in_flight_id) = self.in_flight_id.take() {
-            self.gateway.loads.borrow_mut().end(&self.endpoint, in_flight_id, outcome, now());
+            let mut loads = self.gateway.loads.borrow_mut();
+            loads.end(&self.endpoint, in_flight_id, outcome, now());
+            let left = loads.usage(&self.endpoint).requests;
+            drop(loads);
+            self.record_brittle_outcome(outcome, left);
             self.gateway.queue_progress.notify_waiters();
         }
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod adapter;
 mod attempt;
+mod brittle;
 mod broken_response;
 mod busy_connection;
 mod clock;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -63,6 +63,7 @@
     pub(crate) configuration_version: Gauge,
     pub(crate) condemned_parts: Gauge,
     pub(crate) limited_endpoints: Gauge,
+    pub(crate) brittle_services: Gauge,
     pub(crate) leaving_endpoints: Gauge,
     pub(crate) recorded_streams: Gauge,
     pub(crate) first_byte_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
@@ -84,6 +85,7 @@
             configuration_version: Gauge::default(),
             condemned_parts: Gauge::default(),
             limited_endpoints: Gauge::default(),
+            brittle_services: Gauge::default(),
             leaving_endpoints: Gauge::default(),
             recorded_streams: Gauge::default(),
             first_byte_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
@@ -136,6 +138,11 @@
             "Endpoints that state a limit",
             self.limited_endpoints.clone(),
         );
+        r.register(
+            "brittle_services",
+            "Services whose endpoints fall over from rejections",
+            self.brittle_services.clone(),
+        );
         r.register(
             "leaving_endpoints",
             "Registered endpoints that leave",
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -62,8 +62,7 @@
         if is_first {
             match place(gateway, request, limits, tried, now()) {
                 Placement::Saturated(best) => {
-                    let stated_limit = gateway.limits.borrow().stated(&best.id);
-                    text = saturation_text(limits, &best, stated_limit);
+                    text = saturation_text(gateway, request, limits, &best);
                 }
                 Placement::Send(choice) => {
                     if let Judgement::Trial(content) = judgement {
@@ -84,7 +83,21 @@
     }
 }
 
-fn saturation_text(limits: WaitLimits, best: &Choice, stated_limit: Option<f64>) -> String {
+fn saturation_text<A: Adapter>(
+    gateway: &Gateway<A>,
+    request: &RoutedRequest,
+    limits: WaitLimits,
+    best: &Choice,
+) -> String {
+    let max_rejections = gateway.brittle.borrow().max_rejections(&request.service);
+    if let Some(max_rejections) = max_rejections.filter(|_| best.is_full) {
+        return format!(
+            "best endpoint {} has no room for this daemon; it bears {max_rejections} rejections a \
+             second",
+            best.id
+        );
+    }
+    let stated_limit = gateway.limits.borrow().stated(&best.id);
     if let Some(per_second) = stated_limit.filter(|_| best.is_full) {
         return format!(
             "best endpoint {} states a limit of {per_second} requests a second",
