Let connections survive the silence of a sound endpoint

Cause: with a user timeout of 1.5 s the kernel closes a connection at the first timer after it with an unanswered probe, so one lost probe of a connection that was idle for 2 s ended it at 3 s, whatever the count; and a request in use was lost 1.5 s after its last acknowledged byte, right after the retransmission at 1.4 s.

Now 3.5 s, with three probes from 1 s on. A compile-time check keeps the user timeout above the time of all probes.

The tests of a gateway that reaches no endpoint pass, also with hanging connections, for which failures are now noticed up to 2 s later.

--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -14,15 +14,23 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-/// Time that sent data may stay unacknowledged before the kernel closes a connection: several round
-/// trips between regions, and well below the latency objectives of requests.
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time that sent data may stay unacknowledged before the kernel closes a connection. A shorter one
+/// ends before the retransmission that follows a silence of one and a half seconds.
+const USER_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Idle time before the first TCP keep-alive probe.
-const KEEPALIVE_IDLE_TIME: Duration = Duration::from_secs(2);
+const KEEPALIVE_IDLE_TIME: Duration = Duration::from_secs(1);
 /// Time between TCP keep-alive probes; the kernel counts it in whole seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes after which the kernel closes a connection.
-const KEEPALIVE_PROBES: u32 = 2;
+const KEEPALIVE_PROBES: u32 = 3;
+
+// The kernel closes a connection with an unanswered probe at the first timer after the user timeout,
+// whatever the number of probes.
+const _: () = assert!(
+    USER_TIMEOUT.as_millis()
+        > KEEPALIVE_IDLE_TIME.as_millis()
+            + KEEPALIVE_INTERVAL.as_millis() * (KEEPALIVE_PROBES as u128 - 1)
+);
 
 /// A failed request or connection attempt.
 #[derive(Debug, Snafu)]
