Cut one gateway off from all endpoints in the soak

Cause: the stand-in for a path, not the gateway: it passed a reset by an endpoint on as an ordinary end, and began its own resets with one. The path now resets both sides, which the cut tests use as well.

--- a/fakes/src/platform/path.rs
+++ b/fakes/src/platform/path.rs
@@ -1,6 +1,7 @@
-use super::closing::set_reset_on_close;
+use super::closing::{close, set_reset_on_close};
 use super::crash::rebind;
 use socket2::{Domain, SockRef, Socket, Type};
+use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -29,7 +30,9 @@
 #[derive(Debug, Default)]
 struct Sockets {
     listener: Option<TcpListener>,
-    connections: Vec<TcpStream>,
+    /// Both sides of each connection.
+    connections: BTreeMap<u64, [TcpStream; 2]>,
+    last_number: u64,
     /// Connections that fill the queue of a listener that accepts none.
     fillers: Vec<Socket>,
 }
@@ -70,12 +73,9 @@
             PathState::Open => self.accept(rebind(self.address)?),
             PathState::RefusesNew => Ok(()),
             PathState::Reset => {
-                for stream in self.sockets().connections.drain(..) {
-                    set_reset_on_close(&stream)?;
-                    // It may have ended already.
-                    let _ = stream.shutdown(Shutdown::Both);
-                }
-                Ok(())
+                let mut sockets = self.sockets();
+                let numbers: Vec<u64> = sockets.connections.keys().copied().collect();
+                numbers.into_iter().try_for_each(|number| sockets.reset(number))
             }
             PathState::Hanging => self.fill_queue(),
         }
@@ -114,32 +114,57 @@
             while let Ok((caller, _)) = listener.accept() {
                 let path = path.clone();
                 // An I/O error ends only the threads of this connection.
-                thread::spawn(move || path.forward(&caller).unwrap_or_default());
+                thread::spawn(move || path.forward(caller).unwrap_or_default());
             }
         });
         Ok(())
     }
 
-    fn forward(&self, caller: &TcpStream) -> io::Result<()> {
+    fn forward(&self, caller: TcpStream) -> io::Result<()> {
         let upstream = TcpStream::connect(self.target)?;
-        self.sockets().connections.extend([caller.try_clone()?, upstream.try_clone()?]);
+        let number = self.sockets().add([caller.try_clone()?, upstream.try_clone()?]);
         let (response_from, response_to) = (upstream.try_clone()?, caller.try_clone()?);
         let responses = self.clone();
-        thread::spawn(move || responses.copy(response_from, response_to).unwrap_or_default());
-        self.copy(caller.try_clone()?, upstream)
+        thread::spawn(move || {
+            responses.copy(number, response_from, response_to).unwrap_or_default();
+        });
+        self.copy(number, caller, upstream)
     }
 
-    fn copy(&self, mut from: TcpStream, mut to: TcpStream) -> io::Result<()> {
+    /// Copies one direction of a connection until it ends. A reset on one side is one on the other.
+    fn copy(&self, number: u64, mut from: TcpStream, mut to: TcpStream) -> io::Result<()> {
         let mut buf = [0; 8_192];
         loop {
-            let len = from.read(&mut buf).unwrap_or(0);
+            let read = from.read(&mut buf);
             while self.holds.load(Ordering::SeqCst) {
                 thread::sleep(POLL_INTERVAL);
             }
-            if len == 0 {
-                return to.shutdown(Shutdown::Both);
+            let copied = match read {
+                Ok(0) => return close(&to),
+                Ok(len) => to.write_all(&buf[..len]),
+                Err(e) => Err(e),
+            };
+            if copied.is_err() {
+                return self.sockets().reset(number);
             }
-            to.write_all(&buf[..len])?;
         }
     }
 }
+
+impl Sockets {
+    fn add(&mut self, connection: [TcpStream; 2]) -> u64 {
+        self.last_number += 1;
+        self.connections.insert(self.last_number, connection);
+        self.last_number
+    }
+
+    /// Resets both sides of a connection as soon as the threads that copy it have ended.
+    fn reset(&mut self, number: u64) -> io::Result<()> {
+        for stream in self.connections.remove(&number).into_iter().flatten() {
+            set_reset_on_close(&stream)?;
+            // It may have ended already.
+            let _ = stream.shutdown(Shutdown::Read);
+        }
+        Ok(())
+    }
+}
--- a/fakes/src/soak/faults.rs
+++ b/fakes/src/soak/faults.rs
@@ -1,4 +1,4 @@
-use fakes::{Behaviour, Link, StoreMode, UnframedEnd};
+use fakes::{Behaviour, Link, PathState, StoreMode, UnframedEnd};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
@@ -27,6 +27,8 @@
     Configure,
     /// An endpoint states from now on that it leaves; its entry says that it is ready.
     Leave(usize),
+    /// The paths of one gateway to all endpoints change their state.
+    Cut(PathState),
     /// An endpoint that left starts anew, in runs with software versions at the other one.
     Return(usize),
 }
--- a/fakes/src/soak/main.rs
+++ b/fakes/src/soak/main.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod clients;
+mod cuts;
 mod departures;
 mod faults;
 mod prompts;
@@ -11,6 +12,7 @@
 
 use argh::FromArgs;
 use clients::Load;
+use run::Soak;
 use std::process::ExitCode;
 
 /// Run seeded soak tests of the gateway and check its guarantees.
@@ -44,6 +46,10 @@
     #[argh(switch)]
     versions: bool,
 
+    /// cut one gateway off from all endpoints at times; with --versions or by itself
+    #[argh(switch)]
+    cuts: bool,
+
     /// send a request again and again that crashes endpoints
     #[argh(switch)]
     repetitions: bool,
@@ -61,9 +67,21 @@
             return ExitCode::FAILURE;
         }
     };
+    if flags.cuts && matches!(load, Load::Prompts | Load::Repetitions) {
+        eprintln!("--cuts: cannot be used with --prompts or --repetitions");
+        return ExitCode::FAILURE;
+    }
     let mut failed = 0;
     for seed in flags.first_seed..flags.first_seed + flags.seeds {
-        match run::soak(seed, flags.seconds, flags.gateways, flags.clients, load) {
+        let soak = Soak {
+            seed,
+            seconds: flags.seconds,
+            gateways: flags.gateways,
+            clients: flags.clients,
+            load,
+            has_cuts: flags.cuts,
+        };
+        match soak.run() {
             Ok(summary) => println!("seed {seed}: {summary}"),
             Err(text) => {
                 failed += 1;
--- a/fakes/src/soak/prompts.rs
+++ b/fakes/src/soak/prompts.rs
@@ -171,7 +171,7 @@
         | Fault::Continue(number)
         | Fault::Kill(number)
         | Fault::Terminate(number) => *number != 0,
-        Fault::Store(_) | Fault::StoreLink(_) | Fault::KillAll => false,
+        Fault::Store(_) | Fault::StoreLink(_) | Fault::KillAll | Fault::Cut(_) => false,
         Fault::Endpoint(..)
         | Fault::Link(..)
         | Fault::Configure
--- a/fakes/src/soak/run.rs
+++ b/fakes/src/soak/run.rs
@@ -1,5 +1,6 @@
 use crate::check::{check_observations, check_refusal_lines};
 use crate::clients::{CRASHING_BODY, CRASHING_PART, KEY, Load, TARGETS, run_client};
+use crate::cuts::{CUT_GATEWAY, OwnPaths, count_relayed, generate_cuts};
 use crate::departures::{check_departures, generate_departures};
 use crate::faults::{Fault, ScheduledFault, generate_faults, generate_unframed_responses};
 use crate::prompts::{
@@ -7,8 +8,8 @@
 };
 use crate::versions::{check_versions, generate_losses, set_other_version, set_version};
 use fakes::{
-    CrashStage, CrashingBody, CrashingPart, GatewayConfig, GatewayProcess, Link, PlatformEndpoint,
-    PlatformStore, Proxy, StoreMode,
+    CrashStage, CrashingBody, CrashingPart, GatewayConfig, GatewayProcess, Link, PathState,
+    PlatformEndpoint, PlatformStore, Proxy, StoreMode,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -100,12 +101,14 @@
     applied: Vec<AppliedFault>,
     /// Whether endpoints have several software versions.
     has_versions: bool,
+    /// The paths of the gateway that is cut off at times.
+    own_paths: Option<OwnPaths>,
 }
 
 impl Site {
     /// Starts a site. If requests crash endpoints, gateways connect to these without a proxy, which
     /// would accept connections to a crashed one.
-    fn start(gateways: usize, load: Load) -> io::Result<Site> {
+    fn start(gateways: usize, load: Load, has_cuts: bool) -> io::Result<Site> {
         let store = PlatformStore::start()?;
         let store_link = Proxy::start(store.address)?;
         store.put("config", "main", configuration(1));
@@ -130,9 +133,12 @@
             endpoints.push(endpoint);
             links.push(link);
         }
+        let own_paths = has_cuts.then(|| OwnPaths::start(&store, &addresses)).transpose()?;
         let start = |number: usize| {
             let cfg = GatewayConfig { name: format!("front-{number}"), ..Default::default() };
-            GatewayProcess::start(store_link.address, &cfg)
+            let own_paths = own_paths.as_ref().filter(|_| number == CUT_GATEWAY);
+            let store = own_paths.map_or(store_link.address, |paths| paths.store);
+            GatewayProcess::start(store, &cfg)
         };
         let gateways = (0..gateways).map(start).collect::<io::Result<Vec<_>>>()?;
         for gateway in &gateways {
@@ -151,6 +157,7 @@
             paused_at: BTreeMap::new(),
             applied: Vec::new(),
             has_versions: load == Load::Versions,
+            own_paths,
         })
     }
 
@@ -186,6 +193,7 @@
                 self.version += 1;
                 self.store.put("config", "main", configuration(self.version));
             }
+            Fault::Cut(state) => self.cut(state)?,
             Fault::Leave(number) => {
                 self.endpoints[number].set_leaving(true);
                 self.register(number, 2);
@@ -202,6 +210,10 @@
         Ok(())
     }
 
+    fn cut(&self, state: PathState) -> io::Result<()> {
+        self.own_paths.as_ref().map_or(Ok(()), |paths| paths.set(state))
+    }
+
     /// Writes the entry of an endpoint, which says that it is ready.
     fn register(&self, number: usize, heartbeats: u64) {
         let mut entry = registration(self.addresses[number], self.starts[number], heartbeats);
@@ -220,19 +232,34 @@
         self.links.iter().for_each(|link| link.set(Link::Healthy));
         self.store.set_mode(StoreMode::Up);
         self.store_link.set(Link::Healthy);
+        self.cut(PathState::Open)?;
         self.gateways.iter().try_for_each(|gateway| gateway.signal("CONT"))
     }
 }
 
-/// Runs the soak test with one seed; returns a summary, or the first violated guarantee.
-pub fn soak(
-    seed: u64,
-    seconds: u64,
-    gateways: usize,
-    clients: usize,
-    load: Load,
-) -> Result<String, String> {
-    let mut site = Site::start(gateways, load).map_err(|e| e.to_string())?;
+/// A run of the soak test.
+#[derive(Clone, Copy, Debug)]
+pub struct Soak {
+    pub seed: u64,
+    /// The time in which faults are injected.
+    pub seconds: u64,
+    pub gateways: usize,
+    pub clients: usize,
+    pub load: Load,
+    /// Whether a gateway is cut off from all endpoints at times.
+    pub has_cuts: bool,
+}
+
+impl Soak {
+    /// Runs it; returns a summary, or the first violated guarantee.
+    pub fn run(self) -> Result<String, String> {
+        soak(self)
+    }
+}
+
+fn soak(soak: Soak) -> Result<String, String> {
+    let Soak { seed, seconds, gateways, clients, load, has_cuts } = soak;
+    let mut site = Site::start(gateways, load, has_cuts).map_err(|e| e.to_string())?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut faults = generate_faults(&mut rng, seconds * 1_000, gateways, ENDPOINTS);
     // Drawn after the others, so that a seed keeps the faults with which it once failed.
@@ -247,6 +274,10 @@
     } else if load != Load::Plain {
         faults.retain(|(_, fault)| is_used_with_prompts(fault));
     }
+    if has_cuts {
+        faults.extend(generate_cuts(&mut rng, seconds * 1_000));
+        faults.sort_by_key(|(at_ms, _)| *at_ms);
+    }
     if load == Load::Prompts {
         site.endpoints[0].set_stated_limit(Some(&limit.to_string()));
     }
@@ -279,6 +310,8 @@
     thread::sleep(LOG_DELAY);
     let log: Vec<String> = site.gateways.iter().flat_map(GatewayProcess::log).collect();
     let refusals = check_refusal_lines(&observations, &log, &site.killed_at)?;
+    let relayed = count_relayed(&log);
+    summary = format!("{summary}, {relayed} relayed");
     Ok(format!("{summary}, {refusals} refusals with a log line, {} faults", faults.len()))
 }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -23,6 +23,15 @@
 /// 408: a request was on its way to an endpoint that returned with the other version.
 const VERSION_SEEDS: [&str; 2] = ["1", "408"];
 
+/// A run in which one gateway is cut off from all endpoints at times.
+const CUT_RUN: [&str; 8] =
+    ["--versions", "--cuts", "--first-seed", "2", "--seconds", "8", "--gateways", "3"];
+
+#[test]
+fn gateways_keep_their_guarantees_while_one_reaches_no_endpoint_in_a_short_soak_run() {
+    run_soak(&CUT_RUN);
+}
+
 #[test]
 fn gateways_let_streams_go_on_only_at_their_software_version_in_a_short_soak_run() {
     for seed in VERSION_SEEDS {
