Notice a cut while requests hang on open connections

Cause: only new connections tell whether endpoints are reached, and none is opened while requests wait on open ones. Found by measuring the time from a cut to the first request that is passed on: 0.2 s with resets, 0.7 to 1.8 s where new connections are refused, 5.5 s until a hanging cut is noticed (four clients, log of endpoints_reached). The user timeout is not the cause: the stand-in's kernel acknowledges what the path holds back.

Now a second in which requests wait and no response begins lets the daemon open connections to endpoints, as a failed one does. A response proves the opposite; a successful connection ends it for a second.

gateway_whose_connections_hang_notices_the_cut_within_the_contact_time fails without the change (not noticed within 4 s) and passes with it, as do the 15 other tests of partitioned gateways.

--- a/components/decision/src/routing/reachability.rs
+++ b/components/decision/src/routing/reachability.rs
@@ -6,6 +6,9 @@
 /// Age of the last successful connection to a service after which it has to be shown again.
 const CONNECTION_STALE_AFTER: Millis = Millis(1_000);
 
+/// Time without a response after which waiting requests put in doubt whether endpoints are reached.
+const SILENCE_TIME: Millis = Millis(1_000);
+
 /// The connections of this daemon to the endpoints of a service.
 #[derive(Clone, Debug, Default)]
 struct ServiceConnections {
@@ -21,16 +24,31 @@
     }
 }
 
-/// Whether this daemon reaches any endpoint, from its new connections.
+/// Whether this daemon reaches any endpoint, from its new connections. Open ones may hang, so these are
+/// opened also where none is needed while requests wait in silence.
 ///
 /// A crash of all endpoints of a service looks the same as a cut of their links, so a daemon counts
 /// as cut off only if it reaches no endpoint of any service.
 #[derive(Clone, Debug, Default)]
 pub struct Reachability {
     services: BTreeMap<String, ServiceConnections>,
+    /// When a response last began, of any endpoint.
+    heard_at: Millis,
 }
 
 impl Reachability {
+    /// Records that a response of an endpoint began.
+    pub fn record_response(&mut self, now: Millis) {
+        self.heard_at = now;
+    }
+
+    /// Returns whether requests wait, the oldest of which was sent at `oldest_waiting`, and no response
+    /// has begun for so long that the connections may hang.
+    pub fn is_silent(&self, oldest_waiting: Option<Millis>, now: Millis) -> bool {
+        let is_long_ago = |at: Millis| now.since(at) >= SILENCE_TIME;
+        is_long_ago(self.heard_at) && oldest_waiting.is_some_and(is_long_ago)
+    }
+
     /// Records that a connection to an endpoint was opened.
     pub fn record_connection(&mut self, service: &str, now: Millis) {
         let connections = self.services.entry(service.to_owned()).or_default();
--- a/components/decision/src/routing/usage.rs
+++ b/components/decision/src/routing/usage.rs
@@ -19,6 +19,12 @@
         })
     }
 
+    /// Returns when the oldest request was sent whose response has not begun.
+    pub fn oldest_waiting(&self) -> Option<Millis> {
+        let in_flight = self.endpoints.values().flat_map(|endpoint| endpoint.in_flight.values());
+        in_flight.filter(|request| request.first_byte_at.is_none()).map(|r| r.sent_at).min()
+    }
+
     /// Returns whether an endpoint is not used at present because requests to it failed.
     pub fn is_ejected(&self, id: &str, now: Millis) -> bool {
         self.endpoints.get(id).is_some_and(|endpoint| {
--- a/components/gateway/src/in_flight.rs
+++ b/components/gateway/src/in_flight.rs
@@ -92,6 +92,7 @@
     /// Records the arrival of the response head.
     pub(crate) fn record_first_byte(&self, request: &RoutedRequest) {
         self.first_byte_at.set(Some(now()));
+        self.gateway.reachability.borrow_mut().record_response(now());
         if let Some(in_flight_id) = self.in_flight_id {
             let mut loads = self.gateway.loads.borrow_mut();
             loads.record_first_byte(&self.endpoint, in_flight_id, request.prompt.as_ref(), now());
--- a/components/gateway/src/reach_probe.rs
+++ b/components/gateway/src/reach_probe.rs
@@ -28,8 +28,7 @@
 pub(crate) async fn probe_endpoints<A: Adapter>(gateway: Rc<Gateway<A>>) {
     loop {
         sleep(PROBE_INTERVAL).await;
-        let is_doubtful = gateway.reachability.borrow().is_doubtful();
-        if is_doubtful {
+        if is_in_doubt(&gateway, now()) {
             for probe in choose_probes(&gateway, now()) {
                 spawn_local(run_probe(gateway.clone(), probe));
             }
@@ -38,6 +37,12 @@
     }
 }
 
+fn is_in_doubt<A: Adapter>(gateway: &Gateway<A>, now: Millis) -> bool {
+    let reachability = gateway.reachability.borrow();
+    reachability.is_doubtful()
+        || reachability.is_silent(gateway.loads.borrow().oldest_waiting(), now)
+}
+
 fn choose_probes<A: Adapter>(gateway: &Gateway<A>, now: Millis) -> Vec<Probe> {
     let directory = gateway.directory();
     let reachability = gateway.reachability.borrow();
--- a/tests/gateway/partitioned_gateways.rs
+++ b/tests/gateway/partitioned_gateways.rs
@@ -118,6 +118,22 @@
     );
 }
 
+#[test]
+fn gateway_whose_connections_hang_notices_the_cut_within_the_contact_time() {
+    let fleet = Fleet::start();
+    fleet.send_requests(0, "/safe/", Duration::from_secs(1));
+    fleet.set_paths(PathState::Hanging);
+    let cut_at = Instant::now();
+    let noticed = || !fleet.gateways[0].log_with(&["endpoints_reached", "false"]).is_empty();
+    scope(|scope| {
+        scope.spawn(|| fleet.send_requests(0, "/safe/", CONTACT_TIME));
+        while !noticed() && cut_at.elapsed() < CONTACT_TIME {
+            sleep(Duration::from_millis(20));
+        }
+        assert!(noticed(), "not noticed within {CONTACT_TIME:?}");
+    });
+}
+
 /// The status of a request on a new connection.
 fn status(address: SocketAddr, id: &str, key: &str, headers: &str) -> u16 {
     let mut client = Client::connect(address).unwrap();
