Hold the port of a cut network path in the stand-in

A path that refuses connections released its port, which the kernel may give to a stand-in of another test that binds port 0. It now stays bound without listening, so connections are refused as before.

--- a/fakes/src/platform/path.rs
+++ b/fakes/src/platform/path.rs
@@ -33,6 +33,8 @@
     /// Both sides of each connection.
     connections: BTreeMap<u64, [TcpStream; 2]>,
     last_number: u64,
+    /// Holds the port while connections are refused.
+    held_port: Option<Socket>,
     /// Connections that fill the queue of a listener that accepts none.
     fillers: Vec<Socket>,
 }
@@ -71,8 +73,9 @@
         self.holds.store(state == PathState::Hanging, Ordering::SeqCst);
         match state {
             PathState::Open => self.accept(rebind(self.address)?),
-            PathState::RefusesNew => Ok(()),
+            PathState::RefusesNew => self.hold_port(),
             PathState::Reset => {
+                self.hold_port()?;
                 let mut sockets = self.sockets();
                 let numbers: Vec<u64> = sockets.connections.keys().copied().collect();
                 numbers.into_iter().try_for_each(|number| sockets.reset(number))
@@ -84,12 +87,27 @@
     fn close_listener(&self) -> io::Result<()> {
         let mut sockets = self.sockets();
         sockets.fillers.clear();
+        sockets.held_port = None;
         match sockets.listener.take() {
             Some(listener) => SockRef::from(&listener).shutdown(Shutdown::Both),
             None => Ok(()),
         }
     }
 
+    /// Binds the port without listening, so that it refuses connections and no other process gets it.
+    fn hold_port(&self) -> io::Result<()> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        while let Err(e) = socket.bind(&self.address.into()) {
+            if e.kind() != io::ErrorKind::AddrInUse {
+                return Err(e);
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        self.sockets().held_port = Some(socket);
+        Ok(())
+    }
+
     /// Listens without accepting, with a full queue, so that new connections get no response.
     fn fill_queue(&self) -> io::Result<()> {
         let listener = Socket::new(Domain::IPV4, Type::STREAM, None)?;
