Count what daemons send to each other, and what arrives before a time-out

The logs of the late configuration did not say how many bytes a response had brought when its follower gave up, nor what a reader sends. The metric feed_bytes counts responses by their largest content, and the error of a time-out names the bytes received. No logic changes.

--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -46,8 +46,8 @@
     Left { endpoint: String },
     #[snafu(display("{address}: {source}{}", root_cause(source)))]
     Broken { address: SocketAddr, source: hyper::Error },
-    #[snafu(display("{address}: no response within {} ms", limit.0))]
-    ResponseTimeout { address: SocketAddr, limit: Millis },
+    #[snafu(display("{address}: no response within {} ms, {received} bytes received", limit.0))]
+    ResponseTimeout { address: SocketAddr, limit: Millis, received: usize },
     #[snafu(display("{address}: response exceeds {max_bytes} bytes or ended early: {text}"))]
     Body { address: SocketAddr, max_bytes: usize, text: String },
 }
@@ -115,7 +115,7 @@
                 Some(_) => UnsentSnafu { address }.fail(),
                 None => Err(e.into_error()).context(BrokenSnafu { address }),
             },
-            Err(_) => ResponseTimeoutSnafu { address, limit }.fail(),
+            Err(_) => ResponseTimeoutSnafu { address, limit, received: 0_usize }.fail(),
         }
     }
 
@@ -143,24 +143,33 @@
         max_bytes: usize,
     ) -> Result<(StatusCode, Bytes), ConnectionError> {
         let address = self.address;
+        let mut received = Vec::new();
         let complete = async {
             let response = self.send(req, limit).await?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), max_bytes).collect().await;
-            let body = body.map_err(|e| ConnectionError::Body {
-                address,
-                max_bytes,
-                text: e.to_string(),
-            })?;
-            Ok((status, body.to_bytes()))
+            collect(response.into_body(), &mut received, max_bytes)
+                .await
+                .map_err(|text| ConnectionError::Body { address, max_bytes, text })?;
+            Ok(status)
         };
         match timeout(Duration::from_millis(limit.0), complete).await {
-            Ok(response) => response,
-            Err(_) => ResponseTimeoutSnafu { address, limit }.fail(),
+            Ok(status) => Ok((status?, Bytes::from(received))),
+            Err(_) => ResponseTimeoutSnafu { address, limit, received: received.len() }.fail(),
         }
     }
 }
 
+/// Appends a body to `received`, up to `max_bytes`.
+async fn collect(body: Incoming, received: &mut Vec<u8>, max_bytes: usize) -> Result<(), String> {
+    let mut body = Limited::new(body, max_bytes);
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() {
+            received.extend_from_slice(&data);
+        }
+    }
+    Ok(())
+}
+
 /// Sets socket options that detect a silently lost connection within seconds.
 pub(crate) fn set_socket_options(
     stream: &TcpStream,
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -44,6 +44,11 @@
     pub(crate) result: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct FeedLabels {
+    pub(crate) content: &'static str,
+}
+
 fn latencies() -> Histogram {
     Histogram::new(LATENCY_BUCKETS_SECONDS)
 }
@@ -57,6 +62,7 @@
     pub(crate) stream_ends: Family<StreamEndLabels, Counter>,
     pub(crate) continuations: Family<ContinuationLabels, Counter>,
     pub(crate) store_calls: Family<StoreLabels, Counter>,
+    pub(crate) feed_bytes: Family<FeedLabels, Counter>,
     pub(crate) connections_opened: Counter,
     pub(crate) clients: Gauge,
     pub(crate) idle_connections: Gauge,
@@ -79,6 +85,7 @@
             stream_ends: Family::default(),
             continuations: Family::default(),
             store_calls: Family::default(),
+            feed_bytes: Family::default(),
             connections_opened: Counter::default(),
             clients: Gauge::default(),
             idle_connections: Gauge::default(),
@@ -112,6 +119,11 @@
             self.continuations.clone(),
         );
         r.register("store_calls", "Calls to the store by result", self.store_calls.clone());
+        r.register(
+            "feed_bytes",
+            "Bytes of responses to other daemons by their largest content",
+            self.feed_bytes.clone(),
+        );
         r.register(
             "connections_opened",
             "Connections opened to endpoints",
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -2,6 +2,7 @@
 use crate::clock::now;
 use crate::gateway::{Change, Gateway};
 use crate::load_reports::rank;
+use crate::metrics::FeedLabels;
 use crate::notices::receive_notices;
 use crate::object_feed;
 use crate::response::ResponseBody;
@@ -60,7 +61,7 @@
         tracing::info!(event = "reader_replaced", by = %sender.name);
         gateway.readers.borrow_mut().observe_reader(&req.data_centre, &sender, &[]);
         gateway.reader_changed.notify_waiters();
-        return encode(&empty_response(gateway, arrived));
+        return encode(gateway, &empty_response(gateway, arrived));
     }
     gateway.relays.borrow_mut().report(sender.clone(), req.reaches_endpoints, arrived);
     let loads = endpoint_loads(req.loads.clone());
@@ -88,7 +89,7 @@
         }
         wait_for_change(gateway, req).await;
     }
-    encode(&build_feed_response(gateway, req, arrived))
+    encode(gateway, &build_feed_response(gateway, req, arrived))
 }
 
 /// Whether the changes since the position of a follower are known.
@@ -119,8 +120,10 @@
         let text = String::from("this daemon accepts no followers");
         return text_response(StatusCode::SERVICE_UNAVAILABLE, text);
     };
-    match rmp_serde::to_vec_named(&build_feed_response(gateway, req, arrived)) {
+    let feed = build_feed_response(gateway, req, arrived);
+    match rmp_serde::to_vec_named(&feed) {
         Ok(body) => {
+            count_bytes(gateway, &feed, body.len());
             let body = Bytes::from_owner(FullCopy { body, _permit: permit });
             Response::new(ResponseBody::Complete(Some(body)))
         }
@@ -128,13 +131,25 @@
     }
 }
 
-fn encode(feed: &FeedResponse) -> Response<ResponseBody> {
+fn encode<A: Adapter>(gateway: &Gateway<A>, feed: &FeedResponse) -> Response<ResponseBody> {
     match rmp_serde::to_vec_named(feed) {
-        Ok(body) => Response::new(ResponseBody::Complete(Some(Bytes::from(body)))),
+        Ok(body) => {
+            count_bytes(gateway, feed, body.len());
+            Response::new(ResponseBody::Complete(Some(Bytes::from(body))))
+        }
         Err(e) => text_response(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
     }
 }
 
+fn count_bytes<A: Adapter>(gateway: &Gateway<A>, feed: &FeedResponse, bytes: usize) {
+    let content = match feed {
+        FeedResponse { configuration: Some(_), .. } => "configuration",
+        FeedResponse { is_complete: true, .. } => "registry",
+        _ => "changes",
+    };
+    gateway.metrics.feed_bytes.get_or_create(&FeedLabels { content }).inc_by(bytes as u64);
+}
+
 async fn wait_for_change<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest) {
     let Some(from) = &req.from else { return };
     if from.incarnation != gateway.incarnation
