Reproduce the late configuration over narrow links, as a known failure

The stand-in network gives each gateway a link of its own, with addresses in responses of the store and of gateways replaced by paths.

--- a/fakes/src/platform/store.rs
+++ b/fakes/src/platform/store.rs
@@ -35,6 +35,55 @@
     calls: u64,
 }
 
+/// Addresses of processes and those of the paths to them, which a gateway gets in their place; clones
+/// share their state.
+#[derive(Clone, Debug, Default)]
+pub struct AddressMap(Arc<Mutex<BTreeMap<SocketAddr, SocketAddr>>>);
+
+impl AddressMap {
+    fn paths(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, SocketAddr>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds the path to a process.
+    pub fn insert(&self, process: SocketAddr, path: SocketAddr) {
+        self.paths().insert(process, path);
+    }
+
+    /// Replaces the addresses in a message; both have the same number of digits.
+    pub(super) fn replace_in(&self, bytes: &mut [u8]) {
+        for (process, path) in self.paths().iter() {
+            let (process, path) = (process.to_string(), path.to_string());
+            let len = process.len();
+            let mut at = 0;
+            while at + len <= bytes.len() {
+                if bytes[at..at + len] == *process.as_bytes() && len == path.len() {
+                    bytes[at..at + len].copy_from_slice(path.as_bytes());
+                    at += len;
+                } else {
+                    at += 1;
+                }
+            }
+        }
+    }
+
+    /// The number of bytes at the end of a message that may be the beginning of an address.
+    pub(super) fn possible_prefix(&self, bytes: &[u8]) -> usize {
+        let processes: Vec<String> = self.paths().keys().map(SocketAddr::to_string).collect();
+        let is_prefix = |len: &usize| {
+            processes.iter().any(|p| p.as_bytes().starts_with(&bytes[bytes.len() - len..]))
+        };
+        let longest = processes.iter().map(|p| p.len() - 1).max().unwrap_or(0).min(bytes.len());
+        (1..=longest).rev().find(is_prefix).unwrap_or(0)
+    }
+}
+
+impl FromIterator<(SocketAddr, SocketAddr)> for AddressMap {
+    fn from_iter<I: IntoIterator<Item = (SocketAddr, SocketAddr)>>(paths: I) -> AddressMap {
+        AddressMap(Arc::new(Mutex::new(paths.into_iter().collect())))
+    }
+}
+
 /// A stand-in for the platform's store; clones share their state.
 #[derive(Clone, Debug)]
 pub struct PlatformStore {
@@ -50,20 +99,20 @@
         let state = State { revision: 1, ..State::default() };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let store = PlatformStore { address: listener.local_addr()?, shared };
-        store.clone().listen(listener, BTreeMap::new());
+        store.clone().listen(listener, AddressMap::default());
         Ok(store)
     }
 
-    /// Starts another listener of this store, in whose responses the addresses that are keys of
-    /// `paths` are replaced by their values. Returns its address.
-    pub fn start_view(&self, paths: BTreeMap<SocketAddr, SocketAddr>) -> io::Result<SocketAddr> {
+    /// Starts another listener of this store, in whose responses the addresses of processes are
+    /// replaced by `paths`. Returns its address.
+    pub fn start_view(&self, paths: AddressMap) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         self.clone().listen(listener, paths);
         Ok(address)
     }
 
-    fn listen(self, listener: TcpListener, paths: BTreeMap<SocketAddr, SocketAddr>) {
+    fn listen(self, listener: TcpListener, paths: AddressMap) {
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (store, paths) = (self.clone(), paths.clone());
@@ -124,7 +173,7 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream, paths: &BTreeMap<SocketAddr, SocketAddr>) -> io::Result<()> {
+    fn serve(&self, stream: TcpStream, paths: &AddressMap) -> io::Result<()> {
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(call) = read_message(&mut reader)? {
@@ -137,7 +186,7 @@
                 StoreMode::Up | StoreMode::Unavailable | StoreMode::HistoryGone => {}
             }
             let mut body = body.to_string();
-            for (address, path) in paths {
+            for (address, path) in paths.paths().iter() {
                 body = body.replace(&format!("{address}\""), &format!("{path}\""));
             }
             write!(
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod framing;
 mod leaving_endpoints;
 mod monitoring;
+mod narrow_links;
 mod partitioned_gateways;
 mod responses;
 mod shutdown;
--- /dev/null
+++ b/tests/gateway/narrow_links.rs
@@ -0,0 +1,99 @@
+//! Configurations with thousands of routes, where instances send to each other over narrow links.
+
+use crate::support::{KEY, configuration, registration, route};
+use fakes::{
+    Client, GatewayConfig, GatewayProcess, NarrowNetwork, PlatformEndpoint, PlatformStore,
+};
+use serde_json::json;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// The link of a small instance: 10 Mbit/s.
+const SMALL_LINK_BYTES_PER_SECOND: u64 = 1_250_000;
+/// Followers of the store reader, as many as in a data centre of the grown deployments.
+const FOLLOWERS: usize = 12;
+/// The time within which a confirmed configuration must be in force (`configuration_ms`).
+const CONFIGURATION_BOUND: Duration = Duration::from_secs(4);
+
+/// A data centre whose daemons reach each other over narrow links.
+struct Fleet {
+    gateways: Vec<GatewayProcess>,
+    store: PlatformStore,
+    _endpoint: PlatformEndpoint,
+}
+
+impl Fleet {
+    /// Starts daemons that send `bytes_per_second` to all others together; the first reads the store.
+    fn start(bytes_per_second: u64) -> Fleet {
+        fakes::build_programs().unwrap();
+        let store = PlatformStore::start().unwrap();
+        store.put("config", "main", configuration(1, &[KEY]));
+        let endpoint = PlatformEndpoint::start("i-1", 1, Duration::ZERO).unwrap();
+        store.put("servers", &endpoint.id, registration(&endpoint, "ready", 1));
+        let mut network = NarrowNetwork::new(bytes_per_second);
+        let mut gateways: Vec<GatewayProcess> = Vec::new();
+        for number in 0..=FOLLOWERS {
+            let name = format!("front-{number}");
+            let cfg = GatewayConfig { name, ..GatewayConfig::default() };
+            let gateway = network.start_gateway(&store, &cfg).unwrap();
+            let event = if number == 0 { "reader_claimed" } else { "peer_followed" };
+            gateway.wait_for_log(&[event]).unwrap();
+            gateways.push(gateway);
+        }
+        for gateway in &gateways {
+            gateway.wait_for_log(&["configuration_in_force", "\"version\":1"]).unwrap();
+        }
+        Fleet { gateways, store, _endpoint: endpoint }
+    }
+
+    /// Adds `added` routes to the first configuration.
+    fn add_routes(&self, version: u64, added: usize) {
+        let mut configuration = configuration(version, &[KEY]);
+        let routes = configuration["routes"].as_array_mut().unwrap();
+        routes.extend((0..added).map(added_route));
+        self.store.put("config", "main", configuration);
+    }
+
+    /// The followers that refuse a request on the last of `added` routes as unknown.
+    fn followers_without(&self, added: usize) -> Vec<usize> {
+        let target = format!("/{}/", path_of(added - 1));
+        let lacks = |number: &usize| {
+            status(&self.gateways[*number], &target, &format!("n{added}-{number}")) == 404
+        };
+        (1..=FOLLOWERS).filter(lacks).collect()
+    }
+}
+
+/// A path that shares nothing with that of another route, as generated names do.
+fn path_of(number: usize) -> String {
+    let hash = (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    format!("{hash:016x}")
+}
+
+fn added_route(number: usize) -> serde_json::Value {
+    let mut added = route(&format!("r-{}", &path_of(number)[..8]), "safe", 2, false);
+    added["path_prefix"] = json!(format!("/{}/", path_of(number)));
+    added
+}
+
+fn status(gateway: &GatewayProcess, target: &str, id: &str) -> u16 {
+    let mut client = Client::connect(gateway.address).unwrap();
+    client.send_request(target, id, KEY, "body").unwrap();
+    client.read_response().unwrap().message.status()
+}
+
+/// The second change is confirmed while the first one is on its way, as when an operator's tool adds
+/// routes one file after the other.
+#[test]
+fn added_routes_reach_all_followers_over_a_narrow_link_within_the_bound() {
+    let fleet = Fleet::start(SMALL_LINK_BYTES_PER_SECOND);
+    let (first, second) = (1_400, 1_401);
+    fleet.add_routes(2, first);
+    let confirmed = Instant::now();
+    sleep(Duration::from_secs(1));
+    fleet.add_routes(3, second);
+    sleep(CONFIGURATION_BOUND.saturating_sub(confirmed.elapsed()));
+    assert_eq!(fleet.followers_without(first), [0; 0], "without the routes of version 2");
+    sleep(Duration::from_secs(1));
+    assert_eq!(fleet.followers_without(second), [0; 0], "without the route of version 3");
+}
--- a/tests/gateway/software_versions.rs
+++ b/tests/gateway/software_versions.rs
@@ -6,7 +6,6 @@
     PlatformEndpoint, PlatformStore,
 };
 use serde_json::json;
-use std::collections::BTreeMap;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -228,7 +227,8 @@
     };
     let restarting = start("i-1");
     let path = NetworkPath::start(restarting.address).unwrap();
-    let view = store.start_view(BTreeMap::from([(restarting.address, path.address)])).unwrap();
+    let view =
+        store.start_view([(restarting.address, path.address)].into_iter().collect()).unwrap();
     store.put("servers", "i-1", registration(&restarting, "ready", 5));
     let gateway = GatewayProcess::start(view, &GatewayConfig::default()).unwrap();
     gateway.wait_for_log(&["endpoint_joined", "i-1"]).unwrap();
