Reproduce keys that are not confirmed in time, as a known failure

While a configuration with 4,200 routes is on its way over a congested link, 437 of 637 requests with a key are refused, although the reader is in touch with the store and the keys are the same in both versions.

--- a/tests/gateway/narrow_links.rs
+++ b/tests/gateway/narrow_links.rs
@@ -97,3 +97,26 @@
     sleep(Duration::from_secs(1));
     assert_eq!(fleet.followers_without(second), [0; 0], "without the route of version 3");
 }
+
+/// A link so full that a large configuration takes longer than the time for which keys stay valid
+/// without a confirmation.
+const CONGESTED_LINK_BYTES_PER_SECOND: u64 = 100_000;
+/// Longer than that time, which is five seconds.
+const CONGESTED_TIME: Duration = Duration::from_secs(9);
+
+/// The keys are the same in both versions, and the reader is in touch with the store all the while.
+#[test]
+fn requests_with_keys_are_served_while_a_large_configuration_is_on_its_way() {
+    let fleet = Fleet::start(CONGESTED_LINK_BYTES_PER_SECOND);
+    fleet.add_routes(2, 4_200);
+    let confirmed = Instant::now();
+    let (mut refused, mut sent) = (0, 0);
+    while confirmed.elapsed() < CONGESTED_TIME {
+        for gateway in &fleet.gateways {
+            sent += 1;
+            refused += usize::from(status(gateway, "/safe/", &format!("k{sent}")) != 200);
+        }
+        sleep(Duration::from_millis(50));
+    }
+    assert_eq!(refused, 0, "of {sent} requests");
+}
