Send followers the changes of a configuration, to a few at a time

Callers got 404 for routes that the store had confirmed more than 4 s before, and removed routes were still served, when 1,400 routes were added on the grown deployments.

Cause: a store reader sent the whole configuration, as JSON, to each follower with each change: 400 KB to 10 to 15 followers over a link of 10 Mbit/s. They gave up after 0.8 s, followed another instance and began again from the start; new connections waited behind the bytes and timed out as well. Class: content that does not fit the time limit of its receiver is sent again from its start.

A follower now says which configuration it holds, and gets the difference, deflated, packed once for all followers. Large ones are sent to four followers at a time; the others get the rest of the feed meanwhile, without a confirmation. A follower that changes readers keeps what it has. A response is given up when no byte comes, not while it arrives, also one of the store. A configuration that cannot be read is no longer confirmed. Daemons of earlier builds get and send the whole as before.

added_routes_reach_all_followers_over_a_narrow_link_within_the_bound failed before (10 of 12 followers) and passes. The 168 other tests of the gateway pass; the known failure of unconfirmed keys stays.

--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -5,6 +5,7 @@
 mod brittle_endpoints;
 mod catalog;
 mod change_log;
+mod configuration_change;
 mod connection_budget;
 mod content;
 mod demand;
@@ -29,6 +30,7 @@
 mod relays;
 mod rendezvous;
 mod retry_budget;
+mod sequence_change;
 mod start_wait;
 mod stream_records;
 mod usage;
@@ -42,6 +44,7 @@
     Service,
 };
 pub use change_log::ChangeLog;
+pub use configuration_change::ConfigurationChange;
 pub use connection_budget::ConnectionBudget;
 pub use content::{Content, request_digest};
 pub use demand::{Candidate, Choice, Demand, Distance, InFlightId, Outcome, Placement};
@@ -65,6 +68,7 @@
 pub use readers::{ClaimOutcome, Peer, PeerFault, ReaderRecord, Step};
 pub use relays::Relays;
 pub use retry_budget::{RetryBudget, RetryBudgetConfig};
+pub use sequence_change::SequenceChange;
 pub use start_wait::start_wait;
 pub use stream_records::{BegunStream, StreamBatch, StreamKey, StreamRecords, batch_interval};
 pub use usage::Usage;
--- a/components/decision/tests/routing/main.rs
+++ b/components/decision/tests/routing/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the routing decisions through the public interface.
 
 mod catalog;
+mod configuration_changes;
 mod connection_budget;
 mod crashing_requests;
 mod departures;
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -66,6 +66,26 @@
     }
 }
 
+/// Limits of a response that is read completely. While bytes arrive, its sender is not lost.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ResponseLimits {
+    /// Maximum time to the head.
+    pub(crate) head: Millis,
+    /// Maximum time without a further byte of the body.
+    pub(crate) pause: Millis,
+    /// Maximum time from the head to the end of the body.
+    pub(crate) body: Millis,
+    /// Maximum size of the body.
+    pub(crate) max_bytes: usize,
+}
+
+impl ResponseLimits {
+    /// The same limit for the head and for the body.
+    pub(crate) fn within(limit: Millis, max_bytes: usize) -> ResponseLimits {
+        ResponseLimits { head: limit, pause: limit, body: limit, max_bytes }
+    }
+}
+
 /// A persistent HTTP/1.1 connection that carries one request at a time.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -119,55 +139,65 @@
         }
     }
 
-    /// Sends a GET request and reads the complete response, within `limit` in total.
+    /// Sends a GET request and reads the complete response.
     pub(crate) async fn get(
         &mut self,
         host: &str,
         target: &str,
-        limit: Millis,
-        max_bytes: usize,
+        limits: ResponseLimits,
     ) -> Result<(StatusCode, Bytes), ConnectionError> {
         let address = self.address;
         let req = Request::get(target)
             .header(http::header::HOST, host)
             .body(Full::new(Bytes::new()))
             .map_err(|e| ConnectionError::Body { address, max_bytes: 0, text: e.to_string() })?;
-        self.send_and_read(req, limit, max_bytes).await
+        self.send_and_read(req, limits).await
     }
 
-    /// Sends a request and reads the complete response, within `limit` in total.
+    /// Sends a request and reads the complete response.
     pub(crate) async fn send_and_read(
         &mut self,
         req: Request<Full<Bytes>>,
-        limit: Millis,
-        max_bytes: usize,
+        limits: ResponseLimits,
     ) -> Result<(StatusCode, Bytes), ConnectionError> {
         let address = self.address;
+        let response = self.send(req, limits.head).await?;
+        let status = response.status();
         let mut received = Vec::new();
-        let complete = async {
-            let response = self.send(req, limit).await?;
-            let status = response.status();
-            collect(response.into_body(), &mut received, max_bytes)
-                .await
-                .map_err(|text| ConnectionError::Body { address, max_bytes, text })?;
-            Ok(status)
-        };
-        match timeout(Duration::from_millis(limit.0), complete).await {
-            Ok(status) => Ok((status?, Bytes::from(received))),
-            Err(_) => ResponseTimeoutSnafu { address, limit, received: received.len() }.fail(),
+        let complete = collect(address, response.into_body(), &mut received, limits);
+        match timeout(Duration::from_millis(limits.body.0), complete).await {
+            Ok(result) => result?,
+            Err(_) => {
+                let (limit, received) = (limits.body, received.len());
+                return ResponseTimeoutSnafu { address, limit, received }.fail();
+            }
         }
+        Ok((status, Bytes::from(received)))
     }
 }
 
-/// Appends a body to `received`, up to `max_bytes`.
-async fn collect(body: Incoming, received: &mut Vec<u8>, max_bytes: usize) -> Result<(), String> {
+/// Appends a body to `received`.
+async fn collect(
+    address: SocketAddr,
+    body: Incoming,
+    received: &mut Vec<u8>,
+    limits: ResponseLimits,
+) -> Result<(), ConnectionError> {
+    let max_bytes = limits.max_bytes;
     let mut body = Limited::new(body, max_bytes);
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() {
-            received.extend_from_slice(&data);
+    loop {
+        let Ok(frame) = timeout(Duration::from_millis(limits.pause.0), body.frame()).await else {
+            let (limit, received) = (limits.pause, received.len());
+            return ResponseTimeoutSnafu { address, limit, received }.fail();
+        };
+        match frame {
+            Some(Ok(frame)) => received.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Some(Err(e)) => {
+                return BodySnafu { address, max_bytes, text: e.to_string() }.fail();
+            }
+            None => return Ok(()),
         }
     }
-    Ok(())
 }
 
 /// Sets socket options that detect a silently lost connection within seconds.
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -1,10 +1,11 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
+use crate::configuration_history::ConfigurationHistory;
 use crate::continuation::StreamLookup;
 use crate::log::LogQuota;
 use crate::metrics::Metrics;
 use crate::object_feed::to_json;
-use crate::packed_endpoints::pack;
+use crate::packing::pack;
 use crate::pool::Pool;
 use crate::registry_log::log_registry_changes;
 use crate::settings::Settings;
@@ -36,8 +37,9 @@
 /// source of updates is looked for.
 const MAX_CONFIRMATION_AGE_SHARE: f64 = 0.6;
 
-/// Followers to which the complete registry is sent at the same time. With all at once, as after a
-/// loss of power, none would receive it within its time limit, and memory would not suffice.
+/// Followers to which the complete registry or a large change of the configuration is sent at the same
+/// time. With all at once none would receive it within its time limit, new connections would wait
+/// behind them on the link, and memory would not suffice.
 const CONCURRENT_FULL_COPIES: usize = 4;
 /// Time after which the initialization is checked again without a notification.
 const INITIALIZATION_RECHECK: Duration = Duration::from_millis(20);
@@ -60,6 +62,7 @@
     pub(crate) adapter: A,
     pub(crate) settings: RefCell<Rc<Settings>>,
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
+    pub(crate) configurations: RefCell<ConfigurationHistory>,
     pub(crate) directory: RefCell<Directory>,
     /// Whether the registry has been read at least once.
     pub(crate) registry_known: Cell<bool>,
@@ -99,7 +102,7 @@
     /// The packed endpoints and the change log sequence at which they were packed. Cached
     /// because many followers may request them at the same time.
     cached_endpoints: RefCell<(u64, Rc<[u8]>)>,
-    /// Permits for responses with the complete registry.
+    /// Permits for responses with the complete registry or a large change of the configuration.
     pub(crate) full_copies: Arc<Semaphore>,
     pub(crate) update_source: CurrentSource,
     pub(crate) reachability: RefCell<Reachability>,
@@ -127,6 +130,7 @@
         Gateway {
             adapter,
             catalog: RefCell::default(),
+            configurations: RefCell::default(),
             directory: RefCell::default(),
             registry_known: Cell::new(false),
             unsettled_until: Cell::default(),
@@ -341,6 +345,7 @@
     pub(crate) fn run_maintenance(&self, now: Millis) {
         let changes = self.directory.borrow_mut().expire(now);
         self.publish_registry_changes(&changes);
+        self.configurations.borrow_mut().expire(now);
         self.pool.borrow_mut().remove_expired(now);
         let directory = self.directory.borrow();
         self.loads.borrow_mut().retain(|id| directory.get(id).is_some());
--- a/components/gateway/src/object_feed.rs
+++ b/components/gateway/src/object_feed.rs
@@ -1,4 +1,5 @@
 use crate::adapter::{Adapter, Changes, Item, ObjectKind, Page};
+use crate::clock::now;
 use crate::gateway::{Change, Gateway};
 use crate::software_versions::admit;
 use decision::Millis;
@@ -131,7 +132,9 @@
         accounts = configuration.accounts.as_ref().map_or(0, Vec::len),
     );
     gateway.metrics.configuration_version.set(version as i64);
-    gateway.catalog.replace(Some(Rc::new(Catalog::new(configuration))));
+    let catalog = Rc::new(Catalog::new(configuration));
+    gateway.configurations.borrow_mut().activate(catalog.clone(), now());
+    gateway.catalog.replace(Some(catalog));
     gateway.publish(Change::Configuration);
 }
 
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -1,10 +1,10 @@
 use crate::adapter::{Adapter, Item};
 use crate::clock::now;
-use crate::connection::Connection;
+use crate::connection::{Connection, ResponseLimits};
 use crate::gateway::Gateway;
 use crate::notices::receive_notices;
 use crate::object_feed::{Endpoints, ObjectFeed, activate};
-use crate::packed_endpoints::unpack;
+use crate::packing::unpack;
 use bytes::Bytes;
 use decision::Millis;
 use decision::routing::{Configuration, NoticeSource, Peer, PeerFault, Registration};
@@ -20,8 +20,13 @@
 /// How long a followed daemon may delay its response while it waits for a change. Loads are
 /// reported with each request, so about as often.
 const FEED_WAIT: Millis = Millis(400);
-/// Response timeout in addition to the wait.
+/// Timeout of a response to its first byte, in addition to the wait.
 const RESPONSE_MARGIN: Millis = Millis(400);
+/// Maximum time without a further byte of a response.
+const RESPONSE_PAUSE: Millis = Millis(800);
+/// Maximum time from the first byte of a response to its last. A daemon whose link is busy is not
+/// lost, and another one would send the response again from its start.
+const BODY_TIMEOUT: Millis = Millis(3_000);
 /// Response timeout for the complete registry, which a daemon sends to a few followers at a time. A
 /// follower whose reader is suspended must find another one before its keys are no longer valid.
 const FULL_COPY_TIMEOUT: Millis = Millis(2_000);
@@ -93,6 +98,7 @@
         let sent = now();
         let feed_req = FeedRequest {
             from: self.position.clone(),
+            configuration: Some(gateway.configurations.borrow().held()),
             wait_ms: FEED_WAIT.0,
             ..feed_request(gateway)
         };
@@ -137,6 +143,7 @@
         all_notices: false,
         reaches_endpoints: !gateway.is_cut_off(),
         from: None,
+        configuration: None,
         wait_ms: 0,
         loads: load_rows(load_exchange.data_centre_loads(&own)),
         outcomes: gateway.outcome_exchange.borrow().data_centre_outcomes(&own_outcomes),
@@ -164,10 +171,14 @@
     *req.method_mut() = Method::POST;
     *req.uri_mut() = http::Uri::from_static(PATH);
     req.headers_mut().extend(address.to_string().parse().ok().map(|host| (HOST, host)));
-    let (status, body) = connection
-        .send_and_read(req, limit, MAX_RESPONSE_BYTES)
-        .await
-        .map_err(|e| unreachable(e.to_string()))?;
+    let limits = ResponseLimits {
+        head: limit,
+        pause: RESPONSE_PAUSE,
+        body: BODY_TIMEOUT,
+        max_bytes: MAX_RESPONSE_BYTES,
+    };
+    let (status, body) =
+        connection.send_and_read(req, limits).await.map_err(|e| unreachable(e.to_string()))?;
     *connection_slot = Some(connection);
     match status {
         StatusCode::OK => rmp_serde::from_slice(&body)
@@ -188,10 +199,10 @@
     if feed.is_complete {
         gateway.notices.borrow_mut().forward_again(now());
     }
-    let endpoints = if feed.is_complete { unpack(&feed.packed_endpoints)? } else { feed.endpoints };
-    if let Some(configuration) = from_json::<Configuration>(feed.configuration.as_deref()) {
+    if let Some(configuration) = configuration(gateway, &feed)? {
         activate(gateway, configuration);
     }
+    let endpoints = if feed.is_complete { unpack(&feed.packed_endpoints)? } else { feed.endpoints };
     if !feed.is_settled {
         gateway.unsettled_until.set(now() + FEED_WAIT + RESPONSE_MARGIN);
     }
@@ -233,6 +244,18 @@
     Ok(())
 }
 
+/// The newer configuration that a response holds, if any.
+fn configuration<A: Adapter>(
+    gateway: &Gateway<A>,
+    feed: &FeedResponse,
+) -> Result<Option<Configuration>, String> {
+    if let Some(update) = &feed.configuration_update {
+        return gateway.configurations.borrow().apply(update).map(Some);
+    }
+    let configuration = feed.configuration.as_deref().map(serde_json::from_str);
+    configuration.transpose().map_err(|e| format!("configuration of the peer is unreadable: {e}"))
+}
+
 /// Records the daemons that reach endpoints, as a daemon of a data centre named them.
 pub(crate) fn learn_relays<A: Adapter>(
     gateway: &Gateway<A>,
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -12,7 +12,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use messages::feed::{FeedPeer, FeedPosition, FeedRequest, FeedResponse};
+use messages::feed::{ConfigurationUpdate, FeedPeer, FeedPosition, FeedRequest, FeedResponse};
 use messages::{endpoint_loads, load_rows};
 use rand::RngExt;
 use std::rc::Rc;
@@ -21,6 +21,9 @@
 use tokio::time::timeout;
 
 const MAX_REQUEST_BYTES: usize = 1 << 20;
+/// Maximum size of a change of the configuration that is sent to any number of followers at the same
+/// time.
+const MAX_SMALL_BYTES: usize = 8 << 10;
 /// Maximum time to wait for a change, whatever the follower requests.
 const MAX_WAIT: Millis = Millis(5_000);
 
@@ -61,7 +64,7 @@
         tracing::info!(event = "reader_replaced", by = %sender.name);
         gateway.readers.borrow_mut().observe_reader(&req.data_centre, &sender, &[]);
         gateway.reader_changed.notify_waiters();
-        return encode(gateway, &empty_response(gateway, arrived));
+        return encode(gateway, &empty_response(gateway, arrived), None);
     }
     gateway.relays.borrow_mut().report(sender.clone(), req.reaches_endpoints, arrived);
     let loads = endpoint_loads(req.loads.clone());
@@ -84,12 +87,33 @@
             let text = String::from("this daemon has not read the store yet");
             return text_response(StatusCode::SERVICE_UNAVAILABLE, text);
         }
-        if !has_position(gateway, req) {
-            return full_copy(gateway, req, arrived).await;
+        if let Some(permit) = permit_for_large_response(gateway, req, arrived).await {
+            let feed = build_feed_response(gateway, req, arrived, true);
+            return encode(gateway, &feed, Some(permit));
         }
-        wait_for_change(gateway, req).await;
     }
-    encode(gateway, &build_feed_response(gateway, req, arrived))
+    encode(gateway, &build_feed_response(gateway, req, arrived, false), None)
+}
+
+/// Waits for something to send to a follower. Returns a permit if it needs the complete registry or a
+/// large change of the configuration. While others receive that change, the follower gets the rest
+/// without it.
+async fn permit_for_large_response<A: Adapter>(
+    gateway: &Gateway<A>,
+    req: &FeedRequest,
+    arrived: Millis,
+) -> Option<OwnedSemaphorePermit> {
+    // The semaphore is never closed, so each wait ends with a permit.
+    if !has_position(gateway, req) {
+        return gateway.full_copies.clone().acquire_owned().await.ok();
+    }
+    wait_for_change(gateway, req).await;
+    if !lacks_large_change(gateway, req) {
+        return None;
+    }
+    let left = Millis(req.wait_ms).min(MAX_WAIT) - now().since(arrived);
+    let permit = gateway.full_copies.clone().acquire_owned();
+    timeout(Duration::from_millis(left.0), permit).await.ok()?.ok()
 }
 
 /// Whether the changes since the position of a follower are known.
@@ -98,52 +122,65 @@
     from.is_some_and(|from| gateway.change_log.borrow().since(from.sequence).is_some())
 }
 
+/// The change to the active configuration from the one that a follower holds, if it understands such
+/// changes and lacks the active one.
+fn configuration_update<A: Adapter>(
+    gateway: &Gateway<A>,
+    req: &FeedRequest,
+) -> Option<ConfigurationUpdate> {
+    let held = req.configuration.as_ref()?;
+    match gateway.configurations.borrow_mut().update(held) {
+        Ok(update) => update,
+        Err(text) => {
+            tracing::error!(event = "value_not_encoded", error = text);
+            None
+        }
+    }
+}
+
+fn lacks_large_change<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest) -> bool {
+    configuration_update(gateway, req).is_some_and(|update| update.change.0.len() > MAX_SMALL_BYTES)
+}
+
+/// Whether a follower reports that it lacks the active configuration.
+fn lacks_configuration<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest) -> bool {
+    let held = req.configuration.as_ref();
+    held.is_some_and(|held| gateway.configurations.borrow().is_newer_than(held))
+}
+
 /// An encoded response that holds a permit until it has been sent.
-struct FullCopy {
+struct LargeResponse {
     body: Vec<u8>,
     _permit: OwnedSemaphorePermit,
 }
 
-impl AsRef<[u8]> for FullCopy {
+impl AsRef<[u8]> for LargeResponse {
     fn as_ref(&self) -> &[u8] {
         &self.body
     }
 }
 
-/// Sends the configuration and the complete registry, to a few followers at a time.
-async fn full_copy<A: Adapter>(
-    gateway: &Rc<Gateway<A>>,
-    req: &FeedRequest,
-    arrived: Millis,
+fn encode<A: Adapter>(
+    gateway: &Gateway<A>,
+    feed: &FeedResponse,
+    permit: Option<OwnedSemaphorePermit>,
 ) -> Response<ResponseBody> {
-    let Ok(permit) = gateway.full_copies.clone().acquire_owned().await else {
-        let text = String::from("this daemon accepts no followers");
-        return text_response(StatusCode::SERVICE_UNAVAILABLE, text);
+    let body = match rmp_serde::to_vec_named(feed) {
+        Ok(body) => body,
+        Err(e) => return text_response(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
     };
-    let feed = build_feed_response(gateway, req, arrived);
-    match rmp_serde::to_vec_named(&feed) {
-        Ok(body) => {
-            count_bytes(gateway, &feed, body.len());
-            let body = Bytes::from_owner(FullCopy { body, _permit: permit });
-            Response::new(ResponseBody::Complete(Some(body)))
-        }
-        Err(e) => text_response(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
-    }
-}
-
-fn encode<A: Adapter>(gateway: &Gateway<A>, feed: &FeedResponse) -> Response<ResponseBody> {
-    match rmp_serde::to_vec_named(feed) {
-        Ok(body) => {
-            count_bytes(gateway, feed, body.len());
-            Response::new(ResponseBody::Complete(Some(Bytes::from(body))))
-        }
-        Err(e) => text_response(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
-    }
+    count_bytes(gateway, feed, body.len());
+    let body = match permit {
+        Some(permit) => Bytes::from_owner(LargeResponse { body, _permit: permit }),
+        None => Bytes::from(body),
+    };
+    Response::new(ResponseBody::Complete(Some(body)))
 }
 
 fn count_bytes<A: Adapter>(gateway: &Gateway<A>, feed: &FeedResponse, bytes: usize) {
     let content = match feed {
         FeedResponse { configuration: Some(_), .. } => "configuration",
+        FeedResponse { configuration_update: Some(_), .. } => "configuration",
         FeedResponse { is_complete: true, .. } => "registry",
         _ => "changes",
     };
@@ -152,9 +189,9 @@
 
 async fn wait_for_change<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest) {
     let Some(from) = &req.from else { return };
-    if from.incarnation != gateway.incarnation
-        || from.sequence != gateway.change_log.borrow().last()
-    {
+    let is_behind = from.incarnation != gateway.incarnation
+        || from.sequence != gateway.change_log.borrow().last();
+    if is_behind || lacks_configuration(gateway, req) {
         return;
     }
     let wait = Millis(req.wait_ms).min(MAX_WAIT);
@@ -173,6 +210,7 @@
         is_complete: false,
         is_settled: gateway.is_registry_settled(now()),
         configuration: None,
+        configuration_update: None,
         endpoints: Vec::new(),
         packed_endpoints: Vec::new(),
         daemons: None,
@@ -206,10 +244,13 @@
     offered.iter().map(feed_peer).chain(own).collect()
 }
 
+/// Builds the response to a request; a large change of the configuration is left out unless
+/// `may_be_large`.
 fn build_feed_response<A: Adapter>(
     gateway: &Gateway<A>,
     req: &FeedRequest,
     arrived: Millis,
+    may_be_large: bool,
 ) -> FeedResponse {
     let own = gateway.loads.borrow().own_loads();
     let own_outcomes = gateway.loads.borrow().own_outcomes(now());
@@ -235,12 +276,19 @@
     feed.standbys = readers.standbys().iter().map(feed_peer).collect();
     feed.loads = load_rows(load_exchange.fleet_loads(&own, &req.name));
     feed.outcomes = outcome_exchange.fleet_outcomes(&own_outcomes, &req.name);
+    if lacks_configuration(gateway, req) {
+        let update = configuration_update(gateway, req);
+        feed.configuration_update =
+            update.filter(|update| may_be_large || update.change.0.len() <= MAX_SMALL_BYTES);
+        // The freshness of the active configuration says nothing of an older one.
+        feed.proof_age_ms = feed.proof_age_ms.filter(|_| feed.configuration_update.is_some());
+    }
     let from = req.from.as_ref().filter(|from| from.incarnation == gateway.incarnation);
     match from.and_then(|from| change_log.since(from.sequence)) {
         Some(changes) => {
             for change in changes {
                 match change {
-                    Change::Configuration => feed.configuration = configuration(gateway),
+                    Change::Configuration => feed.configuration = configuration(gateway, req),
                     Change::Endpoint(change) => feed.endpoints.push(change.clone()),
                     Change::Notice(id) => {
                         feed.notices.extend(gateway.notices.borrow().get(*id, now()));
@@ -251,7 +299,7 @@
         None => {
             feed.is_complete = true;
             feed.notices = gateway.notices.borrow().all(now());
-            feed.configuration = configuration(gateway);
+            feed.configuration = configuration(gateway, req);
             match gateway.packed_endpoints() {
                 Ok(packed) => feed.packed_endpoints = packed.to_vec(),
                 Err(text) => tracing::error!(event = "value_not_encoded", error = text),
@@ -261,6 +309,8 @@
     feed
 }
 
-fn configuration<A: Adapter>(gateway: &Gateway<A>) -> Option<String> {
-    gateway.catalog().and_then(|catalog| object_feed::to_json(catalog.configuration()))
+/// The whole configuration for a follower that does not understand changes of it.
+fn configuration<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest) -> Option<String> {
+    let catalog = gateway.catalog().filter(|_| req.configuration.is_none())?;
+    object_feed::to_json(catalog.configuration())
 }
--- a/components/gateway/src/store_connection.rs
+++ b/components/gateway/src/store_connection.rs
@@ -1,5 +1,5 @@
 use crate::adapter::{Adapter, ObjectKind};
-use crate::connection::{Connection, ConnectionError};
+use crate::connection::{Connection, ConnectionError, ResponseLimits};
 use crate::gateway::Gateway;
 use crate::metrics::StoreLabels;
 use bytes::Bytes;
@@ -78,7 +78,9 @@
         let host = address.to_string();
         req.headers_mut().extend(host.parse().ok().map(|host| (HOST, host)));
         req.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        let response = connection.send_and_read(req, self.limit, MAX_RESPONSE_BYTES).await?;
+        let response = connection
+            .send_and_read(req, ResponseLimits::within(self.limit, MAX_RESPONSE_BYTES))
+            .await?;
         self.connection = Some(connection);
         Ok(response)
     }
--- a/components/gateway/src/store_reader.rs
+++ b/components/gateway/src/store_reader.rs
@@ -1,6 +1,6 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
-use crate::connection::{Connection, ConnectionError};
+use crate::connection::{Connection, ConnectionError, ResponseLimits};
 use crate::gateway::Gateway;
 use crate::metrics::StoreLabels;
 use crate::object_feed::ObjectFeed;
@@ -17,6 +17,9 @@
 
 /// Read timeout: sixty times the usual response time of the store.
 const READ_TIMEOUT: Millis = Millis(2_000);
+/// Maximum time from the head of a response to its end: a page of 1 MB over a narrow link that other
+/// traffic uses as well.
+const BODY_TIMEOUT: Millis = Millis(4_000);
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
 /// Maximum response size: a page of 1 MB with its encoding.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
@@ -176,7 +179,13 @@
             None => Connection::open(address, CONNECT_TIMEOUT).await?,
         };
         let host = address.to_string();
-        let response = connection.get(&host, target, limit, MAX_RESPONSE_BYTES).await?;
+        let limits = ResponseLimits {
+            head: limit,
+            pause: READ_TIMEOUT,
+            body: BODY_TIMEOUT,
+            max_bytes: MAX_RESPONSE_BYTES,
+        };
+        let response = connection.get(&host, target, limits).await?;
         self.connection = Some(connection);
         Ok(response)
     }
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -9,6 +9,15 @@
     ///The service of the request.
     pub service: ::std::string::String,
 }
+///A newer configuration, as the difference from one that the requester holds.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigurationUpdate {
+    ///The configuration that the difference was made from; absent if it was made from none and holds everything.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub base: ::std::option::Option<HeldConfiguration>,
+    ///The difference: a MessagePack ConfigurationChange, deflated.
+    pub change: crate::Packed,
+}
 ///An endpoint crashed while it ran a request.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct CrashNotice {
@@ -97,6 +106,9 @@
     ///Whether the response is to hold all notices, since the sender may lack old ones, in place of recent ones.
     #[serde(default)]
     pub all_notices: bool,
+    ///The configuration that the sender holds. Absent from daemons that understand no updates of it, only whole ones.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub configuration: ::std::option::Option<HeldConfiguration>,
     ///The number of daemons whose load the request reports.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub daemons: ::std::option::Option<u32>,
@@ -127,9 +139,12 @@
 ///What a daemon has read from the store, and the load of the other daemons.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct FeedResponse {
-    ///The configuration as JSON; present in a full set, and when it changed after the position.
+    ///The configuration as JSON, for a requester that understands no updates; present in a full set, and when it changed after the position.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub configuration: ::std::option::Option<::std::string::String>,
+    ///A newer configuration than the requester holds. It may be left out while such updates are sent to others; the freshness is then not stated either.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub configuration_update: ::std::option::Option<ConfigurationUpdate>,
     ///For how long the responder has reached the store without a gap in which registrations could expire, in milliseconds; absent in such a gap.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub continuous_ms: ::std::option::Option<u64>,
@@ -176,6 +191,14 @@
     ///The time from the arrival of the request to this response, in milliseconds.
     pub waited_ms: u64,
 }
+///The configuration that a daemon holds.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct HeldConfiguration {
+    ///The first 64 bits of the SHA-256 digest of its MessagePack encoding: configurations of one version may differ.
+    pub digest: u64,
+    ///Its version; 0 if it holds none.
+    pub version: u64,
+}
 ///An endpoint stated how many requests it takes.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LimitNotice {
--- a/components/messages/src/lib.rs
+++ b/components/messages/src/lib.rs
@@ -14,9 +14,11 @@
 #[rustfmt::skip]
 pub mod forward;
 mod load_row;
+mod packed;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod status;
 
 pub use envelope::{PacketError, decode_signed, encode_signed};
 pub use load_row::{endpoint_loads, load_rows};
+pub use packed::Packed;
--- a/components/schema/src/message.rs
+++ b/components/schema/src/message.rs
@@ -1,4 +1,4 @@
-use schemars::schema::RootSchema;
+use schemars::schema::{InstanceType, RootSchema, SchemaObject};
 use snafu::{ResultExt, Snafu};
 use typify::{TypeSpace, TypeSpaceSettings};
 
@@ -30,6 +30,15 @@
 /// crate.
 pub const MESSAGE_SCHEMAS: [&str; 4] = ["cluster", "feed", "forward", "status"];
 
+/// The schema of bytes that are not encoded as a sequence of numbers.
+fn packed_schema() -> SchemaObject {
+    SchemaObject {
+        instance_type: Some(InstanceType::String.into()),
+        format: Some(String::from("byte")),
+        ..SchemaObject::default()
+    }
+}
+
 /// Generates Rust types for the definitions of a JSON Schema.
 pub fn message_types(schema: &str) -> Result<String, GenerateError> {
     let schema: RootSchema = serde_json::from_str(schema).context(ParseSnafu)?;
@@ -37,7 +46,8 @@
     settings
         .with_struct_builder(false)
         .with_map_type("::std::collections::BTreeMap")
-        .with_derive("PartialEq".to_string());
+        .with_derive("PartialEq".to_string())
+        .with_conversion(packed_schema(), "crate::Packed", std::iter::empty());
     let mut types = TypeSpace::new(&settings);
     types.add_ref_types(schema.definitions).context(ConvertSnafu)?;
     let file = syn::parse2(types.to_stream()).context(FormatSnafu)?;
