Keep the time limit of short exchanges between daemons

Loads are exchanged with one data centre after the other, so a response that trickles must not hold up the next one. The limit by progress applies to the feed of a followed daemon only, as it was meant to; the three short calls are bounded in all by what bounded them before.

--- a/components/gateway/src/load_reports.rs
+++ b/components/gateway/src/load_reports.rs
@@ -1,9 +1,9 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
-use crate::connection::Connection;
+use crate::connection::{Connection, ResponseLimits};
 use crate::gateway::Gateway;
 use crate::notices::receive_notices;
-use crate::peer_feed::{call, feed_request, learn_relays};
+use crate::peer_feed::{MAX_RESPONSE_BYTES, call, feed_request, learn_relays};
 use crate::update_source::UpdateSource;
 use decision::Millis;
 use decision::routing::NoticeSource;
@@ -89,7 +89,8 @@
             feed_req
         };
         let connection_slot = &mut partner.connection;
-        match call(connection_slot, address, &feed_req, REMOTE_TIMEOUT, REMOTE_TIMEOUT).await {
+        let limits = ResponseLimits::within(REMOTE_TIMEOUT, MAX_RESPONSE_BYTES);
+        match call(connection_slot, address, &feed_req, REMOTE_TIMEOUT, limits).await {
             Ok(feed) => {
                 let incarnation = Some(feed.position.incarnation);
                 partner.lacks_notices = partner.incarnation != incarnation;
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -36,7 +36,7 @@
 /// that an update takes to its followers. An older registry would bring back endpoints that left.
 const MAX_CONFIRMATION_LAG: Millis = Millis(1_000);
 /// Maximum response size: a configuration of 1 MB and the registry.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// The path of the feed on the peer listener.
 pub(crate) const PATH: &str = "/feed";
 
@@ -103,8 +103,13 @@
             ..feed_request(gateway)
         };
         let is_full_copy = self.position.is_none();
-        let limit = if is_full_copy { FULL_COPY_TIMEOUT } else { FEED_WAIT + RESPONSE_MARGIN };
-        let feed = call(&mut self.connection, address, &feed_req, CONNECT_TIMEOUT, limit).await?;
+        let limits = ResponseLimits {
+            head: if is_full_copy { FULL_COPY_TIMEOUT } else { FEED_WAIT + RESPONSE_MARGIN },
+            pause: RESPONSE_PAUSE,
+            body: BODY_TIMEOUT,
+            max_bytes: MAX_RESPONSE_BYTES,
+        };
+        let feed = call(&mut self.connection, address, &feed_req, CONNECT_TIMEOUT, limits).await?;
         Ok((feed, sent))
     }
 }
@@ -121,7 +126,8 @@
 pub(crate) async fn announce_takeover<A: Adapter>(gateway: &Gateway<A>, replaced: &Peer) {
     let Ok(address) = replaced.address.parse::<SocketAddr>() else { return };
     let feed_req = FeedRequest { takes_over: true, ..feed_request(gateway) };
-    let announced = call(&mut None, address, &feed_req, CONNECT_TIMEOUT, RESPONSE_MARGIN).await;
+    let limits = ResponseLimits::within(RESPONSE_MARGIN, MAX_RESPONSE_BYTES);
+    let announced = call(&mut None, address, &feed_req, CONNECT_TIMEOUT, limits).await;
     if let Err((_, text)) = announced {
         tracing::info!(event = "takeover_not_announced", peer = %replaced.name, text);
     }
@@ -157,7 +163,7 @@
     address: SocketAddr,
     feed_req: &FeedRequest,
     connect_limit: Millis,
-    limit: Millis,
+    limits: ResponseLimits,
 ) -> Result<FeedResponse, (PeerFault, String)> {
     let unreachable = |text: String| (PeerFault::Unreachable, text);
     let body = rmp_serde::to_vec_named(feed_req).map_err(|e| unreachable(e.to_string()))?;
@@ -171,12 +177,6 @@
     *req.method_mut() = Method::POST;
     *req.uri_mut() = http::Uri::from_static(PATH);
     req.headers_mut().extend(address.to_string().parse().ok().map(|host| (HOST, host)));
-    let limits = ResponseLimits {
-        head: limit,
-        pause: RESPONSE_PAUSE,
-        body: BODY_TIMEOUT,
-        max_bytes: MAX_RESPONSE_BYTES,
-    };
     let (status, body) =
         connection.send_and_read(req, limits).await.map_err(|e| unreachable(e.to_string()))?;
     *connection_slot = Some(connection);
--- a/components/gateway/src/registry_outage.rs
+++ b/components/gateway/src/registry_outage.rs
@@ -1,8 +1,9 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
+use crate::connection::ResponseLimits;
 use crate::gateway::Gateway;
 use crate::load_reports::REMOTE_TIMEOUT;
-use crate::peer_feed::{call, feed_request};
+use crate::peer_feed::{MAX_RESPONSE_BYTES, call, feed_request};
 use decision::Millis;
 use decision::routing::{Freshness, Peer, REREGISTRATION_TIMEOUT};
 use messages::feed::FeedRequest;
@@ -63,7 +64,8 @@
         return None;
     };
     let feed_req = FeedRequest { whole_data_centre: true, ..feed_request(gateway) };
-    match call(&mut None, address, &feed_req, REMOTE_TIMEOUT, REMOTE_TIMEOUT).await {
+    let limits = ResponseLimits::within(REMOTE_TIMEOUT, MAX_RESPONSE_BYTES);
+    match call(&mut None, address, &feed_req, REMOTE_TIMEOUT, limits).await {
         Ok(feed) => feed.continuous_ms.map(Millis),
         Err((_, text)) => {
             tracing::info!(event = "availability_unknown", data_centre, text);
