Confirm keys while the rest of a configuration is on its way

Callers of all ranks got 503 at daemons that were in touch with the store, urgent ones while less urgent ones ran elsewhere: no keys had been confirmed there for longer than the revocation bound.

Cause: a confirmation says that the whole configuration is current, so it came only with the configuration, and while its bytes arrived the follower heard nothing else from its reader. Class: small news that must arrive in time wait behind large content on the same connection.

Client accounts are now updated apart from the rest and first; a response states the version to which the accounts of the follower belong. With the same accounts, or once it has them, a follower's keys are confirmed, while its routes may still be older.

--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -44,7 +44,7 @@
     Service,
 };
 pub use change_log::ChangeLog;
-pub use configuration_change::ConfigurationChange;
+pub use configuration_change::{AccountsChange, ConfigurationChange};
 pub use connection_budget::ConnectionBudget;
 pub use content::{Content, request_digest};
 pub use demand::{Candidate, Choice, Demand, Distance, InFlightId, Outcome, Placement};
--- a/components/decision/tests/routing/configuration_changes.rs
+++ b/components/decision/tests/routing/configuration_changes.rs
@@ -1,4 +1,6 @@
-use decision::routing::{Account, Configuration, ConfigurationChange, Route, SequenceChange};
+use decision::routing::{
+    Account, AccountsChange, Configuration, ConfigurationChange, Route, SequenceChange,
+};
 use proptest::prelude::*;
 
 proptest! {
@@ -50,7 +52,8 @@
 #[test]
 fn difference_from_no_configuration_holds_all() {
     let after = configuration(3, 0..5);
-    let change = ConfigurationChange::between(None, &after);
+    let change = ConfigurationChange::between(None, &after, 3);
+    assert_eq!(change.accounts_version(), Some(3));
     assert_eq!(change.apply(None), Some(after));
 }
 
@@ -60,7 +63,7 @@
         let before = configuration(1, 0..routes);
         let mut after = configuration(2, 0..routes);
         after.routes[routes / 2].attempts = 7;
-        encoded_bytes(&ConfigurationChange::between(Some(&before), &after))
+        encoded_bytes(&ConfigurationChange::between(Some(&before), &after, 2))
     };
     assert!(size(3_000) < size(30) + 20, "{} and {} bytes", size(3_000), size(30));
 }
@@ -69,7 +72,7 @@
 fn routes_that_are_removed_from_the_middle_cost_little() {
     let before = configuration(1, 0..3_000);
     let after = configuration(2, (0..1_000).chain(2_400..3_000));
-    let change = ConfigurationChange::between(Some(&before), &after);
+    let change = ConfigurationChange::between(Some(&before), &after, 2);
     assert!(encoded_bytes(&change) < 400, "{} bytes", encoded_bytes(&change));
     assert_eq!(change.apply(Some(&before)), Some(after));
 }
@@ -78,6 +81,24 @@
 fn accounts_are_dropped_when_requests_need_no_key_any_longer() {
     let before = configuration(1, 0..2);
     let after = Configuration { version: 2, accounts: None, ..before.clone() };
-    let change = ConfigurationChange::between(Some(&before), &after);
-    assert_eq!(change.apply(Some(&before)), Some(after));
+    let change = AccountsChange::between(Some(&before), &after, 2);
+    assert_eq!(change.apply(Some(&before)), Some(None));
+}
+
+#[test]
+fn difference_of_one_account_does_not_grow_with_the_others() {
+    let account = |number: usize| Account {
+        name: format!("account-{number}"),
+        keys: vec![format!("key-{number}")],
+        ..Account::default()
+    };
+    let before = Configuration {
+        accounts: Some((0..7_800).map(account).collect()),
+        ..Configuration::default()
+    };
+    let mut after = before.clone();
+    after.accounts.as_mut().unwrap()[4_000].keys.clear();
+    let change = AccountsChange::between(Some(&before), &after, 2);
+    assert!(rmp_serde::to_vec_named(&change).unwrap().len() < 200);
+    assert_eq!(change.apply(Some(&before)), Some(after.accounts));
 }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 use crate::clock::now;
 use crate::configuration_history::ConfigurationHistory;
 use crate::continuation::StreamLookup;
+use crate::large_responses::LargeResponses;
 use crate::log::LogQuota;
 use crate::metrics::Metrics;
 use crate::object_feed::to_json;
@@ -25,9 +26,8 @@
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Mutex, Notify, Semaphore};
+use tokio::sync::{Mutex, Notify};
 use tokio::time::timeout;
 
 /// Changes kept for followers: enough for some seconds of rapid registry changes.
@@ -37,10 +37,6 @@
 /// source of updates is looked for.
 const MAX_CONFIRMATION_AGE_SHARE: f64 = 0.6;
 
-/// Followers to which the complete registry or a large change of the configuration is sent at the same
-/// time. With all at once none would receive it within its time limit, new connections would wait
-/// behind them on the link, and memory would not suffice.
-const CONCURRENT_FULL_COPIES: usize = 4;
 /// Time after which the initialization is checked again without a notification.
 const INITIALIZATION_RECHECK: Duration = Duration::from_millis(20);
 
@@ -102,8 +98,7 @@
     /// The packed endpoints and the change log sequence at which they were packed. Cached
     /// because many followers may request them at the same time.
     cached_endpoints: RefCell<(u64, Rc<[u8]>)>,
-    /// Permits for responses with the complete registry or a large change of the configuration.
-    pub(crate) full_copies: Arc<Semaphore>,
+    pub(crate) large_responses: LargeResponses,
     pub(crate) update_source: CurrentSource,
     pub(crate) reachability: RefCell<Reachability>,
     /// Whether this daemon reached no endpoint when it last looked.
@@ -160,7 +155,7 @@
             quarantine: RefCell::new(Quarantine::new(seed)),
             quarantine_changed: Notify::new(),
             cached_endpoints: RefCell::new((0, Rc::from([]))),
-            full_copies: Arc::new(Semaphore::new(CONCURRENT_FULL_COPIES)),
+            large_responses: LargeResponses::default(),
             update_source: CurrentSource::default(),
             reachability: RefCell::default(),
             was_cut_off: Cell::default(),
@@ -346,6 +341,7 @@
         let changes = self.directory.borrow_mut().expire(now);
         self.publish_registry_changes(&changes);
         self.configurations.borrow_mut().expire(now);
+        self.large_responses.expire(now);
         self.pool.borrow_mut().remove_expired(now);
         let directory = self.directory.borrow();
         self.loads.borrow_mut().retain(|id| directory.get(id).is_some());
--- a/components/gateway/src/object_feed.rs
+++ b/components/gateway/src/object_feed.rs
@@ -1,5 +1,6 @@
 use crate::adapter::{Adapter, Changes, Item, ObjectKind, Page};
 use crate::clock::now;
+use crate::configuration_history::NewConfiguration;
 use crate::gateway::{Change, Gateway};
 use crate::software_versions::admit;
 use decision::Millis;
@@ -114,26 +115,31 @@
     }
 }
 
-/// Activates a configuration, unless the active one is as new or newer.
-pub(crate) fn activate<A: Adapter>(gateway: &Gateway<A>, configuration: Configuration) {
-    let version = configuration.version;
+/// Activates what is newer of a configuration than the active one.
+pub(crate) fn activate<A: Adapter>(gateway: &Gateway<A>, new: impl Into<NewConfiguration>) {
+    let new = new.into();
+    let received = new.configuration.version;
     let before = gateway.catalog().map(|catalog| catalog.configuration().version);
-    if before.is_some_and(|before| version <= before) {
-        if before != Some(version) {
-            tracing::warn!(event = "configuration_older", version, in_force = before);
+    let merged = gateway.configurations.borrow().merge(new);
+    let Some(NewConfiguration { configuration, accounts_version }) = merged else {
+        if before != Some(received) {
+            tracing::warn!(event = "configuration_older", version = received, in_force = before);
         }
         return;
-    }
+    };
+    let version = configuration.version;
+    let is_new = before != Some(version);
     tracing::info!(
-        event = "configuration_in_force",
+        event = if is_new { "configuration_in_force" } else { "accounts_in_force" },
         version,
         before,
+        accounts_version,
         routes = configuration.routes.len(),
         accounts = configuration.accounts.as_ref().map_or(0, Vec::len),
     );
     gateway.metrics.configuration_version.set(version as i64);
     let catalog = Rc::new(Catalog::new(configuration));
-    gateway.configurations.borrow_mut().activate(catalog.clone(), now());
+    gateway.configurations.borrow_mut().activate(catalog.clone(), accounts_version, now());
     gateway.catalog.replace(Some(catalog));
     gateway.publish(Change::Configuration);
 }
--- a/components/gateway/src/packing.rs
+++ b/components/gateway/src/packing.rs
@@ -2,6 +2,7 @@
 use miniz_oxide::inflate::decompress_to_vec_with_limit;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use sha2::{Digest, Sha256};
 
 /// Deflate level: most of the reduction for little processor time.
 const DEFLATE_LEVEL: u8 = 3;
@@ -20,3 +21,9 @@
         .map_err(|e| format!("value of a peer cannot be decompressed: {e}"))?;
     rmp_serde::from_slice(&encoded).map_err(|e| format!("value of a peer cannot be decoded: {e}"))
 }
+
+/// The first 64 bits of the SHA-256 digest, big-endian.
+pub(crate) fn digest_of_bytes(bytes: &[u8]) -> u64 {
+    let digest = Sha256::digest(bytes);
+    digest.iter().take(8).fold(0, |digest, byte| digest << 8 | u64::from(*byte))
+}
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -1,5 +1,6 @@
 use crate::adapter::{Adapter, Item};
 use crate::clock::now;
+use crate::configuration_history::NewConfiguration;
 use crate::connection::{Connection, ResponseLimits};
 use crate::gateway::Gateway;
 use crate::notices::receive_notices;
@@ -99,6 +100,7 @@
         let feed_req = FeedRequest {
             from: self.position.clone(),
             configuration: Some(gateway.configurations.borrow().held()),
+            received: gateway.configurations.borrow().received(),
             wait_ms: FEED_WAIT.0,
             ..feed_request(gateway)
         };
@@ -150,6 +152,7 @@
         reaches_endpoints: !gateway.is_cut_off(),
         from: None,
         configuration: None,
+        received: None,
         wait_ms: 0,
         loads: load_rows(load_exchange.data_centre_loads(&own)),
         outcomes: gateway.outcome_exchange.borrow().data_centre_outcomes(&own_outcomes),
@@ -202,6 +205,9 @@
     if let Some(configuration) = configuration(gateway, &feed)? {
         activate(gateway, configuration);
     }
+    if let Some(version) = feed.accounts_version {
+        gateway.configurations.borrow_mut().confirm_accounts(version);
+    }
     let endpoints = if feed.is_complete { unpack(&feed.packed_endpoints)? } else { feed.endpoints };
     if !feed.is_settled {
         gateway.unsettled_until.set(now() + FEED_WAIT + RESPONSE_MARGIN);
@@ -244,16 +250,18 @@
     Ok(())
 }
 
-/// The newer configuration that a response holds, if any.
+/// The configuration that a response holds, if any: whole, or with the last piece of an update.
 fn configuration<A: Adapter>(
     gateway: &Gateway<A>,
     feed: &FeedResponse,
-) -> Result<Option<Configuration>, String> {
-    if let Some(update) = &feed.configuration_update {
-        return gateway.configurations.borrow().apply(update).map(Some);
+) -> Result<Option<NewConfiguration>, String> {
+    if let Some(piece) = &feed.configuration_update {
+        return gateway.configurations.borrow_mut().receive(piece);
     }
-    let configuration = feed.configuration.as_deref().map(serde_json::from_str);
-    configuration.transpose().map_err(|e| format!("configuration of the peer is unreadable: {e}"))
+    let Some(text) = &feed.configuration else { return Ok(None) };
+    let configuration: Configuration = serde_json::from_str(text)
+        .map_err(|e| format!("configuration of the peer is unreadable: {e}"))?;
+    Ok(Some(configuration.into()))
 }
 
 /// Records the daemons that reach endpoints, as a daemon of a data centre named them.
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -1,5 +1,6 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
+use crate::configuration_updates::{has_accounts, is_large, lacks_configuration, next_piece};
 use crate::gateway::{Change, Gateway};
 use crate::load_reports::rank;
 use crate::metrics::FeedLabels;
@@ -12,7 +13,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use messages::feed::{ConfigurationUpdate, FeedPeer, FeedPosition, FeedRequest, FeedResponse};
+use messages::feed::{FeedPeer, FeedPosition, FeedRequest, FeedResponse};
 use messages::{endpoint_loads, load_rows};
 use rand::RngExt;
 use std::rc::Rc;
@@ -21,9 +22,6 @@
 use tokio::time::timeout;
 
 const MAX_REQUEST_BYTES: usize = 1 << 20;
-/// Maximum size of a change of the configuration that is sent to any number of followers at the same
-/// time.
-const MAX_SMALL_BYTES: usize = 8 << 10;
 /// Maximum time to wait for a change, whatever the follower requests.
 const MAX_WAIT: Millis = Millis(5_000);
 
@@ -64,7 +62,7 @@
         tracing::info!(event = "reader_replaced", by = %sender.name);
         gateway.readers.borrow_mut().observe_reader(&req.data_centre, &sender, &[]);
         gateway.reader_changed.notify_waiters();
-        return encode(gateway, &empty_response(gateway, arrived), None);
+        return encode(gateway, &empty_response(gateway, arrived));
     }
     gateway.relays.borrow_mut().report(sender.clone(), req.reaches_endpoints, arrived);
     let loads = endpoint_loads(req.loads.clone());
@@ -88,32 +86,37 @@
             return text_response(StatusCode::SERVICE_UNAVAILABLE, text);
         }
         if let Some(permit) = permit_for_large_response(gateway, req, arrived).await {
-            let feed = build_feed_response(gateway, req, arrived, true);
-            return encode(gateway, &feed, Some(permit));
+            gateway.large_responses.begin(&req.name, permit, now());
+            return encode(gateway, &build_feed_response(gateway, req, arrived, true));
         }
     }
-    encode(gateway, &build_feed_response(gateway, req, arrived, false), None)
+    encode(gateway, &build_feed_response(gateway, req, arrived, false))
 }
 
 /// Waits for something to send to a follower. Returns a permit if it needs the complete registry or a
-/// large change of the configuration. While others receive that change, the follower gets the rest
-/// without it.
+/// piece of a large update. While others receive that update, the follower gets the rest of the feed.
 async fn permit_for_large_response<A: Adapter>(
     gateway: &Gateway<A>,
     req: &FeedRequest,
     arrived: Millis,
 ) -> Option<OwnedSemaphorePermit> {
-    // The semaphore is never closed, so each wait ends with a permit.
-    if !has_position(gateway, req) {
-        return gateway.full_copies.clone().acquire_owned().await.ok();
+    let held = gateway.large_responses.finish(&req.name);
+    let held = held.filter(|_| lacks_configuration(gateway, req));
+    let has_position = has_position(gateway, req);
+    if has_position {
+        wait_for_change(gateway, req).await;
+        if !next_piece(gateway, req).is_some_and(|piece| is_large(&piece)) {
+            return None;
+        }
+    }
+    if held.is_some() {
+        return held;
     }
-    wait_for_change(gateway, req).await;
-    if !lacks_large_change(gateway, req) {
-        return None;
+    if !has_position {
+        return gateway.large_responses.permit().await;
     }
     let left = Millis(req.wait_ms).min(MAX_WAIT) - now().since(arrived);
-    let permit = gateway.full_copies.clone().acquire_owned();
-    timeout(Duration::from_millis(left.0), permit).await.ok()?.ok()
+    timeout(Duration::from_millis(left.0), gateway.large_responses.permit()).await.ok()?
 }
 
 /// Whether the changes since the position of a follower are known.
@@ -122,61 +125,16 @@
     from.is_some_and(|from| gateway.change_log.borrow().since(from.sequence).is_some())
 }
 
-/// The change to the active configuration from the one that a follower holds, if it understands such
-/// changes and lacks the active one.
-fn configuration_update<A: Adapter>(
-    gateway: &Gateway<A>,
-    req: &FeedRequest,
-) -> Option<ConfigurationUpdate> {
-    let held = req.configuration.as_ref()?;
-    match gateway.configurations.borrow_mut().update(held) {
-        Ok(update) => update,
-        Err(text) => {
-            tracing::error!(event = "value_not_encoded", error = text);
-            None
+fn encode<A: Adapter>(gateway: &Gateway<A>, feed: &FeedResponse) -> Response<ResponseBody> {
+    match rmp_serde::to_vec_named(feed) {
+        Ok(body) => {
+            count_bytes(gateway, feed, body.len());
+            Response::new(ResponseBody::Complete(Some(Bytes::from(body))))
         }
+        Err(e) => text_response(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
     }
 }
 
-fn lacks_large_change<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest) -> bool {
-    configuration_update(gateway, req).is_some_and(|update| update.change.0.len() > MAX_SMALL_BYTES)
-}
-
-/// Whether a follower reports that it lacks the active configuration.
-fn lacks_configuration<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest) -> bool {
-    let held = req.configuration.as_ref();
-    held.is_some_and(|held| gateway.configurations.borrow().is_newer_than(held))
-}
-
-/// An encoded response that holds a permit until it has been sent.
-struct LargeResponse {
-    body: Vec<u8>,
-    _permit: OwnedSemaphorePermit,
-}
-
-impl AsRef<[u8]> for LargeResponse {
-    fn as_ref(&self) -> &[u8] {
-        &self.body
-    }
-}
-
-fn encode<A: Adapter>(
-    gateway: &Gateway<A>,
-    feed: &FeedResponse,
-    permit: Option<OwnedSemaphorePermit>,
-) -> Response<ResponseBody> {
-    let body = match rmp_serde::to_vec_named(feed) {
-        Ok(body) => body,
-        Err(e) => return text_response(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
-    };
-    count_bytes(gateway, feed, body.len());
-    let body = match permit {
-        Some(permit) => Bytes::from_owner(LargeResponse { body, _permit: permit }),
-        None => Bytes::from(body),
-    };
-    Response::new(ResponseBody::Complete(Some(body)))
-}
-
 fn count_bytes<A: Adapter>(gateway: &Gateway<A>, feed: &FeedResponse, bytes: usize) {
     let content = match feed {
         FeedResponse { configuration: Some(_), .. } => "configuration",
@@ -211,6 +169,7 @@
         is_settled: gateway.is_registry_settled(now()),
         configuration: None,
         configuration_update: None,
+        accounts_version: None,
         endpoints: Vec::new(),
         packed_endpoints: Vec::new(),
         daemons: None,
@@ -244,8 +203,7 @@
     offered.iter().map(feed_peer).chain(own).collect()
 }
 
-/// Builds the response to a request; a large change of the configuration is left out unless
-/// `may_be_large`.
+/// Builds the response to a request; a piece of a large update is left out unless `may_be_large`.
 fn build_feed_response<A: Adapter>(
     gateway: &Gateway<A>,
     req: &FeedRequest,
@@ -276,13 +234,12 @@
     feed.standbys = readers.standbys().iter().map(feed_peer).collect();
     feed.loads = load_rows(load_exchange.fleet_loads(&own, &req.name));
     feed.outcomes = outcome_exchange.fleet_outcomes(&own_outcomes, &req.name);
-    if lacks_configuration(gateway, req) {
-        let update = configuration_update(gateway, req);
-        feed.configuration_update =
-            update.filter(|update| may_be_large || update.change.0.len() <= MAX_SMALL_BYTES);
-        // The freshness of the active configuration says nothing of an older one.
-        feed.proof_age_ms = feed.proof_age_ms.filter(|_| feed.configuration_update.is_some());
-    }
+    let piece = next_piece(gateway, req).filter(|piece| may_be_large || !is_large(piece));
+    feed.proof_age_ms = feed.proof_age_ms.filter(|_| has_accounts(gateway, req, piece.as_ref()));
+    feed.configuration_update = piece;
+    let held = req.configuration.as_ref();
+    feed.accounts_version =
+        held.and_then(|held| gateway.configurations.borrow().accounts_version(held));
     let from = req.from.as_ref().filter(|from| from.incarnation == gateway.incarnation);
     match from.and_then(|from| change_log.since(from.sequence)) {
         Some(changes) => {
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -9,14 +9,23 @@
     ///The service of the request.
     pub service: ::std::string::String,
 }
-///A newer configuration, as the difference from one that the requester holds.
+///A piece of an update of the configuration, which is the difference from one that the requester holds.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ConfigurationUpdate {
     ///The configuration that the difference was made from; absent if it was made from none and holds everything.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub base: ::std::option::Option<HeldConfiguration>,
-    ///The difference: a MessagePack ConfigurationChange, deflated.
-    pub change: crate::Packed,
+    ///The first 64 bits of the SHA-256 digest of the whole update.
+    pub id: u64,
+    ///Whether the update holds client accounts only: a MessagePack AccountsChange, deflated. Otherwise it is a ConfigurationChange.
+    #[serde(default)]
+    pub of_accounts: bool,
+    ///The position of the piece.
+    pub offset: u64,
+    ///Bytes of the update.
+    pub piece: crate::Packed,
+    ///The number of bytes of the whole update.
+    pub size: u64,
 }
 ///An endpoint crashed while it ran a request.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -128,6 +137,9 @@
     ///Whether the sender reaches endpoints, so that other daemons may send it requests.
     #[serde(default = "defaults::default_bool::<true>")]
     pub reaches_endpoints: bool,
+    ///What the sender has received of an update that is not complete.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub received: ::std::option::Option<ReceivedUpdate>,
     ///Whether the sender has become the store reader of its data centre, which the receiver is to follow; the response then holds nothing.
     #[serde(default)]
     pub takes_over: bool,
@@ -139,10 +151,13 @@
 ///What a daemon has read from the store, and the load of the other daemons.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct FeedResponse {
+    ///The version of the responder's client accounts, if the requester holds the same ones. Without them, the freshness is not stated either.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub accounts_version: ::std::option::Option<u64>,
     ///The configuration as JSON, for a requester that understands no updates; present in a full set, and when it changed after the position.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub configuration: ::std::option::Option<::std::string::String>,
-    ///A newer configuration than the requester holds. It may be left out while such updates are sent to others; the freshness is then not stated either.
+    ///A piece of an update: of the client accounts if these are newer than those of the requester, otherwise of the rest.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub configuration_update: ::std::option::Option<ConfigurationUpdate>,
     ///For how long the responder has reached the store without a gap in which registrations could expire, in milliseconds; absent in such a gap.
@@ -194,7 +209,13 @@
 ///The configuration that a daemon holds.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct HeldConfiguration {
-    ///The first 64 bits of the SHA-256 digest of its MessagePack encoding: configurations of one version may differ.
+    ///The same digest of the client accounts.
+    #[serde(default)]
+    pub accounts_digest: u64,
+    ///The version of the configuration that its client accounts belong to; newer than `version` while the rest of that configuration is on its way.
+    #[serde(default)]
+    pub accounts_version: u64,
+    ///The first 64 bits of the SHA-256 digest of the MessagePack encoding of all but its accounts: configurations of one version may differ.
     pub digest: u64,
     ///Its version; 0 if it holds none.
     pub version: u64,
@@ -254,6 +275,14 @@
     ///The position, from 0.
     pub position: u32,
 }
+///What a daemon has received of an update so far.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReceivedUpdate {
+    ///The number of bytes received.
+    pub bytes: u64,
+    ///The id of the update.
+    pub id: u64,
+}
 /// Generation of default values for serde.
 pub mod defaults {
     pub(super) fn default_bool<const V: bool>() -> bool {
