Decode objects of the store one by one

Class: one bad part makes the whole unusable.

Objects are now taken from lists and watches as text and decoded one by one.

--- a/components/gateway/src/store_reader.rs
+++ b/components/gateway/src/store_reader.rs
@@ -107,7 +107,7 @@
             // Watching from the first page's revision includes changes made while later pages were
             // read.
             revision.get_or_insert(page.revision);
-            let is_last = !page.has_more || page.items.is_empty();
+            let is_last = !page.has_more;
             items.extend(page.items);
             if is_last {
                 break;
--- a/components/store/src/client.rs
+++ b/components/store/src/client.rs
@@ -4,6 +4,7 @@
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -42,11 +43,29 @@
     pub changes: Vec<Change<T>>,
 }
 
-/// The response to a request for all objects of a kind.
+/// The response to a request for all objects of a kind, which are decoded one by one.
 #[derive(Clone, Debug, Deserialize)]
-struct Listing<T> {
+struct Listing {
     version: u64,
-    objects: BTreeMap<String, Object<T>>,
+    objects: BTreeMap<String, Box<RawValue>>,
+}
+
+/// The response to a watch, like [`Listing`].
+#[derive(Clone, Debug, Deserialize)]
+struct Watched {
+    version: u64,
+    changes: Vec<Box<RawValue>>,
+}
+
+/// Decodes an object, or logs why it cannot be read: it must not make the others unreadable.
+fn decode_or_log<T: DeserializeOwned>(kind: &str, text: &RawValue) -> Option<T> {
+    match serde_json::from_str(text.get()) {
+        Ok(value) => Some(value),
+        Err(e) => {
+            log::warn!("an object of kind {kind} in the store is unreadable and left out: {e}");
+            None
+        }
+    }
 }
 
 /// A client of the object API. Each call is sent once; the caller decides on retries.
@@ -76,15 +95,18 @@
         }
     }
 
-    /// Reads all objects of a kind, with the version to pass to the first watch.
+    /// Reads all objects of a kind, with the version to pass to the first watch. Unreadable ones are
+    /// left out.
     pub fn list<T: DeserializeOwned>(
         &self,
         kind: &str,
     ) -> Result<(u64, BTreeMap<String, Object<T>>), StoreError> {
         let path = format!("/objects/{kind}");
-        let listing: Listing<T> =
+        let Listing { version, objects } =
             get_json(&self.url(&path), self.timeout).map_err(|e| classify_error(path, e))?;
-        Ok((listing.version, listing.objects))
+        let objects = objects.into_iter();
+        let readable = objects.filter_map(|(name, text)| Some((name, decode_or_log(kind, &text)?)));
+        Ok((version, readable.collect()))
     }
 
     /// Writes an object if its current version is `expected`, or creates it if `expected` is 0.
@@ -112,7 +134,8 @@
         deleted.map(|object| object.version).map_err(|e| classify_error(path, e))
     }
 
-    /// Waits up to `wait` for changes of a kind that are newer than `version`.
+    /// Waits up to `wait` for changes of a kind that are newer than `version`. Unreadable ones are
+    /// left out.
     pub fn watch<T: DeserializeOwned>(
         &self,
         kind: &str,
@@ -122,7 +145,10 @@
         let path = format!("/objects/{kind}");
         let query = format!("watch={version}&timeout_ms={}", wait.as_millis());
         let url = format!("{}?{query}", self.url(&path));
-        get_json(&url, wait + WATCH_MARGIN).map_err(|e| classify_error(path, e))
+        let Watched { version, changes } =
+            get_json(&url, wait + WATCH_MARGIN).map_err(|e| classify_error(path, e))?;
+        let changes = changes.iter().filter_map(|text| decode_or_log(kind, text)).collect();
+        Ok(Changes { version, changes })
     }
 
     fn url(&self, path: &str) -> String {
--- a/components/store/tests/client.rs
+++ b/components/store/tests/client.rs
@@ -159,3 +159,17 @@
     assert_eq!(error_kind(&api.store.put("lists", "a", &9, 6).unwrap_err()), "conflict");
     assert_eq!(api.store.put("lists", "a", &9, 4), Ok(5));
 }
+
+/// Another writer left a text among numbers.
+#[test]
+fn object_of_another_type_costs_only_itself() {
+    let api = FakeObjectApi::start();
+    let (version, _) = api.store.list::<u64>("numbers").unwrap();
+    api.store.put("numbers", "odd", &"a text", 0).unwrap();
+    api.store.put("numbers", "one", &1, 0).unwrap();
+    let (_, objects) = api.store.list::<u64>("numbers").unwrap();
+    assert_eq!(objects.into_keys().collect::<Vec<_>>(), ["one"]);
+    let watched = api.store.watch::<u64>("numbers", version, TIMEOUT).unwrap();
+    let names: Vec<&str> = watched.changes.iter().map(|change| change.name.as_str()).collect();
+    assert_eq!(names, ["one"]);
+}
--- a/fakes/src/platform/store.rs
+++ b/fakes/src/platform/store.rs
@@ -32,6 +32,8 @@
     revision: u64,
     objects: BTreeMap<(String, String), (u64, Value)>,
     changes: Vec<(u64, String, String, Option<Value>)>,
+    /// The texts of objects that other writers left; a string with their number stands for them.
+    raw: Vec<Vec<u8>>,
     calls: u64,
 }
 
@@ -151,6 +153,18 @@
         self.shared.1.notify_all();
     }
 
+    /// Writes the text of a whole object, which need not be one or even JSON, under the next revision.
+    pub fn put_raw(&self, kind: &str, name: &str, text: &[u8]) {
+        let mut state = self.state();
+        state.revision += 1;
+        let revision = state.revision;
+        let object = Value::String(raw_marker(state.raw.len()));
+        state.raw.push(text.to_owned());
+        state.objects.insert((kind.to_owned(), name.to_owned()), (revision, object.clone()));
+        state.changes.push((revision, kind.to_owned(), name.to_owned(), Some(object)));
+        self.shared.1.notify_all();
+    }
+
     /// An object with its metadata, if it exists.
     pub fn object(&self, kind: &str, name: &str) -> Option<Value> {
         let key = (kind.to_owned(), name.to_owned());
@@ -189,15 +203,29 @@
             for (address, path) in paths.paths().iter() {
                 body = body.replace(&format!("{address}\""), &format!("{path}\""));
             }
+            let body = self.insert_raw(body.into_bytes());
             write!(
                 writer,
-                "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
                 body.len()
             )?;
+            writer.write_all(&body)?;
         }
         Ok(())
     }
 
+    /// Replaces the markers of raw objects by their texts.
+    fn insert_raw(&self, mut body: Vec<u8>) -> Vec<u8> {
+        for (number, text) in self.state().raw.iter().enumerate() {
+            let marker = format!("{:?}", raw_marker(number));
+            let at = body.windows(marker.len()).position(|window| window == marker.as_bytes());
+            if let Some(at) = at {
+                body.splice(at..at + marker.len(), text.iter().copied());
+            }
+        }
+        body
+    }
+
     fn handle(&self, call: &Message) -> (u16, Value) {
         let (path, query) = call.word(1).split_once('?').unwrap_or((call.word(1), ""));
         let mut parts = path.trim_start_matches("/objects/").split('/');
@@ -280,3 +308,7 @@
         }
     }
 }
+
+fn raw_marker(number: usize) -> String {
+    format!("raw object {number}")
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod leaving_endpoints;
 mod monitoring;
 mod narrow_links;
+mod odd_entries;
 mod partitioned_gateways;
 mod responses;
 mod shutdown;
