Forward another endpoint's events only if they go on after the last

Reported by other operators: a stream had begun and broke off, the next endpoint answered with an error, and clients found the error's text, at times its whole head, in the middle of their stream, or the stream ended as if it were complete.

Here an error status and a success of another content type never reached the stream. Class: what follows a seam is trusted because the response around it is well formed.

The first event with data after a seam must now state an id that follows the last one: the next by the step of the events before it if that was always the same, otherwise a higher one. If not, nothing of it is sent, and the stream is resumed elsewhere or broken off. Streams without numeric ids are forwarded as before, since these show nothing.

A stream that a resumed endpoint ends at once, without events, still counts as complete: the client may have them all.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod continuation;
 mod departures;
 mod dispatch;
+mod event_order;
 mod follow;
 mod framing;
 mod gateway;
@@ -61,6 +62,7 @@
 pub use adapter::{
     Adapter, Changes, ForwardedHead, Item, ObjectKind, Page, RequestHead, ResponseHead, Stored,
 };
+pub use event_order::EventOrder;
 pub use framing::Framing;
 pub use log::{LineKind, LogQuota, OmittedLines};
 pub use refusal_line::RefusalLine;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 use crate::clock::now;
 use crate::contents::{has_evidence, judge};
 use crate::continuation::{known_origin, record_beginning};
+use crate::event_order::EventOrder;
 use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::metrics::StreamEndLabels;
@@ -41,7 +42,10 @@
     let mut response = Response::new(ResponseBody::Relayed(body));
     *response.status_mut() = streaming.status;
     *response.headers_mut() = streaming.headers;
+    let last_event = request.last_event.as_deref();
     let relay = Relay {
+        order: EventOrder::after(last_event),
+        is_continuation: last_event.is_some(),
         gateway: gateway.clone(),
         request,
         writer,
@@ -62,6 +66,9 @@
     /// The stream that is being forwarded, or was forwarded last.
     summary: StreamSummary,
     splitter: EventSplitter,
+    order: EventOrder,
+    /// Whether the next event has to go on after those of another endpoint.
+    is_continuation: bool,
     /// Whether an event was forwarded.
     has_begun: bool,
     tried: BTreeSet<String>,
@@ -126,7 +133,19 @@
                 Ok(None) => return self.summary.end(),
                 Err(_) => return StreamEnd::Interrupted(Interruption::Deadline),
             };
+            let last_id = self.splitter.last_id().map(str::to_owned);
             let events = self.splitter.push(&chunk);
+            if self.is_continuation
+                && let Some(continues) =
+                    events.as_deref().and_then(|e| self.order.is_continued_by(e))
+            {
+                if !continues {
+                    self.splitter.go_back_to(last_id);
+                    return StreamEnd::Interrupted(Interruption::Discontinuous);
+                }
+                self.is_continuation = false;
+            }
+            self.order.record(events.as_deref().unwrap_or_default());
             if !self.summary.has_events && events.as_deref().is_some_and(has_event) {
                 self.summary.has_events = true;
                 self.record_beginning(connection);
@@ -184,6 +203,7 @@
     /// it is not.
     async fn resume(&mut self) -> Result<StreamingResponse<A>, &'static str> {
         self.splitter.take_partial();
+        self.is_continuation = self.has_begun || self.request.last_event.is_some();
         if self.has_begun {
             let origin = known_origin(&self.gateway, self.request.stream_key());
             self.request.origin =
--- a/components/gateway/src/sse.rs
+++ b/components/gateway/src/sse.rs
@@ -31,6 +31,12 @@
         self.partial.split().freeze()
     }
 
+    /// Drops what was added since the last complete event was the one with the id `last_id`.
+    pub fn go_back_to(&mut self, last_id: Option<String>) {
+        self.partial.clear();
+        self.last_id = last_id;
+    }
+
     /// Number of bytes of an incomplete event.
     pub fn partial_bytes(&self) -> usize {
         self.partial.len()
--- a/components/gateway/src/stream_end.rs
+++ b/components/gateway/src/stream_end.rs
@@ -19,6 +19,7 @@
             StreamEnd::Interrupted(Interruption::Deadline) => "deadline",
             StreamEnd::Interrupted(Interruption::WithinEvent) => "within_event",
             StreamEnd::Interrupted(Interruption::BeforeFirstEvent) => "before_first_event",
+            StreamEnd::Interrupted(Interruption::Discontinuous) => "discontinuous",
             StreamEnd::ClientLeft => "client_left",
         }
     }
@@ -35,12 +36,14 @@
     WithinEvent,
     #[snafu(display("endpoint closed the connection before the first event"))]
     BeforeFirstEvent,
+    #[snafu(display("endpoint did not go on after the last event"))]
+    Discontinuous,
 }
 
 impl Interruption {
-    /// Whether the endpoint or its connection ended the stream, rather than the deadline.
+    /// Whether the endpoint or its connection ended the stream, rather than the gateway.
     pub(crate) fn is_caused_by_endpoint(&self) -> bool {
-        !matches!(self, Interruption::Deadline)
+        !matches!(self, Interruption::Deadline | Interruption::Discontinuous)
     }
 }
 
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -21,9 +21,10 @@
 };
 pub use object_api::{ObjectApiConfig, run_object_api};
 pub use platform::{
-    AddressMap, Behaviour, Client, ClientResponse, CrashStage, CrashingBody, CrashingPart,
-    GatewayConfig, GatewayProcess, Link, Message, NarrowNetwork, NetworkPath, PathState,
-    PlatformEndpoint, PlatformStore, Proxy, ReceivedRequest, Room, StoreMode, UnframedEnd,
+    AddressMap, BadContinuation, Behaviour, Client, ClientResponse, CrashStage, CrashingBody,
+    CrashingPart, GatewayConfig, GatewayProcess, Link, Message, NarrowNetwork, NetworkPath,
+    PathState, PlatformEndpoint, PlatformStore, Proxy, ReceivedRequest, Room, StoreMode,
+    UnframedEnd,
 };
 pub use process::{Process, binary, build_programs};
 pub use service::{ServiceConfig, run_service};
--- a/fakes/src/platform/endpoint.rs
+++ b/fakes/src/platform/endpoint.rs
@@ -1,3 +1,4 @@
+use super::bad_continuation::BadContinuation;
 use super::closing::close;
 use super::crash::{CrashableSockets, CrashingPart, rebind};
 use super::crashing_body::CrashingBody;
@@ -40,6 +41,8 @@
     /// Runs the request and responds with neither a length nor chunks, so that the response ends
     /// with its connection.
     Unframed(UnframedEnd),
+    /// Runs the request; goes on wrongly with a stream of which the caller has some events.
+    GoOnWrongly(BadContinuation),
 }
 
 /// A request that an endpoint received.
@@ -320,7 +323,14 @@
                 "HTTP/1.1 200 X\r\nx-chervilspur-attempt-id: other\r\n{stated}\
                  x-chervilspur-server-seal: s\r\ncontent-length: 2\r\n\r\nno"
             )?,
-            Behaviour::Succeed | Behaviour::Truncate | Behaviour::DuplicateResponse => {
+            Behaviour::GoOnWrongly(bad) if !message.header("last-event-id").is_empty() => {
+                let last = message.header("last-event-id").parse().unwrap_or(0);
+                bad.send(&signed_headers, last, writer)?;
+            }
+            Behaviour::Succeed
+            | Behaviour::GoOnWrongly(_)
+            | Behaviour::Truncate
+            | Behaviour::DuplicateResponse => {
                 if message.word(1).contains("/stream/") {
                     return self.respond_with_stream(
                         message,
--- a/fakes/src/platform/mod.rs
+++ b/fakes/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform around the gateway (its store, endpoints and clients), a proxy that
 //! injects network faults, and the gateway as a process.
 
+mod bad_continuation;
 mod client;
 mod closing;
 mod crash;
@@ -15,6 +16,7 @@
 mod unframed;
 mod wire;
 
+pub use bad_continuation::BadContinuation;
 pub use client::{Client, ClientResponse};
 pub use crash::CrashingPart;
 pub use crashing_body::{CrashStage, CrashingBody};
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod brittle_endpoints;
 mod clients;
 mod connections;
+mod continuations;
 mod crashing_prompts;
 mod crashing_requests;
 mod failures;
