Deny no route or key while a newer configuration may hold it

A follower that knew of a newer configuration, or had not heard of the store for longer than the revocation bound, still answered 404 for routes and 401 for keys that it lacked, which is a claim that it cannot make: clients do not ask again.

Such a request is now refused with 503 and a time to retry. Requests on known routes are served as before. A daemon learns that there is a newer version with the confirmation of its accounts.

--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -186,6 +186,12 @@
         }
     }
 
+    /// Whether what the active configuration does not hold may be denied. A newer one may hold it: one
+    /// that is on its way here, or that this daemon cannot know without the store.
+    pub(crate) fn may_deny(&self, now: Millis) -> bool {
+        self.keys_are_fresh(now) && !self.configurations.borrow().is_behind()
+    }
+
     /// Whether load balancers should send new connections to this daemon.
     pub(crate) fn is_ready(&self, now: Millis) -> bool {
         !self.shutdown.is_stopping()
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -149,6 +149,9 @@
         return Err(Rejection::new(refusal, "no configuration has been read yet"));
     };
     let Some(route) = catalog.route(host(parts), parts.uri.path()) else {
+        if !gateway.may_deny(now()) {
+            return Err(undecided(gateway, &catalog, "route"));
+        }
         let refusal = Refusal::new(Reason::UnknownClass, Verdict::NotRun);
         let refusal = Refusal { status: StatusCode::NOT_FOUND, ..refusal };
         return Err(Rejection::new(
@@ -232,6 +235,9 @@
     match caller {
         Caller::Known(account) => Ok(Some(account.name.clone())),
         Caller::Anonymous | Caller::Unknown => {
+            if !gateway.may_deny(now()) {
+                return Err(undecided(gateway, catalog, "key"));
+            }
             let refusal = Refusal::new(Reason::UnknownAccount, Verdict::NotRun);
             Err(Rejection::new(
                 refusal,
@@ -241,6 +247,15 @@
     }
 }
 
+/// The refusal of a request whose route or key is unknown here, but may be in a newer configuration.
+fn undecided<A: Adapter>(gateway: &Gateway<A>, catalog: &Catalog, what: &str) -> Rejection {
+    let text = format!(
+        "unknown {what} in configuration version {}, which is not known to be the newest",
+        version(catalog)
+    );
+    Rejection::new(not_run_refusal(gateway, Reason::StoreUnavailable), text)
+}
+
 fn version(catalog: &Catalog) -> u64 {
     catalog.configuration().version
 }
--- a/tests/gateway/narrow_links.rs
+++ b/tests/gateway/narrow_links.rs
@@ -104,6 +104,9 @@
 /// Longer than that time, which is five seconds.
 const CONGESTED_TIME: Duration = Duration::from_secs(9);
 
+/// Time in which each follower gets a response of the reader over that link.
+const HEARD_TIME: Duration = Duration::from_secs(2);
+
 /// The keys are the same in both versions, and the reader is in touch with the store all the while.
 #[test]
 fn requests_with_keys_are_served_while_a_large_configuration_is_on_its_way() {
@@ -120,3 +123,20 @@
     }
     assert_eq!(refused, 0, "of {sent} requests");
 }
+
+/// The followers know that there is a newer version, and not yet what is in it.
+#[test]
+fn request_on_an_added_route_is_not_denied_while_the_configuration_is_on_its_way() {
+    let fleet = Fleet::start(CONGESTED_LINK_BYTES_PER_SECOND);
+    let added = 4_200;
+    fleet.add_routes(2, added);
+    // The reader has it, and each follower has heard of it since.
+    fleet.gateways[0].wait_for_log(&["configuration_in_force", "\"version\":2"]).unwrap();
+    sleep(HEARD_TIME);
+    let target = format!("/{}/", path_of(added - 1));
+    let statuses: Vec<u16> = (0..=FOLLOWERS)
+        .map(|number| status(&fleet.gateways[number], &target, &format!("d{number}")))
+        .collect();
+    assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
+    assert!(statuses.contains(&503), "no follower was behind: {statuses:?}");
+}
