--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -26,6 +26,6 @@
     PathState, PlatformEndpoint, PlatformStore, Proxy, ReceivedRequest, Room, StoreMode,
     UnframedEnd,
 };
-pub use process::{Process, binary, build_programs};
+pub use process::{Process, binary, build_programs, earlier_gateway};
 pub use service::{ServiceConfig, run_service};
 pub use site::{Member, Site, simple_lists};
--- a/fakes/src/platform/gateway.rs
+++ b/fakes/src/platform/gateway.rs
@@ -32,6 +32,8 @@
     pub grace_s: u64,
     /// The retries allowed on top of the retry ratio (`bounds.budget_extra_attempts`).
     pub extra_attempts: u64,
+    /// The program; `None` for the one of this build.
+    pub program: Option<PathBuf>,
 }
 
 impl Default for GatewayConfig {
@@ -44,6 +46,7 @@
             revocation_ms: 5_000,
             grace_s: 8,
             extra_attempts: 54,
+            program: None,
         }
     }
 }
@@ -60,6 +63,7 @@
     pub ready: SocketAddr,
     /// The address of its metrics.
     pub metrics: SocketAddr,
+    program: PathBuf,
     settings_path: PathBuf,
     lines: Arc<Mutex<Vec<String>>>,
 }
@@ -70,11 +74,12 @@
 
 /// Starts the program and a thread that appends its log to `lines`.
 fn spawn(
+    program: &Path,
     settings_path: &Path,
     metrics: SocketAddr,
     lines: &Arc<Mutex<Vec<String>>>,
 ) -> io::Result<Child> {
-    let mut child = Command::new(binary("chervilspur-gateway")?)
+    let mut child = Command::new(program)
         .arg("--settings")
         .arg(settings_path)
         .args(["--metrics", &metrics.to_string()])
@@ -137,13 +142,18 @@
         ));
         fs::write(&settings_path, text)?;
         let lines = Arc::new(Mutex::new(Vec::new()));
-        let child = spawn(&settings_path, metrics, &lines)?;
+        let program = match &cfg.program {
+            Some(program) => program.clone(),
+            None => binary("chervilspur-gateway")?,
+        };
+        let child = spawn(&program, &settings_path, metrics, &lines)?;
         let mut process = GatewayProcess {
             child,
             address,
             peers: peer_address,
             ready,
             metrics,
+            program,
             settings_path,
             lines,
         };
@@ -231,10 +241,19 @@
         self.signal("CONT")?;
         self.signal(signal)?;
         self.child.wait()?;
-        self.child = spawn(&self.settings_path, self.metrics, &self.lines)?;
+        self.child = spawn(&self.program, &self.settings_path, self.metrics, &self.lines)?;
         Ok(())
     }
 
+    /// Starts it again with another program, as when an instance is upgraded, after a signal.
+    pub fn replace_program(&mut self, program: Option<PathBuf>, signal: &str) -> io::Result<()> {
+        self.program = match program {
+            Some(program) => program,
+            None => binary("chervilspur-gateway")?,
+        };
+        self.restart(signal)
+    }
+
     /// Waits until the process exits; true if its exit status is 0.
     pub fn wait(&mut self) -> io::Result<bool> {
         self.child.wait().map(|status| status.success())
--- a/fakes/src/process.rs
+++ b/fakes/src/process.rs
@@ -1,7 +1,8 @@
 use std::env;
+use std::fs;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
 /// A child process, killed when this value is dropped.
@@ -94,3 +95,47 @@
         Err(io::Error::other(format!("cargo build of the workspace failed: {status}")))
     }
 }
+
+/// Builds the gateway of an earlier commit of this repository and returns its program. It is kept in
+/// the target folder.
+pub fn earlier_gateway(commit: &str) -> io::Result<PathBuf> {
+    let target = binary("")?.join("../earlier").join(commit);
+    let program = target.join("debug/chervilspur-gateway");
+    if program.exists() {
+        return Ok(program);
+    }
+    let sources = target.join("sources");
+    fs::create_dir_all(&sources)?;
+    extract(commit, &sources)?;
+    let cargo = env::var("CARGO").unwrap_or_else(|_| String::from("cargo"));
+    let mut build = Command::new(cargo);
+    build.args(["build", "--locked", "--quiet", "--bin", "chervilspur-gateway", "--target-dir"]);
+    // The variables of the running build would apply to the other one as well.
+    let inherited = env::vars().map(|(name, _)| name).filter(|name| name.starts_with("CARGO_"));
+    inherited.filter(|name| name != "CARGO_HOME").for_each(|name| {
+        build.env_remove(name);
+    });
+    run(build.arg(&target).current_dir(&sources), "cargo build of an earlier commit")?;
+    Ok(program)
+}
+
+/// Writes the files of a commit into a folder.
+fn extract(commit: &str, folder: &Path) -> io::Result<()> {
+    let mut archive =
+        Command::new("git").args(["archive", commit]).stdout(Stdio::piped()).spawn()?;
+    let files = archive.stdout.take().ok_or_else(|| io::Error::other("git has no stdout"))?;
+    run(Command::new("tar").arg("-x").current_dir(folder).stdin(files), "tar")?;
+    match archive.wait()?.success() {
+        true => Ok(()),
+        false => {
+            Err(io::Error::other(format!("git archive {commit} failed; is it in the history?")))
+        }
+    }
+}
+
+fn run(command: &mut Command, what: &str) -> io::Result<()> {
+    match command.status()? {
+        status if status.success() => Ok(()),
+        status => Err(io::Error::other(format!("{what} failed: {status}"))),
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,8 @@
 mod narrow_links;
 mod odd_entries;
 mod partitioned_gateways;
+#[path = "../platform_objects/mod.rs"]
+mod platform_objects;
 mod responses;
 mod shutdown;
 mod software_versions;
