Let a daemon that starts receive a large configuration in pieces

Cause: a response without a confirmation counted as one of a daemon that is not ready to be followed. A daemon that has just started gets its accounts with the last piece, so it was never confirmed before, discarded each first piece with the registry around it, and asked for the complete copy again, until it became the reader itself. The age of the responder's own confirmation is now stated apart.

daemon_that_starts_gets_a_configuration_with_thousands_of_routes_from_its_reader failed before (the reader was replaced) and passes.

--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -73,7 +73,7 @@
         }
         let (feed, sent) = result?;
         if self.position.is_none() && lags_behind(gateway, &feed) {
-            let age = feed.proof_age_ms;
+            let age = feed.confirmation_age_ms.or(feed.proof_age_ms);
             let text = format!("freshness confirmation of the peer is {age:?} ms old");
             return Err((PeerFault::Unready, text));
         }
@@ -118,7 +118,7 @@
 
 /// Whether a daemon is not ready to be followed: its registry may be older than the own one.
 fn lags_behind<A: Adapter>(gateway: &Gateway<A>, feed: &FeedResponse) -> bool {
-    let Some(age) = feed.proof_age_ms else { return true };
+    let Some(age) = feed.confirmation_age_ms.or(feed.proof_age_ms) else { return true };
     let own = gateway.freshness.borrow().age(now());
     own.is_some_and(|own| Millis(age) > own + MAX_CONFIRMATION_LAG)
 }
@@ -187,7 +187,7 @@
         StatusCode::OK => rmp_serde::from_slice(&body)
             .map_err(|e| unreachable(format!("{address}: response unreadable: {e}"))),
         StatusCode::SERVICE_UNAVAILABLE => {
-            Err((PeerFault::Unready, format!("{address}: peer has not read the store yet")))
+            Err((PeerFault::Unready, format!("{address}: {}", String::from_utf8_lossy(&body))))
         }
         status => Err(unreachable(format!("{address}: response status {status}"))),
     }
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -89,6 +89,10 @@
             gateway.large_responses.begin(&req.name, permit, now());
             return encode(gateway, &build_feed_response(gateway, req, arrived, true));
         }
+        if !has_position(gateway, req) {
+            let text = String::from("this daemon sends complete copies to other followers");
+            return text_response(StatusCode::SERVICE_UNAVAILABLE, text);
+        }
     }
     encode(gateway, &build_feed_response(gateway, req, arrived, false))
 }
@@ -102,8 +106,7 @@
 ) -> Option<OwnedSemaphorePermit> {
     let held = gateway.large_responses.finish(&req.name);
     let held = held.filter(|_| lacks_configuration(gateway, req));
-    let has_position = has_position(gateway, req);
-    if has_position {
+    if has_position(gateway, req) {
         wait_for_change(gateway, req).await;
         if !next_piece(gateway, req).is_some_and(|piece| is_large(&piece)) {
             return None;
@@ -112,9 +115,6 @@
     if held.is_some() {
         return held;
     }
-    if !has_position {
-        return gateway.large_responses.permit().await;
-    }
     let left = Millis(req.wait_ms).min(MAX_WAIT) - now().since(arrived);
     timeout(Duration::from_millis(left.0), gateway.large_responses.permit()).await.ok()?
 }
@@ -163,6 +163,7 @@
         position: FeedPosition { incarnation: gateway.incarnation, sequence },
         waited_ms: now().since(arrived).0,
         proof_age_ms: gateway.freshness.borrow().age(now()).map(|age| age.0),
+        confirmation_age_ms: gateway.freshness.borrow().age(now()).map(|age| age.0),
         response_age_ms: gateway.freshness.borrow().response_age(now()).map(|age| age.0),
         continuous_ms: gateway.freshness.borrow().continuous_for(now()).map(|time| time.0),
         is_complete: false,
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -160,6 +160,9 @@
     ///A piece of an update: of the client accounts if these are newer than those of the requester, otherwise of the rest.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub configuration_update: ::std::option::Option<ConfigurationUpdate>,
+    ///The same time for the responder itself, also while the requester lacks accounts that are in force there.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub confirmation_age_ms: ::std::option::Option<u64>,
     ///For how long the responder has reached the store without a gap in which registrations could expire, in milliseconds; absent in such a gap.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub continuous_ms: ::std::option::Option<u64>,
--- a/tests/gateway/narrow_links.rs
+++ b/tests/gateway/narrow_links.rs
@@ -140,3 +140,30 @@
     assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
     assert!(statuses.contains(&503), "no follower was behind: {statuses:?}");
 }
+
+/// It gets the configuration in many pieces.
+#[test]
+fn daemon_that_starts_gets_a_configuration_with_thousands_of_routes_from_its_reader() {
+    let mut fleet = Fleet::start(SMALL_LINK_BYTES_PER_SECOND);
+    let added = 4_200;
+    fleet.add_routes(2, added);
+    for gateway in &fleet.gateways {
+        gateway.wait_for_log(&["configuration_in_force", "\"version\":2"]).unwrap();
+    }
+    fleet.gateways[FOLLOWERS].restart("KILL").unwrap();
+    let restarted = Instant::now();
+    let is_served = || {
+        let target = format!("/{}/", path_of(added - 1));
+        Client::connect(fleet.gateways[FOLLOWERS].address)
+            .and_then(|mut client| {
+                client.send_request(&target, "s", KEY, "body")?;
+                client.read_response()
+            })
+            .is_ok_and(|response| response.message.status() == 200)
+    };
+    fleet.gateways[FOLLOWERS].wait_for(is_served, "the restarted daemon serves").unwrap();
+    let elapsed = restarted.elapsed();
+    assert!(elapsed < CONFIGURATION_BOUND, "serves after {elapsed:?}");
+    let replaced = fleet.gateways[0].log_with(&["reader_replaced"]);
+    assert!(replaced.is_empty(), "the reader was replaced: {replaced:?}");
+}
