Discard what a peer says of a configuration that is no longer held

An update, and the statement that the accounts of a follower are current, refer to the configuration that its request named. It now asks the peer again.

--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -66,6 +66,7 @@
             .parse()
             .map_err(|e| (PeerFault::Unreachable, format!("{}: {e}", self.peer.address)))?;
         let was_connected = self.connection.is_some();
+        let held = gateway.configurations.borrow().held();
         let mut result = self.request(gateway, address).await;
         if was_connected && let Err((PeerFault::Unreachable, _)) = &result {
             // The connection may be lost while the daemon is not.
@@ -77,6 +78,11 @@
             let text = format!("freshness confirmation of the peer is {age:?} ms old");
             return Err((PeerFault::Unready, text));
         }
+        if held != gateway.configurations.borrow().held() {
+            // What the peer says of the accounts, and its updates, refer to what was held before.
+            let text = String::from("another configuration became active during the request");
+            return Err((PeerFault::Unready, text));
+        }
         if self.position.is_none() {
             tracing::info!(event = "peer_followed", peer = %self.peer.name);
         }
