Test that an earlier refusal is no answer to a request that runs

Reported by other operators: an endpoint wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran, or these ran at a second endpoint.

It does not happen here, so nothing changes: a response without the id of the request, or with another one, shows nothing of it but that its connection is spoilt, and the request counts as one that may have run. In 20 cases (the refusal before, within, after or in place of the response, with and without an id, requests at once and after a pause, kinds that run once) no request that ran got 408, 421, 429 or 503, and none ran twice.

The same id on the same connection cannot be brought about: a request is sent to an endpoint once, the requests of a client have their own ids, and a connection that breaks off is not kept.

--- a/fakes/src/platform/endpoint.rs
+++ b/fakes/src/platform/endpoint.rs
@@ -2,6 +2,7 @@
 use super::closing::close;
 use super::crash::{CrashableSockets, CrashingPart, rebind};
 use super::crashing_body::CrashingBody;
+use super::repeated_refusal::{RefusalMemory, RepeatedRefusal};
 use super::room::{Arrival, Occupancy, Room};
 use super::unframed::{UnframedEnd, UnframedResponse};
 use super::wire::{Message, read_message};
@@ -43,6 +44,8 @@
     Unframed(UnframedEnd),
     /// Runs the request; goes on wrongly with a stream of which the caller has some events.
     GoOnWrongly(BadContinuation),
+    /// Refuses the first request of a connection, runs the later ones and writes that refusal again.
+    RepeatRefusal(RepeatedRefusal),
 }
 
 /// A request that an endpoint received.
@@ -197,10 +200,16 @@
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
+        let mut refusals = RefusalMemory::default();
         while let Some(message) = read_message(&mut reader)? {
             let behaviour = self.state().behaviour;
             let is_for_this_instance = message.header("x-chervilspur-expected-instance") == self.id;
-            let ran = behaviour != Behaviour::Reject && is_for_this_instance;
+            let ran = is_for_this_instance
+                && match behaviour {
+                    Behaviour::Reject => false,
+                    Behaviour::RepeatRefusal(_) => refusals.runs_next(),
+                    _ => true,
+                };
             let arrived = Instant::now();
             let request =
                 ReceivedRequest { message: message.clone(), arrived, ran, cancelled: None };
@@ -211,6 +220,15 @@
                 write!(writer, "HTTP/1.1 421 X\r\n{stated}content-length: 0\r\n\r\n")?;
                 continue;
             }
+            if let Behaviour::RepeatRefusal(when) = behaviour {
+                let id = message.header("x-chervilspur-attempt-id");
+                let signed = format!(
+                    "x-chervilspur-attempt-id: {id}\r\nx-chervilspur-server-seal: {}\r\n",
+                    self.id
+                );
+                refusals.respond(when, id, &signed, &mut writer)?;
+                continue;
+            }
             if self.crashes_on(&message) {
                 return self.crash_within_response(&message, &mut writer);
             }
@@ -313,7 +331,8 @@
                 self.unframed_response(message, signed_headers).send(end, writer)?;
                 return Ok(false);
             }
-            Behaviour::Close => return Ok(false),
+            // Answered with what the connection remembers, before.
+            Behaviour::RepeatRefusal(_) | Behaviour::Close => return Ok(false),
             Behaviour::Hang => {
                 self.wait_for_close(number, writer)?;
                 return Ok(false);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod partitioned_gateways;
 #[path = "../platform_objects/mod.rs"]
 mod platform_objects;
+mod repeated_refusals;
 mod responses;
 mod shutdown;
 mod software_versions;
