--- a/fakes/src/soak/main.rs
+++ b/fakes/src/soak/main.rs
@@ -51,7 +51,7 @@
     #[argh(switch)]
     cuts: bool,
 
-    /// leave odd entries of other writers in the store; by itself
+    /// leave odd entries of other writers in the store and repeat refusals; by itself
     #[argh(switch)]
     odd: bool,
 
--- a/fakes/src/soak/odd.rs
+++ b/fakes/src/soak/odd.rs
@@ -1,20 +1,45 @@
 use crate::faults::{Fault, ScheduledFault};
+use fakes::{Behaviour, RepeatedRefusal};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
-/// The time to the next fault.
+/// The duration of a changed behaviour of an endpoint, and the time to the next fault.
+const BEHAVIOUR_MS: std::ops::Range<u64> = 200..1_500;
 const INTERVAL_MS: std::ops::Range<u64> = 150..700;
 /// The kinds of objects in which other writers leave entries.
 const KINDS: [&str; 5] =
     ["servers", "config", "chervilspur-readers", "chervilspur-versions", "chervilspur-streams"];
-/// Generates odd entries of other writers, sorted by time.
-pub fn generate_odd(rng: &mut Pcg64Mcg, duration_ms: u64) -> Vec<ScheduledFault> {
+/// Not within a response: bytes within the stated length are its body, whoever meant them.
+const REFUSALS: [RepeatedRefusal; 4] = [
+    RepeatedRefusal::BeforeResponse,
+    RepeatedRefusal::BeforeResponseWithoutId,
+    RepeatedRefusal::InPlaceOfResponse,
+    RepeatedRefusal::AtRest,
+];
+
+/// Generates odd entries of other writers, and endpoints that repeat refusals on kept connections,
+/// sorted by time.
+pub fn generate_odd(rng: &mut Pcg64Mcg, duration_ms: u64, endpoints: usize) -> Vec<ScheduledFault> {
     let mut faults = Vec::new();
     let mut at_ms = rng.random_range(INTERVAL_MS);
     while at_ms < duration_ms {
-        faults.push((at_ms, Fault::OddEntry(rng.random_range(0..usize::MAX))));
+        let endpoint = rng.random_range(0..endpoints);
+        let number = rng.random_range(0..usize::MAX);
+        let behaviour = match rng.random_range(0..2) {
+            0 => {
+                faults.push((at_ms, Fault::OddEntry(number)));
+                None
+            }
+            _ => Some(Behaviour::RepeatRefusal(REFUSALS[number % REFUSALS.len()])),
+        };
+        if let Some(behaviour) = behaviour {
+            let end_ms = at_ms + rng.random_range(BEHAVIOUR_MS);
+            faults.push((at_ms, Fault::Endpoint(endpoint, behaviour)));
+            faults.push((end_ms, Fault::Endpoint(endpoint, Behaviour::Succeed)));
+        }
         at_ms += rng.random_range(INTERVAL_MS);
     }
+    faults.sort_by_key(|(at_ms, _)| *at_ms);
     faults
 }
 
--- a/fakes/src/soak/run.rs
+++ b/fakes/src/soak/run.rs
@@ -253,7 +253,7 @@
     pub load: Load,
     /// Whether a gateway is cut off from all endpoints at times.
     pub has_cuts: bool,
-    /// Whether other writers leave odd entries.
+    /// Whether other writers and endpoints leave odd bytes.
     pub has_odd: bool,
 }
 
@@ -286,7 +286,7 @@
         faults.sort_by_key(|(at_ms, _)| *at_ms);
     }
     if has_odd {
-        faults.extend(generate_odd(&mut rng, seconds * 1_000));
+        faults.extend(generate_odd(&mut rng, seconds * 1_000, ENDPOINTS));
         faults.sort_by_key(|(at_ms, _)| *at_ms);
     }
     if load == Load::Prompts {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -27,11 +27,11 @@
 const CUT_RUN: [&str; 8] =
     ["--versions", "--cuts", "--first-seed", "2", "--seconds", "8", "--gateways", "3"];
 
-/// A run with odd entries of other writers.
+/// A run with odd bytes from other writers and from endpoints.
 const ODD_RUN: [&str; 7] = ["--odd", "--first-seed", "1", "--seconds", "8", "--gateways", "3"];
 
 #[test]
-fn gateways_keep_their_guarantees_with_odd_entries_in_a_short_soak_run() {
+fn gateways_keep_their_guarantees_with_odd_bytes_in_a_short_soak_run() {
     run_soak(&ODD_RUN);
 }
 
