--- a/fakes/src/soak/main.rs
+++ b/fakes/src/soak/main.rs
@@ -51,7 +51,8 @@
     #[argh(switch)]
     cuts: bool,
 
-    /// leave odd entries of other writers in the store and repeat refusals; by itself
+    /// leave odd entries of other writers in the store, repeat refusals and continue streams wrongly;
+    /// by itself
     #[argh(switch)]
     odd: bool,
 
--- a/fakes/src/soak/odd.rs
+++ b/fakes/src/soak/odd.rs
@@ -1,14 +1,23 @@
 use crate::faults::{Fault, ScheduledFault};
-use fakes::{Behaviour, RepeatedRefusal};
+use fakes::{BadContinuation, Behaviour, RepeatedRefusal};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
-/// The duration of a changed behaviour of an endpoint, and the time to the next fault.
+/// The duration of a changed behaviour of an endpoint, and the time to the next change.
 const BEHAVIOUR_MS: std::ops::Range<u64> = 200..1_500;
 const INTERVAL_MS: std::ops::Range<u64> = 150..700;
 /// The kinds of objects in which other writers leave entries.
 const KINDS: [&str; 5] =
     ["servers", "config", "chervilspur-readers", "chervilspur-versions", "chervilspur-streams"];
+/// Wrong continuations that the ids of events show, however many events came before.
+const CONTINUATIONS: [BadContinuation; 6] = [
+    BadContinuation::Status(500),
+    BadContinuation::Status(503),
+    BadContinuation::ErrorEvent,
+    BadContinuation::FromStart,
+    BadContinuation::OtherType,
+    BadContinuation::Untyped,
+];
 /// Not within a response: bytes within the stated length are its body, whoever meant them.
 const REFUSALS: [RepeatedRefusal; 4] = [
     RepeatedRefusal::BeforeResponse,
@@ -17,20 +26,21 @@
     RepeatedRefusal::AtRest,
 ];
 
-/// Generates odd entries of other writers, and endpoints that repeat refusals on kept connections,
-/// sorted by time.
+/// Generates odd entries of other writers, and endpoints that respond wrongly on kept connections or
+/// go on wrongly with streams, sorted by time.
 pub fn generate_odd(rng: &mut Pcg64Mcg, duration_ms: u64, endpoints: usize) -> Vec<ScheduledFault> {
     let mut faults = Vec::new();
     let mut at_ms = rng.random_range(INTERVAL_MS);
     while at_ms < duration_ms {
         let endpoint = rng.random_range(0..endpoints);
         let number = rng.random_range(0..usize::MAX);
-        let behaviour = match rng.random_range(0..2) {
+        let behaviour = match rng.random_range(0..3) {
             0 => {
                 faults.push((at_ms, Fault::OddEntry(number)));
                 None
             }
-            _ => Some(Behaviour::RepeatRefusal(REFUSALS[number % REFUSALS.len()])),
+            1 => Some(Behaviour::RepeatRefusal(REFUSALS[number % REFUSALS.len()])),
+            _ => Some(Behaviour::GoOnWrongly(CONTINUATIONS[number % CONTINUATIONS.len()])),
         };
         if let Some(behaviour) = behaviour {
             let end_ms = at_ms + rng.random_range(BEHAVIOUR_MS);
