--- a/fakes/src/soak/faults.rs
+++ b/fakes/src/soak/faults.rs
@@ -25,6 +25,8 @@
     Terminate(usize),
     /// A new version of the configuration is published.
     Configure,
+    /// A new version of the configuration with thousands of routes is published.
+    AddRoutes,
     /// Another writer leaves an odd object in the store; its number decides which.
     OddEntry(usize),
     /// An endpoint states from now on that it leaves; its entry says that it is ready.
--- a/fakes/src/soak/main.rs
+++ b/fakes/src/soak/main.rs
@@ -51,8 +51,8 @@
     #[argh(switch)]
     cuts: bool,
 
-    /// leave odd entries of other writers in the store, repeat refusals and continue streams wrongly;
-    /// by itself
+    /// leave odd entries of other writers in the store, add routes by thousands, repeat refusals and
+    /// continue streams wrongly; by itself
     #[argh(switch)]
     odd: bool,
 
--- a/fakes/src/soak/odd.rs
+++ b/fakes/src/soak/odd.rs
@@ -2,10 +2,13 @@
 use fakes::{BadContinuation, Behaviour, RepeatedRefusal};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
 
 /// The duration of a changed behaviour of an endpoint, and the time to the next change.
 const BEHAVIOUR_MS: std::ops::Range<u64> = 200..1_500;
 const INTERVAL_MS: std::ops::Range<u64> = 150..700;
+/// Routes that are added at a time.
+const ADDED_ROUTES: usize = 1_400;
 /// The kinds of objects in which other writers leave entries.
 const KINDS: [&str; 5] =
     ["servers", "config", "chervilspur-readers", "chervilspur-versions", "chervilspur-streams"];
@@ -26,20 +29,24 @@
     RepeatedRefusal::AtRest,
 ];
 
-/// Generates odd entries of other writers, and endpoints that respond wrongly on kept connections or
-/// go on wrongly with streams, sorted by time.
+/// Generates odd entries of other writers, endpoints that respond wrongly on kept connections or go on
+/// wrongly with streams, and changes by thousands of routes, sorted by time.
 pub fn generate_odd(rng: &mut Pcg64Mcg, duration_ms: u64, endpoints: usize) -> Vec<ScheduledFault> {
     let mut faults = Vec::new();
     let mut at_ms = rng.random_range(INTERVAL_MS);
     while at_ms < duration_ms {
         let endpoint = rng.random_range(0..endpoints);
         let number = rng.random_range(0..usize::MAX);
-        let behaviour = match rng.random_range(0..3) {
+        let behaviour = match rng.random_range(0..4) {
             0 => {
                 faults.push((at_ms, Fault::OddEntry(number)));
                 None
             }
-            1 => Some(Behaviour::RepeatRefusal(REFUSALS[number % REFUSALS.len()])),
+            1 => {
+                faults.push((at_ms, Fault::AddRoutes));
+                None
+            }
+            2 => Some(Behaviour::RepeatRefusal(REFUSALS[number % REFUSALS.len()])),
             _ => Some(Behaviour::GoOnWrongly(CONTINUATIONS[number % CONTINUATIONS.len()])),
         };
         if let Some(behaviour) = behaviour {
@@ -70,3 +77,17 @@
     let text = [head.as_bytes(), specification, b"}"].concat();
     (KINDS[number / specifications.len() % KINDS.len()], name, text)
 }
+
+/// Adds routes to a configuration.
+pub fn add_routes(configuration: &mut Value) {
+    let template = configuration["routes"][1].clone();
+    let added = (0..ADDED_ROUTES).map(|number| {
+        let mut route = template.clone();
+        route["name"] = json!(format!("added-{number}"));
+        route["path_prefix"] = json!(format!("/added-{number}/"));
+        route
+    });
+    if let Some(routes) = configuration["routes"].as_array_mut() {
+        routes.extend(added);
+    }
+}
--- a/fakes/src/soak/prompts.rs
+++ b/fakes/src/soak/prompts.rs
@@ -175,6 +175,7 @@
         Fault::Endpoint(..)
         | Fault::Link(..)
         | Fault::Configure
+        | Fault::AddRoutes
         | Fault::OddEntry(_)
         | Fault::Leave(_)
         | Fault::Return(_) => true,
--- a/fakes/src/soak/run.rs
+++ b/fakes/src/soak/run.rs
@@ -3,7 +3,7 @@
 use crate::cuts::{CUT_GATEWAY, OwnPaths, count_relayed, generate_cuts};
 use crate::departures::{check_departures, generate_departures};
 use crate::faults::{Fault, ScheduledFault, generate_faults, generate_unframed_responses};
-use crate::odd::{generate_odd, odd_entry};
+use crate::odd::{add_routes, generate_odd, odd_entry};
 use crate::prompts::{
     AppliedFault, check_prompts, check_repetitions, is_used_with_prompts, random_limit,
 };
@@ -194,6 +194,12 @@
                 self.version += 1;
                 self.store.put("config", "main", configuration(self.version));
             }
+            Fault::AddRoutes => {
+                self.version += 1;
+                let mut configuration = configuration(self.version);
+                add_routes(&mut configuration);
+                self.store.put("config", "main", configuration);
+            }
             Fault::OddEntry(number) => {
                 let (kind, name, text) = odd_entry(number);
                 self.store.put_raw(kind, &name, &text);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -27,7 +27,7 @@
 const CUT_RUN: [&str; 8] =
     ["--versions", "--cuts", "--first-seed", "2", "--seconds", "8", "--gateways", "3"];
 
-/// A run with odd bytes from other writers and from endpoints.
+/// A run with odd bytes from other writers and from endpoints, and thousands of routes.
 const ODD_RUN: [&str; 7] = ["--odd", "--first-seed", "1", "--seconds", "8", "--gateways", "3"];
 
 #[test]
