Measure changes of the configuration over narrow links

'fleet configuration' makes the real differences for 20 to 4,200 routes and sends them in virtual time, in the pieces and to the number of followers that the gateway uses, at 7 to 1,000 daemons.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod brittle_endpoints;
 mod calls;
+mod configuration_updates;
 mod crashing_prompts;
 mod departure;
 mod driver;
@@ -16,6 +17,7 @@
 mod table;
 
 pub use brittle_endpoints::{BrittleConfig, BrittleResult, measure_brittle};
+pub use configuration_updates::{UpdateCost, measure_update, update_table};
 pub use crashing_prompts::{CrashConfig, CrashResult, measure_crashes};
 pub use departure::measure_departure;
 pub use driver::{Fleet, FleetConfig};
