Keep packed changes by the digest of their base

Found by reading: after the store was restored from a copy, followers may hold different configurations of one version, and the one could get the change that was packed for the other.

--- a/components/gateway/src/configuration_history.rs
+++ b/components/gateway/src/configuration_history.rs
@@ -103,9 +103,9 @@
     active: Option<HeldCatalog>,
     /// The last one first.
     earlier: VecDeque<HeldCatalog>,
-    /// Updates to the active configuration, by whether they hold accounts only and by the version of
-    /// their base; 0 stands for none.
-    packed: BTreeMap<(bool, u64), PackedUpdate>,
+    /// Updates to the active configuration, by whether they hold accounts only and by the digest of
+    /// their base.
+    packed: BTreeMap<(bool, Option<u64>), PackedUpdate>,
     /// The update that is being received.
     incoming: IncomingUpdate,
 }
@@ -198,11 +198,8 @@
             true => earlier.has_same_accounts(held),
             false => earlier.has_same_rest(held),
         });
-        let base_version = match of_accounts {
-            true => held.accounts_version,
-            false => held.version,
-        };
-        let key = (of_accounts, base.map_or(0, |_| base_version));
+        let base_digest = if of_accounts { held.accounts_digest } else { held.digest };
+        let key = (of_accounts, base.map(|_| base_digest));
         if let Some(update) = self.packed.get(&key) {
             return Ok(Some(update.clone()));
         }
