--- a/tests/gateway/narrow_links.rs
+++ b/tests/gateway/narrow_links.rs
@@ -113,15 +113,22 @@
     let fleet = Fleet::start(CONGESTED_LINK_BYTES_PER_SECOND);
     fleet.add_routes(2, 4_200);
     let confirmed = Instant::now();
-    let (mut refused, mut sent) = (0, 0);
+    let (mut refused, mut sent) = (Vec::new(), 0);
     while confirmed.elapsed() < CONGESTED_TIME {
         for gateway in &fleet.gateways {
             sent += 1;
-            refused += usize::from(status(gateway, "/safe/", &format!("k{sent}")) != 200);
+            let id = format!("k{sent}-");
+            if status(gateway, "/safe/", &id) != 200 {
+                refused.push((id, gateway));
+            }
         }
         sleep(Duration::from_millis(50));
     }
-    assert_eq!(refused, 0, "of {sent} requests");
+    // Gateways write their lines in batches.
+    sleep(Duration::from_millis(500));
+    let lines: Vec<String> =
+        refused.iter().flat_map(|(id, gateway)| gateway.log_with(&[id])).collect();
+    assert!(refused.is_empty(), "{} of {sent} requests:\n{}", refused.len(), lines.join("\n"));
 }
 
 /// The followers know that there is a newer version, and not yet what is in it.
