--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -50,6 +50,7 @@
 ) -> Option<FollowedPeer> {
     let mut followed =
         followed.filter(|f| f.peer == peer).unwrap_or_else(|| FollowedPeer::new(peer));
+    let asked = now();
     match followed.poll(gateway).await {
         Ok(()) => {
             gateway.readers.borrow_mut().observe_followed();
@@ -58,7 +59,10 @@
         }
         Err((fault, text)) => {
             let name = &followed.peer.name;
-            tracing::info!(event = "peer_lost", peer = %name, fault = ?fault, text);
+            let (after_ms, proof_age_ms) =
+                (now().since(asked).0, gateway.freshness.borrow().age(now()).map(|age| age.0));
+            tracing::info!(event = "peer_lost", peer = %name, fault = ?fault, after_ms,
+                proof_age_ms, text);
             gateway.readers.borrow_mut().observe_fault(name, fault, now());
             None
         }
