--- a/fakes/src/platform/gateway.rs
+++ b/fakes/src/platform/gateway.rs
@@ -28,6 +28,9 @@
     /// The time limit within which a revoked key stops working (`bounds.revocation_ms`), in
     /// milliseconds.
     pub revocation_ms: u64,
+    /// The time limit within which a change of the configuration is in force
+    /// (`bounds.configuration_ms`), in milliseconds.
+    pub configuration_ms: u64,
     /// The grace period from a stop signal to the exit (`bounds.grace_s`), in seconds.
     pub grace_s: u64,
     /// The retries allowed on top of the retry ratio (`bounds.budget_extra_attempts`).
@@ -44,6 +47,7 @@
             region: String::from("r"),
             other_data_centres: BTreeMap::new(),
             revocation_ms: 5_000,
+            configuration_ms: 3_000,
             grace_s: 8,
             extra_attempts: 54,
             program: None,
@@ -122,7 +126,8 @@
         let text = format!(
             "node={}\nip_address=127.0.0.1\nzone={}\nregion={}\nzones.{}={}\n\
              listen.front={address}\nlisten.ready={ready}\ninternal_ports={},{}\n\
-             bounds.grace_s={}\nbounds.strict_revocation=true\nbounds.revocation_ms={}\nbounds.budget_ratio=0.2\n\
+             bounds.grace_s={}\nbounds.strict_revocation=true\nbounds.revocation_ms={}\n\
+             bounds.configuration_ms={}\nbounds.budget_ratio=0.2\n\
              bounds.budget_window_s=10\nbounds.budget_extra_attempts={}\nplatform.address={store}\n{others}",
             cfg.name,
             cfg.data_centre,
@@ -133,6 +138,7 @@
             peer_address.port(),
             cfg.grace_s,
             cfg.revocation_ms,
+            cfg.configuration_ms,
             cfg.extra_attempts,
         );
         let settings_path = std::env::temp_dir().join(format!(
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod responses;
 mod shutdown;
 mod software_versions;
+mod stalled_sources;
 mod stated_limits;
 mod store_changes;
 mod streams;
--- /dev/null
+++ b/tests/gateway/stalled_sources.rs
@@ -0,0 +1,178 @@
+//! Changes of the configuration while the daemon that a gateway follows cannot learn of them.
+
+use crate::support::{KEY, configuration};
+use decision::routing::{Peer, ReaderElection};
+use fakes::{Client, GatewayConfig, GatewayProcess, NetworkPath, PathState, PlatformStore};
+use rstest::rstest;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// The time after which an acknowledged configuration must be in force (`configuration_ms`).
+const CONFIGURATION_BOUND: Duration = Duration::from_secs(3);
+/// Time in which a reader names its standbys to its followers.
+const STANDBYS_NAMED_AFTER: Duration = Duration::from_millis(1_500);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Gateways of one region, each with a path of its own to the store.
+struct Region {
+    store: PlatformStore,
+    gateways: Vec<GatewayProcess>,
+    paths: Vec<NetworkPath>,
+}
+
+impl Region {
+    fn start() -> Region {
+        fakes::build_programs().unwrap();
+        let store = PlatformStore::start().unwrap();
+        store.put("config", "main", configuration(1, &[KEY]));
+        Region { store, gateways: Vec::new(), paths: Vec::new() }
+    }
+
+    /// Starts a gateway and waits until it has the configuration. Returns its number.
+    fn add(&mut self, name: &str, data_centre: &str) -> usize {
+        let path = NetworkPath::start(self.store.address).unwrap();
+        let other_data_centres =
+            BTreeMap::from(["a", "b"].map(|other| (other.to_owned(), String::from("r"))));
+        let cfg = GatewayConfig {
+            name: name.to_owned(),
+            data_centre: data_centre.to_owned(),
+            other_data_centres,
+            ..GatewayConfig::default()
+        };
+        let gateway = GatewayProcess::start(path.address, &cfg).unwrap();
+        gateway.wait_for_log(&["configuration_in_force"]).unwrap();
+        self.gateways.push(gateway);
+        self.paths.push(path);
+        self.gateways.len() - 1
+    }
+
+    /// Starts the reader of a data centre and five followers.
+    fn with_one_data_centre() -> Region {
+        let mut region = Region::start();
+        for name in ["front-1", "front-2", "front-3", "front-4", "front-5", "front-6"] {
+            region.add(name, "a");
+        }
+        region.wait_until_standbys_are_named();
+        region
+    }
+
+    fn wait_until_standbys_are_named(&self) {
+        for follower in &self.gateways[1..] {
+            follower.wait_for_log(&["peer_followed"]).unwrap();
+        }
+        sleep(STANDBYS_NAMED_AFTER);
+    }
+
+    /// The numbers of the standbys that the first gateway names, in their order.
+    fn standbys(&self) -> Vec<usize> {
+        let peer = |number: usize| Peer {
+            name: format!("front-{}", number + 1),
+            address: self.gateways[number].peers.to_string(),
+        };
+        let mut election = ReaderElection::new(peer(0), "a", "r", 0);
+        election.choose_standbys((1..self.gateways.len()).map(peer));
+        let number = |standby: &Peer| (1..self.gateways.len()).find(|n| peer(*n) == *standby);
+        election.standbys().iter().filter_map(number).collect()
+    }
+
+    /// Writes a configuration with a route that has the name of its version.
+    fn add_route(&self, version: u64) -> Instant {
+        let mut changed = configuration(version, &[KEY]);
+        let mut added = changed["routes"][0].clone();
+        added["name"] = json!(format!("v{version}"));
+        added["path_prefix"] = json!(format!("/v{version}/"));
+        changed["routes"].as_array_mut().unwrap().push(added);
+        self.store.put("config", "main", changed);
+        Instant::now()
+    }
+
+    /// Writes a configuration and waits until it is in force everywhere: it is confirmed at that
+    /// moment, and a confirmation of the next one is due last.
+    fn confirm_all(&self, version: u64) {
+        self.add_route(version);
+        let version = format!("\"version\":{version},");
+        for gateway in &self.gateways {
+            gateway.wait_for_log(&["configuration_in_force", &version]).unwrap();
+        }
+    }
+
+    fn status(&self, gateway: usize, target: &str) -> u16 {
+        let mut client = Client::connect(self.gateways[gateway].address).unwrap();
+        client.send_request(target, "r1", KEY, "body").unwrap();
+        client.read_response().unwrap().message.status()
+    }
+
+    /// Sends requests on the added route of `version` to a gateway until the route is known there;
+    /// returns the time since its acknowledgement. There are no endpoints, so a request on a known
+    /// route gets 503 with another reason than the one that takes the place of 404.
+    fn time_until_in_force(&self, gateway: usize, version: u64, acked: Instant) -> Duration {
+        let in_force = format!("\"version\":{version},");
+        loop {
+            let sent = acked.elapsed();
+            let status = self.status(gateway, &format!("/v{version}/"));
+            assert!(status != 404 || sent < CONFIGURATION_BOUND, "denied {sent:?} after");
+            let process = &self.gateways[gateway];
+            if !process.log_with(&["configuration_in_force", &in_force]).is_empty() {
+                return acked.elapsed();
+            }
+            sleep(REQUEST_INTERVAL);
+        }
+    }
+}
+
+/// The reader of a data centre stands still, and so does the one that it follows.
+#[test]
+fn added_route_is_not_denied_while_the_readers_of_a_region_stand_still() {
+    let mut region = Region::start();
+    region.add("front-1", "a");
+    region.add("front-2", "b");
+    let follows = |number: usize| !region.gateways[number].log_with(&["peer_followed"]).is_empty();
+    while !follows(0) && !follows(1) {
+        sleep(REQUEST_INTERVAL);
+    }
+    // The data centre whose reader follows the other one.
+    let data_centre = if follows(0) { "a" } else { "b" };
+    let follower = region.add("front-3", data_centre);
+    region.gateways[follower].wait_for_log(&["peer_followed"]).unwrap();
+    sleep(STANDBYS_NAMED_AFTER);
+    region.confirm_all(2);
+    region.gateways[..2].iter().for_each(|reader| reader.signal("STOP").unwrap());
+    let acked = region.add_route(3);
+    let elapsed = region.time_until_in_force(follower, 3, acked);
+    assert!(elapsed < CONFIGURATION_BOUND, "in force {elapsed:?} after the acknowledgement");
+}
+
+/// The store turns away the reader of a data centre and its standbys.
+#[rstest]
+fn added_route_is_not_denied_while_the_store_turns_the_reader_and_its_standbys_away(
+    #[values(PathState::Reset, PathState::Hanging)] state: PathState,
+) {
+    let region = Region::with_one_data_centre();
+    let standbys = region.standbys();
+    let follower = (1..region.gateways.len()).find(|number| !standbys.contains(number)).unwrap();
+    region.confirm_all(2);
+    for number in standbys.into_iter().chain([0]) {
+        region.paths[number].set(state).unwrap();
+    }
+    let acked = region.add_route(3);
+    let elapsed = region.time_until_in_force(follower, 3, acked);
+    assert!(elapsed < CONFIGURATION_BOUND, "in force {elapsed:?} after the acknowledgement");
+}
+
+/// No gateway reaches the store, so none knows the added route.
+#[test]
+fn added_route_is_not_denied_by_a_configuration_older_than_its_bound() {
+    let mut region = Region::start();
+    region.add("front-1", "a");
+    region.confirm_all(2);
+    region.paths[0].set(PathState::Reset).unwrap();
+    let acked = region.add_route(3);
+    while acked.elapsed() < CONFIGURATION_BOUND * 2 {
+        let sent = acked.elapsed();
+        let status = region.status(0, "/v3/");
+        assert!(status != 404 || sent < CONFIGURATION_BOUND, "denied {sent:?} after");
+        sleep(REQUEST_INTERVAL);
+    }
+}
