--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -23,8 +23,8 @@
 pub use platform::{
     AddressMap, BadContinuation, Behaviour, Client, ClientResponse, CrashStage, CrashingBody,
     CrashingPart, GatewayConfig, GatewayProcess, Link, Message, NarrowNetwork, NetworkPath,
-    PathState, PlatformEndpoint, PlatformStore, Proxy, ReceivedRequest, RepeatedRefusal, Room,
-    StoreMode, UnframedEnd,
+    PathState, PlatformEndpoint, PlatformStore, Proxy, ReceivedRequest, RefusedKinds,
+    RepeatedRefusal, Room, StoreMode, UnframedEnd,
 };
 pub use process::{Process, binary, build_programs, earlier_gateway};
 pub use service::{ServiceConfig, run_service};
--- a/fakes/src/platform/mod.rs
+++ b/fakes/src/platform/mod.rs
@@ -28,6 +28,6 @@
 pub use proxy::{Link, Proxy};
 pub use repeated_refusal::RepeatedRefusal;
 pub use room::Room;
-pub use store::{AddressMap, PlatformStore, StoreMode};
+pub use store::{AddressMap, PlatformStore, RefusedKinds, StoreMode};
 pub use unframed::UnframedEnd;
 pub use wire::Message;
--- a/fakes/src/platform/store.rs
+++ b/fakes/src/platform/store.rs
@@ -1,6 +1,6 @@
 use super::wire::{Message, read_message};
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -88,6 +88,28 @@
     }
 }
 
+/// The kinds of objects whose calls a listener of the store turns away with status 503; clones share
+/// their state.
+#[derive(Clone, Debug, Default)]
+pub struct RefusedKinds(Arc<Mutex<BTreeSet<String>>>);
+
+impl RefusedKinds {
+    fn kinds(&self) -> MutexGuard<'_, BTreeSet<String>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the kinds.
+    pub fn set(&self, kinds: &[&str]) {
+        *self.kinds() = kinds.iter().map(|kind| (*kind).to_owned()).collect();
+    }
+
+    fn refuses(&self, call: &Message) -> bool {
+        let path = call.word(1).trim_start_matches("/objects/");
+        let kind = path.split(['/', '?']).next().unwrap_or("");
+        self.kinds().contains(kind)
+    }
+}
+
 /// A stand-in for the platform's store; clones share their state.
 #[derive(Clone, Debug)]
 pub struct PlatformStore {
@@ -103,7 +125,7 @@
         let state = State { revision: 1, ..State::default() };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let store = PlatformStore { address: listener.local_addr()?, shared };
-        store.clone().listen(listener, AddressMap::default());
+        store.clone().listen(listener, AddressMap::default(), RefusedKinds::default());
         Ok(store)
     }
 
@@ -112,16 +134,25 @@
     pub fn start_view(&self, paths: AddressMap) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        self.clone().listen(listener, paths);
+        self.clone().listen(listener, paths, RefusedKinds::default());
+        Ok(address)
+    }
+
+    /// Starts another listener of this store, which turns calls for some kinds away. Returns its
+    /// address.
+    pub fn start_refusing(&self, refused: RefusedKinds) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        self.clone().listen(listener, AddressMap::default(), refused);
         Ok(address)
     }
 
-    fn listen(self, listener: TcpListener, paths: AddressMap) {
+    fn listen(self, listener: TcpListener, paths: AddressMap, refused: RefusedKinds) {
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (store, paths) = (self.clone(), paths.clone());
+                let (store, paths, refused) = (self.clone(), paths.clone(), refused.clone());
                 // An I/O error ends only the thread of this connection.
-                thread::spawn(move || store.serve(stream, &paths).unwrap_or_default());
+                thread::spawn(move || store.serve(stream, &paths, &refused).unwrap_or_default());
             }
         });
     }
@@ -189,12 +220,23 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream, paths: &AddressMap) -> io::Result<()> {
+    fn serve(
+        &self,
+        stream: TcpStream,
+        paths: &AddressMap,
+        refused: &RefusedKinds,
+    ) -> io::Result<()> {
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(call) = read_message(&mut reader)? {
             self.state().calls += 1;
-            let (status, body) = self.handle(&call);
+            let (status, body) = match refused.refuses(&call) {
+                true => (503, json!({})),
+                false => self.handle(&call),
+            };
+            // A watch that waited may be turned away by now.
+            let (status, body) =
+                if refused.refuses(&call) { (503, json!({})) } else { (status, body) };
             let mode = self.state().mode;
             match mode {
                 StoreMode::Silent => thread::sleep(SILENCE),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,8 +14,10 @@
 mod partitioned_gateways;
 #[path = "../platform_objects/mod.rs"]
 mod platform_objects;
+mod region;
 mod repeated_refusals;
 mod responses;
+mod returning_endpoints;
 mod shutdown;
 mod software_versions;
 mod stalled_sources;
--- a/tests/gateway/stalled_sources.rs
+++ b/tests/gateway/stalled_sources.rs
@@ -1,11 +1,11 @@
 //! Changes of the configuration while the daemon that a gateway follows cannot learn of them.
 
+use crate::region::Region;
 use crate::support::{KEY, configuration};
 use decision::routing::{Peer, ReaderElection};
-use fakes::{Client, GatewayConfig, GatewayProcess, NetworkPath, PathState, PlatformStore};
+use fakes::{Client, PathState};
 use rstest::rstest;
 use serde_json::json;
-use std::collections::BTreeMap;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -15,39 +15,7 @@
 const STANDBYS_NAMED_AFTER: Duration = Duration::from_millis(1_500);
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Gateways of one region, each with a path of its own to the store.
-struct Region {
-    store: PlatformStore,
-    gateways: Vec<GatewayProcess>,
-    paths: Vec<NetworkPath>,
-}
-
 impl Region {
-    fn start() -> Region {
-        fakes::build_programs().unwrap();
-        let store = PlatformStore::start().unwrap();
-        store.put("config", "main", configuration(1, &[KEY]));
-        Region { store, gateways: Vec::new(), paths: Vec::new() }
-    }
-
-    /// Starts a gateway and waits until it has the configuration. Returns its number.
-    fn add(&mut self, name: &str, data_centre: &str) -> usize {
-        let path = NetworkPath::start(self.store.address).unwrap();
-        let other_data_centres =
-            BTreeMap::from(["a", "b"].map(|other| (other.to_owned(), String::from("r"))));
-        let cfg = GatewayConfig {
-            name: name.to_owned(),
-            data_centre: data_centre.to_owned(),
-            other_data_centres,
-            ..GatewayConfig::default()
-        };
-        let gateway = GatewayProcess::start(path.address, &cfg).unwrap();
-        gateway.wait_for_log(&["configuration_in_force"]).unwrap();
-        self.gateways.push(gateway);
-        self.paths.push(path);
-        self.gateways.len() - 1
-    }
-
     /// Starts the reader of a data centre and five followers.
     fn with_one_data_centre() -> Region {
         let mut region = Region::start();
@@ -126,15 +94,8 @@
 #[test]
 fn added_route_is_not_denied_while_the_readers_of_a_region_stand_still() {
     let mut region = Region::start();
-    region.add("front-1", "a");
-    region.add("front-2", "b");
-    let follows = |number: usize| !region.gateways[number].log_with(&["peer_followed"]).is_empty();
-    while !follows(0) && !follows(1) {
-        sleep(REQUEST_INTERVAL);
-    }
-    // The data centre whose reader follows the other one.
-    let data_centre = if follows(0) { "a" } else { "b" };
-    let follower = region.add("front-3", data_centre);
+    let (_, following_reader) = region.add_source_and_follower();
+    let follower = region.add("front-3", ["a", "b"][following_reader]);
     region.gateways[follower].wait_for_log(&["peer_followed"]).unwrap();
     sleep(STANDBYS_NAMED_AFTER);
     region.confirm_all(2);
