Do not take over endpoints that another daemon merely keeps

Cause: a daemon that was without the store for over two seconds keeps endpoints whose entries are missing for 2.2 s, since they may have expired in an outage. Its complete copy listed them like all others, so a daemon that had read the store meanwhile, and knew that they had left, took them for new ones when it followed that daemon again.

Change: the copy marks entries that are missing. A daemon that has a registry ignores them unless it lists them itself; one that has none keeps them as missing. When such an endpoint registers again, followers get a change, since they may not list it. Daemons of earlier builds ignore the mark, and set none.

--- a/components/decision/src/routing/directory.rs
+++ b/components/decision/src/routing/directory.rs
@@ -61,8 +61,28 @@
 pub struct ListedEndpoint {
     /// The latest registration, kept while its entry is missing.
     pub registration: Registration,
-    /// When its entry was first found missing after an outage of the store.
-    missing_since: Option<Millis>,
+    missing: Option<MissingEntry>,
+}
+
+/// An entry that was not found after an outage of the store. The endpoint may have left, or the entry
+/// may have expired in the outage.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct MissingEntry {
+    /// When it was first found missing.
+    since: Millis,
+    /// Whether a follower got a copy in which the entry is missing.
+    is_passed_on: bool,
+}
+
+/// An endpoint in a copy of the directory for followers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CopiedEndpoint<'a> {
+    /// The id of the endpoint.
+    pub id: &'a str,
+    /// Its latest registration.
+    pub registration: &'a Registration,
+    /// Whether its entry is missing, so that it may have left.
+    pub is_missing: bool,
 }
 
 /// A change to the endpoints that requests may be sent to.
@@ -70,6 +90,8 @@
 pub enum DirectoryChange {
     /// A new endpoint, or a new incarnation under a known id.
     Joined(String),
+    /// An endpoint whose entry was missing in a copy for followers has registered again.
+    Returned(String),
     /// The endpoint is draining, said that it leaves, or was removed.
     Left(String),
 }
@@ -85,7 +107,7 @@
 
 impl Directory {
     /// Adds or updates the registration of an endpoint. Returns `None` for a known incarnation that
-    /// does not start to drain, and for one that is known to leave.
+    /// neither starts to drain nor returns, and for one that is known to leave.
     pub fn put(&mut self, id: &str, registration: Registration) -> Option<DirectoryChange> {
         if registration.draining {
             self.departures.record(id, registration.incarnation());
@@ -96,13 +118,17 @@
         let was_usable = before.is_some_and(|before| !before.draining);
         let is_known = before.is_some_and(|before| before.is_same_incarnation(&registration));
         let was_listed = before.is_some();
-        self.listed.insert(id.to_owned(), ListedEndpoint { registration, missing_since: None });
+        let missing = self.listed.get(id).and_then(|listed| listed.missing);
+        self.listed.insert(id.to_owned(), ListedEndpoint { registration, missing: None });
         if has_departed {
             let has_left = was_usable || !was_listed;
             return has_left.then(|| DirectoryChange::Left(id.to_owned()));
         }
-        let has_joined = !was_usable || !is_known;
-        has_joined.then(|| DirectoryChange::Joined(id.to_owned()))
+        if !was_usable || !is_known {
+            return Some(DirectoryChange::Joined(id.to_owned()));
+        }
+        let has_returned = missing.is_some_and(|missing| missing.is_passed_on);
+        has_returned.then(|| DirectoryChange::Returned(id.to_owned()))
     }
 
     /// Records that an endpoint said that it leaves. Returns `None` if that changes nothing: it is
@@ -171,7 +197,7 @@
     /// endpoint stays listed until [`REREGISTRATION_TIMEOUT`] has passed.
     pub fn mark_missing(&mut self, id: &str, now: Millis) {
         if let Some(listed) = self.listed.get_mut(id) {
-            listed.missing_since.get_or_insert(now);
+            listed.missing.get_or_insert(MissingEntry { since: now, is_passed_on: false });
         }
     }
 
@@ -181,7 +207,7 @@
             .listed
             .iter()
             .filter(|(_, l)| {
-                l.missing_since.is_some_and(|since| now.since(since) >= REREGISTRATION_TIMEOUT)
+                l.missing.is_some_and(|entry| now.since(entry.since) >= REREGISTRATION_TIMEOUT)
             })
             .map(|(id, _)| id.clone())
             .collect();
@@ -191,7 +217,7 @@
     /// Removes all endpoints whose entries are missing: the store was available all the time, so
     /// the entries did not expire in an outage.
     pub fn remove_missing(&mut self) -> Vec<DirectoryChange> {
-        let is_missing = |(_, listed): &(&String, &ListedEndpoint)| listed.missing_since.is_some();
+        let is_missing = |(_, listed): &(&String, &ListedEndpoint)| listed.missing.is_some();
         let missing: Vec<String> =
             self.listed.iter().filter(is_missing).map(|(id, _)| id.clone()).collect();
         missing.iter().filter_map(|id| self.remove(id)).collect()
@@ -202,6 +228,23 @@
         self.listed.get(id).map(|l| &l.registration).filter(|r| !r.draining)
     }
 
+    /// Returns the number of endpoints whose entries are missing.
+    pub fn missing(&self) -> usize {
+        self.listed.values().filter(|listed| listed.missing.is_some()).count()
+    }
+
+    /// Returns all endpoints for a follower, by id. Draining ones are included: after an outage, a
+    /// follower keeps endpoints that are missing here.
+    pub fn copy(&mut self) -> impl Iterator<Item = CopiedEndpoint<'_>> {
+        self.listed.iter_mut().map(|(id, listed)| {
+            if let Some(missing) = &mut listed.missing {
+                missing.is_passed_on = true;
+            }
+            let is_missing = listed.missing.is_some();
+            CopiedEndpoint { id, registration: &listed.registration, is_missing }
+        })
+    }
+
     /// Returns all endpoints, by id, draining ones and those whose entries are missing included.
     pub fn listed(&self) -> impl Iterator<Item = (&str, &Registration)> {
         self.listed.iter().map(|(id, listed)| (id.as_str(), &listed.registration))
--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -51,7 +51,8 @@
 pub use demand::{Candidate, Choice, Demand, Distance, InFlightId, Outcome, Placement};
 pub use departures::Incarnation;
 pub use directory::{
-    Directory, DirectoryChange, OUTAGE_THRESHOLD, REREGISTRATION_TIMEOUT, Registration,
+    CopiedEndpoint, Directory, DirectoryChange, OUTAGE_THRESHOLD, REREGISTRATION_TIMEOUT,
+    Registration,
 };
 pub use endpoint_limits::EndpointLimits;
 pub use fleet_size::FleetSize;
--- a/components/decision/tests/routing/directory.rs
+++ b/components/decision/tests/routing/directory.rs
@@ -79,6 +79,18 @@
     assert!(directory.expire(Millis(60_000)).is_empty());
 }
 
+#[test]
+fn followers_that_got_a_copy_without_an_endpoint_learn_that_it_registered_again() {
+    let mut directory = directory_with_one_endpoint();
+    assert!(directory.copy().all(|copied| !copied.is_missing));
+    directory.replace(BTreeMap::new(), true, Millis(10_000));
+    assert!(directory.copy().all(|copied| copied.is_missing));
+    let returned = Some(DirectoryChange::Returned("e".to_owned()));
+    assert_eq!(directory.put("e", registration(1, 7)), returned);
+    assert!(directory.copy().all(|copied| !copied.is_missing));
+    assert_eq!(directory.put("e", registration(1, 8)), None);
+}
+
 #[test]
 fn copy_of_the_directory_tells_a_daemon_which_endpoints_drain() {
     let mut source = directory_with_one_endpoint();
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -51,6 +51,16 @@
     Notice(NoticeId),
 }
 
+/// All endpoints, packed for followers. Cached because many may request them at the same time.
+#[derive(Clone, Debug, Default)]
+struct PackedEndpoints {
+    /// The last change that it includes.
+    sequence: u64,
+    /// The number of endpoints whose entries are missing.
+    missing: usize,
+    packed: Rc<[u8]>,
+}
+
 /// State shared by all tasks of a gateway. They run on one thread and hold no borrow across an
 /// `await`, so no locks are needed.
 #[derive(Debug)]
@@ -96,9 +106,7 @@
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Notified when contents are condemned.
     pub(crate) quarantine_changed: Notify,
-    /// The packed endpoints and the change log sequence at which they were packed. Cached
-    /// because many followers may request them at the same time.
-    cached_endpoints: RefCell<(u64, Rc<[u8]>)>,
+    cached_endpoints: RefCell<PackedEndpoints>,
     pub(crate) large_responses: LargeResponses,
     pub(crate) update_source: CurrentSource,
     pub(crate) reachability: RefCell<Reachability>,
@@ -156,7 +164,7 @@
             collected_notices: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(seed)),
             quarantine_changed: Notify::new(),
-            cached_endpoints: RefCell::new((0, Rc::from([]))),
+            cached_endpoints: RefCell::default(),
             large_responses: LargeResponses::default(),
             update_source: CurrentSource::default(),
             reachability: RefCell::default(),
@@ -214,21 +222,22 @@
         self.change_added.notify_waiters();
     }
 
-    /// All endpoints, packed for followers. Draining ones are included: after an outage, a follower
-    /// keeps endpoints that are missing here.
+    /// All endpoints, packed for followers.
     pub(crate) fn packed_endpoints(&self) -> Result<Rc<[u8]>, String> {
-        let last = self.change_log.borrow().last();
+        let mut directory = self.directory.borrow_mut();
+        let (sequence, missing) = (self.change_log.borrow().last(), directory.missing());
         let mut cached = self.cached_endpoints.borrow_mut();
-        if cached.0 != last || cached.1.is_empty() {
-            let directory = self.directory();
-            let endpoints = directory.listed().map(|(id, registration)| EndpointChange {
-                endpoint: id.to_owned(),
-                registration: to_json(registration),
+        let is_current = (cached.sequence, cached.missing) == (sequence, missing);
+        if !is_current || cached.packed.is_empty() {
+            let endpoints = directory.copy().map(|copied| EndpointChange {
+                endpoint: copied.id.to_owned(),
+                registration: to_json(copied.registration),
+                is_missing: copied.is_missing,
             });
             let endpoints: Vec<EndpointChange> = endpoints.collect();
-            *cached = (last, Rc::from(pack(&endpoints)?));
+            *cached = PackedEndpoints { sequence, missing, packed: Rc::from(pack(&endpoints)?) };
         }
-        Ok(cached.1.clone())
+        Ok(cached.packed.clone())
     }
 
     /// Whether a missing entry means that the endpoint has left; false after a store outage until
@@ -311,9 +320,13 @@
                     self.forget_restarted(id);
                     (id.clone(), self.directory().get(id).and_then(to_json))
                 }
+                DirectoryChange::Returned(id) => {
+                    (id.clone(), self.directory().get(id).and_then(to_json))
+                }
                 DirectoryChange::Left(id) => (id.clone(), None),
             };
-            self.publish(Change::Endpoint(EndpointChange { endpoint, registration }));
+            let change = EndpointChange { endpoint, registration, is_missing: false };
+            self.publish(Change::Endpoint(change));
         }
     }
 
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -12,7 +12,7 @@
 use http::header::HOST;
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
-use messages::feed::{FeedPeer, FeedPosition, FeedRequest, FeedResponse};
+use messages::feed::{EndpointChange, FeedPeer, FeedPosition, FeedRequest, FeedResponse};
 use messages::{endpoint_loads, load_rows};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
@@ -215,17 +215,14 @@
     if let Some(version) = feed.accounts_version {
         gateway.configurations.borrow_mut().confirm_accounts(version);
     }
-    let endpoints = if feed.is_complete { unpack(&feed.packed_endpoints)? } else { feed.endpoints };
     if !feed.is_settled {
         gateway.unsettled_until.set(now() + FEED_WAIT + RESPONSE_MARGIN);
     }
-    let items = endpoints.into_iter().map(|change| Item {
-        value: from_json::<Registration>(change.registration.as_deref()).map(Ok),
-        name: change.endpoint,
-    });
     if feed.is_complete {
-        Endpoints::replace(gateway, items.collect(), !feed.is_settled, now());
+        let endpoints = unpack(&feed.packed_endpoints)?;
+        replace_registry(gateway, endpoints, !feed.is_settled, now());
     } else {
+        let items = feed.endpoints.into_iter().map(registry_item);
         items.for_each(|item| Endpoints::apply_change(gateway, item, false, now()));
     }
     if let Some(age) = feed.proof_age_ms {
@@ -259,6 +256,36 @@
     Ok(())
 }
 
+/// Takes over the complete registry of a peer. What the peer merely keeps may have left, and this
+/// daemon may know that it has.
+fn replace_registry<A: Adapter>(
+    gateway: &Gateway<A>,
+    endpoints: Vec<EndpointChange>,
+    after_outage: bool,
+    now: Millis,
+) {
+    let (kept, registered): (Vec<_>, Vec<_>) =
+        endpoints.into_iter().partition(|endpoint| endpoint.is_missing);
+    let has_registry = gateway.registry_known.get();
+    let items = registered.into_iter().map(registry_item).collect();
+    Endpoints::replace(gateway, items, after_outage || !kept.is_empty(), now);
+    if has_registry {
+        return;
+    }
+    for item in kept.into_iter().map(registry_item) {
+        let id = item.name.clone();
+        Endpoints::apply_change(gateway, item, true, now);
+        gateway.directory.borrow_mut().mark_missing(&id, now);
+    }
+}
+
+fn registry_item(change: EndpointChange) -> Item<Registration> {
+    Item {
+        value: from_json::<Registration>(change.registration.as_deref()).map(Ok),
+        name: change.endpoint,
+    }
+}
+
 /// The configuration that a response holds, if any: whole, or with the last piece of an update.
 fn configuration<A: Adapter>(
     gateway: &Gateway<A>,
--- a/components/gateway/src/registry_log.rs
+++ b/components/gateway/src/registry_log.rs
@@ -7,9 +7,14 @@
 /// copy of the registry.
 pub(crate) fn log_registry_changes(changes: &[DirectoryChange], directory: &Directory) {
     let is_joined = |change: &&DirectoryChange| matches!(change, DirectoryChange::Joined(_));
+    let is_left = |change: &&DirectoryChange| matches!(change, DirectoryChange::Left(_));
     if changes.len() > MAX_LOGGED_CHANGES {
         let joined = changes.iter().filter(is_joined).count();
-        tracing::info!(event = "registry_changed", joined, left = changes.len() - joined);
+        tracing::info!(
+            event = "registry_changed",
+            joined,
+            left = changes.iter().filter(is_left).count()
+        );
         return;
     }
     for change in changes {
@@ -23,6 +28,9 @@
                     software_version = registration.map(|r| &*r.software_version),
                 );
             }
+            DirectoryChange::Returned(id) => {
+                tracing::info!(event = "endpoint_returned", endpoint = %id);
+            }
             DirectoryChange::Left(id) => tracing::info!(event = "endpoint_left", endpoint = %id),
         }
     }
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -60,6 +60,9 @@
 pub struct EndpointChange {
     ///The id of the endpoint.
     pub endpoint: ::std::string::String,
+    ///Whether the responder keeps the endpoint although its entry is missing, since that may have expired while the store was away.
+    #[serde(default)]
+    pub is_missing: bool,
     ///Its registration as JSON; absent when the endpoint has left.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub registration: ::std::option::Option<::std::string::String>,
