Confirm the registry apart from the configuration

Cause: there was one freshness confirmation, that of the configuration. A daemon that had lost the store read the configuration again before the registry, said that it was current, and its copy of the registry from before the outage was taken over by daemons that knew better. The same confirmation decided whether a software version was known well enough for new streams.

Change: reads of the registry confirm it. Those of the configuration do so only while a watch of the registry waits and no call to the store has failed since it was listed; a failed one has the registry listed again. Daemons of earlier builds do not send the age, and are taken as before.

--- a/components/decision/src/routing/freshness.rs
+++ b/components/decision/src/routing/freshness.rs
@@ -5,14 +5,16 @@
 /// the daemon reading it.
 const SAFETY_MARGIN: Millis = Millis(250);
 
-/// The latest time at which the active configuration was confirmed to be the newest one in the
-/// store, and when the store last responded at all. Keys revoked before the confirmation are known
-/// to this daemon.
+/// The latest times at which the active configuration and the registry were confirmed to be the newest
+/// ones in the store, and when the store last responded at all. Keys revoked before the confirmation of
+/// the configuration are known to this daemon, and so are endpoints that left before that of the
+/// registry; neither vouches for the other.
 ///
 /// All times are on a clock that continues while the instance is suspended.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Freshness {
     confirmed: Option<Millis>,
+    registry_confirmed: Option<Millis>,
     /// When the store last responded, to this daemon or to one that it follows.
     responded: Option<Millis>,
     /// The first response after the last gap in which entries of the registry could expire.
@@ -26,6 +28,11 @@
         self.confirmed = self.confirmed.max(Some(sent));
     }
 
+    /// Records the same of the registry.
+    pub fn confirm_registry(&mut self, sent: Millis) {
+        self.registry_confirmed = self.registry_confirmed.max(Some(sent));
+    }
+
     /// Records that the store responded at the time `at`. If entries of the registry could expire
     /// since its previous response, returns the time of that one.
     pub fn observe_response(&mut self, at: Millis) -> Option<Millis> {
@@ -62,6 +69,11 @@
         self.confirmed.map(|confirmed| now.since(confirmed))
     }
 
+    /// Returns the age of the confirmation of the registry; `None` before the first one.
+    pub fn registry_age(&self, now: Millis) -> Option<Millis> {
+        self.registry_confirmed.map(|confirmed| now.since(confirmed))
+    }
+
     /// Returns whether keys may be trusted when each revocation must take effect within `bound`.
     pub fn is_within(&self, bound: Millis, now: Millis) -> bool {
         self.age(now).is_some_and(|age| age < bound - SAFETY_MARGIN)
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -72,6 +72,11 @@
     pub(crate) directory: RefCell<Directory>,
     /// Whether the registry has been read at least once.
     pub(crate) registry_known: Cell<bool>,
+    /// Whether this daemon watches the registry in the store, and no call to the store has failed since
+    /// it was listed.
+    pub(crate) registry_watched: Cell<bool>,
+    /// Notified when the registry has to be listed again.
+    pub(crate) registry_doubted: Notify,
     /// Time until which entries that expired during a store outage may be registered again.
     pub(crate) unsettled_until: Cell<Millis>,
     pub(crate) freshness: RefCell<Freshness>,
@@ -137,6 +142,8 @@
             configurations: RefCell::default(),
             directory: RefCell::default(),
             registry_known: Cell::new(false),
+            registry_watched: Cell::default(),
+            registry_doubted: Notify::new(),
             unsettled_until: Cell::default(),
             freshness: RefCell::default(),
             source_health: RefCell::default(),
@@ -268,6 +275,13 @@
         }
     }
 
+    /// Records that a call to the store failed: a watch of the registry that waits may be lost, too.
+    pub(crate) fn doubt_registry(&self) {
+        if self.registry_watched.replace(false) {
+            self.registry_doubted.notify_waiters();
+        }
+    }
+
     /// Records that a source of updates fails since the time `since`, and tells the followers.
     pub(crate) fn record_source_failure(&self, source: Source, since: Millis) {
         if self.source_health.borrow_mut().record_failure(source, since) {
--- a/components/gateway/src/object_feed.rs
+++ b/components/gateway/src/object_feed.rs
@@ -114,7 +114,12 @@
     }
 
     fn confirm<A: Adapter>(gateway: &Gateway<A>, sent: Millis) {
-        gateway.freshness.borrow_mut().confirm(sent);
+        let mut freshness = gateway.freshness.borrow_mut();
+        freshness.confirm(sent);
+        if gateway.registry_watched.get() {
+            // The watch would have returned a change.
+            freshness.confirm_registry(sent);
+        }
     }
 }
 
@@ -220,7 +225,10 @@
         gateway.publish_registry_changes(change.as_slice());
     }
 
-    fn confirm<A: Adapter>(_gateway: &Gateway<A>, _sent: Millis) {}
+    fn confirm<A: Adapter>(gateway: &Gateway<A>, sent: Millis) {
+        gateway.freshness.borrow_mut().confirm_registry(sent);
+        gateway.registry_watched.set(true);
+    }
 }
 
 fn log_malformed(id: &str, text: &str) {
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -75,8 +75,14 @@
         let (feed, sent) = result?;
         if self.position.is_none() && lags_behind(gateway, &feed) {
             let age = feed.confirmation_age_ms.or(feed.proof_age_ms);
-            let text = format!("freshness confirmation of the peer is {age:?} ms old");
-            return Err((PeerFault::Unready, text));
+            let registry_age = registry_age(&feed);
+            let text = format!(
+                "freshness confirmation of the peer is {age:?} ms old, that of its registry {registry_age:?} ms"
+            );
+            // A reader gets on without the peer.
+            let is_reader = gateway.readers.borrow().is_reader();
+            let fault = if is_reader { PeerFault::Outdated } else { PeerFault::Unready };
+            return Err((fault, text));
         }
         if held != gateway.configurations.borrow().held() {
             // What the peer says of the accounts, and its updates, refer to what was held before.
@@ -123,11 +129,22 @@
     }
 }
 
-/// Whether a daemon is not ready to be followed: its registry may be older than the own one.
+/// Whether a daemon is not ready to be followed: what it knows may be older than what is known here.
 fn lags_behind<A: Adapter>(gateway: &Gateway<A>, feed: &FeedResponse) -> bool {
-    let Some(age) = feed.confirmation_age_ms.or(feed.proof_age_ms) else { return true };
-    let own = gateway.freshness.borrow().age(now());
-    own.is_some_and(|own| Millis(age) > own + MAX_CONFIRMATION_LAG)
+    let freshness = gateway.freshness.borrow();
+    let lags = |age: Option<u64>, own: Option<Millis>| match (age, own) {
+        (None, _) => true,
+        (Some(_), None) => false,
+        (Some(age), Some(own)) => Millis(age) > own + MAX_CONFIRMATION_LAG,
+    };
+    lags(feed.confirmation_age_ms.or(feed.proof_age_ms), freshness.age(now()))
+        || lags(registry_age(feed), freshness.registry_age(now()))
+}
+
+/// The age of the confirmation of a peer's registry, in milliseconds. Daemons of earlier builds confirm
+/// it with the configuration.
+fn registry_age(feed: &FeedResponse) -> Option<u64> {
+    feed.registry_age_ms.or(feed.confirmation_age_ms).or(feed.proof_age_ms)
 }
 
 /// Tells the daemon that this one replaces as the store reader, best effort: if it is not told, it
@@ -205,6 +222,7 @@
     feed: FeedResponse,
     sent: Millis,
 ) -> Result<(), String> {
+    let registry_age = registry_age(&feed);
     receive_notices(gateway, &feed.notices, NoticeSource::Peer);
     if feed.is_complete {
         gateway.notices.borrow_mut().forward_again(now());
@@ -225,6 +243,10 @@
         let items = feed.endpoints.into_iter().map(registry_item);
         items.for_each(|item| Endpoints::apply_change(gateway, item, false, now()));
     }
+    if let Some(age) = registry_age {
+        let built_at = sent + Millis(feed.waited_ms);
+        gateway.freshness.borrow_mut().confirm_registry(built_at - Millis(age));
+    }
     if let Some(age) = feed.proof_age_ms {
         // The peer measured `age` when it built its response. That is no earlier than `built_at`,
         // so the result does not overstate the freshness.
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -164,6 +164,7 @@
         waited_ms: now().since(arrived).0,
         proof_age_ms: gateway.freshness.borrow().age(now()).map(|age| age.0),
         confirmation_age_ms: gateway.freshness.borrow().age(now()).map(|age| age.0),
+        registry_age_ms: gateway.freshness.borrow().registry_age(now()).map(|age| age.0),
         response_age_ms: gateway.freshness.borrow().response_age(now()).map(|age| age.0),
         continuous_ms: gateway.freshness.borrow().continuous_for(now()).map(|time| time.0),
         failing_ms: gateway.source_health.borrow().failing_for(now()).map(|time| time.0),
--- a/components/gateway/src/software_versions.rs
+++ b/components/gateway/src/software_versions.rs
@@ -116,7 +116,7 @@
     entry: &Registration,
     now: Millis,
 ) -> bool {
-    let age = gateway.freshness.borrow().age(now);
+    let age = gateway.freshness.borrow().registry_age(now);
     if age.is_none_or(|age| age + age > retention(gateway)) {
         return false;
     }
--- a/components/gateway/src/store_reader.rs
+++ b/components/gateway/src/store_reader.rs
@@ -83,6 +83,11 @@
                 reader.reset();
                 continue;
             }
+            () = gateway.registry_doubted.notified(), if F::SOURCE == Source::Endpoints => {
+                reader.connection = None;
+                reader.revision = None;
+                continue;
+            }
         };
         match result {
             Ok(()) => reader.record_success::<F>(),
@@ -133,6 +138,9 @@
             Ok(body) => body,
             Err(CallError::HistoryGone { target }) => {
                 self.revision = None;
+                if F::SOURCE == Source::Endpoints {
+                    self.gateway.registry_watched.set(false);
+                }
                 tracing::info!(event = "history_gone", kind = F::KIND.as_str(), target);
                 return Ok(());
             }
@@ -216,6 +224,7 @@
 
     /// Resets the reader when this daemon starts to follow a peer.
     fn reset(&mut self) {
+        self.gateway.registry_watched.set(false);
         self.connection = None;
         self.revision = None;
         self.failing_since = None;
@@ -245,6 +254,7 @@
         // A list returns as soon as the store recovers; a watch would wait for a change.
         self.revision = None;
         self.gateway.record_source_failure(F::SOURCE, now());
+        self.gateway.doubt_registry();
         if self.failing_since.is_none() {
             self.failing_since = Some(now());
             tracing::warn!(event = "store_lost", kind = F::KIND.as_str(), error = %e);
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -203,6 +203,9 @@
     ///The store reader of the responder's data centre, if known.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub reader: ::std::option::Option<FeedPeer>,
+    ///The time since the endpoints were last confirmed to be those of the registry, in milliseconds. Absent from daemons that do not confirm them apart from the configuration.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub registry_age_ms: ::std::option::Option<u64>,
     ///Some daemons that reach endpoints.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub relays: ::std::vec::Vec<FeedPeer>,
