Test what requests get that arrive around a planned stop

Requests each 100 ms from SIGTERM to the exit, with work of 0.5 to 6 s at the endpoints, on each kind of route: who was passed on must get an answer, and who gets 503 must not have run.

--- a/fakes/src/platform/client.rs
+++ b/fakes/src/platform/client.rs
@@ -104,6 +104,14 @@
         self.read_chunks(Message::default())
     }
 
+    /// Reads until the connection ends. Returns the number of bytes, and whether it ended in the
+    /// ordinary way or by a reset.
+    pub fn read_until_closed(&mut self) -> (usize, io::Result<()>) {
+        let mut received = Vec::new();
+        let result = io::Read::read_to_end(&mut self.reader, &mut received);
+        (received.len(), result.map(|_| ()))
+    }
+
     /// Whether the gateway closed the connection without another response. Blocks until it does.
     pub fn is_closed(&mut self) -> bool {
         matches!(read_message(&mut self.reader), Ok(None) | Err(_))
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod monitoring;
 mod odd_entries;
 mod partitioned_gateways;
+mod planned_stops;
 #[path = "../platform_objects/mod.rs"]
 mod platform_objects;
 mod region;
