Answer all requests before a planned stop ends

A client of HTTP/1.0 took the cut of its stream for the end. A daemon without clients exited after 3 s while a request that another daemon had passed on was running.

Change: after the first 3 s a request is accepted only if it ends before the exit even if it takes its whole time limit. What is under way 0.2 s before the exit is answered, 503 if it has not run, else 502, and streams are cut so that clients notice. The exit waits for requests passed on, and a daemon that stops takes none.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -319,6 +319,7 @@
         }
         let was_pooled = !connection.is_new;
         let req = build_request(gateway, request, in_flight, last_event);
+        request.may_have_run.set(true);
         match connection.send(req, request.time_left(now()) + LATE_RESPONSE_MARGIN).await {
             Err(ConnectionError::Unsent { .. }) if was_pooled => {}
             Err(e) => return Err(e),
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -71,6 +71,9 @@
     gateway.loads.borrow().choose(candidates, &demand, now)
 }
 
+/// Maximum retry-after time while this daemon stops.
+const STOPPING_RETRY_AFTER_SECONDS: f64 = 0.2;
+
 /// Why no further attempt is made for a request.
 #[derive(Debug)]
 enum StopReason {
@@ -129,7 +132,7 @@
 }
 
 /// Sends a request to endpoints until one responds or no further attempt is allowed.
-pub(crate) async fn dispatch<A: Adapter>(
+async fn dispatch<A: Adapter>(
     gateway: &Rc<Gateway<A>>,
     request: RoutedRequest,
 ) -> Response<ResponseBody> {
@@ -173,7 +176,9 @@
             }
             Err(failure) => {
                 let is_broken = failure.is_broken();
-                if let Some(stop_reason) = attempts_made.record_failure(failure, &request, now()) {
+                let stop_reason = attempts_made.record_failure(failure, &request, now());
+                request.may_have_run.set(attempts_made.verdict != Verdict::NotRun);
+                if let Some(stop_reason) = stop_reason {
                     break stop_reason;
                 }
                 if is_broken && judge(gateway, &request, now()) == Judgement::Suspected {
@@ -190,18 +195,42 @@
     respond_without_success(gateway, &request, attempts_made, &stop_reason)
 }
 
+/// Sends a request to endpoints as [`dispatch`] does, and answers it when the daemon exits before.
+pub(crate) async fn dispatch_until_exit<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    request: RoutedRequest,
+) -> Response<ResponseBody> {
+    let may_have_run = request.may_have_run.clone();
+    let (id, route, arrived) = (request.id().to_owned(), request.route.clone(), request.arrived);
+    tokio::select! {
+        response = dispatch(gateway, request) => return response,
+        () = gateway.shutdown.final_answers_due() => {}
+    }
+    let sends = u32::from(may_have_run.get());
+    let refused_request = RefusedRequest { id: &id, route: &route, arrived, sends };
+    let refusal = match may_have_run.get() {
+        true => Refusal::new(Reason::EndpointFailed, Verdict::MayHaveRun),
+        false => stopping_refusal(gateway),
+    };
+    refuse(gateway, &refused_request, refusal, "daemon exits before the request has ended")
+}
+
 /// Passes a request on to another daemon if this one reaches no endpoint. Returns `None` if the
 /// request was not passed on.
 async fn relay_if_cut_off<A: Adapter>(
-    gateway: &Gateway<A>,
+    gateway: &Rc<Gateway<A>>,
     request: &RoutedRequest,
 ) -> Option<Response<ResponseBody>> {
     if request.is_relayed || !gateway.is_cut_off() {
         return None;
     }
+    request.may_have_run.set(true);
     match relay_request(gateway, request).await {
         RelayOutcome::Answered(response) => Some(*response),
-        RelayOutcome::NotSent => None,
+        RelayOutcome::NotSent => {
+            request.may_have_run.set(false);
+            None
+        }
         RelayOutcome::Broken(text) => {
             let refused_request = RefusedRequest {
                 id: request.id(),
@@ -308,6 +337,14 @@
     waits.min()
 }
 
+/// Builds the refusal of a request that did not run because this daemon stops. Others can serve it at
+/// once.
+pub(crate) fn stopping_refusal<A: Adapter>(gateway: &Gateway<A>) -> Refusal {
+    let jitter: f64 = gateway.rng.borrow_mut().random();
+    let retry_after = Some(jitter * STOPPING_RETRY_AFTER_SECONDS);
+    Refusal { retry_after, ..Refusal::new(Reason::NotReady, Verdict::NotRun) }
+}
+
 /// Builds the refusal of a request that did not run, with a random retry-after time.
 pub(crate) fn not_run_refusal<A: Adapter>(gateway: &Gateway<A>, reason: Reason) -> Refusal {
     let jitter: f64 = gateway.rng.borrow_mut().random();
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -118,6 +118,8 @@
     /// Whether this daemon reached no endpoint when it last looked.
     pub(crate) was_cut_off: Cell<bool>,
     pub(crate) relays: RefCell<Relays>,
+    /// Connections on which other daemons pass requests on.
+    pub(crate) relayed_connections: Cell<u32>,
     pub(crate) versions: SoftwareVersions,
     pub(crate) streams: RefCell<StreamRecords>,
     pub(crate) stream_lookup: Mutex<StreamLookup>,
@@ -177,6 +179,7 @@
             reachability: RefCell::default(),
             was_cut_off: Cell::default(),
             relays: RefCell::default(),
+            relayed_connections: Cell::default(),
             versions: SoftwareVersions::default(),
             streams: RefCell::default(),
             stream_lookup: Mutex::default(),
@@ -344,6 +347,11 @@
         }
     }
 
+    /// Whether other daemons may pass requests on to this one.
+    pub(crate) fn takes_relayed_requests(&self) -> bool {
+        !self.is_cut_off() && !self.shutdown.is_stopping()
+    }
+
     /// Whether this daemon reaches no endpoint of any service.
     pub(crate) fn is_cut_off(&self) -> bool {
         let reachability = self.reachability.borrow();
--- a/components/gateway/src/listener.rs
+++ b/components/gateway/src/listener.rs
@@ -88,6 +88,8 @@
     idle_since: Cell<Millis>,
     /// Whether the last request was one of HTTP/1.0, whose responses cannot be chunked.
     is_http_1_0: Cell<bool>,
+    /// Whether another daemon passed a request on.
+    is_relayed: Cell<bool>,
 }
 
 async fn serve_connection<A: Adapter>(gateway: Rc<Gateway<A>>, stream: TcpStream, role: Role) {
@@ -99,11 +101,14 @@
         requests: Cell::new(0),
         idle_since: Cell::new(now()),
         is_http_1_0: Cell::new(false),
+        is_relayed: Cell::new(false),
     };
     let client_delta = i64::from(role == Role::Clients);
     gateway.metrics.clients.inc_by(client_delta);
     drive_connection(&gateway, stream, role, &activity).await;
     gateway.metrics.clients.dec_by(client_delta);
+    let relayed = gateway.relayed_connections.get() - u32::from(activity.is_relayed.get());
+    gateway.relayed_connections.set(relayed);
 }
 
 async fn drive_connection<A: Adapter>(
@@ -166,6 +171,9 @@
         Role::Clients => serve(gateway, req, false).await,
         Role::Monitoring => serve_monitoring(gateway, req).await,
         Role::Peers if req.headers().contains_key(RELAYED_HEADER) => {
+            let is_first = !activity.is_relayed.replace(true);
+            let relayed = gateway.relayed_connections.get() + u32::from(is_first);
+            gateway.relayed_connections.set(relayed);
             serve(gateway, req, true).await
         }
         Role::Peers => peer_server::respond(gateway, req).await,
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -173,7 +173,7 @@
         takes_over: false,
         whole_data_centre: false,
         all_notices: false,
-        reaches_endpoints: !gateway.is_cut_off(),
+        reaches_endpoints: gateway.takes_relayed_requests(),
         from: None,
         configuration: None,
         received: None,
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -200,7 +200,7 @@
     let seed = gateway.rng.borrow_mut().random();
     let offered = gateway.relays.borrow().offered(to, seed, now());
     let settings = gateway.settings();
-    let own = settings.listen_peers.filter(|_| !gateway.is_cut_off());
+    let own = settings.listen_peers.filter(|_| gateway.takes_relayed_requests());
     let own =
         own.map(|address| FeedPeer { name: settings.name.clone(), address: address.to_string() });
     offered.iter().map(feed_peer).chain(own).collect()
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -76,7 +76,23 @@
 }
 
 impl<A: Adapter> Relay<A> {
-    async fn run(mut self, mut body: Incoming, mut connection: BusyConnection<A>) {
+    /// Forwards the stream to its end, or until the daemon exits.
+    async fn run(mut self, body: Incoming, connection: BusyConnection<A>) {
+        let gateway = self.gateway.clone();
+        let is_complete = tokio::select! {
+            is_complete = self.forward(body, connection) => is_complete,
+            () = gateway.shutdown.final_answers_due() => {
+                self.finish("broken", "daemon exits before the stream has ended");
+                false
+            }
+        };
+        if is_complete {
+            self.writer.close();
+        }
+    }
+
+    /// Forwards the stream, also that of further endpoints. Returns whether it is complete.
+    async fn forward(&mut self, mut body: Incoming, mut connection: BusyConnection<A>) -> bool {
         loop {
             let end = self.forward_events(&mut body, &connection).await;
             self.count_end(&end);
@@ -85,11 +101,12 @@
                     self.record_completion(&connection);
                     connection.close(&self.gateway, Outcome::Answered);
                     self.finish(ANSWERED, "");
-                    return self.writer.close();
+                    return true;
                 }
                 StreamEnd::ClientLeft => {
                     connection.in_flight.close(Outcome::Abandoned);
-                    return self.finish("client_left", "");
+                    self.finish("client_left", "");
+                    return false;
                 }
                 StreamEnd::Interrupted(interruption) => interruption,
             };
@@ -107,7 +124,8 @@
                 }
                 Err(text) => {
                     let text = format!("{interruption}; not resumed: {text}");
-                    return self.finish("broken", &text);
+                    self.finish("broken", &text);
+                    return false;
                 }
             }
         }
--- a/components/gateway/src/relayed_request.rs
+++ b/components/gateway/src/relayed_request.rs
@@ -14,6 +14,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -42,7 +43,7 @@
 
 /// Passes a request on to a daemon that reaches endpoints, and returns its response.
 pub(crate) async fn relay_request<A: Adapter>(
-    gateway: &Gateway<A>,
+    gateway: &Rc<Gateway<A>>,
     request: &RoutedRequest,
 ) -> RelayOutcome {
     let seed = gateway.rng.borrow_mut().random();
@@ -96,7 +97,7 @@
 }
 
 async fn answer<A: Adapter>(
-    gateway: &Gateway<A>,
+    gateway: &Rc<Gateway<A>>,
     request: &RoutedRequest,
     response: Response<Incoming>,
 ) -> RelayOutcome {
@@ -107,7 +108,14 @@
     if request.streamed && head.status.is_success() {
         let (writer, relayed) = stream_body(MAX_BUFFERED_CHUNKS);
         let left = request.time_left(now()) + LATE_RESPONSE_MARGIN;
-        spawn_local(forward_body(body, writer, Duration::from_millis(left.0)));
+        let forwarded = forward_body(body, writer, Duration::from_millis(left.0));
+        let gateway = gateway.clone();
+        spawn_local(async move {
+            tokio::select! {
+                () = forwarded => {}
+                () = gateway.shutdown.final_answers_due() => {}
+            }
+        });
         let mut response = Response::new(ResponseBody::Relayed(relayed));
         *response.status_mut() = head.status;
         *response.headers_mut() = headers;
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -5,8 +5,9 @@
     WaitLimits, request_digest,
 };
 use http::{HeaderMap, Method, Uri};
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 /// An authorized client request with its complete body and the service that it is sent to.
 #[derive(Clone, Debug)]
@@ -41,6 +42,8 @@
     pub(crate) origin: Option<SoftwareVersion>,
     /// Time after which the client no longer waits for the end of a stream, whatever the route allows.
     pub(crate) client_leaves: Millis,
+    /// Whether an endpoint or another daemon may have run the request so far.
+    pub(crate) may_have_run: Rc<Cell<bool>>,
     /// Computed when it is first needed.
     pub(crate) digest: OnceCell<u64>,
     pub(crate) arrived: Millis,
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -6,6 +6,7 @@
 use crate::object_feed::{Configurations, Endpoints};
 use crate::reach_probe::probe_endpoints;
 use crate::settings::{Settings, SettingsFile};
+use crate::shutdown::IDLE_GRACE_PERIOD;
 use crate::software_versions::keep_versions;
 use crate::store_reader::read_store;
 use crate::stream_writer::write_streams;
@@ -26,9 +27,6 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 /// Rounds of maintenance between checks of the settings file.
 const ROUNDS_PER_SETTINGS_CHECK: u32 = 4;
-/// Time after a stop signal in which idle connections stay open and new ones are accepted: load
-/// balancers notice within two seconds that this daemon is not ready.
-const IDLE_GRACE_PERIOD: Millis = Millis(3_000);
 /// Part of the stop timeout reserved for closing the log and exiting.
 const EXIT_MARGIN: Millis = Millis(300);
 
@@ -128,7 +126,7 @@
             continue;
         }
         gateway.shutdown.close_idle();
-        if gateway.metrics.clients.get() == 0 {
+        if gateway.metrics.clients.get() == 0 && gateway.relayed_connections.get() == 0 {
             break;
         }
     }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -2,7 +2,7 @@
 use crate::attempt::is_hop_header;
 use crate::clock::now;
 use crate::continuation::find_origin;
-use crate::dispatch::{dispatch, not_run_refusal};
+use crate::dispatch::{dispatch_until_exit, not_run_refusal, stopping_refusal};
 use crate::gateway::Gateway;
 use crate::log::LineKind;
 use crate::metrics::{ContinuationLabels, RouteLabels, ServiceLabels};
@@ -79,7 +79,7 @@
         Err(rejection) => Err(rejection),
     };
     let mut response = match continued {
-        Ok(request) => dispatch(gateway, request).await,
+        Ok(request) => dispatch_until_exit(gateway, request).await,
         Err(rejection) => {
             let route = rejection.route.as_deref().unwrap_or("-");
             let refused_request = RefusedRequest { id: &id, route, arrived, sends: 0 };
@@ -159,15 +159,10 @@
             format!("no route matches in configuration version {}", version(&catalog)),
         ));
     };
-    if !gateway.shutdown.accepts_requests(now()) {
-        let refusal = not_run_refusal(gateway, Reason::NotReady);
-        let text = "daemon exits too soon to serve a request";
-        return Err(Rejection::new(refusal, text).on_route(route));
-    }
-    if route.streamed && gateway.shutdown.closes_idle() {
-        let refusal = not_run_refusal(gateway, Reason::NotReady);
-        let text = "daemon is shutting down and accepts no new streams";
-        return Err(Rejection::new(refusal, text).on_route(route));
+    let limit = head.remaining.map_or(route.timeout, |remaining| remaining.min(route.timeout));
+    if !gateway.shutdown.accepts_request(limit, now()) {
+        let text = format!("daemon exits too soon to serve a request of up to {} ms", limit.0);
+        return Err(Rejection::new(stopping_refusal(gateway), text).on_route(route));
     }
     let caller = catalog.caller(route, head.key.as_deref());
     let account =
@@ -179,7 +174,6 @@
         let refusal = not_run_refusal(gateway, Reason::NoEndpoint);
         return Err(Rejection::new(refusal, "route has no configured service").on_route(route));
     };
-    let limit = head.remaining.map_or(route.timeout, |remaining| remaining.min(route.timeout));
     Ok(RoutedRequest {
         request_id: head.request_id,
         method: parts.method.clone(),
@@ -202,6 +196,7 @@
         resumes: head.resumes,
         origin: None,
         client_leaves: arrived + head.remaining.unwrap_or(route.timeout),
+        may_have_run: Rc::default(),
         digest: OnceCell::new(),
         arrived,
         deadline: arrived + limit,
--- a/tests/gateway/partitioned_gateways.rs
+++ b/tests/gateway/partitioned_gateways.rs
@@ -3,6 +3,7 @@
 use crate::support::{KEY, configuration, registration};
 use fakes::{
     Client, GatewayConfig, GatewayProcess, NetworkPath, PathState, PlatformEndpoint, PlatformStore,
+    Room,
 };
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -175,6 +176,27 @@
     assert!(fleet.gateways[1].log_with(&["\"relayed\""]).is_empty());
 }
 
+/// The gateway that took it has no clients of its own.
+#[test]
+fn request_that_is_passed_on_ends_before_the_gateway_that_took_it_exits() {
+    let fleet = Fleet::start();
+    fleet.set_paths(PathState::Reset);
+    fleet.send_requests(0, "/once/", CONTACT_TIME);
+    let work = Duration::from_millis(3_500);
+    for endpoint in &fleet.endpoints {
+        let room = Room { slots: 10, work, max_rejections: None, restart_after: Duration::ZERO };
+        endpoint.set_room(Some(room));
+    }
+    let address = fleet.gateways[0].address;
+    let is_served = scope(|scope| {
+        let sent = scope.spawn(move || is_served(address, "/once/", "r1"));
+        sleep(Duration::from_millis(300));
+        fleet.gateways[1].signal("TERM").unwrap();
+        sent.join().unwrap()
+    });
+    assert!(is_served, "{}", fleet.gateways[0].log_with(&["\"r1\""]).join("\n"));
+}
+
 #[rstest]
 #[case::without_a_key("", 401)]
 #[case::with_an_unknown_key("stolen", 401)]
