--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -22,8 +22,8 @@
 pub use object_api::{ObjectApiConfig, run_object_api};
 pub use platform::{
     AddressMap, BadContinuation, Behaviour, Client, ClientResponse, CrashStage, CrashingBody,
-    CrashingPart, GatewayConfig, GatewayProcess, Link, Message, NarrowNetwork, NetworkPath,
-    PathState, PlatformEndpoint, PlatformStore, Proxy, ReceivedRequest, RefusedKinds,
+    CrashingPart, GatewayConfig, GatewayProcess, HeadCut, HeadCutter, Link, Message, NarrowNetwork,
+    NetworkPath, PathState, PlatformEndpoint, PlatformStore, Proxy, ReceivedRequest, RefusedKinds,
     RepeatedRefusal, Room, StoreMode, UnframedEnd,
 };
 pub use process::{Process, binary, build_programs, earlier_gateway};
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod continuations;
 mod crashing_prompts;
 mod crashing_requests;
+mod cut_heads;
 mod failures;
 mod framing;
 mod leaving_endpoints;
