--- a/components/utils/tests/cut_responses.rs
+++ b/components/utils/tests/cut_responses.rs
@@ -12,7 +12,8 @@
 const LENGTH: &str = "HTTP/1.1 200 OK\r\nServer: s\r\nContent-Length: 14\r\n\r\n{\"whole\":true}";
 const CHUNKS: &str = "HTTP/1.1 200 OK\r\nServer: s\r\nTransfer-Encoding: chunked\r\n\r\n\
                       4\r\n{\"wh\r\na\r\nole\":true}\r\n0\r\n\r\n";
-const CONNECTION: &str = "HTTP/1.1 200 OK\r\nServer: s\r\nConnection: close\r\n\r\n{\"whole\":true}";
+const CONNECTION: &str =
+    "HTTP/1.1 200 OK\r\nServer: s\r\nConnection: close\r\n\r\n{\"whole\":true}";
 
 /// Serves one request, sends a part of a response, and closes the connection.
 fn get_part(response: &str, bytes: usize) -> Result<Value, utils::HttpError> {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod leaving_endpoints;
 mod monitoring;
 mod odd_entries;
+mod out_of_step;
 mod partitioned_gateways;
 mod planned_stops;
 #[path = "../platform_objects/mod.rs"]
