Do not resume streams while the versions of endpoints are not known

Cause: the version of an endpoint counted as known as long as the registry listed it.

Change: without a confirmation of the registry for 3 s, a gateway neither resumes nor continues streams, and does not record the version of those that begin.

--- a/components/gateway/src/continuation.rs
+++ b/components/gateway/src/continuation.rs
@@ -2,7 +2,7 @@
 use crate::clock::now;
 use crate::gateway::Gateway;
 use crate::routed_request::RoutedRequest;
-use crate::software_versions::retention;
+use crate::software_versions::{check_versions_known, retention};
 use crate::store_connection::StoreConnection;
 use crate::stream_writer::{list_streams, write_interval};
 use crate::version_store::VersionStore;
@@ -38,7 +38,7 @@
     }
 }
 
-/// Records the first event of a stream, which decides where it may go on.
+/// Records the first event of a stream, which decides where it may go on, if its version is known.
 pub(crate) fn record_beginning<A: Adapter>(
     gateway: &Gateway<A>,
     request: &RoutedRequest,
@@ -46,6 +46,9 @@
     software_version: &str,
 ) {
     let Some(key) = request.stream_key() else { return };
+    if check_versions_known(gateway, now()).is_err() {
+        return;
+    }
     let stream = BegunStream {
         key,
         account: request.account.clone().unwrap_or_default(),
@@ -73,6 +76,7 @@
     gateway: &Gateway<A>,
     request: &RoutedRequest,
 ) -> Result<SoftwareVersion, String> {
+    check_versions_known(gateway, now())?;
     let key = request.stream_key().filter(|_| request.resumes.is_some());
     if let Some(origin) = known_origin(gateway, key) {
         return Ok(origin);
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::response::ResponseBody;
 use crate::routed_request::RoutedRequest;
 use crate::serve::{ANSWERED, FinishedRequest, finish};
+use crate::software_versions::check_versions_known;
 use crate::sse::{EventSplitter, has_event};
 use crate::stream_body::{StreamWriter, stream_body};
 use crate::stream_end::{Interruption, StreamEnd, StreamSummary};
@@ -219,17 +220,18 @@
 
     /// Resumes the stream at another endpoint after the last complete event. The error states why
     /// it is not.
-    async fn resume(&mut self) -> Result<StreamingResponse<A>, &'static str> {
+    async fn resume(&mut self) -> Result<StreamingResponse<A>, String> {
         self.splitter.take_partial();
         self.is_continuation = self.has_begun || self.request.last_event.is_some();
         if self.has_begun {
+            check_versions_known(&self.gateway, now())?;
             let origin = known_origin(&self.gateway, self.request.stream_key());
             self.request.origin =
                 Some(origin.ok_or("the software version of the stream is unknown")?);
         }
         let request = &self.request;
         if judge(&self.gateway, request, now()) != Judgement::Admitted {
-            return Err("endpoints crashed under such requests before");
+            return Err(String::from("endpoints crashed under such requests before"));
         }
         while request.repeat == Repeat::Resumable
             && self.sends < request.max_attempts
@@ -238,17 +240,23 @@
             let limits = request.wait_limits(&self.tried, now());
             let placed = tokio::select! {
                 placed = wait_for_endpoint(&self.gateway, request, limits, &self.tried) => placed,
-                () = self.writer.client_left() => return Err("the client left"),
+                () = self.writer.client_left() => return Err(String::from("the client left")),
             };
             let choice = match placed {
                 WaitOutcome::Placed(choice) => choice,
-                WaitOutcome::TimedOut(_) => return Err("no endpoint could start it in time"),
-                WaitOutcome::NoEndpoint => return Err("no further endpoint is registered"),
-                WaitOutcome::Condemned(_) => return Err("such requests crash endpoints"),
+                WaitOutcome::TimedOut(_) => {
+                    return Err(String::from("no endpoint could start it in time"));
+                }
+                WaitOutcome::NoEndpoint => {
+                    return Err(String::from("no further endpoint is registered"));
+                }
+                WaitOutcome::Condemned(_) => {
+                    return Err(String::from("such requests crash endpoints"));
+                }
             };
             let daemons = self.gateway.daemon_count(now());
             if !self.gateway.retry_budget.borrow_mut().try_spend(&request.service, daemons, now()) {
-                return Err("retry budget exhausted");
+                return Err(String::from("retry budget exhausted"));
             }
             self.sends += 1;
             self.tried.insert(choice.id.clone());
@@ -259,7 +267,7 @@
                 return Ok(*next);
             }
         }
-        Err("the route allows no further attempt, or the deadline has passed")
+        Err(String::from("the route allows no further attempt, or the deadline has passed"))
     }
 
     /// Counts the end of one endpoint's stream.
--- a/components/gateway/src/software_versions.rs
+++ b/components/gateway/src/software_versions.rs
@@ -21,6 +21,9 @@
 const REREAD_INTERVAL: Millis = Millis(5_000);
 /// Writes to the record in a row, if other daemons write to it at the same time.
 const MAX_WRITES: usize = 4;
+/// Age of the confirmation of the registry from which the versions of endpoints are not known; just
+/// longer than it gets in normal operation.
+const MAX_REGISTRY_AGE: Millis = Millis(3_000);
 /// The time for which keys stay valid without a confirmation, if that is not limited.
 const DEFAULT_REVOCATION_BOUND: Millis = Millis(5_000);
 /// The time limit of streams while no configuration is known.
@@ -60,6 +63,19 @@
     }
 }
 
+/// Whether this daemon knows the software versions of endpoints: one may have restarted with another
+/// under its id, which is all that a request can name. The error states for how long it does not.
+pub(crate) fn check_versions_known<A: Adapter>(
+    gateway: &Gateway<A>,
+    now: Millis,
+) -> Result<(), String> {
+    match gateway.freshness.borrow().registry_age(now) {
+        Some(age) if age < MAX_REGISTRY_AGE => Ok(()),
+        Some(age) => Err(format!("the registry was last confirmed {} ms ago", age.0)),
+        None => Err(String::from("the registry was never confirmed")),
+    }
+}
+
 /// The time for which a version stays in the record after its last endpoint was listed: no stream
 /// that began there lasts longer, also at a daemon that is cut off.
 pub(crate) fn retention<A: Adapter>(gateway: &Gateway<A>) -> Millis {
