Turn single gateways away from the store, in the soak

The time bounds of configuration and departures hold for gateways in touch also while the store turns others away, and no run had that. Checked are requests on added routes, and those that reach the endpoint, by gateways in touch.

--- a/fakes/src/soak/departures.rs
+++ b/fakes/src/soak/departures.rs
@@ -1,6 +1,6 @@
 use crate::clients::Observation;
+use crate::contact::AppliedFault;
 use crate::faults::{Fault, ScheduledFault};
-use crate::prompts::AppliedFault;
 use fakes::PlatformEndpoint;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
--- a/fakes/src/soak/faults.rs
+++ b/fakes/src/soak/faults.rs
@@ -33,6 +33,10 @@
     Leave(usize),
     /// The paths of one gateway to all endpoints change their state.
     Cut(PathState),
+    /// The path of a gateway to the store changes its state.
+    TurnAway(usize, PathState),
+    /// The entry of an endpoint is removed from the registry.
+    Remove(usize),
     /// An endpoint that left starts anew, in runs with software versions at the other one.
     Return(usize),
 }
--- a/fakes/src/soak/main.rs
+++ b/fakes/src/soak/main.rs
@@ -3,10 +3,12 @@
 
 mod check;
 mod clients;
+mod contact;
 mod cuts;
 mod departures;
 mod faults;
 mod odd;
+mod outages;
 mod prompts;
 mod run;
 mod versions;
@@ -56,6 +58,11 @@
     #[argh(switch)]
     odd: bool,
 
+    /// let the store turn single gateways away while the configuration and the registry change; by
+    /// itself
+    #[argh(switch)]
+    outages: bool,
+
     /// send a request again and again that crashes endpoints
     #[argh(switch)]
     repetitions: bool,
@@ -81,6 +88,10 @@
         eprintln!("--odd: cannot be used with --cuts, --prompts, --repetitions or --versions");
         return ExitCode::FAILURE;
     }
+    if flags.outages && (flags.cuts || flags.odd || load != Load::Plain) {
+        eprintln!("--outages: cannot be used with another kind of run");
+        return ExitCode::FAILURE;
+    }
     let mut failed = 0;
     for seed in flags.first_seed..flags.first_seed + flags.seeds {
         let soak = Soak {
@@ -91,6 +102,7 @@
             load,
             has_cuts: flags.cuts,
             has_odd: flags.odd,
+            has_outages: flags.outages,
         };
         match soak.run() {
             Ok(summary) => println!("seed {seed}: {summary}"),
--- a/fakes/src/soak/prompts.rs
+++ b/fakes/src/soak/prompts.rs
@@ -1,4 +1,5 @@
 use crate::clients::{CRASHING_BODY, CRASHING_PART, Observation};
+use crate::contact::{AppliedFault, CONTACT_TIME, is_in_touch};
 use crate::faults::Fault;
 use fakes::{Behaviour, PlatformEndpoint};
 use rand::RngExt;
@@ -6,9 +7,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-/// Time for which a gateway is not in touch after a disturbance, and that it has to act
-/// (`contact_ms`).
-const CONTACT_TIME: Duration = Duration::from_secs(4);
 /// The crash from which the platform limits the requests with a part that reach endpoints, and of one
 /// request that comes again, and how many may.
 const LIMITING_CRASH: usize = 5;
@@ -24,32 +22,6 @@
     rng.random_range(5..60) as f64 / 10.0
 }
 
-/// A fault that was applied, and when.
-pub type AppliedFault = (Instant, Fault);
-
-/// Whether a gateway was undisturbed for the contact time before a moment.
-fn is_in_touch(gateway: usize, at: Instant, applied: &[AppliedFault]) -> bool {
-    let mut paused = false;
-    for (since, fault) in applied.iter().filter(|(since, _)| *since <= at) {
-        let is_recent = *since + CONTACT_TIME > at;
-        match fault {
-            Fault::Pause(number) if *number == gateway => paused = true,
-            Fault::Continue(number) if *number == gateway => {
-                paused = false;
-                if is_recent {
-                    return false;
-                }
-            }
-            Fault::Kill(number) | Fault::Terminate(number) if *number == gateway && is_recent => {
-                return false;
-            }
-            Fault::Store(_) | Fault::StoreLink(_) if is_recent => return false,
-            _ => {}
-        }
-    }
-    !paused
-}
-
 /// Checks what reached endpoints of requests that crash them, and of endpoints with limits, from
 /// gateways in touch. Returns a summary, or the first violated guarantee.
 pub fn check_prompts(
@@ -172,6 +144,8 @@
         | Fault::Kill(number)
         | Fault::Terminate(number) => *number != 0,
         Fault::Store(_) | Fault::StoreLink(_) | Fault::KillAll | Fault::Cut(_) => false,
+        // Only runs of their own have these.
+        Fault::TurnAway(..) | Fault::Remove(_) => false,
         Fault::Endpoint(..)
         | Fault::Link(..)
         | Fault::Configure
--- a/fakes/src/soak/run.rs
+++ b/fakes/src/soak/run.rs
@@ -1,16 +1,19 @@
 use crate::check::{check_observations, check_refusal_lines};
 use crate::clients::{CRASHING_BODY, CRASHING_PART, KEY, Load, TARGETS, run_client};
+use crate::contact::AppliedFault;
 use crate::cuts::{CUT_GATEWAY, OwnPaths, count_relayed, generate_cuts};
 use crate::departures::{check_departures, generate_departures};
 use crate::faults::{Fault, ScheduledFault, generate_faults, generate_unframed_responses};
 use crate::odd::{add_routes, generate_odd, odd_entry};
-use crate::prompts::{
-    AppliedFault, check_prompts, check_repetitions, is_used_with_prompts, random_limit,
+use crate::outages::{
+    add_version_route, check_outages, generate_outages, is_used_with_outages, run_probes,
+    start_paths,
 };
+use crate::prompts::{check_prompts, check_repetitions, is_used_with_prompts, random_limit};
 use crate::versions::{check_versions, generate_losses, set_other_version, set_version};
 use fakes::{
-    CrashStage, CrashingBody, CrashingPart, GatewayConfig, GatewayProcess, Link, PathState,
-    PlatformEndpoint, PlatformStore, Proxy, StoreMode,
+    CrashStage, CrashingBody, CrashingPart, GatewayConfig, GatewayProcess, Link, NetworkPath,
+    PathState, PlatformEndpoint, PlatformStore, Proxy, StoreMode,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -18,7 +21,8 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -92,7 +96,11 @@
     /// The links to the endpoints, in the order of `endpoints`.
     links: Vec<Proxy>,
     gateways: Vec<GatewayProcess>,
-    version: u64,
+    version: Arc<AtomicU64>,
+    /// When the store acknowledged each version.
+    acked_at: BTreeMap<u64, Instant>,
+    /// The paths of the gateways to the store, in runs in which it turns single ones away.
+    store_paths: Vec<NetworkPath>,
     /// The number of starts of each endpoint.
     starts: Vec<u64>,
     /// When gateways were killed with `SIGKILL`, or suspended before that.
@@ -109,7 +117,7 @@
 impl Site {
     /// Starts a site. If requests crash endpoints, gateways connect to these without a proxy, which
     /// would accept connections to a crashed one.
-    fn start(gateways: usize, load: Load, has_cuts: bool) -> io::Result<Site> {
+    fn start(gateways: usize, load: Load, has_cuts: bool, has_outages: bool) -> io::Result<Site> {
         let store = PlatformStore::start()?;
         let store_link = Proxy::start(store.address)?;
         store.put("config", "main", configuration(1));
@@ -135,10 +143,12 @@
             links.push(link);
         }
         let own_paths = has_cuts.then(|| OwnPaths::start(&store, &addresses)).transpose()?;
+        let store_paths = start_paths(store_link.address, if has_outages { gateways } else { 0 })?;
         let start = |number: usize| {
             let cfg = GatewayConfig { name: format!("front-{number}"), ..Default::default() };
             let own_paths = own_paths.as_ref().filter(|_| number == CUT_GATEWAY);
-            let store = own_paths.map_or(store_link.address, |paths| paths.store);
+            let path = store_paths.get(number).map_or(store_link.address, |path| path.address);
+            let store = own_paths.map_or(path, |paths| paths.store);
             GatewayProcess::start(store, &cfg)
         };
         let gateways = (0..gateways).map(start).collect::<io::Result<Vec<_>>>()?;
@@ -152,7 +162,9 @@
             addresses,
             links,
             gateways,
-            version: 1,
+            version: Arc::new(AtomicU64::new(1)),
+            acked_at: BTreeMap::new(),
+            store_paths,
             starts: vec![1; ENDPOINTS],
             killed_at: Vec::new(),
             paused_at: BTreeMap::new(),
@@ -190,16 +202,10 @@
                 self.killed_at.push(Instant::now());
             }
             Fault::Terminate(number) => self.gateways[number].restart("TERM")?,
-            Fault::Configure => {
-                self.version += 1;
-                self.store.put("config", "main", configuration(self.version));
-            }
-            Fault::AddRoutes => {
-                self.version += 1;
-                let mut configuration = configuration(self.version);
-                add_routes(&mut configuration);
-                self.store.put("config", "main", configuration);
-            }
+            Fault::Configure => self.configure(|_| {}),
+            Fault::AddRoutes => self.configure(add_routes),
+            Fault::TurnAway(number, state) => self.store_paths[number].set(state)?,
+            Fault::Remove(number) => self.store.delete("servers", &self.endpoints[number].id),
             Fault::OddEntry(number) => {
                 let (kind, name, text) = odd_entry(number);
                 self.store.put_raw(kind, &name, &text);
@@ -221,6 +227,17 @@
         Ok(())
     }
 
+    /// Publishes the next version of the configuration.
+    fn configure(&mut self, change: impl Fn(&mut Value)) {
+        let version = self.version.load(Ordering::SeqCst) + 1;
+        let mut configuration = configuration(version);
+        add_version_route(&mut configuration, version);
+        change(&mut configuration);
+        self.store.put("config", "main", configuration);
+        self.acked_at.insert(version, Instant::now());
+        self.version.store(version, Ordering::SeqCst);
+    }
+
     fn cut(&self, state: PathState) -> io::Result<()> {
         self.own_paths.as_ref().map_or(Ok(()), |paths| paths.set(state))
     }
@@ -244,6 +261,7 @@
         self.store.set_mode(StoreMode::Up);
         self.store_link.set(Link::Healthy);
         self.cut(PathState::Open)?;
+        self.store_paths.iter().try_for_each(|path| path.set(PathState::Open))?;
         self.gateways.iter().try_for_each(|gateway| gateway.signal("CONT"))
     }
 }
@@ -261,6 +279,8 @@
     pub has_cuts: bool,
     /// Whether other writers and endpoints leave odd bytes.
     pub has_odd: bool,
+    /// Whether the store turns single gateways away at times.
+    pub has_outages: bool,
 }
 
 impl Soak {
@@ -271,8 +291,8 @@
 }
 
 fn soak(soak: Soak) -> Result<String, String> {
-    let Soak { seed, seconds, gateways, clients, load, has_cuts, has_odd } = soak;
-    let mut site = Site::start(gateways, load, has_cuts).map_err(|e| e.to_string())?;
+    let Soak { seed, seconds, gateways, clients, load, has_cuts, has_odd, has_outages } = soak;
+    let mut site = Site::start(gateways, load, has_cuts, has_outages).map_err(|e| e.to_string())?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut faults = generate_faults(&mut rng, seconds * 1_000, gateways, ENDPOINTS);
     // Drawn after the others, so that a seed keeps the faults with which it once failed.
@@ -295,12 +315,19 @@
         faults.extend(generate_odd(&mut rng, seconds * 1_000, ENDPOINTS));
         faults.sort_by_key(|(at_ms, _)| *at_ms);
     }
+    if has_outages {
+        faults.retain(|(_, fault)| is_used_with_outages(fault));
+        faults.extend(generate_outages(&mut rng, seconds * 1_000, gateways));
+        faults.sort_by_key(|(at_ms, _)| *at_ms);
+    }
     if load == Load::Prompts {
         site.endpoints[0].set_stated_limit(Some(&limit.to_string()));
     }
     let addresses: Vec<SocketAddr> = site.gateways.iter().map(|g| g.address).collect();
     let stop = AtomicBool::new(false);
-    let (applied, observations) = thread::scope(|scope| {
+    let version = site.version.clone();
+    let (applied, observations, probes) = thread::scope(|scope| {
+        let probes = has_outages.then(|| scope.spawn(|| run_probes(&addresses, &version, &stop)));
         let clients: Vec<_> = (0..clients)
             .map(|number| {
                 let (addresses, stop) = (&addresses, &stop);
@@ -311,7 +338,8 @@
         stop.store(true, Ordering::SeqCst);
         let observations: Vec<_> =
             clients.into_iter().flat_map(|client| client.join().unwrap_or_default()).collect();
-        (applied, observations)
+        let probes = probes.and_then(|probes| probes.join().ok()).unwrap_or_default();
+        (applied, observations, probes)
     });
     applied.map_err(|e| e.to_string())?;
     check_recovery(&mut site, &addresses, seed)?;
@@ -322,6 +350,11 @@
         Load::Prompts => check_prompts(&observations, &site.endpoints, limit, &site.applied)?,
         Load::Repetitions => check_repetitions(&observations, &site.endpoints, &site.applied)?,
     };
+    if has_outages {
+        let Site { acked_at, endpoints, applied, .. } = &site;
+        let late = check_outages(&probes, acked_at, &observations, &endpoints[0], applied)?;
+        summary = format!("{summary}, {late}");
+    }
     let statements = check_departures(&observations, &site.endpoints, &site.applied)?;
     summary = format!("{summary}, {crashes}, {statements} gateways told of departures");
     thread::sleep(LOG_DELAY);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -30,6 +30,15 @@
 /// A run with odd bytes from other writers and from endpoints, and thousands of routes.
 const ODD_RUN: [&str; 7] = ["--odd", "--first-seed", "1", "--seconds", "8", "--gateways", "3"];
 
+/// A run in which the store turns single gateways away while the configuration and the registry change.
+const OUTAGE_RUN: [&str; 7] =
+    ["--outages", "--first-seed", "1", "--seconds", "14", "--gateways", "4"];
+
+#[test]
+fn gateways_follow_changes_while_the_store_turns_others_away_in_a_short_soak_run() {
+    run_soak(&OUTAGE_RUN);
+}
+
 #[test]
 fn gateways_keep_their_guarantees_with_odd_bytes_in_a_short_soak_run() {
     run_soak(&ODD_RUN);
