Name missing endpoints beside the packed registry

Daemons of earlier builds could not decode the registry of this build: tests/earlier_builds, changes_reach_a_follower_of_the_other_build, failed with 'wrong msgpack marker', and the follower asked again without end.

Cause: the packed endpoints are encoded without the names of their fields, so the mark of a missing entry moved the registration.

Change: the ids of endpoints whose entries are missing are a field of the response, which has names; earlier builds ignore it.

--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -53,12 +53,12 @@
 
 /// All endpoints, packed for followers. Cached because many may request them at the same time.
 #[derive(Clone, Debug, Default)]
-struct PackedEndpoints {
+pub(crate) struct PackedEndpoints {
     /// The last change that it includes.
     sequence: u64,
-    /// The number of endpoints whose entries are missing.
-    missing: usize,
-    packed: Rc<[u8]>,
+    /// The ids of the endpoints whose entries are missing.
+    pub(crate) missing: Vec<String>,
+    pub(crate) packed: Rc<[u8]>,
 }
 
 /// State shared by all tasks of a gateway. They run on one thread and hold no borrow across an
@@ -233,21 +233,22 @@
     }
 
     /// All endpoints, packed for followers.
-    pub(crate) fn packed_endpoints(&self) -> Result<Rc<[u8]>, String> {
+    pub(crate) fn packed_endpoints(&self) -> Result<PackedEndpoints, String> {
         let mut directory = self.directory.borrow_mut();
         let (sequence, missing) = (self.change_log.borrow().last(), directory.missing());
         let mut cached = self.cached_endpoints.borrow_mut();
-        let is_current = (cached.sequence, cached.missing) == (sequence, missing);
+        let is_current = (cached.sequence, cached.missing.len()) == (sequence, missing);
         if !is_current || cached.packed.is_empty() {
-            let endpoints = directory.copy().map(|copied| EndpointChange {
-                endpoint: copied.id.to_owned(),
-                registration: to_json(copied.registration),
-                is_missing: copied.is_missing,
-            });
-            let endpoints: Vec<EndpointChange> = endpoints.collect();
+            let mut endpoints = Vec::new();
+            let mut missing = Vec::new();
+            for copied in directory.copy() {
+                let registration = to_json(copied.registration);
+                endpoints.push(EndpointChange { endpoint: copied.id.to_owned(), registration });
+                missing.extend(copied.is_missing.then(|| copied.id.to_owned()));
+            }
             *cached = PackedEndpoints { sequence, missing, packed: Rc::from(pack(&endpoints)?) };
         }
-        Ok(cached.packed.clone())
+        Ok(cached.clone())
     }
 
     /// Whether a missing entry means that the endpoint has left; false after a store outage until
@@ -342,8 +343,7 @@
                 }
                 DirectoryChange::Left(id) => (id.clone(), None),
             };
-            let change = EndpointChange { endpoint, registration, is_missing: false };
-            self.publish(Change::Endpoint(change));
+            self.publish(Change::Endpoint(EndpointChange { endpoint, registration }));
         }
     }
 
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -15,6 +15,7 @@
 use messages::feed::{EndpointChange, FeedPeer, FeedPosition, FeedRequest, FeedResponse};
 use messages::{endpoint_loads, load_rows};
 use serde::de::DeserializeOwned;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -238,7 +239,7 @@
     }
     if feed.is_complete {
         let endpoints = unpack(&feed.packed_endpoints)?;
-        replace_registry(gateway, endpoints, !feed.is_settled, now());
+        replace_registry(gateway, endpoints, &feed.missing_endpoints, !feed.is_settled, now());
     } else {
         let items = feed.endpoints.into_iter().map(registry_item);
         items.for_each(|item| Endpoints::apply_change(gateway, item, false, now()));
@@ -283,11 +284,13 @@
 fn replace_registry<A: Adapter>(
     gateway: &Gateway<A>,
     endpoints: Vec<EndpointChange>,
+    missing: &[String],
     after_outage: bool,
     now: Millis,
 ) {
+    let missing: BTreeSet<&str> = missing.iter().map(String::as_str).collect();
     let (kept, registered): (Vec<_>, Vec<_>) =
-        endpoints.into_iter().partition(|endpoint| endpoint.is_missing);
+        endpoints.into_iter().partition(|change| missing.contains(change.endpoint.as_str()));
     let has_registry = gateway.registry_known.get();
     let items = registered.into_iter().map(registry_item).collect();
     Endpoints::replace(gateway, items, after_outage || !kept.is_empty(), now);
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -177,6 +177,7 @@
         accounts_version: None,
         endpoints: Vec::new(),
         packed_endpoints: Vec::new(),
+        missing_endpoints: Vec::new(),
         daemons: None,
         data_centre: gateway.settings().data_centre.clone(),
         reader: None,
@@ -263,7 +264,10 @@
             feed.notices = gateway.notices.borrow().all(now());
             feed.configuration = configuration(gateway, req);
             match gateway.packed_endpoints() {
-                Ok(packed) => feed.packed_endpoints = packed.to_vec(),
+                Ok(endpoints) => {
+                    feed.packed_endpoints = endpoints.packed.to_vec();
+                    feed.missing_endpoints = endpoints.missing;
+                }
                 Err(text) => tracing::error!(event = "value_not_encoded", error = text),
             }
         }
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -60,9 +60,6 @@
 pub struct EndpointChange {
     ///The id of the endpoint.
     pub endpoint: ::std::string::String,
-    ///Whether the responder keeps the endpoint although its entry is missing, since that may have expired while the store was away.
-    #[serde(default)]
-    pub is_missing: bool,
     ///Its registration as JSON; absent when the endpoint has left.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub registration: ::std::option::Option<::std::string::String>,
@@ -184,6 +181,9 @@
     ///Whether an endpoint missing from a full set has left; false while its registration may merely have expired during a store outage.
     pub is_settled: bool,
     pub loads: ::std::vec::Vec<LoadRow>,
+    ///The ids of the endpoints of a full set that the responder keeps although their entries are missing, since these may have expired while the store was away.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub missing_endpoints: ::std::vec::Vec<::std::string::String>,
     ///Notices after the position; all in a full set; recent ones in a response that holds loads only.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub notices: ::std::vec::Vec<Notice>,
