--- a/fakes/src/soak/main.rs
+++ b/fakes/src/soak/main.rs
@@ -7,6 +7,7 @@
 mod cuts;
 mod departures;
 mod faults;
+mod objects;
 mod odd;
 mod outages;
 mod prompts;
--- a/fakes/src/soak/run.rs
+++ b/fakes/src/soak/run.rs
@@ -4,6 +4,7 @@
 use crate::cuts::{CUT_GATEWAY, OwnPaths, count_relayed, generate_cuts};
 use crate::departures::{check_departures, generate_departures};
 use crate::faults::{Fault, ScheduledFault, generate_faults, generate_unframed_responses};
+use crate::objects::{configuration, registration};
 use crate::odd::{add_routes, generate_odd, odd_entry};
 use crate::outages::{
     add_version_route, check_outages, generate_outages, is_used_with_outages, run_probes,
@@ -39,38 +40,6 @@
 /// The time limit for all gateways to serve every path after the last fault.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
-fn configuration(version: u64) -> Value {
-    let route = |name: &str, kind: &str, resumable: bool| {
-        json!({
-            "name": name, "host": "model.example", "path_prefix": format!("/{name}/"),
-            "kind": kind, "timeout_ms": 3000, "objective_ms": 1000, "priority": 1,
-            "service": "pool", "attempts": 2, "anonymous": name == "open",
-            "resumable": resumable,
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("once", "unsafe", false), route("safe", "safe", false),
-            route("open", "safe", false), route("fixed", "stream", false),
-            route("stream", "stream", true),
-        ],
-        "services": [{ "name": "pool", "connection_limit": 100 }],
-        "limits": {
-            "header_bytes": 16384, "body_bytes": 4096, "header_ms": 1000, "idle_ms": 5000,
-        },
-        "tenants": [{ "name": "north", "api_keys": [KEY] }],
-    })
-}
-
-fn registration(address: SocketAddr, start: u64, heartbeats: u64) -> Value {
-    json!({
-        "service": "pool", "address": address.to_string(), "zone": "a", "version": "v1",
-        "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": heartbeats,
-        "born": start,
-    })
-}
-
 fn set_crashes(endpoint: &PlatformEndpoint, load: Load) {
     let restart_after = RESTART_AFTER;
     match load {
