Count what daemons receive, lost peers and claims

Metrics for the hypotheses of the incident with full reader links: bytes of requests of other daemons, followed daemons that were left by fault, and attempts to become the reader by outcome. The logs of an incident hold two to three seconds, so lines do not suffice.

--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -1,10 +1,11 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
 use crate::gateway::Gateway;
+use crate::metrics::{ClaimLabels, PeerLossLabels};
 use crate::peer_feed::{FollowedPeer, announce_takeover};
 use crate::reader_records::ReaderRecords;
 use crate::update_source::UpdateSource;
-use decision::routing::{ClaimOutcome, Peer, Source, Step};
+use decision::routing::{ClaimOutcome, Peer, PeerFault, Source, Step};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -63,6 +64,8 @@
                 (now().since(asked).0, gateway.freshness.borrow().age(now()).map(|age| age.0));
             tracing::info!(event = "peer_lost", peer = %name, fault = ?fault, after_ms,
                 proof_age_ms, text);
+            let labels = PeerLossLabels { fault: fault_label(fault) };
+            gateway.metrics.peer_losses.get_or_create(&labels).inc();
             if gateway.readers.borrow().is_reader() {
                 gateway.record_source_failure(Source::Peer, now());
             }
@@ -72,6 +75,14 @@
     }
 }
 
+fn fault_label(fault: PeerFault) -> &'static str {
+    match fault {
+        PeerFault::Unreachable => "unreachable",
+        PeerFault::Unready => "unready",
+        PeerFault::Outdated => "outdated",
+    }
+}
+
 async fn read_records<A: Adapter>(gateway: &Gateway<A>, records: &mut ReaderRecords, stale: bool) {
     match records.read(gateway, stale).await {
         Ok(found) => gateway.readers.borrow_mut().observe_records(found, stale, now()),
@@ -92,9 +103,19 @@
     let own = Peer { name: settings.name.clone(), address };
     let replaced = gateway.readers.borrow().reader().cloned();
     let outcome = records.claim(gateway, &own, replaces).await;
+    let labels = ClaimLabels { outcome: outcome_label(outcome) };
+    gateway.metrics.reader_claims.get_or_create(&labels).inc();
     gateway.readers.borrow_mut().observe_claim(outcome, now());
     if let Some(replaced) = replaced.filter(|_| outcome == ClaimOutcome::Written) {
         let gateway = gateway.clone();
         spawn_local(async move { announce_takeover(&gateway, &replaced).await });
     }
 }
+
+fn outcome_label(outcome: ClaimOutcome) -> &'static str {
+    match outcome {
+        ClaimOutcome::Written => "written",
+        ClaimOutcome::Conflict => "conflict",
+        ClaimOutcome::Failed => "failed",
+    }
+}
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -49,6 +49,16 @@
     pub(crate) content: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct PeerLossLabels {
+    pub(crate) fault: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ClaimLabels {
+    pub(crate) outcome: &'static str,
+}
+
 fn latencies() -> Histogram {
     Histogram::new(LATENCY_BUCKETS_SECONDS)
 }
@@ -63,6 +73,9 @@
     pub(crate) continuations: Family<ContinuationLabels, Counter>,
     pub(crate) store_calls: Family<StoreLabels, Counter>,
     pub(crate) feed_bytes: Family<FeedLabels, Counter>,
+    pub(crate) feed_request_bytes: Counter,
+    pub(crate) peer_losses: Family<PeerLossLabels, Counter>,
+    pub(crate) reader_claims: Family<ClaimLabels, Counter>,
     pub(crate) connections_opened: Counter,
     pub(crate) clients: Gauge,
     pub(crate) idle_connections: Gauge,
@@ -86,6 +99,9 @@
             continuations: Family::default(),
             store_calls: Family::default(),
             feed_bytes: Family::default(),
+            feed_request_bytes: Counter::default(),
+            peer_losses: Family::default(),
+            reader_claims: Family::default(),
             connections_opened: Counter::default(),
             clients: Gauge::default(),
             idle_connections: Gauge::default(),
@@ -124,6 +140,21 @@
             "Bytes of responses to other daemons by their largest content",
             self.feed_bytes.clone(),
         );
+        r.register(
+            "feed_request_bytes",
+            "Bytes of requests of other daemons",
+            self.feed_request_bytes.clone(),
+        );
+        r.register(
+            "peer_losses",
+            "Followed daemons that were left, by fault",
+            self.peer_losses.clone(),
+        );
+        r.register(
+            "reader_claims",
+            "Attempts to become the store reader, by outcome",
+            self.reader_claims.clone(),
+        );
         r.register(
             "connections_opened",
             "Connections opened to endpoints",
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -31,7 +31,7 @@
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let arrived = now();
-    match read(req).await {
+    match read(gateway, req).await {
         Ok(req) => serve_feed(gateway, &req, arrived).await,
         Err(text) => {
             tracing::warn!(event = "peer_request_unreadable", text);
@@ -46,9 +46,13 @@
     response
 }
 
-async fn read(req: Request<Incoming>) -> Result<FeedRequest, String> {
+async fn read<A: Adapter>(
+    gateway: &Gateway<A>,
+    req: Request<Incoming>,
+) -> Result<FeedRequest, String> {
     let body = Limited::new(req.into_body(), MAX_REQUEST_BYTES).collect().await;
     let body = body.map_err(|e| e.to_string())?.to_bytes();
+    gateway.metrics.feed_request_bytes.inc_by(body.len() as u64);
     rmp_serde::from_slice(&body).map_err(|e| e.to_string())
 }
 
