--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod crashing_requests;
 mod cut_heads;
 mod failures;
+mod feed_traffic;
 mod framing;
 mod leaving_endpoints;
 mod monitoring;
--- a/tests/gateway/region.rs
+++ b/tests/gateway/region.rs
@@ -4,6 +4,8 @@
 use std::thread::sleep;
 use std::time::Duration;
 
+/// Time in which a reader names its standbys to its followers.
+pub const STANDBYS_NAMED_AFTER: Duration = Duration::from_millis(1_500);
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Gateways of one region with the data centres `a` and `b`, each with a path of its own to the store.
@@ -23,6 +25,23 @@
         Region { store, gateways: Vec::new(), paths: Vec::new(), refused: Vec::new() }
     }
 
+    /// Starts the reader of a data centre and five followers.
+    pub fn with_one_data_centre() -> Region {
+        let mut region = Region::start();
+        for name in ["front-1", "front-2", "front-3", "front-4", "front-5", "front-6"] {
+            region.add(name, "a");
+        }
+        region.wait_until_standbys_are_named();
+        region
+    }
+
+    pub fn wait_until_standbys_are_named(&self) {
+        for follower in &self.gateways[1..] {
+            follower.wait_for_log(&["peer_followed"]).unwrap();
+        }
+        sleep(STANDBYS_NAMED_AFTER);
+    }
+
     /// Starts a gateway and waits until it has the configuration. Returns its number.
     pub fn add(&mut self, name: &str, data_centre: &str) -> usize {
         let refused = RefusedKinds::default();
--- a/tests/gateway/stalled_sources.rs
+++ b/tests/gateway/stalled_sources.rs
@@ -1,6 +1,6 @@
 //! Changes of the configuration while the daemon that a gateway follows cannot learn of them.
 
-use crate::region::Region;
+use crate::region::{Region, STANDBYS_NAMED_AFTER};
 use crate::support::{KEY, configuration};
 use decision::routing::{Peer, ReaderElection};
 use fakes::{Client, PathState};
@@ -11,28 +11,9 @@
 
 /// The time after which an acknowledged configuration must be in force (`configuration_ms`).
 const CONFIGURATION_BOUND: Duration = Duration::from_secs(3);
-/// Time in which a reader names its standbys to its followers.
-const STANDBYS_NAMED_AFTER: Duration = Duration::from_millis(1_500);
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 
 impl Region {
-    /// Starts the reader of a data centre and five followers.
-    fn with_one_data_centre() -> Region {
-        let mut region = Region::start();
-        for name in ["front-1", "front-2", "front-3", "front-4", "front-5", "front-6"] {
-            region.add(name, "a");
-        }
-        region.wait_until_standbys_are_named();
-        region
-    }
-
-    fn wait_until_standbys_are_named(&self) {
-        for follower in &self.gateways[1..] {
-            follower.wait_for_log(&["peer_followed"]).unwrap();
-        }
-        sleep(STANDBYS_NAMED_AFTER);
-    }
-
     /// The numbers of the standbys that the first gateway names, in their order.
     fn standbys(&self) -> Vec<usize> {
         let peer = |number: usize| Peer {
