Send loads to followers at intervals, not with each change

Cause: each response to a follower held the loads of all endpoints, some hundred rows of about 25 bytes, and each change ended the waits of all followers at once. While endpoints crash, notices make a change each 100 ms.

Ruled out: the partial outage of the store (the successions begin 16 s before it) and copies (8 KB of registry were sent until then).

A follower says how old the loads are that it has, and gets others after 350 ms at the earliest, that is with each poll that no change ends. Earlier builds do not say it and get loads with each response; responses of earlier builds always have them.

--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -48,11 +48,13 @@
     pub(crate) peer: Peer,
     connection: Option<Connection>,
     position: Option<FeedPosition>,
+    /// When its loads were last received.
+    loads_at: Option<Millis>,
 }
 
 impl FollowedPeer {
     pub(crate) fn new(peer: Peer) -> FollowedPeer {
-        FollowedPeer { peer, connection: None, position: None }
+        FollowedPeer { peer, connection: None, position: None, loads_at: None }
     }
 
     /// Reports the load of this daemon and its followers, and applies the changes since the last
@@ -93,9 +95,12 @@
         if self.position.is_none() {
             tracing::info!(event = "peer_followed", peer = %self.peer.name);
         }
-        let position = feed.position.clone();
+        let (position, has_loads) = (feed.position.clone(), feed.has_loads);
         apply_feed(gateway, feed, sent).map_err(|text| (PeerFault::Unreachable, text))?;
         self.position = Some(position);
+        if has_loads {
+            self.loads_at = Some(now());
+        }
         let is_reader = gateway.readers.borrow().is_reader();
         if is_reader && gateway.is_outdated(now()) {
             let text = String::from("freshness confirmation of the peer is too old");
@@ -116,6 +121,7 @@
             configuration: Some(gateway.configurations.borrow().held()),
             received: gateway.configurations.borrow().received(),
             wait_ms: wait.0,
+            loads_age_ms: self.loads_at.map(|at| sent.since(at).0),
             ..feed_request(gateway)
         };
         let has_nothing = !gateway.registry_known.get();
@@ -179,6 +185,7 @@
         configuration: None,
         received: None,
         wait_ms: 0,
+        loads_age_ms: None,
         loads: load_rows(load_exchange.data_centre_loads(&own)),
         outcomes: gateway.outcome_exchange.borrow().data_centre_outcomes(&own_outcomes),
         notices: gateway.notices.borrow().forwarded(now()),
@@ -260,9 +267,11 @@
         let at = sent + Millis(feed.waited_ms) - Millis(age);
         gateway.freshness.borrow_mut().observe_response(at);
     }
-    let loads = endpoint_loads(feed.loads);
-    gateway.loads.borrow_mut().set_peer_loads(&loads, now());
-    gateway.loads.borrow_mut().set_peer_outcomes(&feed.outcomes, now());
+    if feed.has_loads {
+        let loads = endpoint_loads(feed.loads);
+        gateway.loads.borrow_mut().set_peer_loads(&loads, now());
+        gateway.loads.borrow_mut().set_peer_outcomes(&feed.outcomes, now());
+    }
     learn_relays(gateway, &feed.data_centre, feed.relays);
     if let Some(daemons) = feed.daemons {
         gateway.record_fleet_size(daemons as usize, now());
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -24,6 +24,9 @@
 const MAX_REQUEST_BYTES: usize = 1 << 20;
 /// Maximum time to wait for a change, whatever the follower requests.
 const MAX_WAIT: Millis = Millis(5_000);
+/// Minimum time between the loads that a follower gets: almost the wait of a poll, after which it gets
+/// them without a change. Hundreds of rows with each change would fill the link of a reader.
+const LOADS_INTERVAL: Millis = Millis(350);
 
 /// Responds to a daemon that follows this one or exchanges the loads of its data centre.
 pub(crate) async fn respond<A: Adapter>(
@@ -188,6 +191,7 @@
         rank: None,
         relays: Vec::new(),
         standbys: Vec::new(),
+        has_loads: true,
         loads: Vec::new(),
         outcomes: Vec::new(),
         notices: Vec::new(),
@@ -220,14 +224,14 @@
     arrived: Millis,
     may_be_large: bool,
 ) -> FeedResponse {
-    let own = gateway.loads.borrow().own_loads();
-    let own_outcomes = gateway.loads.borrow().own_outcomes(now());
-    let outcome_exchange = gateway.outcome_exchange.borrow();
     let load_exchange = gateway.load_exchange.borrow();
     let change_log = gateway.change_log.borrow();
     let mut feed = empty_response(gateway, arrived);
     feed.relays = relays(gateway, &req.name);
     if req.whole_data_centre {
+        let own = gateway.loads.borrow().own_loads();
+        let own_outcomes = gateway.loads.borrow().own_outcomes(now());
+        let outcome_exchange = gateway.outcome_exchange.borrow();
         feed.daemons = count(load_exchange.followers_and_self());
         feed.loads = load_rows(load_exchange.data_centre_loads(&own));
         feed.outcomes = outcome_exchange.data_centre_outcomes(&own_outcomes);
@@ -242,8 +246,7 @@
     let members = members.as_ref().filter(|members| members.contains(&req.name));
     feed.rank = members.map(|members| rank(members, &req.name));
     feed.standbys = readers.standbys().iter().map(feed_peer).collect();
-    feed.loads = load_rows(load_exchange.fleet_loads(&own, &req.name));
-    feed.outcomes = outcome_exchange.fleet_outcomes(&own_outcomes, &req.name);
+    add_fleet_loads(gateway, req, &mut feed);
     let piece = next_piece(gateway, req).filter(|piece| may_be_large || !is_large(piece));
     feed.proof_age_ms = feed.proof_age_ms.filter(|_| has_accounts(gateway, req, piece.as_ref()));
     feed.configuration_update = piece;
@@ -279,6 +282,19 @@
     feed
 }
 
+/// Adds the loads of the fleet, unless the follower got them a moment ago.
+fn add_fleet_loads<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest, feed: &mut FeedResponse) {
+    let age = req.loads_age_ms.map(|age| Millis(age) + Millis(feed.waited_ms));
+    feed.has_loads = age.is_none_or(|age| age >= LOADS_INTERVAL);
+    if feed.has_loads {
+        let own = gateway.loads.borrow().own_loads();
+        let own_outcomes = gateway.loads.borrow().own_outcomes(now());
+        feed.loads = load_rows(gateway.load_exchange.borrow().fleet_loads(&own, &req.name));
+        let outcomes = gateway.outcome_exchange.borrow();
+        feed.outcomes = outcomes.fleet_outcomes(&own_outcomes, &req.name);
+    }
+}
+
 /// The whole configuration for a follower that does not understand changes of it.
 fn configuration<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest) -> Option<String> {
     let catalog = gateway.catalog().filter(|_| req.configuration.is_none())?;
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -126,6 +126,9 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub from: ::std::option::Option<FeedPosition>,
     pub loads: ::std::vec::Vec<LoadRow>,
+    ///The time since the sender got the loads of the receiver, in milliseconds. Absent if it has none, and from daemons that need them in each response.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub loads_age_ms: ::std::option::Option<u64>,
     ///The name of the sending daemon.
     pub name: ::std::string::String,
     ///Notices that the sender observed or received from its followers lately.
@@ -176,6 +179,9 @@
     ///For how long the responder has failed to get updates from the store or from the daemon that it follows, in milliseconds; absent while it gets them.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub failing_ms: ::std::option::Option<u64>,
+    ///Whether `loads` and `outcomes` are present; those that the requester has stay valid otherwise.
+    #[serde(default = "defaults::default_bool::<true>")]
+    pub has_loads: bool,
     ///Whether `packed_endpoints` is the full set; otherwise `endpoints` holds the changes since the position.
     pub is_complete: bool,
     ///Whether an endpoint missing from a full set has left; false while its registration may merely have expired during a store outage.
