Exchange the notices that the other lacks when a source changes

Cause: a follower of a new reader got all notices of the reader (up to 512), and reported all of its own with each poll of the next 5 s, also the ones that it had just got. Polls timed out, the reader counted as lost, and the next one got the same. A state that keeps itself up after its cause is gone (a metastable failure).

Now a follower sends digests of what it knows, by group, with its first request; the response holds the notices of the groups that differ, and the follower reports what is missing there. A notice is reported to the same daemon once a second in place of with each poll: a receiver that takes 32 a second may have left it out. Earlier builds send no digests and get all notices; to a response without groups a follower reports only what the response lacks.

--- a/components/decision/src/routing/notices.rs
+++ b/components/decision/src/routing/notices.rs
@@ -1,3 +1,4 @@
+use super::set_digest::SetDigest;
 use crate::Millis;
 use messages::feed::Notice;
 use std::collections::{BTreeMap, BTreeSet};
@@ -63,6 +64,14 @@
     pub fn of(notice: &Notice) -> NoticeId {
         NoticeId { origin: notice.origin, sequence: notice.sequence }
     }
+
+    fn to_bytes(self) -> [u8; 16] {
+        (u128::from(self.origin) << 64 | u128::from(self.sequence)).to_be_bytes()
+    }
+
+    fn group(self) -> u32 {
+        SetDigest::group_of(&self.to_bytes())
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -85,13 +94,16 @@
 ///
 /// Notices go the same ways as loads, but only once: each daemon reports what it observed, or
 /// received from its followers, to the daemon that it follows, and passes on to its followers what
-/// it did not know before. All daemons keep them, so none is lost with a store reader.
+/// it did not know before. All daemons keep them, so none is lost with a store reader: a daemon and the
+/// one that it begins to follow compare digests and exchange what the other lacks.
 #[derive(Clone, Debug, Default)]
 pub struct NoticeBoard {
     origin: u64,
     last_sequence: u64,
     rate: NoticeRate,
     entries: BTreeMap<NoticeId, Entry>,
+    /// The digest of the ids in `entries`.
+    digest: SetDigest,
 }
 
 impl NoticeBoard {
@@ -136,7 +148,27 @@
     fn insert(&mut self, notice: &Notice, forwarded_until: Millis, now: Millis) {
         let observed_at = now - Millis(notice.age_ms);
         let entry = Entry { notice: notice.clone(), observed_at, forwarded_until };
-        self.entries.insert(NoticeId::of(notice), entry);
+        let id = NoticeId::of(notice);
+        if self.entries.insert(id, entry).is_none() {
+            self.digest.toggle(&id.to_bytes(), &[]);
+        }
+    }
+
+    fn remove(&mut self, id: NoticeId) {
+        if self.entries.remove(&id).is_some() {
+            self.digest.toggle(&id.to_bytes(), &[]);
+        }
+    }
+
+    /// Returns the digest of the notices, to compare with that of another daemon.
+    pub fn digest(&self) -> &SetDigest {
+        &self.digest
+    }
+
+    /// Returns the notices of some groups of the digest.
+    pub fn in_groups(&self, groups: &BTreeSet<u32>, now: Millis) -> Vec<Notice> {
+        let entries = self.entries.iter().filter(|(id, _)| groups.contains(&id.group()));
+        entries.map(|(_, entry)| entry.aged(now)).collect()
     }
 
     /// Returns a notice with its present age; `None` if it has been discarded.
@@ -155,26 +187,38 @@
         self.entries.values().map(|entry| entry.aged(now)).collect()
     }
 
-    /// Reports all notices once more: the daemon that this one follows may not know them.
-    pub fn forward_again(&mut self, now: Millis) {
-        for entry in self.entries.values_mut() {
-            entry.forwarded_until = now + FORWARDED_FOR;
+    /// Reports notices once more that a newly followed daemon lacks: those of the groups that differ,
+    /// `None` for all, which are not among the notices that it sent of these groups.
+    pub fn forward_missing(
+        &mut self,
+        sent: &[Notice],
+        groups: Option<&BTreeSet<u32>>,
+        now: Millis,
+    ) {
+        let known: BTreeSet<NoticeId> = sent.iter().map(NoticeId::of).collect();
+        for (id, entry) in &mut self.entries {
+            let may_differ = groups.is_none_or(|groups| groups.contains(&id.group()));
+            if may_differ && !known.contains(id) {
+                entry.forwarded_until = now + FORWARDED_FOR;
+            }
         }
     }
 
     /// Discards old notices, and above the limit the oldest ones, of those that are not needed
     /// first.
     pub fn expire(&mut self, needed: &BTreeSet<NoticeId>, now: Millis) {
-        self.entries.retain(|_, entry| now.since(entry.observed_at) < max_age(&entry.notice));
+        let is_old = |entry: &Entry| now.since(entry.observed_at) >= max_age(&entry.notice);
+        let old: Vec<NoticeId> =
+            self.entries.iter().filter(|(_, entry)| is_old(entry)).map(|(id, _)| *id).collect();
+        old.into_iter().for_each(|id| self.remove(id));
         let excess = self.entries.len().saturating_sub(MAX_NOTICES);
         if excess == 0 {
             return;
         }
         let mut ids: Vec<NoticeId> = self.entries.keys().copied().collect();
         ids.sort_by_key(|id| (needed.contains(id), self.entries[id].observed_at));
-        for id in ids.iter().take(excess) {
-            self.entries.remove(id);
-        }
+        ids.truncate(excess);
+        ids.into_iter().for_each(|id| self.remove(id));
     }
 }
 
--- a/components/decision/tests/routing/notices.rs
+++ b/components/decision/tests/routing/notices.rs
@@ -55,13 +55,67 @@
 }
 
 #[test]
-fn all_notices_are_forwarded_to_a_new_reader() {
+fn all_notices_are_forwarded_to_a_new_reader_that_has_none() {
     let mut board = NoticeBoard::new(1);
     board.receive(&Notice { origin: 3, sequence: 1, ..content(1) }, NoticeSource::Peer, Millis(0));
-    board.forward_again(Millis(20_000));
+    board.forward_missing(&[], None, Millis(20_000));
     assert_eq!(board.forwarded(Millis(20_100)).len(), 1);
 }
 
+/// What a daemon does when it begins to follow another one. Returns the numbers of notices that go to
+/// the follower and back.
+fn exchange(follower: &mut NoticeBoard, reader: &mut NoticeBoard, now: Millis) -> [usize; 2] {
+    let groups = reader.digest().differing(follower.digest().groups());
+    let sent = reader.in_groups(&groups, now);
+    for notice in &sent {
+        follower.receive(notice, NoticeSource::Peer, now);
+    }
+    follower.forward_missing(&sent, Some(&groups), now);
+    let returned = follower.forwarded(now);
+    for notice in &returned {
+        reader.receive(notice, NoticeSource::Follower, now);
+    }
+    [sent.len(), returned.len()]
+}
+
+#[test]
+fn boards_exchange_what_the_other_lacks_and_little_else() {
+    let notice = |sequence| Notice { origin: 3, sequence, age_ms: 6_000, ..content(sequence) };
+    let [mut follower, mut reader] = [1, 2].map(NoticeBoard::new);
+    for board in [&mut follower, &mut reader] {
+        for sequence in 0..400 {
+            assert!(board.receive(&notice(sequence), NoticeSource::Peer, Millis(10_000)));
+        }
+    }
+    assert_eq!(exchange(&mut follower, &mut reader, Millis(20_000)), [0, 0]);
+    assert!(follower.receive(&notice(400), NoticeSource::Peer, Millis(20_000)));
+    assert!(reader.receive(&notice(401), NoticeSource::Peer, Millis(20_000)));
+    let [sent, returned] = exchange(&mut follower, &mut reader, Millis(30_000));
+    assert!(sent < 40, "{sent} of 401 notices");
+    assert_eq!(returned, 1);
+    for board in [&follower, &reader] {
+        assert_eq!(board.all(Millis(30_000)).len(), 402);
+    }
+    assert_eq!(follower.digest(), reader.digest());
+}
+
+#[test]
+fn digest_of_a_board_follows_what_it_discards() {
+    let mut board = NoticeBoard::new(1);
+    for part in 0..1_000 {
+        board.publish(content(part), Millis(part * 100)).unwrap();
+    }
+    board.expire(&BTreeSet::new(), Millis(100_000));
+    let mut copy = NoticeBoard::new(2);
+    for notice in board.all(Millis(100_000)) {
+        let notice = Notice { age_ms: 60_000, ..notice };
+        copy.receive(&notice, NoticeSource::Peer, Millis(100_000));
+    }
+    assert_eq!(board.digest(), copy.digest());
+    board.expire(&BTreeSet::new(), Millis(10_000_000));
+    assert_eq!(*board.digest(), *NoticeBoard::new(3).digest());
+}
+
 #[test]
 fn old_notices_are_discarded_and_not_received_again() {
     let mut board = NoticeBoard::new(1);
--- a/components/fleet/src/notice_fleet.rs
+++ b/components/fleet/src/notice_fleet.rs
@@ -222,14 +222,15 @@
             let ids = reader.log.since(sequence)?;
             Some(ids.filter_map(|id| reader.board.get(*id, now)).collect())
         });
-        let is_complete = changes.is_none();
-        let notices = changes.unwrap_or_else(|| reader.board.all(now));
+        let is_first = changes.is_none();
+        let groups = reader.board.digest().differing(self.daemons[daemon].board.digest().groups());
+        let notices = changes.unwrap_or_else(|| reader.board.in_groups(&groups, now));
         let sequence = reader.log.last();
         self.sent_bytes[poll.reader] += bytes(&notices);
         let follower = &mut self.daemons[daemon];
         follower.receive(&notices, NoticeSource::Peer, now);
-        if is_complete {
-            follower.board.forward_again(now);
+        if is_first {
+            follower.board.forward_missing(&notices, Some(&groups), now);
         }
         follower.position = Some(Position { reader: poll.reader, sequence });
         follower.poll = None;
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -8,14 +8,14 @@
 use crate::packing::unpack;
 use bytes::Bytes;
 use decision::Millis;
-use decision::routing::{Configuration, NoticeSource, Peer, PeerFault, Registration};
+use decision::routing::{Configuration, NoticeId, NoticeSource, Peer, PeerFault, Registration};
 use http::header::HOST;
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
-use messages::feed::{EndpointChange, FeedPeer, FeedPosition, FeedRequest, FeedResponse};
+use messages::feed::{EndpointChange, FeedPeer, FeedPosition, FeedRequest, FeedResponse, Notice};
 use messages::{endpoint_loads, load_rows};
 use serde::de::DeserializeOwned;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -39,10 +39,13 @@
 const MAX_CONFIRMATION_LAG: Millis = Millis(1_000);
 /// Maximum response size: a configuration of 1 MB and the registry.
 pub(crate) const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Time between reports of a notice to the same daemon. It takes a limited number in each second, and
+/// may have left some out.
+const NOTICE_INTERVAL: Millis = Millis(1_000);
 /// The path of the feed on the peer listener.
 pub(crate) const PATH: &str = "/feed";
 
-/// A daemon that this one follows, and the position in its change log.
+/// A daemon that this one follows, the position in its change log, and what both told each other.
 #[derive(Debug)]
 pub(crate) struct FollowedPeer {
     pub(crate) peer: Peer,
@@ -50,11 +53,19 @@
     position: Option<FeedPosition>,
     /// When its loads were last received.
     loads_at: Option<Millis>,
+    /// When it last got each notice from this daemon.
+    told_notices: BTreeMap<NoticeId, Millis>,
 }
 
 impl FollowedPeer {
     pub(crate) fn new(peer: Peer) -> FollowedPeer {
-        FollowedPeer { peer, connection: None, position: None, loads_at: None }
+        FollowedPeer {
+            peer,
+            connection: None,
+            position: None,
+            loads_at: None,
+            told_notices: BTreeMap::new(),
+        }
     }
 
     /// Reports the load of this daemon and its followers, and applies the changes since the last
@@ -96,7 +107,8 @@
             tracing::info!(event = "peer_followed", peer = %self.peer.name);
         }
         let (position, has_loads) = (feed.position.clone(), feed.has_loads);
-        apply_feed(gateway, feed, sent).map_err(|text| (PeerFault::Unreachable, text))?;
+        let is_first = self.position.is_none();
+        apply_feed(gateway, feed, sent, is_first).map_err(|text| (PeerFault::Unreachable, text))?;
         self.position = Some(position);
         if has_loads {
             self.loads_at = Some(now());
@@ -116,7 +128,15 @@
         wait: Millis,
     ) -> Result<(FeedResponse, Millis), (PeerFault, String)> {
         let sent = now();
+        let notices = self.untold_notices(gateway, sent);
+        let told: Vec<NoticeId> = notices.iter().map(NoticeId::of).collect();
+        let known_notices = match self.position {
+            Some(_) => Vec::new(),
+            None => gateway.notices.borrow().digest().groups().to_vec(),
+        };
         let feed_req = FeedRequest {
+            notices,
+            known_notices,
             from: self.position.clone(),
             configuration: Some(gateway.configurations.borrow().held()),
             received: gateway.configurations.borrow().received(),
@@ -132,8 +152,17 @@
             max_bytes: MAX_RESPONSE_BYTES,
         };
         let feed = call(&mut self.connection, address, &feed_req, CONNECT_TIMEOUT, limits).await?;
+        self.told_notices.extend(told.into_iter().map(|id| (id, sent)));
         Ok((feed, sent))
     }
+
+    /// The notices to report, but for those that this peer got a moment ago.
+    fn untold_notices<A: Adapter>(&mut self, gateway: &Gateway<A>, now: Millis) -> Vec<Notice> {
+        self.told_notices.retain(|_, at| now.since(*at) < NOTICE_INTERVAL);
+        let mut notices = gateway.notices.borrow().forwarded(now);
+        notices.retain(|notice| !self.told_notices.contains_key(&NoticeId::of(notice)));
+        notices
+    }
 }
 
 /// Whether a daemon is not ready to be followed: what it knows may be older than what is known here.
@@ -186,6 +215,7 @@
         received: None,
         wait_ms: 0,
         loads_age_ms: None,
+        known_notices: Vec::new(),
         loads: load_rows(load_exchange.data_centre_loads(&own)),
         outcomes: gateway.outcome_exchange.borrow().data_centre_outcomes(&own_outcomes),
         notices: gateway.notices.borrow().forwarded(now()),
@@ -229,11 +259,14 @@
     gateway: &Rc<Gateway<A>>,
     feed: FeedResponse,
     sent: Millis,
+    is_first: bool,
 ) -> Result<(), String> {
     let registry_age = registry_age(&feed);
     receive_notices(gateway, &feed.notices, NoticeSource::Peer);
-    if feed.is_complete {
-        gateway.notices.borrow_mut().forward_again(now());
+    if is_first {
+        let groups: BTreeSet<u32> = feed.notice_groups.iter().copied().collect();
+        let groups = feed.has_notice_groups.then_some(&groups);
+        gateway.notices.borrow_mut().forward_missing(&feed.notices, groups, now());
     }
     if let Some(configuration) = configuration(gateway, &feed)? {
         activate(gateway, configuration);
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -194,6 +194,8 @@
         has_loads: true,
         loads: Vec::new(),
         outcomes: Vec::new(),
+        has_notice_groups: false,
+        notice_groups: Vec::new(),
         notices: Vec::new(),
     }
 }
@@ -268,7 +270,7 @@
         }
         None => {
             feed.is_complete = true;
-            feed.notices = gateway.notices.borrow().all(now());
+            add_unknown_notices(gateway, req, &mut feed);
             feed.configuration = configuration(gateway, req);
             match gateway.packed_endpoints() {
                 Ok(endpoints) => {
@@ -295,6 +297,23 @@
     }
 }
 
+/// Adds the notices that a new follower may lack.
+fn add_unknown_notices<A: Adapter>(
+    gateway: &Gateway<A>,
+    req: &FeedRequest,
+    feed: &mut FeedResponse,
+) {
+    let notices = gateway.notices.borrow();
+    feed.has_notice_groups = !req.known_notices.is_empty();
+    if !feed.has_notice_groups {
+        feed.notices = notices.all(now());
+        return;
+    }
+    let groups = notices.digest().differing(&req.known_notices);
+    feed.notices = notices.in_groups(&groups, now());
+    feed.notice_groups = groups.into_iter().collect();
+}
+
 /// The whole configuration for a follower that does not understand changes of it.
 fn configuration<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest) -> Option<String> {
     let catalog = gateway.catalog().filter(|_| req.configuration.is_none())?;
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -125,6 +125,9 @@
     pub data_centre: ::std::string::String,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub from: ::std::option::Option<FeedPosition>,
+    ///Digests of the notices that the sender has, by group, in a request without a position. Absent from daemons that need all notices.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub known_notices: ::std::vec::Vec<u64>,
     pub loads: ::std::vec::Vec<LoadRow>,
     ///The time since the sender got the loads of the receiver, in milliseconds. Absent if it has none, and from daemons that need them in each response.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
@@ -182,6 +185,9 @@
     ///Whether `loads` and `outcomes` are present; those that the requester has stay valid otherwise.
     #[serde(default = "defaults::default_bool::<true>")]
     pub has_loads: bool,
+    ///Whether `notices` holds those of `notice_groups`; otherwise all, or those after the position.
+    #[serde(default)]
+    pub has_notice_groups: bool,
     ///Whether `packed_endpoints` is the full set; otherwise `endpoints` holds the changes since the position.
     pub is_complete: bool,
     ///Whether an endpoint missing from a full set has left; false while its registration may merely have expired during a store outage.
@@ -190,7 +196,10 @@
     ///The ids of the endpoints of a full set that the responder keeps although their entries are missing, since these may have expired while the store was away.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub missing_endpoints: ::std::vec::Vec<::std::string::String>,
-    ///Notices after the position; all in a full set; recent ones in a response that holds loads only.
+    ///The groups whose notices differ from those of the requester; `notices` holds all of these groups.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub notice_groups: ::std::vec::Vec<u32>,
+    ///Notices after the position; without one, those of `notice_groups` or all; recent ones in a response that holds loads only.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub notices: ::std::vec::Vec<Notice>,
     ///Outcomes at endpoints with failures.
