--- a/tests/gateway/feed_traffic.rs
+++ b/tests/gateway/feed_traffic.rs
@@ -129,3 +129,29 @@
         );
     }
 }
+
+/// They differ from the new reader by one departure at most.
+#[test]
+fn followers_that_know_the_registry_get_no_complete_copy_from_a_new_reader() {
+    let region = Region::with_one_data_centre();
+    let entry = |number: usize, state: &str| {
+        let (address, id) = (format!("127.0.0.1:{}", 10_000 + number), format!("i-{number}"));
+        let entry = json!({
+            "service": "pool", "address": address, "zone": "a", "version": "v1", "slots": 8,
+            "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1,
+        });
+        region.store.put("servers", &id, entry);
+    };
+    (0..50).for_each(|number| entry(number, "ready"));
+    let (reader, survivors) = region.gateways.split_at(1);
+    for gateway in &region.gateways {
+        gateway.wait_for_log(&["endpoint_joined", "i-49"]).unwrap();
+    }
+    reader[0].signal("KILL").unwrap();
+    entry(7, "draining");
+    for gateway in survivors {
+        gateway.wait_for_log(&["endpoint_left", "i-7"]).unwrap();
+    }
+    let copies = sum(survivors, "chervilspur_feed_bytes_total{content=\"registry\"}");
+    assert_eq!(copies, 0, "bytes of complete copies");
+}
--- a/tests/narrow_links.rs
+++ b/tests/narrow_links.rs
@@ -32,12 +32,20 @@
 impl Fleet {
     /// Starts daemons that send `bytes_per_second` to all others together; the first reads the store.
     fn start(bytes_per_second: u64) -> Fleet {
+        Fleet::with_endpoints(bytes_per_second, 0)
+    }
+
+    /// The same with entries of further endpoints in the registry.
+    fn with_endpoints(bytes_per_second: u64, further: usize) -> Fleet {
         let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
         fakes::build_programs().unwrap();
         let store = PlatformStore::start().unwrap();
         store.put("config", "main", configuration(1, &[KEY]));
         let endpoint = PlatformEndpoint::start("i-1", 1, Duration::ZERO).unwrap();
         store.put("servers", &endpoint.id, registration(&endpoint, "ready", 1));
+        for number in 0..further {
+            store.put("servers", &endpoint_id(number), entry(number, "ready"));
+        }
         let mut network = NarrowNetwork::new(bytes_per_second);
         let mut gateways: Vec<GatewayProcess> = Vec::new();
         for number in 0..=FOLLOWERS {
@@ -182,3 +190,39 @@
     let replaced = fleet.gateways[0].log_with(&["reader_replaced"]);
     assert!(replaced.is_empty(), "the reader was replaced: {replaced:?}");
 }
+
+/// What the traffic of clients leaves of a link to followers.
+const BUSY_LINK_BYTES_PER_SECOND: u64 = 50_000;
+/// As many endpoints as at the target size.
+const ENDPOINTS: usize = 930;
+/// The time after which a departure must be known to all (`drain_ms`).
+const DRAIN_BOUND: Duration = Duration::from_secs(4);
+
+/// All followers know the registry, and its source is another one from now on.
+#[test]
+fn departure_reaches_all_followers_of_a_new_reader_over_a_narrow_link_within_the_bound() {
+    let fleet = Fleet::with_endpoints(BUSY_LINK_BYTES_PER_SECOND, ENDPOINTS);
+    let left = endpoint_id(0);
+    for gateway in &fleet.gateways {
+        gateway.wait_for_log(&["registry_changed"]).unwrap();
+    }
+    fleet.gateways[0].signal("KILL").unwrap();
+    fleet.store.put("servers", &left, entry(0, "draining"));
+    sleep(DRAIN_BOUND);
+    let lacks = |gateway: &&GatewayProcess| gateway.log_with(&["endpoint_left", &left]).is_empty();
+    let late: Vec<&GatewayProcess> = fleet.gateways[1..].iter().filter(lacks).collect();
+    let reasons = late.iter().flat_map(|gateway| gateway.log_with(&["peer_lost"]));
+    let reasons: Vec<String> = reasons.collect();
+    assert!(late.is_empty(), "{} of {FOLLOWERS}:\n{}", late.len(), reasons.join("\n"));
+}
+
+fn endpoint_id(number: usize) -> String {
+    format!("i-{}", &path_of(number)[..10])
+}
+
+fn entry(number: usize, state: &str) -> serde_json::Value {
+    json!({
+        "service": "pool", "address": format!("127.0.0.1:{}", 10_000 + number), "zone": "a",
+        "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1,
+    })
+}
