Send new followers the groups of the registry that differ

Cause: a position in a change log holds for one life of one daemon, so each follower of a new reader needed a complete copy. Four are sent at a time, and a follower that gave up held its permit for 3 s. A follower without a permit got 503 and nothing else: neither departures nor a confirmation. The small and urgent waited behind the large.

Ruled out: the watch of the registry (the test's store serves everybody, and the new reader knows the departure at once); the full links alone (the test has no loads and no notices).

Now a follower that knows a registry sends digests of it, by group, with its first request. The response holds the groups that differ, packed, whose missing entries are treated like those of a complete copy. Up to 8 KB need no permit. A complete copy remains for daemons that have just started, and for earlier builds, which send no digests.

--- a/components/decision/src/routing/directory.rs
+++ b/components/decision/src/routing/directory.rs
@@ -1,4 +1,5 @@
 use super::departures::{Departures, Incarnation};
+use super::set_digest::SetDigest;
 use super::version_record::SoftwareVersion;
 use crate::Millis;
 use serde::{Deserialize, Serialize};
@@ -169,17 +170,19 @@
         self.listed.remove(id).map(|_| DirectoryChange::Left(id.to_owned()))
     }
 
-    /// Replaces the directory with a complete listing of the registry. After an outage, an endpoint
+    /// Replaces the directory with a complete listing of the registry, or the part of it in some groups
+    /// of its digest with a listing of these (`groups`, `None` for all). After an outage, an endpoint
     /// whose entry is missing stays listed until [`REREGISTRATION_TIMEOUT`] has passed.
     pub fn replace(
         &mut self,
         entries: BTreeMap<String, Registration>,
+        groups: Option<&BTreeSet<u32>>,
         after_outage: bool,
         now: Millis,
     ) -> Vec<DirectoryChange> {
         let mut changes = Vec::new();
-        let missing: Vec<String> =
-            self.listed.keys().filter(|id| !entries.contains_key(*id)).cloned().collect();
+        let is_missing = |id: &&String| !entries.contains_key(*id) && is_in_groups(id, groups);
+        let missing: Vec<String> = self.listed.keys().filter(is_missing).cloned().collect();
         for id in missing {
             if after_outage {
                 self.mark_missing(&id, now);
@@ -233,10 +236,36 @@
         self.listed.values().filter(|listed| listed.missing.is_some()).count()
     }
 
-    /// Returns all endpoints for a follower, by id. Draining ones are included: after an outage, a
-    /// follower keeps endpoints that are missing here.
-    pub fn copy(&mut self) -> impl Iterator<Item = CopiedEndpoint<'_>> {
-        self.listed.iter_mut().map(|(id, listed)| {
+    /// Returns a digest of the endpoints, to compare with that of another daemon. The number of
+    /// heartbeats is not part of it, since it is not passed on.
+    pub fn digest(&self) -> SetDigest {
+        let mut digest = SetDigest::default();
+        for (id, listed) in &self.listed {
+            let r = &listed.registration;
+            digest.toggle(
+                id.as_bytes(),
+                &[
+                    r.service.as_bytes(),
+                    r.address.as_bytes(),
+                    r.data_centre.as_bytes(),
+                    r.software_version.as_bytes(),
+                    &r.slots.to_be_bytes(),
+                    &r.started.to_be_bytes(),
+                    &[u8::from(r.draining), u8::from(listed.missing.is_some())],
+                ],
+            );
+        }
+        digest
+    }
+
+    /// Returns the endpoints of some groups of the digest, `None` for all, for a follower, by id.
+    /// Draining ones are included: after an outage, a follower keeps endpoints that are missing here.
+    pub fn copy(
+        &mut self,
+        groups: Option<&BTreeSet<u32>>,
+    ) -> impl Iterator<Item = CopiedEndpoint<'_>> {
+        let listed = self.listed.iter_mut().filter(move |(id, _)| is_in_groups(id, groups));
+        listed.map(|(id, listed)| {
             if let Some(missing) = &mut listed.missing {
                 missing.is_passed_on = true;
             }
@@ -290,3 +319,7 @@
         self.usable().filter(move |(_, r)| r.service == service)
     }
 }
+
+fn is_in_groups(id: &str, groups: Option<&BTreeSet<u32>>) -> bool {
+    groups.is_none_or(|groups| groups.contains(&SetDigest::group_of(id.as_bytes())))
+}
--- a/components/decision/tests/routing/departures.rs
+++ b/components/decision/tests/routing/departures.rs
@@ -47,7 +47,7 @@
     directory.remove("e");
     assert_eq!(directory.put("e", entry.clone()), left());
     let entries = BTreeMap::from([(String::from("e"), entry)]);
-    assert!(directory.replace(entries, true, Millis(900_000)).is_empty());
+    assert!(directory.replace(entries, None, true, Millis(900_000)).is_empty());
     assert!(directory.get("e").is_none());
     assert_eq!(directory.leaving(), 1);
 }
--- a/components/gateway/src/configuration_updates.rs
+++ b/components/gateway/src/configuration_updates.rs
@@ -3,8 +3,8 @@
 use messages::Packed;
 use messages::feed::{ConfigurationUpdate, FeedRequest};
 
-/// Maximum size of an update that is sent to any number of followers at the same time.
-const MAX_SMALL_BYTES: u64 = 8 << 10;
+/// Maximum size of what is sent to any number of followers at the same time.
+pub(crate) const MAX_SMALL_BYTES: u64 = 8 << 10;
 /// Maximum size of a piece: other traffic on the link, and the rest of the feed, wait for no more.
 const MAX_PIECE_BYTES: usize = 16 << 10;
 
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -6,8 +6,8 @@
 use crate::log::LogQuota;
 use crate::metrics::Metrics;
 use crate::object_feed::to_json;
-use crate::packing::pack;
 use crate::pool::Pool;
+use crate::registry_copies::{PackedEndpoints, RegistryCopies};
 use crate::registry_log::log_registry_changes;
 use crate::settings::Settings;
 use crate::shutdown::Shutdown;
@@ -18,7 +18,7 @@
     BrittleEndpoints, Catalog, ChangeLog, ConnectionBudget, Directory, DirectoryChange,
     EndpointLimits, FleetSize, Freshness, LoadExchange, LoadTable, NoticeBoard, NoticeId,
     OutcomeExchange, Peer, PlacementConfig, Quarantine, Reachability, ReaderElection, Relays,
-    RetryBudget, Service, Source, SourceHealth, StreamRecords, WaitQueues, start_wait,
+    RetryBudget, Service, SetDigest, Source, SourceHealth, StreamRecords, WaitQueues, start_wait,
 };
 use messages::feed::EndpointChange;
 use rand::SeedableRng;
@@ -51,16 +51,6 @@
     Notice(NoticeId),
 }
 
-/// All endpoints, packed for followers. Cached because many may request them at the same time.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct PackedEndpoints {
-    /// The last change that it includes.
-    sequence: u64,
-    /// The ids of the endpoints whose entries are missing.
-    pub(crate) missing: Vec<String>,
-    pub(crate) packed: Rc<[u8]>,
-}
-
 /// State shared by all tasks of a gateway. They run on one thread and hold no borrow across an
 /// `await`, so no locks are needed.
 #[derive(Debug)]
@@ -111,7 +101,7 @@
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Notified when contents are condemned.
     pub(crate) quarantine_changed: Notify,
-    cached_endpoints: RefCell<PackedEndpoints>,
+    registry_copies: RefCell<RegistryCopies>,
     pub(crate) large_responses: LargeResponses,
     pub(crate) update_source: CurrentSource,
     pub(crate) reachability: RefCell<Reachability>,
@@ -173,7 +163,7 @@
             collected_notices: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(seed)),
             quarantine_changed: Notify::new(),
-            cached_endpoints: RefCell::default(),
+            registry_copies: RefCell::default(),
             large_responses: LargeResponses::default(),
             update_source: CurrentSource::default(),
             reachability: RefCell::default(),
@@ -232,23 +222,20 @@
         self.change_added.notify_waiters();
     }
 
-    /// All endpoints, packed for followers.
-    pub(crate) fn packed_endpoints(&self) -> Result<PackedEndpoints, String> {
+    /// A digest of the registry, to compare with that of another daemon.
+    pub(crate) fn registry_digest(&self) -> SetDigest {
+        let sequence = self.change_log.borrow().last();
+        self.registry_copies.borrow_mut().digest(&self.directory(), sequence).clone()
+    }
+
+    /// The endpoints of some groups of the digest, `None` for all, packed for followers.
+    pub(crate) fn packed_endpoints(
+        &self,
+        groups: Option<&BTreeSet<u32>>,
+    ) -> Result<PackedEndpoints, String> {
+        let sequence = self.change_log.borrow().last();
         let mut directory = self.directory.borrow_mut();
-        let (sequence, missing) = (self.change_log.borrow().last(), directory.missing());
-        let mut cached = self.cached_endpoints.borrow_mut();
-        let is_current = (cached.sequence, cached.missing.len()) == (sequence, missing);
-        if !is_current || cached.packed.is_empty() {
-            let mut endpoints = Vec::new();
-            let mut missing = Vec::new();
-            for copied in directory.copy() {
-                let registration = to_json(copied.registration);
-                endpoints.push(EndpointChange { endpoint: copied.id.to_owned(), registration });
-                missing.extend(copied.is_missing.then(|| copied.id.to_owned()));
-            }
-            *cached = PackedEndpoints { sequence, missing, packed: Rc::from(pack(&endpoints)?) };
-        }
-        Ok(cached.clone())
+        self.registry_copies.borrow_mut().packed(&mut directory, sequence, groups)
     }
 
     /// Whether a missing entry means that the endpoint has left; false after a store outage until
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod reach_probe;
 mod reader_records;
 mod refusal_line;
+mod registry_copies;
 mod registry_log;
 mod registry_outage;
 mod relay;
--- a/components/gateway/src/object_feed.rs
+++ b/components/gateway/src/object_feed.rs
@@ -6,7 +6,7 @@
 use decision::Millis;
 use decision::routing::{Catalog, Configuration, Registration, Source};
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// How objects of one kind are decoded and applied.
@@ -187,19 +187,7 @@
         after_outage: bool,
         now: Millis,
     ) {
-        let mut entries = BTreeMap::new();
-        for item in items {
-            match item.value {
-                Some(Ok(registration)) => {
-                    entries.insert(item.name, registration);
-                }
-                Some(Err(text)) => log_malformed(&item.name, &text),
-                None => {}
-            }
-        }
-        let changes = gateway.directory.borrow_mut().replace(entries, after_outage, now);
-        gateway.publish_registry_changes(&changes);
-        gateway.mark_registry_known();
+        replace_endpoints(gateway, items, None, after_outage, now);
     }
 
     fn apply_change<A: Adapter>(
@@ -231,6 +219,30 @@
     }
 }
 
+/// Replaces the endpoints of some groups of the registry's digest, `None` for all; `after_outage` as in
+/// [`ObjectFeed::replace`].
+pub(crate) fn replace_endpoints<A: Adapter>(
+    gateway: &Gateway<A>,
+    items: Vec<Item<Registration>>,
+    groups: Option<&BTreeSet<u32>>,
+    after_outage: bool,
+    now: Millis,
+) {
+    let mut entries = BTreeMap::new();
+    for item in items {
+        match item.value {
+            Some(Ok(registration)) => {
+                entries.insert(item.name, registration);
+            }
+            Some(Err(text)) => log_malformed(&item.name, &text),
+            None => {}
+        }
+    }
+    let changes = gateway.directory.borrow_mut().replace(entries, groups, after_outage, now);
+    gateway.publish_registry_changes(&changes);
+    gateway.mark_registry_known();
+}
+
 fn log_malformed(id: &str, text: &str) {
     tracing::warn!(event = "endpoint_unreadable", endpoint = %id, text);
 }
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -4,7 +4,7 @@
 use crate::connection::{Connection, ResponseLimits};
 use crate::gateway::Gateway;
 use crate::notices::receive_notices;
-use crate::object_feed::{Endpoints, ObjectFeed, activate};
+use crate::object_feed::{Endpoints, ObjectFeed, activate, replace_endpoints};
 use crate::packing::unpack;
 use bytes::Bytes;
 use decision::Millis;
@@ -130,13 +130,17 @@
         let sent = now();
         let notices = self.untold_notices(gateway, sent);
         let told: Vec<NoticeId> = notices.iter().map(NoticeId::of).collect();
-        let known_notices = match self.position {
-            Some(_) => Vec::new(),
-            None => gateway.notices.borrow().digest().groups().to_vec(),
-        };
+        let (mut known_notices, mut known_endpoints) = (Vec::new(), Vec::new());
+        if self.position.is_none() {
+            known_notices = gateway.notices.borrow().digest().groups().to_vec();
+            if gateway.registry_known.get() {
+                known_endpoints = gateway.registry_digest().groups().to_vec();
+            }
+        }
         let feed_req = FeedRequest {
             notices,
             known_notices,
+            known_endpoints,
             from: self.position.clone(),
             configuration: Some(gateway.configurations.borrow().held()),
             received: gateway.configurations.borrow().received(),
@@ -216,6 +220,7 @@
         wait_ms: 0,
         loads_age_ms: None,
         known_notices: Vec::new(),
+        known_endpoints: Vec::new(),
         loads: load_rows(load_exchange.data_centre_loads(&own)),
         outcomes: gateway.outcome_exchange.borrow().data_centre_outcomes(&own_outcomes),
         notices: gateway.notices.borrow().forwarded(now()),
@@ -277,9 +282,15 @@
     if !feed.is_settled {
         gateway.unsettled_until.set(now() + FEED_WAIT + RESPONSE_MARGIN);
     }
-    if feed.is_complete {
-        let endpoints = unpack(&feed.packed_endpoints)?;
-        replace_registry(gateway, endpoints, &feed.missing_endpoints, !feed.is_settled, now());
+    if feed.is_complete || feed.has_endpoint_groups {
+        let copy = RegistryCopy {
+            endpoints: unpack(&feed.packed_endpoints)?,
+            missing: feed.missing_endpoints.iter().map(String::as_str).collect(),
+            groups: feed
+                .has_endpoint_groups
+                .then(|| feed.endpoint_groups.iter().copied().collect()),
+        };
+        replace_registry(gateway, copy, !feed.is_settled, now());
     } else {
         let items = feed.endpoints.into_iter().map(registry_item);
         items.for_each(|item| Endpoints::apply_change(gateway, item, false, now()));
@@ -321,21 +332,30 @@
     Ok(())
 }
 
-/// Takes over the complete registry of a peer. What the peer merely keeps may have left, and this
-/// daemon may know that it has.
+/// The registry of a peer, or the part of it that differs from the own one.
+struct RegistryCopy<'a> {
+    endpoints: Vec<EndpointChange>,
+    /// The ids of the endpoints that the peer keeps although their entries are missing.
+    missing: BTreeSet<&'a str>,
+    /// The groups of the digest that the copy holds; `None` for all.
+    groups: Option<BTreeSet<u32>>,
+}
+
+/// Takes over the registry of a peer. What the peer merely keeps may have left, and this daemon may know
+/// that it has.
 fn replace_registry<A: Adapter>(
     gateway: &Gateway<A>,
-    endpoints: Vec<EndpointChange>,
-    missing: &[String],
+    copy: RegistryCopy<'_>,
     after_outage: bool,
     now: Millis,
 ) {
-    let missing: BTreeSet<&str> = missing.iter().map(String::as_str).collect();
+    let RegistryCopy { endpoints, missing, groups } = copy;
     let (kept, registered): (Vec<_>, Vec<_>) =
         endpoints.into_iter().partition(|change| missing.contains(change.endpoint.as_str()));
     let has_registry = gateway.registry_known.get();
     let items = registered.into_iter().map(registry_item).collect();
-    Endpoints::replace(gateway, items, after_outage || !kept.is_empty(), now);
+    let after_outage = after_outage || !kept.is_empty();
+    replace_endpoints(gateway, items, groups.as_ref(), after_outage, now);
     if has_registry {
         return;
     }
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -1,6 +1,8 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
-use crate::configuration_updates::{has_accounts, is_large, lacks_configuration, next_piece};
+use crate::configuration_updates::{
+    MAX_SMALL_BYTES, has_accounts, is_large, lacks_configuration, next_piece,
+};
 use crate::gateway::{Change, Gateway};
 use crate::load_reports::rank;
 use crate::metrics::FeedLabels;
@@ -16,6 +18,7 @@
 use messages::feed::{FeedPeer, FeedPosition, FeedRequest, FeedResponse};
 use messages::{endpoint_loads, load_rows};
 use rand::RngExt;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
@@ -96,7 +99,7 @@
             gateway.large_responses.begin(&req.name, permit, now());
             return encode(gateway, &build_feed_response(gateway, req, arrived, true));
         }
-        if !has_position(gateway, req) {
+        if needs_large_copy(gateway, req) {
             let text = String::from("this daemon sends complete copies to other followers");
             return text_response(StatusCode::SERVICE_UNAVAILABLE, text);
         }
@@ -115,17 +118,45 @@
     let held = held.filter(|_| lacks_configuration(gateway, req));
     if has_position(gateway, req) {
         wait_for_change(gateway, req).await;
-        if !next_piece(gateway, req).is_some_and(|piece| is_large(&piece)) {
-            return None;
-        }
+    }
+    let has_large_piece = next_piece(gateway, req).is_some_and(|piece| is_large(&piece));
+    let needs_large_copy = needs_large_copy(gateway, req);
+    if !has_large_piece && !needs_large_copy {
+        return None;
     }
     if held.is_some() {
         return held;
     }
-    let left = Millis(req.wait_ms).min(MAX_WAIT) - now().since(arrived);
+    let left = match has_position(gateway, req) || needs_large_copy {
+        true => Millis(req.wait_ms).min(MAX_WAIT) - now().since(arrived),
+        // What it lacks of the registry does not wait for a piece of a configuration.
+        false => Millis(0),
+    };
     timeout(Duration::from_millis(left.0), gateway.large_responses.permit()).await.ok()?
 }
 
+/// Whether a follower needs so much of the registry that only a few can get it at a time: all of it, or
+/// many groups.
+fn needs_large_copy<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest) -> bool {
+    if has_position(gateway, req) {
+        return false;
+    }
+    let Some(groups) = endpoint_groups(gateway, req) else { return true };
+    match gateway.packed_endpoints(Some(&groups)) {
+        Ok(endpoints) => endpoints.packed.len() as u64 > MAX_SMALL_BYTES,
+        Err(text) => {
+            tracing::error!(event = "value_not_encoded", error = text);
+            true
+        }
+    }
+}
+
+/// The groups of the registry in which a follower has other endpoints; `None` if it needs all.
+fn endpoint_groups<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest) -> Option<BTreeSet<u32>> {
+    let known = Some(&req.known_endpoints).filter(|known| !known.is_empty())?;
+    Some(gateway.registry_digest().differing(known))
+}
+
 /// Whether the changes since the position of a follower are known.
 fn has_position<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest) -> bool {
     let from = req.from.as_ref().filter(|from| from.incarnation == gateway.incarnation);
@@ -183,6 +214,8 @@
         configuration_update: None,
         accounts_version: None,
         endpoints: Vec::new(),
+        has_endpoint_groups: false,
+        endpoint_groups: Vec::new(),
         packed_endpoints: Vec::new(),
         missing_endpoints: Vec::new(),
         daemons: None,
@@ -269,16 +302,9 @@
             }
         }
         None => {
-            feed.is_complete = true;
             add_unknown_notices(gateway, req, &mut feed);
+            add_endpoints(gateway, req, &mut feed);
             feed.configuration = configuration(gateway, req);
-            match gateway.packed_endpoints() {
-                Ok(endpoints) => {
-                    feed.packed_endpoints = endpoints.packed.to_vec();
-                    feed.missing_endpoints = endpoints.missing;
-                }
-                Err(text) => tracing::error!(event = "value_not_encoded", error = text),
-            }
         }
     }
     feed
@@ -297,6 +323,21 @@
     }
 }
 
+/// Adds the endpoints of the groups in which a new follower has others, or all.
+fn add_endpoints<A: Adapter>(gateway: &Gateway<A>, req: &FeedRequest, feed: &mut FeedResponse) {
+    let groups = endpoint_groups(gateway, req);
+    match gateway.packed_endpoints(groups.as_ref()) {
+        Ok(endpoints) => {
+            feed.packed_endpoints = endpoints.packed.to_vec();
+            feed.missing_endpoints = endpoints.missing;
+        }
+        Err(text) => tracing::error!(event = "value_not_encoded", error = text),
+    }
+    feed.is_complete = groups.is_none();
+    feed.has_endpoint_groups = groups.is_some();
+    feed.endpoint_groups = groups.into_iter().flatten().collect();
+}
+
 /// Adds the notices that a new follower may lack.
 fn add_unknown_notices<A: Adapter>(
     gateway: &Gateway<A>,
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -125,6 +125,9 @@
     pub data_centre: ::std::string::String,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub from: ::std::option::Option<FeedPosition>,
+    ///Digests of the endpoints that the sender has, by group, in a request without a position. Absent from daemons that need the full set.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub known_endpoints: ::std::vec::Vec<u64>,
     ///Digests of the notices that the sender has, by group, in a request without a position. Absent from daemons that need all notices.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub known_notices: ::std::vec::Vec<u64>,
@@ -178,17 +181,23 @@
     ///The responder's data centre.
     #[serde(default)]
     pub data_centre: ::std::string::String,
+    ///The groups whose endpoints differ from those of the requester; `packed_endpoints` holds all of these groups.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub endpoint_groups: ::std::vec::Vec<u32>,
     pub endpoints: ::std::vec::Vec<EndpointChange>,
     ///For how long the responder has failed to get updates from the store or from the daemon that it follows, in milliseconds; absent while it gets them.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub failing_ms: ::std::option::Option<u64>,
+    ///Whether `packed_endpoints` holds those of `endpoint_groups`.
+    #[serde(default)]
+    pub has_endpoint_groups: bool,
     ///Whether `loads` and `outcomes` are present; those that the requester has stay valid otherwise.
     #[serde(default = "defaults::default_bool::<true>")]
     pub has_loads: bool,
     ///Whether `notices` holds those of `notice_groups`; otherwise all, or those after the position.
     #[serde(default)]
     pub has_notice_groups: bool,
-    ///Whether `packed_endpoints` is the full set; otherwise `endpoints` holds the changes since the position.
+    ///Whether `packed_endpoints` is the full set. Otherwise it holds the groups that differ, or `endpoints` the changes since the position.
     pub is_complete: bool,
     ///Whether an endpoint missing from a full set has left; false while its registration may merely have expired during a store outage.
     pub is_settled: bool,
@@ -205,7 +214,7 @@
     ///Outcomes at endpoints with failures.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub outcomes: ::std::vec::Vec<EndpointOutcomes>,
-    ///The full set of endpoints: a MessagePack array of EndpointChange, deflated, since hundreds of followers may request it at the same time.
+    ///The full set of endpoints, or those of `endpoint_groups`: a MessagePack array of EndpointChange, deflated, since hundreds of followers may request it at the same time.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub packed_endpoints: ::std::vec::Vec<u8>,
     pub position: FeedPosition,
