Show that a reader is replaced because it sends copies

The same cause elsewhere: twelve daemons start together at a reader with a narrow link and 930 endpoints. Those that wait for their copies claim to be the reader, although the present one responds to each of their requests.

--- a/tests/narrow_links.rs
+++ b/tests/narrow_links.rs
@@ -216,6 +216,21 @@
     assert!(late.is_empty(), "{} of {FOLLOWERS}:\n{}", late.len(), reasons.join("\n"));
 }
 
+/// The copies of the registry for all of them take longer than a daemon waits for one.
+#[test]
+fn daemons_that_start_together_do_not_replace_a_reader_that_sends_them_copies() {
+    let mut fleet = Fleet::with_endpoints(BUSY_LINK_BYTES_PER_SECOND, ENDPOINTS);
+    for follower in &mut fleet.gateways[1..] {
+        follower.restart("KILL").unwrap();
+    }
+    for follower in &fleet.gateways[1..] {
+        let is_started = || follower.log_with(&["registry_changed"]).len() == 2;
+        follower.wait_for(is_started, "the restarted daemon has the registry").unwrap();
+    }
+    let claims = fleet.gateways[1..].iter().flat_map(|g| g.log_with(&["reader_claimed"]));
+    assert_eq!(claims.collect::<Vec<String>>(), [""; 0]);
+}
+
 fn endpoint_id(number: usize) -> String {
     format!("i-{}", &path_of(number)[..10])
 }
