Judge a newly followed daemon by a poll, not by its copy

The confirmation in a copy is as old as the copy took on the reader's link (1.5 s there, besides the usual 2 s), over 0.6 of the revocation bound, and the daemon was the first standby, which acts at once.

The age of the confirmation counts against a followed daemon only after a response that followed another one. If its confirmation is old indeed, the next response, at most 0.4 s later, says so.

--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -19,7 +19,8 @@
     let mut records = ReaderRecords::default();
     let mut followed: Option<FollowedPeer> = None;
     loop {
-        let is_outdated = gateway.is_outdated(now());
+        let is_new = followed.as_ref().is_some_and(|peer| !peer.is_established());
+        let is_outdated = !is_new && gateway.is_outdated(now());
         let step = gateway.readers.borrow_mut().next(is_outdated, now());
         match step {
             Step::Follow(peer) => followed = follow(&gateway, followed.take(), peer).await,
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -52,6 +52,9 @@
     pub(crate) peer: Peer,
     connection: Option<Connection>,
     position: Option<FeedPosition>,
+    /// Whether its last response followed an earlier one, so that it took no longer than a poll. A
+    /// confirmation that comes with a copy is as old as the copy took.
+    is_established: bool,
     /// When its loads were last received.
     loads_at: Option<Millis>,
     /// When it last got each notice from this daemon.
@@ -64,11 +67,17 @@
             peer,
             connection: None,
             position: None,
+            is_established: false,
             loads_at: None,
             told_notices: BTreeMap::new(),
         }
     }
 
+    /// Whether the age of the own confirmation says something about this peer.
+    pub(crate) fn is_established(&self) -> bool {
+        self.is_established
+    }
+
     /// Reports the load of this daemon and its followers, and applies the changes since the last
     /// poll. Returns the reason if the daemon cannot be followed.
     pub(crate) async fn poll<A: Adapter>(
@@ -111,6 +120,7 @@
         let is_first = self.position.is_none();
         apply_feed(gateway, feed, sent, is_first).map_err(|text| (PeerFault::Unreachable, text))?;
         self.position = Some(position);
+        self.is_established = !is_first;
         if has_loads {
             self.loads_at = Some(now());
         }
