Measure and document what a change of the reader costs

fleet succession: the bytes between a new reader of one data centre and its followers, from the real digests and encodings.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 mod scenarios;
 mod store;
 mod stream_versions;
+mod succession;
 mod table;
 
 pub use brittle_endpoints::{BrittleConfig, BrittleResult, measure_brittle};
@@ -30,4 +31,5 @@
 };
 pub use store::{Store, lists_text};
 pub use stream_versions::{StreamFaults, StreamResult, measure_streams};
+pub use succession::{SuccessionCost, measure_succession, succession_table};
 pub use table::{Table, slope};
--- a/components/fleet/src/main.rs
+++ b/components/fleet/src/main.rs
@@ -6,7 +6,7 @@
 use fleet::{
     ChangeTimes, CrashConfig, FleetConfig, StreamFaults, Table, bytes_per_cluster, measure_changes,
     measure_crashes, measure_deaths, measure_departure, measure_steady_traffic, measure_store_load,
-    measure_streams, run_random_faults, slope, update_table,
+    measure_streams, run_random_faults, slope, succession_table, update_table,
 };
 use std::thread;
 
@@ -26,8 +26,8 @@
 /// Simulates a fleet of cluster state machines and prints tables of the results.
 #[derive(FromArgs)]
 struct Args {
-    /// the measurement: change, steady, death, store, memory, crashes, streams, configuration, random
-    /// or all
+    /// the measurement: change, steady, death, store, memory, crashes, streams, configuration,
+    /// succession, random or all
     #[argh(positional, default = "String::from(\"all\")")]
     what: String,
     /// number of randomised runs, each with its own seed
@@ -74,6 +74,9 @@
     if all || args.what == "configuration" {
         println!("{}", update_table());
     }
+    if all || args.what == "succession" {
+        println!("{}", succession_table());
+    }
     if all || args.what == "random" {
         for seed in args.first_seed..args.first_seed + args.seeds {
             run_random_faults(args.size, seed);
