--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -1,21 +1,20 @@
-use crate::adapter::{Adapter, Item};
+use crate::adapter::Adapter;
 use crate::clock::now;
 use crate::configuration_history::NewConfiguration;
 use crate::connection::{Connection, ResponseLimits};
 use crate::gateway::Gateway;
 use crate::large_responses::BUSY;
 use crate::notices::receive_notices;
-use crate::object_feed::{Endpoints, ObjectFeed, activate, replace_endpoints};
-use crate::packing::unpack;
+use crate::object_feed::activate;
+use crate::peer_registry::apply_registry;
 use bytes::Bytes;
 use decision::Millis;
-use decision::routing::{Configuration, NoticeId, NoticeSource, Peer, PeerFault, Registration};
+use decision::routing::{Configuration, NoticeId, NoticeSource, Peer, PeerFault};
 use http::header::HOST;
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
-use messages::feed::{EndpointChange, FeedPeer, FeedPosition, FeedRequest, FeedResponse, Notice};
+use messages::feed::{FeedPeer, FeedPosition, FeedRequest, FeedResponse, Notice};
 use messages::{endpoint_loads, load_rows};
-use serde::de::DeserializeOwned;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -294,19 +293,7 @@
     if !feed.is_settled {
         gateway.unsettled_until.set(now() + FEED_WAIT + RESPONSE_MARGIN);
     }
-    if feed.is_complete || feed.has_endpoint_groups {
-        let copy = RegistryCopy {
-            endpoints: unpack(&feed.packed_endpoints)?,
-            missing: feed.missing_endpoints.iter().map(String::as_str).collect(),
-            groups: feed
-                .has_endpoint_groups
-                .then(|| feed.endpoint_groups.iter().copied().collect()),
-        };
-        replace_registry(gateway, copy, !feed.is_settled, now());
-    } else {
-        let items = feed.endpoints.into_iter().map(registry_item);
-        items.for_each(|item| Endpoints::apply_change(gateway, item, false, now()));
-    }
+    apply_registry(gateway, &feed, now())?;
     if let Some(age) = registry_age {
         let built_at = sent + Millis(feed.waited_ms);
         gateway.freshness.borrow_mut().confirm_registry(built_at - Millis(age));
@@ -344,47 +331,6 @@
     Ok(())
 }
 
-/// The registry of a peer, or the part of it that differs from the own one.
-struct RegistryCopy<'a> {
-    endpoints: Vec<EndpointChange>,
-    /// The ids of the endpoints that the peer keeps although their entries are missing.
-    missing: BTreeSet<&'a str>,
-    /// The groups of the digest that the copy holds; `None` for all.
-    groups: Option<BTreeSet<u32>>,
-}
-
-/// Takes over the registry of a peer. What the peer merely keeps may have left, and this daemon may know
-/// that it has.
-fn replace_registry<A: Adapter>(
-    gateway: &Gateway<A>,
-    copy: RegistryCopy<'_>,
-    after_outage: bool,
-    now: Millis,
-) {
-    let RegistryCopy { endpoints, missing, groups } = copy;
-    let (kept, registered): (Vec<_>, Vec<_>) =
-        endpoints.into_iter().partition(|change| missing.contains(change.endpoint.as_str()));
-    let has_registry = gateway.registry_known.get();
-    let items = registered.into_iter().map(registry_item).collect();
-    let after_outage = after_outage || !kept.is_empty();
-    replace_endpoints(gateway, items, groups.as_ref(), after_outage, now);
-    if has_registry {
-        return;
-    }
-    for item in kept.into_iter().map(registry_item) {
-        let id = item.name.clone();
-        Endpoints::apply_change(gateway, item, true, now);
-        gateway.directory.borrow_mut().mark_missing(&id, now);
-    }
-}
-
-fn registry_item(change: EndpointChange) -> Item<Registration> {
-    Item {
-        value: from_json::<Registration>(change.registration.as_deref()).map(Ok),
-        name: change.endpoint,
-    }
-}
-
 /// The configuration that a response holds, if any: whole, or with the last piece of an update.
 fn configuration<A: Adapter>(
     gateway: &Gateway<A>,
@@ -412,13 +358,3 @@
 fn peer(peer: FeedPeer) -> Peer {
     Peer { name: peer.name, address: peer.address }
 }
-
-fn from_json<T: DeserializeOwned>(text: Option<&str>) -> Option<T> {
-    match serde_json::from_str(text?) {
-        Ok(value) => Some(value),
-        Err(e) => {
-            tracing::error!(event = "peer_answer_unreadable", error = %e);
-            None
-        }
-    }
-}
