Change the configuration in quick succession in the soak, with refusals

A configuration keeps the routes of the last 20 versions, and probes ask for those of the last 17, so that changes within a series are checked against the bound as well.

--- a/fakes/src/platform/store.rs
+++ b/fakes/src/platform/store.rs
@@ -88,25 +88,40 @@
     }
 }
 
-/// The kinds of objects whose calls a listener of the store turns away with status 503; clones share
-/// their state.
+/// Which calls a listener of the store turns away, and with which status.
+#[derive(Debug, Default)]
+struct Refusals {
+    kinds: BTreeSet<String>,
+    /// The status of all calls.
+    status: Option<u16>,
+}
+
+/// The calls that a listener of the store turns away, with status 503 for some kinds of objects or with
+/// any status for all; clones share their state.
 #[derive(Clone, Debug, Default)]
-pub struct RefusedKinds(Arc<Mutex<BTreeSet<String>>>);
+pub struct RefusedKinds(Arc<Mutex<Refusals>>);
 
 impl RefusedKinds {
-    fn kinds(&self) -> MutexGuard<'_, BTreeSet<String>> {
+    fn refusals(&self) -> MutexGuard<'_, Refusals> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Replaces the kinds.
     pub fn set(&self, kinds: &[&str]) {
-        *self.kinds() = kinds.iter().map(|kind| (*kind).to_owned()).collect();
+        self.refusals().kinds = kinds.iter().map(|kind| (*kind).to_owned()).collect();
+    }
+
+    /// Turns all calls away with a status, `None` to serve them again.
+    pub fn set_all(&self, status: Option<u16>) {
+        self.refusals().status = status;
     }
 
-    fn refuses(&self, call: &Message) -> bool {
+    /// The status with which a call is turned away.
+    fn status(&self, call: &Message) -> Option<u16> {
         let path = call.word(1).trim_start_matches("/objects/");
         let kind = path.split(['/', '?']).next().unwrap_or("");
-        self.kinds().contains(kind)
+        let refusals = self.refusals();
+        refusals.status.or(refusals.kinds.contains(kind).then_some(503))
     }
 }
 
@@ -138,8 +153,7 @@
         Ok(address)
     }
 
-    /// Starts another listener of this store, which turns calls for some kinds away. Returns its
-    /// address.
+    /// Starts another listener of this store, which turns calls away. Returns its address.
     pub fn start_refusing(&self, refused: RefusedKinds) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
@@ -230,13 +244,10 @@
         let mut reader = BufReader::new(stream);
         while let Some(call) = read_message(&mut reader)? {
             self.state().calls += 1;
-            let (status, body) = match refused.refuses(&call) {
-                true => (503, json!({})),
-                false => self.handle(&call),
-            };
+            let refusal = || refused.status(&call).map(|status| (status, json!({})));
+            let (status, body) = refusal().unwrap_or_else(|| self.handle(&call));
             // A watch that waited may be turned away by now.
-            let (status, body) =
-                if refused.refuses(&call) { (503, json!({})) } else { (status, body) };
+            let (status, body) = refusal().unwrap_or((status, body));
             let mode = self.state().mode;
             match mode {
                 StoreMode::Silent => thread::sleep(SILENCE),
--- a/fakes/src/soak/contact.rs
+++ b/fakes/src/soak/contact.rs
@@ -11,7 +11,7 @@
 
 /// Whether a gateway was undisturbed for the contact time before a moment.
 pub fn is_in_touch(gateway: usize, at: Instant, applied: &[AppliedFault]) -> bool {
-    let (mut paused, mut turned_away) = (false, false);
+    let (mut paused, mut turned_away, mut refused) = (false, false, false);
     for (since, fault) in applied.iter().filter(|(since, _)| *since <= at) {
         let is_recent = *since + CONTACT_TIME > at;
         match fault {
@@ -31,9 +31,15 @@
                     return false;
                 }
             }
+            Fault::Refuse(number, status) if *number == gateway => {
+                refused = status.is_some();
+                if is_recent {
+                    return false;
+                }
+            }
             Fault::Store(_) | Fault::StoreLink(_) if is_recent => return false,
             _ => {}
         }
     }
-    !paused && !turned_away
+    !paused && !turned_away && !refused
 }
--- a/fakes/src/soak/faults.rs
+++ b/fakes/src/soak/faults.rs
@@ -35,6 +35,8 @@
     Cut(PathState),
     /// The path of a gateway to the store changes its state.
     TurnAway(usize, PathState),
+    /// The store turns a gateway away with a status, or serves it again.
+    Refuse(usize, Option<u16>),
     /// The entry of an endpoint is removed from the registry.
     Remove(usize),
     /// An endpoint that left starts anew, in runs with software versions at the other one.
--- a/fakes/src/soak/main.rs
+++ b/fakes/src/soak/main.rs
@@ -64,6 +64,11 @@
     #[argh(switch)]
     outages: bool,
 
+    /// with --outages, change the configuration in quick succession at times, while the store turns
+    /// single gateways away with status 429 or 503
+    #[argh(switch)]
+    series: bool,
+
     /// send a request again and again that crashes endpoints
     #[argh(switch)]
     repetitions: bool,
@@ -93,6 +98,10 @@
         eprintln!("--outages: cannot be used with another kind of run");
         return ExitCode::FAILURE;
     }
+    if flags.series && !flags.outages {
+        eprintln!("--series: needs --outages");
+        return ExitCode::FAILURE;
+    }
     let mut failed = 0;
     for seed in flags.first_seed..flags.first_seed + flags.seeds {
         let soak = Soak {
@@ -104,6 +113,7 @@
             has_cuts: flags.cuts,
             has_odd: flags.odd,
             has_outages: flags.outages,
+            has_series: flags.series,
         };
         match soak.run() {
             Ok(summary) => println!("seed {seed}: {summary}"),
--- a/fakes/src/soak/outages.rs
+++ b/fakes/src/soak/outages.rs
@@ -1,7 +1,7 @@
 use crate::clients::{KEY, Observation};
 use crate::contact::{AppliedFault, is_in_touch};
 use crate::faults::{Fault, ScheduledFault};
-use fakes::{Client, NetworkPath, PathState, PlatformEndpoint};
+use fakes::{Client, NetworkPath, PathState, PlatformEndpoint, PlatformStore, RefusedKinds};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
@@ -18,6 +18,16 @@
 const OUTAGE_INTERVAL_MS: std::ops::Range<u64> = 1_000..4_000;
 const OUTAGE_DURATION_MS: std::ops::Range<u64> = 500..7_000;
 const CHANGE_INTERVAL_MS: std::ops::Range<u64> = 200..6_000;
+/// Time from a series of changes to the next one, its length, and the time between its changes.
+const SERIES_INTERVAL_MS: std::ops::Range<u64> = 500..3_000;
+const SERIES_DURATION_MS: std::ops::Range<u64> = 1_500..3_500;
+const SERIES_CHANGE_MS: usize = 240;
+/// What the store turns gateways away with during a series.
+const REFUSALS: [u16; 2] = [429, 503];
+/// Versions before the latest one whose routes a configuration keeps: those of more than the bound.
+const KEPT_VERSIONS: u64 = 20;
+/// Versions whose routes are probed. The others may be gone when a probe arrives.
+const PROBED_VERSIONS: u64 = 17;
 const REMOVAL_INTERVAL_MS: std::ops::Range<u64> = 1_500..4_000;
 /// Longer than the bound, so that late requests to an endpoint show before it returns.
 const REMOVAL_DURATION_MS: std::ops::Range<u64> = 5_000..7_000;
@@ -56,28 +66,65 @@
     faults
 }
 
+/// Generates times at which the configuration changes in quick succession while the store turns some
+/// gateways away with a status.
+pub fn generate_series(
+    rng: &mut Pcg64Mcg,
+    duration_ms: u64,
+    gateways: usize,
+) -> Vec<ScheduledFault> {
+    let mut faults = Vec::new();
+    let mut at_ms = rng.random_range(SERIES_INTERVAL_MS);
+    while at_ms < duration_ms {
+        let end_ms = at_ms + rng.random_range(SERIES_DURATION_MS);
+        let status = REFUSALS[rng.random_range(0..REFUSALS.len())];
+        for gateway in (0..gateways).filter(|_| rng.random::<f64>() < 0.4) {
+            faults.push((at_ms, Fault::Refuse(gateway, Some(status))));
+            faults.push((end_ms, Fault::Refuse(gateway, None)));
+        }
+        faults.extend((at_ms..end_ms).step_by(SERIES_CHANGE_MS).map(|at| (at, Fault::Configure)));
+        at_ms = end_ms + rng.random_range(SERIES_INTERVAL_MS);
+    }
+    faults
+}
+
 /// Whether a fault may occur together with outages: the others affect the store as a whole, for which
 /// no bounds hold, or end a removal.
 pub fn is_used_with_outages(fault: &Fault) -> bool {
     !matches!(fault, Fault::Store(_) | Fault::StoreLink(_) | Fault::Leave(_) | Fault::Return(_))
 }
 
+/// The way of one gateway to the store.
+#[derive(Debug)]
+pub struct StorePath {
+    pub path: NetworkPath,
+    /// The calls that the store turns away.
+    pub refused: RefusedKinds,
+}
+
 /// Starts a path of its own to the store for each gateway.
-pub fn start_paths(store: SocketAddr, gateways: usize) -> io::Result<Vec<NetworkPath>> {
-    (0..gateways).map(|_| NetworkPath::start(store)).collect()
+pub fn start_paths(store: &PlatformStore, gateways: usize) -> io::Result<Vec<StorePath>> {
+    let start = |_| {
+        let refused = RefusedKinds::default();
+        let path = NetworkPath::start(store.start_refusing(refused.clone())?)?;
+        Ok(StorePath { path, refused })
+    };
+    (0..gateways).map(start).collect()
 }
 
-/// Adds a route that has the name of a version to its configuration.
-pub fn add_version_route(configuration: &mut Value, version: u64) {
-    let mut route = configuration["routes"][1].clone();
-    route["name"] = json!(format!("v{version}"));
-    route["path_prefix"] = json!(format!("/v{version}/"));
-    if let Some(routes) = configuration["routes"].as_array_mut() {
+/// Adds routes that have the names of the latest versions to the configuration of one.
+pub fn add_version_routes(configuration: &mut Value, version: u64) {
+    let pattern = configuration["routes"][1].clone();
+    let Some(routes) = configuration["routes"].as_array_mut() else { return };
+    for version in version.saturating_sub(KEPT_VERSIONS).max(1)..=version {
+        let mut route = pattern.clone();
+        route["name"] = json!(format!("v{version}"));
+        route["path_prefix"] = json!(format!("/v{version}/"));
         routes.push(route);
     }
 }
 
-/// A request on the route of the latest version.
+/// A request on the route of one of the latest versions.
 #[derive(Clone, Debug)]
 pub struct Probe {
     gateway: usize,
@@ -86,12 +133,13 @@
     status: Option<u16>,
 }
 
-/// Sends requests on the route of the latest version to the gateways in turn until `stop` is set.
+/// Sends requests on the routes of the latest versions to the gateways in turn until `stop` is set.
 pub fn run_probes(gateways: &[SocketAddr], version: &AtomicU64, stop: &AtomicBool) -> Vec<Probe> {
     let mut probes = Vec::new();
     while !stop.load(Ordering::SeqCst) {
         let gateway = probes.len() % gateways.len();
-        let version = version.load(Ordering::SeqCst);
+        let latest = version.load(Ordering::SeqCst);
+        let version = latest.saturating_sub(probes.len() as u64 % PROBED_VERSIONS).max(1);
         let sent_at = Instant::now();
         let id = format!("probe-{}", probes.len());
         let response = Client::connect(gateways[gateway]).and_then(|mut client| {
--- a/fakes/src/soak/prompts.rs
+++ b/fakes/src/soak/prompts.rs
@@ -145,7 +145,7 @@
         | Fault::Terminate(number) => *number != 0,
         Fault::Store(_) | Fault::StoreLink(_) | Fault::KillAll | Fault::Cut(_) => false,
         // Only runs of their own have these.
-        Fault::TurnAway(..) | Fault::Remove(_) => false,
+        Fault::TurnAway(..) | Fault::Refuse(..) | Fault::Remove(_) => false,
         Fault::Endpoint(..)
         | Fault::Link(..)
         | Fault::Configure
--- a/fakes/src/soak/run.rs
+++ b/fakes/src/soak/run.rs
@@ -7,14 +7,14 @@
 use crate::objects::{configuration, registration};
 use crate::odd::{add_routes, generate_odd, odd_entry};
 use crate::outages::{
-    add_version_route, check_outages, generate_outages, is_used_with_outages, run_probes,
-    start_paths,
+    StorePath, add_version_routes, check_outages, generate_outages, generate_series,
+    is_used_with_outages, run_probes, start_paths,
 };
 use crate::prompts::{check_prompts, check_repetitions, is_used_with_prompts, random_limit};
 use crate::versions::{check_versions, generate_losses, set_other_version, set_version};
 use fakes::{
-    CrashStage, CrashingBody, CrashingPart, GatewayConfig, GatewayProcess, Link, NetworkPath,
-    PathState, PlatformEndpoint, PlatformStore, Proxy, StoreMode,
+    CrashStage, CrashingBody, CrashingPart, GatewayConfig, GatewayProcess, Link, PathState,
+    PlatformEndpoint, PlatformStore, Proxy, StoreMode,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -69,7 +69,7 @@
     /// When the store acknowledged each version.
     acked_at: BTreeMap<u64, Instant>,
     /// The paths of the gateways to the store, in runs in which it turns single ones away.
-    store_paths: Vec<NetworkPath>,
+    store_paths: Vec<StorePath>,
     /// The number of starts of each endpoint.
     starts: Vec<u64>,
     /// When gateways were killed with `SIGKILL`, or suspended before that.
@@ -112,11 +112,11 @@
             links.push(link);
         }
         let own_paths = has_cuts.then(|| OwnPaths::start(&store, &addresses)).transpose()?;
-        let store_paths = start_paths(store_link.address, if has_outages { gateways } else { 0 })?;
+        let store_paths = start_paths(&store, if has_outages { gateways } else { 0 })?;
         let start = |number: usize| {
             let cfg = GatewayConfig { name: format!("front-{number}"), ..Default::default() };
             let own_paths = own_paths.as_ref().filter(|_| number == CUT_GATEWAY);
-            let path = store_paths.get(number).map_or(store_link.address, |path| path.address);
+            let path = store_paths.get(number).map_or(store_link.address, |own| own.path.address);
             let store = own_paths.map_or(path, |paths| paths.store);
             GatewayProcess::start(store, &cfg)
         };
@@ -173,7 +173,8 @@
             Fault::Terminate(number) => self.gateways[number].restart("TERM")?,
             Fault::Configure => self.configure(|_| {}),
             Fault::AddRoutes => self.configure(add_routes),
-            Fault::TurnAway(number, state) => self.store_paths[number].set(state)?,
+            Fault::TurnAway(number, state) => self.store_paths[number].path.set(state)?,
+            Fault::Refuse(number, status) => self.store_paths[number].refused.set_all(status),
             Fault::Remove(number) => self.store.delete("servers", &self.endpoints[number].id),
             Fault::OddEntry(number) => {
                 let (kind, name, text) = odd_entry(number);
@@ -200,7 +201,7 @@
     fn configure(&mut self, change: impl Fn(&mut Value)) {
         let version = self.version.load(Ordering::SeqCst) + 1;
         let mut configuration = configuration(version);
-        add_version_route(&mut configuration, version);
+        add_version_routes(&mut configuration, version);
         change(&mut configuration);
         self.store.put("config", "main", configuration);
         self.acked_at.insert(version, Instant::now());
@@ -230,7 +231,8 @@
         self.store.set_mode(StoreMode::Up);
         self.store_link.set(Link::Healthy);
         self.cut(PathState::Open)?;
-        self.store_paths.iter().try_for_each(|path| path.set(PathState::Open))?;
+        self.store_paths.iter().for_each(|own| own.refused.set_all(None));
+        self.store_paths.iter().try_for_each(|own| own.path.set(PathState::Open))?;
         self.gateways.iter().try_for_each(|gateway| gateway.signal("CONT"))
     }
 }
@@ -250,6 +252,8 @@
     pub has_odd: bool,
     /// Whether the store turns single gateways away at times.
     pub has_outages: bool,
+    /// Whether the configuration then changes in quick succession at times.
+    pub has_series: bool,
 }
 
 impl Soak {
@@ -260,7 +264,8 @@
 }
 
 fn soak(soak: Soak) -> Result<String, String> {
-    let Soak { seed, seconds, gateways, clients, load, has_cuts, has_odd, has_outages } = soak;
+    let Soak { seed, seconds, gateways, clients, load, .. } = soak;
+    let Soak { has_cuts, has_odd, has_outages, has_series, .. } = soak;
     let mut site = Site::start(gateways, load, has_cuts, has_outages).map_err(|e| e.to_string())?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut faults = generate_faults(&mut rng, seconds * 1_000, gateways, ENDPOINTS);
@@ -287,6 +292,9 @@
     if has_outages {
         faults.retain(|(_, fault)| is_used_with_outages(fault));
         faults.extend(generate_outages(&mut rng, seconds * 1_000, gateways));
+        if has_series {
+            faults.extend(generate_series(&mut rng, seconds * 1_000, gateways));
+        }
         faults.sort_by_key(|(at_ms, _)| *at_ms);
     }
     if load == Load::Prompts {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -34,6 +34,15 @@
 const OUTAGE_RUN: [&str; 7] =
     ["--outages", "--first-seed", "1", "--seconds", "14", "--gateways", "4"];
 
+/// The same with changes in quick succession, and with refusals.
+const SERIES_RUN: [&str; 8] =
+    ["--outages", "--series", "--first-seed", "1", "--seconds", "10", "--gateways", "6"];
+
+#[test]
+fn gateways_follow_changes_in_quick_succession_in_a_short_soak_run() {
+    run_soak(&SERIES_RUN);
+}
+
 #[test]
 fn gateways_follow_changes_while_the_store_turns_others_away_in_a_short_soak_run() {
     run_soak(&OUTAGE_RUN);
