--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -82,6 +82,13 @@
         Ok(Gateway { name: name.to_owned(), address, ready, child, log })
     }
 
+    /// Sends it a signal by its name, such as `STOP`.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status()?;
+        if status.success() { Ok(()) } else { Err(io::Error::other(format!("kill: {status}"))) }
+    }
+
     /// Whether it says that it is ready, as the platform asks it.
     pub fn is_ready(&self) -> bool {
         let answer = || -> io::Result<String> {
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -81,6 +81,12 @@
         revision
     }
 
+    /// What the writer of an object set.
+    pub fn specification(&self, kind: &str, name: &str) -> Option<String> {
+        let key = (kind.to_owned(), name.to_owned());
+        self.state().objects.get(&key).map(|object| object.specification.clone())
+    }
+
     /// Removes an object.
     pub fn delete(&self, kind: &str, name: &str) {
         let mut state = self.state();
