--- a/review/2/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review/release/stalled_update
 [ -x "$program" ] && [ -x target/release/chervilspur-gateway ] || exit 2
-exec "$program" review/2/record.txt
+exec "$program" review/5/record.txt
