Show that a restarted gateway accepts a revoked key after a drill

Rule: CONFIG, a request sent later than revocation_ms after the acknowledgement of a config that took its key away runs, at any machine.

Cause: Store-Era is not read. A gateway that starts while the store is back from an older copy takes that for confirmed, and does not ask the gateways of other regions, which know better.

--- a/review/standins/src/bin/silent_watch.rs
+++ b/review/standins/src/bin/silent_watch.rs
@@ -23,7 +23,7 @@
 const CLIENTS: usize = 36;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(120);
 const LIMIT_MS: u64 = 2_000;
-const WORK: Work = Work { first_ms: 100, events: 0, pause_ms: 0 };
+const WORK: Work = Work { first_ms: 100, events: 0, pause_ms: 0, spoiled: 0 };
 /// How old the call that waits on the silenced channel is at most.
 const MAX_CALL_AGE_MS: u64 = 1_000;
 /// From the silence to the report of the runner that leaves.
--- a/review/standins/src/bin/stalled_update.rs
+++ b/review/standins/src/bin/stalled_update.rs
@@ -28,7 +28,7 @@
 const CONFIGURATION_MS: u64 = 3_000;
 const CLIENTS_EACH: usize = 3;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
-const WORK: Work = Work { first_ms: 10, events: 0, pause_ms: 0 };
+const WORK: Work = Work { first_ms: 10, events: 0, pause_ms: 0, spoiled: 0 };
 
 /// A request, as its client saw it.
 #[derive(Clone, Debug)]
--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -1,6 +1,6 @@
 //! The gateway as a process, started with the command of the deploy file.
 
-use std::fs::{self, File};
+use std::fs::{self, OpenOptions};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -18,13 +18,26 @@
     TcpListener::bind("127.0.0.1:0")?.local_addr()
 }
 
+fn spawn(settings: &Path, metrics: SocketAddr, log: &Path) -> io::Result<Child> {
+    let log = OpenOptions::new().create(true).append(true).open(log)?;
+    Command::new(PROGRAM)
+        .args(["--metrics", &metrics.to_string()])
+        .env("CHERVILSPUR_NODE_FILE", settings)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn()
+}
+
 /// A gateway process; killed when this value is dropped.
 #[derive(Debug)]
 pub struct Gateway {
     pub name: String,
     pub address: SocketAddr,
     pub ready: SocketAddr,
+    metrics: SocketAddr,
     child: Child,
+    settings: PathBuf,
     /// Where its log is written.
     pub log: PathBuf,
 }
@@ -32,9 +45,19 @@
 impl Gateway {
     /// Starts a gateway of the zone `z1` whose store is at `store`, and waits until it listens.
     pub fn start(name: &str, store: SocketAddr, folder: &Path) -> io::Result<Gateway> {
+        Gateway::start_in(("z1", "r1"), name, store, folder)
+    }
+
+    /// Starts a gateway of a zone and region: `z1` in `r1`, or `z2` in `r2`.
+    pub fn start_in(
+        place: (&str, &str),
+        name: &str,
+        store: SocketAddr,
+        folder: &Path,
+    ) -> io::Result<Gateway> {
         // Another process may take a port between its choice and its use.
         for _ in 0..MAX_STARTS {
-            let mut gateway = Gateway::start_once(name, store, folder)?;
+            let mut gateway = Gateway::start_once(place, name, store, folder)?;
             let limit = Instant::now() + START_LIMIT;
             while Instant::now() < limit && gateway.child.try_wait()?.is_none() {
                 if TcpStream::connect(gateway.ready).is_ok() {
@@ -47,12 +70,17 @@
     }
 
     /// Starts a gateway with the settings of a small deployment.
-    fn start_once(name: &str, store: SocketAddr, folder: &Path) -> io::Result<Gateway> {
+    fn start_once(
+        (zone, region): (&str, &str),
+        name: &str,
+        store: SocketAddr,
+        folder: &Path,
+    ) -> io::Result<Gateway> {
         let (address, ready) = (free_address()?, free_address()?);
         let (peers, metrics) = (free_address()?, free_address()?);
         let settings = format!(
             "node={name}\nrole=gateway\nmachine_class=front\nserves=front\nip_address=127.0.0.1\n\
-             zone=z1\nregion=r1\nzones.z1=r1\nlisten.front={address}\nlisten.ready={ready}\n\
+             zone={zone}\nregion={region}\nzones.z1=r1\nzones.z2=r2\nlisten.front={address}\nlisten.ready={ready}\n\
              internal_ports={port},{port}\nseeds=\nfirst_start=true\nloss_counts=false\n\
              limits.processor_share=0.25\nlimits.cores=1\nlimits.memory_mb=110\n\
              limits.file_descriptors=4100\nlimits.link_mbps=1000.0\nlimits.disk_mb=0\n\
@@ -72,14 +100,29 @@
         let path = folder.join(format!("{name}.conf"));
         fs::write(&path, settings)?;
         let log = folder.join(format!("{name}.log"));
-        let child = Command::new(PROGRAM)
-            .args(["--metrics", &metrics.to_string()])
-            .env("CHERVILSPUR_NODE_FILE", &path)
-            .stdin(Stdio::null())
-            .stdout(File::create(&log)?)
-            .stderr(Stdio::null())
-            .spawn()?;
-        Ok(Gateway { name: name.to_owned(), address, ready, child, log })
+        let child = spawn(&path, metrics, &log)?;
+        Ok(Gateway { name: name.to_owned(), address, ready, metrics, child, settings: path, log })
+    }
+
+    /// Kills its process (SIGKILL).
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait().map(|_| ())
+    }
+
+    /// Starts its process again, with the same settings.
+    pub fn start_again(&mut self) -> io::Result<()> {
+        self.child = spawn(&self.settings, self.metrics, &self.log)?;
+        Ok(())
+    }
+
+    /// The memory that its process occupies, in bytes; 0 if it has ended.
+    pub fn memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok());
+        kib.map_or(0, |kib: u64| kib * 1_024)
     }
 
     /// Sends it a signal by its name, such as `STOP`.
--- a/review/standins/src/runner.rs
+++ b/review/standins/src/runner.rs
@@ -6,6 +6,7 @@
 use std::io::{self, BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, ChildStdin, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -13,8 +14,15 @@
 /// How often a runner looks whether the channel of a request that it runs was closed.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// 125 MB a second: the speed of a link of 1,000 Mbit/s.
+const SPOILED_PIECE: usize = 1 << 20;
+const SPOILED_PAUSE: Duration = Duration::from_micros(8_400);
+
+static IS_FAULTY: AtomicBool = AtomicBool::new(false);
+static STREAMS: AtomicU64 = AtomicU64::new(0);
+
 /// How a runner works.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Work {
     /// The time of a plain request, or of a stream to its first event.
     pub first_ms: u64,
@@ -22,6 +30,8 @@
     pub events: u64,
     /// The time between two events.
     pub pause_ms: u64,
+    /// While the runner is faulty, one of so many streams is spoiled; 0 for none.
+    pub spoiled: u64,
 }
 
 /// What a runner did.
@@ -36,9 +46,10 @@
 /// Runs the process of a runner; returns when it cannot listen any more.
 pub fn serve(id: &str, listener: &TcpListener, work: Work) -> io::Result<()> {
     thread::spawn(|| {
-        let mut line = String::new();
         // The runner ends on its word or with its driver.
-        let _ = io::stdin().read_line(&mut line);
+        for line in io::stdin().lines().map_while(Result::ok) {
+            IS_FAULTY.store(line == "faulty", Ordering::SeqCst);
+        }
         std::process::exit(0);
     });
     let id: Arc<str> = Arc::from(id);
@@ -95,6 +106,11 @@
         return write!(writer, "{head}Content-Length: {}\r\n\r\n{body}", body.len());
     }
     write!(writer, "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+    let is_faulty = work.spoiled > 0 && IS_FAULTY.load(Ordering::SeqCst);
+    if is_faulty && STREAMS.fetch_add(1, Ordering::SeqCst) % work.spoiled == work.spoiled - 1 {
+        say("spoils", request);
+        return spoil(writer);
+    }
     let first = req.header("last-event-id").parse().map_or(1, |last: u64| last + 1);
     for number in first..=work.events {
         let event = format!("id: {number}\ndata: piece {number}\n\n");
@@ -104,6 +120,17 @@
     writer.write_all(b"0\r\n\r\n")
 }
 
+/// Sends bytes that are no events, at the speed of a link of 1,000 Mbit/s, until the channel is closed.
+fn spoil(writer: &mut TcpStream) -> io::Result<()> {
+    let bytes = vec![b'x'; SPOILED_PIECE];
+    loop {
+        write!(writer, "{:x}\r\n", bytes.len())?;
+        writer.write_all(&bytes)?;
+        writer.write_all(b"\r\n")?;
+        thread::sleep(SPOILED_PAUSE);
+    }
+}
+
 /// Works for a while; fails if the channel is closed meanwhile.
 fn wait_at_work(stream: &TcpStream, time_ms: u64) -> io::Result<()> {
     let until = now_ms() + time_ms;
@@ -138,7 +165,7 @@
         let program = std::env::current_exe()?;
         let mut child = Command::new(program)
             .args(["runner", id])
-            .args([work.first_ms, work.events, work.pause_ms].map(|n| n.to_string()))
+            .args([work.first_ms, work.events, work.pause_ms, work.spoiled].map(|n| n.to_string()))
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()?;
@@ -167,6 +194,12 @@
         self.events.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Makes it faulty, or sound again.
+    pub fn set_faulty(&mut self, is_faulty: bool) -> io::Result<()> {
+        let word = if is_faulty { "faulty" } else { "sound" };
+        self.stdin.as_mut().map_or(Ok(()), |stdin| writeln!(stdin, "{word}"))
+    }
+
     /// Lets it exit, whatever it works on.
     pub fn exit(&mut self) -> io::Result<()> {
         drop(self.stdin.take());
@@ -187,10 +220,11 @@
     }
 }
 
-/// The main function of a runner's process: `runner ID FIRST_MS EVENTS PAUSE_MS`.
+/// The main function of a runner's process: `runner ID FIRST_MS EVENTS PAUSE_MS SPOILED`.
 pub fn main(args: &[String]) -> io::Result<()> {
     let number = |at: usize| args.get(at).and_then(|word| word.parse().ok()).unwrap_or(0);
-    let work = Work { first_ms: number(1), events: number(2), pause_ms: number(3) };
+    let work =
+        Work { first_ms: number(1), events: number(2), pause_ms: number(3), spoiled: number(4) };
     let listener = TcpListener::bind("127.0.0.1:0")?;
     println!("{}", listener.local_addr()?);
     serve(args.first().map_or("", |id| id), &listener, work)
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -4,7 +4,7 @@
 use crate::json;
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -32,11 +32,24 @@
     event: String,
 }
 
+/// An older state of the store, from which it can come back.
+#[derive(Clone, Debug, Default)]
+pub struct Copy {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     changes: Vec<Change>,
+    /// The number that rises each time the store comes back from a copy.
+    era: u64,
+    /// Whether the store turns calls away.
+    is_away: bool,
+    /// The open channels.
+    channels: Vec<TcpStream>,
 }
 
 /// The store; clones share its state.
@@ -87,6 +100,33 @@
         self.state().objects.get(&key).map(|object| object.specification.clone())
     }
 
+    /// Copies the present state.
+    pub fn copy(&self) -> Copy {
+        let state = self.state();
+        Copy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Goes away: all channels are reset, and new ones are closed.
+    pub fn go_away(&self) {
+        let mut state = self.state();
+        state.is_away = true;
+        for channel in state.channels.drain(..) {
+            // A channel that has ended already cannot be shut down.
+            let _ = channel.shutdown(Shutdown::Both);
+        }
+        self.shared.1.notify_all();
+    }
+
+    /// Comes back from a copy.
+    pub fn come_back(&self, copy: Copy) {
+        let mut state = self.state();
+        state.changes.retain(|change| change.revision <= copy.revision);
+        state.revision = copy.revision;
+        state.objects = copy.objects;
+        state.era += 1;
+        state.is_away = false;
+    }
+
     /// Removes an object.
     pub fn delete(&self, kind: &str, name: &str) {
         let mut state = self.state();
@@ -103,11 +143,19 @@
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
+        let mut state = self.state();
+        if state.is_away {
+            return Ok(());
+        }
+        state.channels.push(stream.try_clone()?);
+        drop(state);
         let mut reader = BufReader::new(stream);
         while let Some(call) = read_message(&mut reader)? {
             let (status, body) = self.answer(&call);
+            let era = self.state().era;
             let head = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
+                 Content-Length: {}\r\n\r\n",
                 body.len()
             );
             writer.write_all((head + &body).as_bytes())?;
@@ -159,6 +207,9 @@
         let due = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
         let mut state = self.state();
         loop {
+            if since > state.revision {
+                return (410, String::from("{}"));
+            }
             let new = state.changes.iter().filter(|c| c.revision > since && c.kind == kind);
             let events: Vec<&str> = new.map(|change| &*change.event).collect();
             let left = due.saturating_duration_since(Instant::now());
