--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -127,8 +127,8 @@
 
     /// Sends it a signal by its name, such as `STOP`.
     pub fn signal(&self, name: &str) -> io::Result<()> {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill").args(["-s", name, &id]).status()?;
+        let command = format!("kill -s {name} {}", self.child.id());
+        let status = Command::new("sh").args(["-c", &command]).status()?;
         if status.success() { Ok(()) } else { Err(io::Error::other(format!("kill: {status}"))) }
     }
 
