--- a/review/standins/src/bin/kept_entry.rs
+++ b/review/standins/src/bin/kept_entry.rs
@@ -18,8 +18,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-const GATEWAYS: usize = 3;
-const CLIENTS: usize = 36;
+const GATEWAYS: usize = 20;
+const CLIENTS: usize = 40;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(120);
 const LIMIT_MS: u64 = 2_000;
 const WORK: Work = Work { first_ms: 100, events: 0, pause_ms: 0, spoiled: 0 };
@@ -176,7 +176,7 @@
         }
     }
     record.write(&record_path, started_ms)?;
-    // The machine that did not freeze is in touch all the time.
+    // The machines that did not freeze are in touch all the time.
     let judged_from = acked_ms + DRAIN_MS;
     let reached = runners[0].events();
     let late: BTreeSet<&str> = reached
