Interrupt streams whose event does not end

Cause: EventSplitter keeps all bytes after the last complete event, without a limit. As nothing is forwarded meanwhile, a slow client does not slow the endpoint down.

A stream whose incomplete event exceeds 256 KiB is interrupted, which resumes it at another endpoint if the route allows it. The endpoint gets the outcome of a failure; it is not taken for crashed, as the gateway ended the stream.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -30,6 +30,8 @@
 
 /// Chunks buffered for a slow client before the gateway pauses reading from the endpoint.
 const MAX_BUFFERED_CHUNKS: usize = 8;
+/// Maximum size of an event that is not complete yet; those of models hold a few tokens.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Responds to a client with a stream; a separate task forwards the events.
 pub(crate) fn relay<A: Adapter>(
@@ -175,6 +177,10 @@
             {
                 return StreamEnd::ClientLeft;
             }
+            if self.summary.unfinished_bytes > MAX_EVENT_BYTES {
+                let max_bytes = MAX_EVENT_BYTES;
+                return StreamEnd::Interrupted(Interruption::EventTooLong { max_bytes });
+            }
         }
     }
 
--- a/components/gateway/src/stream_end.rs
+++ b/components/gateway/src/stream_end.rs
@@ -20,6 +20,7 @@
             StreamEnd::Interrupted(Interruption::WithinEvent) => "within_event",
             StreamEnd::Interrupted(Interruption::BeforeFirstEvent) => "before_first_event",
             StreamEnd::Interrupted(Interruption::Discontinuous) => "discontinuous",
+            StreamEnd::Interrupted(Interruption::EventTooLong { .. }) => "event_too_long",
             StreamEnd::ClientLeft => "client_left",
         }
     }
@@ -38,12 +39,15 @@
     BeforeFirstEvent,
     #[snafu(display("endpoint did not go on after the last event"))]
     Discontinuous,
+    #[snafu(display("event exceeds {max_bytes} bytes"))]
+    EventTooLong { max_bytes: usize },
 }
 
 impl Interruption {
     /// Whether the endpoint or its connection ended the stream, rather than the gateway.
     pub(crate) fn is_caused_by_endpoint(&self) -> bool {
-        !matches!(self, Interruption::Deadline | Interruption::Discontinuous)
+        use Interruption::{Deadline, Discontinuous, EventTooLong};
+        !matches!(self, Deadline | Discontinuous | EventTooLong { .. })
     }
 }
 
--- a/fakes/src/platform/gateway.rs
+++ b/fakes/src/platform/gateway.rs
@@ -35,6 +35,8 @@
     pub grace_s: u64,
     /// The retries allowed on top of the retry ratio (`bounds.budget_extra_attempts`).
     pub extra_attempts: u64,
+    /// The memory limit of the process (`limits.memory_mb`), in MiB.
+    pub memory_mb: u64,
     /// The program; `None` for the one of this build.
     pub program: Option<PathBuf>,
 }
@@ -50,6 +52,7 @@
             configuration_ms: 3_000,
             grace_s: 8,
             extra_attempts: 54,
+            memory_mb: 110,
             program: None,
         }
     }
@@ -128,7 +131,8 @@
              listen.front={address}\nlisten.ready={ready}\ninternal_ports={},{}\n\
              bounds.grace_s={}\nbounds.strict_revocation=true\nbounds.revocation_ms={}\n\
              bounds.configuration_ms={}\nbounds.budget_ratio=0.2\n\
-             bounds.budget_window_s=10\nbounds.budget_extra_attempts={}\nplatform.address={store}\n{others}",
+             bounds.budget_window_s=10\nbounds.budget_extra_attempts={}\nlimits.memory_mb={}\n\
+             platform.address={store}\n{others}",
             cfg.name,
             cfg.data_centre,
             cfg.region,
@@ -140,6 +144,7 @@
             cfg.revocation_ms,
             cfg.configuration_ms,
             cfg.extra_attempts,
+            cfg.memory_mb,
         );
         let settings_path = std::env::temp_dir().join(format!(
             "chervilspur-{}-{}.conf",
@@ -224,6 +229,16 @@
         self.wait_for(|| !self.log_with(words).is_empty(), &format!("the log has {words:?}"))
     }
 
+    /// The most memory that the process has had so far, in bytes.
+    pub fn peak_memory(&self) -> io::Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|peak| peak.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+        kilobytes
+            .map(|kilobytes| kilobytes << 10)
+            .ok_or_else(|| io::Error::other(format!("process {} states no VmHWM", self.child.id())))
+    }
+
     /// Replaces text in its settings file.
     pub fn change_settings(&self, from: &str, to: &str) -> io::Result<()> {
         let text = fs::read_to_string(&self.settings_path)?;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod crashing_prompts;
 mod crashing_requests;
 mod cut_heads;
+mod endless_responses;
 mod failures;
 mod feed_traffic;
 mod framing;
