Keep lost followers from holding back a configuration

Cause: polls of lost followers still wait at the reader when a large change comes. Four followers at a time get pieces of it, and a lost one keeps its permit for 3 s, until MAX_SEND_TIME and the next maintenance.

Ruled out: a slow reader and a late watch of the store. In a run on the untouched code the reader is up to date at the acknowledgement, and all eight followers 3.16 s after it, within 2 ms of each other.

A follower now gets a piece only for a request that came after the change was known, and waits 200 ms for its turn before it asks again. So none that was lost before takes a permit, however many there are. A response is awaited for 0.6 s and the time of four such responses at 100 KB/s, 3 s at most, so followers that are lost with a piece hold up others once, for 1.3 s. Copies of the registry, which took the same permits, have their own. Daemons of earlier builds ask again after a response without a piece as well.

--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -3,7 +3,7 @@
 use crate::configuration_updates::{MAX_SMALL_BYTES, is_large, lacks_configuration, next_piece};
 use crate::feed_response::{build_feed_response, empty_response, endpoint_groups};
 use crate::gateway::Gateway;
-use crate::large_responses::BUSY;
+use crate::large_responses::{BUSY, LargeContent, LargePermit};
 use crate::metrics::FeedLabels;
 use crate::notices::receive_notices;
 use crate::response::ResponseBody;
@@ -11,18 +11,21 @@
 use decision::Millis;
 use decision::routing::{NoticeSource, Peer, Reporter};
 use http::{Request, Response, StatusCode};
+use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use messages::endpoint_loads;
 use messages::feed::{FeedRequest, FeedResponse};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::timeout;
 
 const MAX_REQUEST_BYTES: usize = 1 << 20;
 /// Maximum time to wait for a change, whatever the follower requests.
 const MAX_WAIT: Millis = Millis(5_000);
+/// Maximum time for which a follower waits for its turn to get a piece of a large update. It asks again
+/// after that, unless it has been lost, and only its last request can hold up others.
+const MAX_PIECE_WAIT: Millis = Millis(200);
 
 /// Responds to a daemon that follows this one or exchanges the loads of its data centre.
 pub(crate) async fn respond<A: Adapter>(
@@ -89,8 +92,10 @@
             return text_response(StatusCode::SERVICE_UNAVAILABLE, text);
         }
         if let Some(permit) = permit_for_large_response(gateway, req, arrived).await {
-            gateway.large_responses.begin(&req.name, permit, now());
-            return encode(gateway, &build_feed_response(gateway, req, arrived, true));
+            let response = encode(gateway, &build_feed_response(gateway, req, arrived, true));
+            let bytes = response.body().size_hint().exact().unwrap_or(0) as usize;
+            gateway.large_responses.begin(&req.name, permit, bytes, now());
+            return response;
         }
         if needs_large_copy(gateway, req) {
             return text_response(StatusCode::SERVICE_UNAVAILABLE, BUSY.to_owned());
@@ -100,31 +105,39 @@
 }
 
 /// Waits for something to send to a follower. Returns a permit if it needs the complete registry or a
-/// piece of a large update. While others receive that update, the follower gets the rest of the feed.
+/// piece of a large update. Meanwhile the follower gets the rest of the feed, and asks again:
+///
+/// - while others receive that update;
+/// - if it has waited for a change, since it may have been lost since it asked.
 async fn permit_for_large_response<A: Adapter>(
     gateway: &Gateway<A>,
     req: &FeedRequest,
     arrived: Millis,
-) -> Option<OwnedSemaphorePermit> {
-    let held = gateway.large_responses.finish(&req.name);
-    let held = held.filter(|_| lacks_configuration(gateway, req));
+) -> Option<LargePermit> {
+    let asks_for_piece = lacks_configuration(gateway, req);
+    let held = gateway.large_responses.finish(&req.name).filter(|_| asks_for_piece);
     if has_position(gateway, req) {
         wait_for_change(gateway, req).await;
     }
     let has_large_piece = next_piece(gateway, req).is_some_and(|piece| is_large(&piece));
-    let needs_large_copy = needs_large_copy(gateway, req);
-    if !has_large_piece && !needs_large_copy {
+    let needs_piece = asks_for_piece && has_large_piece;
+    let needs_copy = needs_large_copy(gateway, req);
+    if !needs_copy && !needs_piece {
         return None;
     }
-    if held.is_some() {
-        return held;
+    let content = if needs_copy { LargeContent::Copy } else { LargeContent::Piece };
+    if let Some(permit) = held.filter(|permit| permit.is_for(content)) {
+        return Some(permit);
     }
-    let left = match has_position(gateway, req) || needs_large_copy {
-        true => Millis(req.wait_ms).min(MAX_WAIT) - now().since(arrived),
+    let left = Millis(req.wait_ms).min(MAX_WAIT) - now().since(arrived);
+    let left = match needs_copy {
+        true => left,
+        false if has_position(gateway, req) => left.min(MAX_PIECE_WAIT),
         // What it lacks of the registry does not wait for a piece of a configuration.
         false => Millis(0),
     };
-    timeout(Duration::from_millis(left.0), gateway.large_responses.permit()).await.ok()?
+    let permit = gateway.large_responses.permit(content, now());
+    timeout(Duration::from_millis(left.0), permit).await.ok()?
 }
 
 /// Whether a follower needs so much of the registry that only a few can get it at a time: all of it, or
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod feed_traffic;
 mod framing;
 mod leaving_endpoints;
+mod lost_followers;
 mod monitoring;
 mod odd_entries;
 mod out_of_step;
