Bound the bytes of all responses that are kept together

Cause: each response may have 16 MiB, and their sum has no limit.

The bytes that are kept share a fifth of the memory limit, those of the store and other daemons a tenth of their own, so that faulty endpoints do not keep a configuration out. A response may take as much as it leaves free, a dynamic threshold: n responses without end leave as much to others as each of them gets. Bodies are copied into one buffer in place of a list of pieces that keep their read buffers, and 32 KiB are read ahead in place of 400.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::in_flight::InFlightRequest;
+use crate::kept_body::KeptBody;
 use crate::log::LineKind;
 use crate::metrics::AttemptLabels;
 use crate::notices::{observe_limit, record_completion};
@@ -22,7 +23,7 @@
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, TRANSFER_ENCODING,
 };
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -208,7 +209,7 @@
             return Ok(EndpointResponse::Streaming(Box::new(streaming)));
         }
     }
-    let body = match collect(body, request, now()).await {
+    let body = match collect(gateway, body, request, now()).await {
         Ok(body) => body,
         Err(text) if response_head.not_run => {
             busy.in_flight.close(not_run_outcome(head.status));
@@ -285,7 +286,9 @@
         ConnectionError::ResponseTimeout { .. } if now >= request.first_byte_due => Outcome::Silent,
         ConnectionError::ResponseTimeout { .. } => Outcome::Abandoned,
         ConnectionError::Unsent { .. } | ConnectionError::Left { .. } => Outcome::Abandoned,
-        ConnectionError::Broken { .. } | ConnectionError::Body { .. } => Outcome::Failed,
+        ConnectionError::Broken { .. }
+        | ConnectionError::Body { .. }
+        | ConnectionError::Target { .. } => Outcome::Failed,
     }
 }
 
@@ -368,14 +371,17 @@
     req
 }
 
-async fn collect(body: Incoming, request: &RoutedRequest, now: Millis) -> Result<Bytes, String> {
+async fn collect<A: Adapter>(
+    gateway: &Gateway<A>,
+    body: Incoming,
+    request: &RoutedRequest,
+    now: Millis,
+) -> Result<Bytes, String> {
     let limit = request.time_left(now) + LATE_RESPONSE_MARGIN;
-    let complete = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+    let complete = KeptBody::new(&gateway.endpoint_memory, MAX_RESPONSE_BYTES).receive_all(body);
     match timeout(Duration::from_millis(limit.0), complete).await {
-        Ok(Ok(complete)) => Ok(complete.to_bytes()),
-        Ok(Err(e)) => {
-            Err(format!("response body exceeds {MAX_RESPONSE_BYTES} bytes or ended early: {e}"))
-        }
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(e)) => Err(e.to_string()),
         Err(_) => Err(format!("response body still incomplete {} ms after the head", limit.0)),
     }
 }
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -1,7 +1,9 @@
+use crate::kept_body::{BodyError, KeptBody};
+use crate::response_memory::ResponseMemory;
 use bytes::Bytes;
 use decision::Millis;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -19,6 +21,8 @@
 const USER_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Idle time before the first TCP keep-alive probe.
 const KEEPALIVE_IDLE_TIME: Duration = Duration::from_secs(1);
+/// Maximum size of a response head, and of the bytes that are read ahead of their use.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
 /// Time between TCP keep-alive probes; the kernel counts it in whole seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes after which the kernel closes a connection.
@@ -48,8 +52,10 @@
     Broken { address: SocketAddr, source: hyper::Error },
     #[snafu(display("{address}: no response within {} ms, {received} bytes received", limit.0))]
     ResponseTimeout { address: SocketAddr, limit: Millis, received: usize },
-    #[snafu(display("{address}: response exceeds {max_bytes} bytes or ended early: {text}"))]
-    Body { address: SocketAddr, max_bytes: usize, text: String },
+    #[snafu(display("{address}: {source}"))]
+    Body { address: SocketAddr, source: BodyError },
+    #[snafu(display("{address}: invalid request target: {text}"))]
+    Target { address: SocketAddr, text: String },
 }
 
 /// Formats the innermost cause of an error; empty if it has none.
@@ -106,8 +112,11 @@
             Err(_) => return ConnectTimeoutSnafu { address, limit }.fail(),
         };
         set_socket_options(&stream, USER_TIMEOUT).context(ConnectSnafu { address })?;
-        let (sender, driver) =
-            http1::handshake(TokioIo::new(stream)).await.context(BrokenSnafu { address })?;
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .context(BrokenSnafu { address })?;
         spawn_local(async move {
             if let Err(e) = driver.await {
                 tracing::debug!(event = "connection_ended", %address, error = %e);
@@ -150,7 +159,7 @@
         let req = Request::get(target)
             .header(http::header::HOST, host)
             .body(Full::new(Bytes::new()))
-            .map_err(|e| ConnectionError::Body { address, max_bytes: 0, text: e.to_string() })?;
+            .map_err(|e| ConnectionError::Target { address, text: e.to_string() })?;
         self.send(req, limit).await
     }
 
@@ -159,9 +168,10 @@
         &mut self,
         req: Request<Full<Bytes>>,
         limits: ResponseLimits,
+        memory: &ResponseMemory,
     ) -> Result<(StatusCode, Bytes), ConnectionError> {
         let response = self.send(req, limits.head).await?;
-        self.read(response, limits).await
+        self.read(response, limits, memory).await
     }
 
     /// Reads the complete body of a response.
@@ -169,42 +179,41 @@
         &self,
         response: Response<Incoming>,
         limits: ResponseLimits,
+        memory: &ResponseMemory,
     ) -> Result<(StatusCode, Bytes), ConnectionError> {
         let address = self.address;
         let status = response.status();
-        let mut received = Vec::new();
-        let complete = collect(address, response.into_body(), &mut received, limits);
+        let mut kept = KeptBody::new(memory, limits.max_bytes);
+        let complete = collect(address, response.into_body(), &mut kept, limits.pause);
         match timeout(Duration::from_millis(limits.body.0), complete).await {
             Ok(result) => result?,
             Err(_) => {
-                let (limit, received) = (limits.body, received.len());
+                let (limit, received) = (limits.body, kept.len());
                 return ResponseTimeoutSnafu { address, limit, received }.fail();
             }
         }
-        Ok((status, Bytes::from(received)))
+        Ok((status, kept.into_bytes()))
     }
 }
 
-/// Appends a body to `received`.
+/// Receives a body to its end, unless there is a pause of `pause` without further bytes.
 async fn collect(
     address: SocketAddr,
-    body: Incoming,
-    received: &mut Vec<u8>,
-    limits: ResponseLimits,
+    mut body: Incoming,
+    kept: &mut KeptBody,
+    pause: Millis,
 ) -> Result<(), ConnectionError> {
-    let max_bytes = limits.max_bytes;
-    let mut body = Limited::new(body, max_bytes);
     loop {
-        let Ok(frame) = timeout(Duration::from_millis(limits.pause.0), body.frame()).await else {
-            let (limit, received) = (limits.pause, received.len());
-            return ResponseTimeoutSnafu { address, limit, received }.fail();
-        };
-        match frame {
-            Some(Ok(frame)) => received.extend_from_slice(&frame.into_data().unwrap_or_default()),
-            Some(Err(e)) => {
-                return BodySnafu { address, max_bytes, text: e.to_string() }.fail();
+        match timeout(Duration::from_millis(pause.0), kept.receive(&mut body)).await {
+            Ok(received) => {
+                if !received.context(BodySnafu { address })? {
+                    return Ok(());
+                }
+            }
+            Err(_) => {
+                let (limit, received) = (pause, kept.len());
+                return ResponseTimeoutSnafu { address, limit, received }.fail();
             }
-            None => return Ok(()),
         }
     }
 }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use crate::pool::Pool;
 use crate::registry_copies::{PackedEndpoints, RegistryCopies};
 use crate::registry_log::log_registry_changes;
+use crate::response_memory::ResponseMemory;
 use crate::settings::Settings;
 use crate::shutdown::Shutdown;
 use crate::software_versions::SoftwareVersions;
@@ -30,6 +31,11 @@
 use tokio::sync::{Mutex, Notify};
 use tokio::time::timeout;
 
+/// The part of the memory limit for the responses of endpoints is one in this number. Buffers take up to
+/// twice their content while they grow.
+const ENDPOINT_MEMORY_PART: u64 = 5;
+/// The same for the responses of the store and of other daemons: several times a configuration of 1 MB.
+const CONTROL_MEMORY_PART: u64 = 10;
 /// Changes kept for followers: enough for some seconds of rapid registry changes.
 const CHANGE_LOG_LIMIT: usize = 1_000;
 
@@ -103,6 +109,11 @@
     pub(crate) quarantine_changed: Notify,
     registry_copies: RefCell<RegistryCopies>,
     pub(crate) large_responses: LargeResponses,
+    /// Memory for the responses of endpoints, also those that other daemons pass on.
+    pub(crate) endpoint_memory: ResponseMemory,
+    /// Memory for the responses of the store and of other daemons about their own state, which do not wait
+    /// for those of endpoints.
+    pub(crate) control_memory: ResponseMemory,
     pub(crate) update_source: CurrentSource,
     pub(crate) reachability: RefCell<Reachability>,
     /// Whether this daemon reached no endpoint when it last looked.
@@ -120,6 +131,12 @@
     pub(crate) queue_progress: Notify,
 }
 
+/// The memory for responses that is one part of `parts` of the limit of the process.
+fn part_of_memory(settings: &Settings, parts: u64) -> ResponseMemory {
+    let bytes = settings.memory_limit_bytes / parts;
+    ResponseMemory::new(usize::try_from(bytes).unwrap_or(usize::MAX))
+}
+
 impl<A: Adapter> Gateway<A> {
     pub(crate) fn new(adapter: A, settings: Settings, seed: u64) -> Gateway<A> {
         let own = Peer {
@@ -141,6 +158,8 @@
             source_health: RefCell::default(),
             loads: RefCell::new(LoadTable::new(PlacementConfig::default())),
             retry_budget: RefCell::new(RetryBudget::new(settings.retry_budget)),
+            endpoint_memory: part_of_memory(&settings, ENDPOINT_MEMORY_PART),
+            control_memory: part_of_memory(&settings, CONTROL_MEMORY_PART),
             settings: RefCell::new(Rc::new(settings)),
             pool: RefCell::default(),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
--- a/components/gateway/src/load_reports.rs
+++ b/components/gateway/src/load_reports.rs
@@ -90,7 +90,7 @@
         };
         let connection_slot = &mut partner.connection;
         let limits = ResponseLimits::within(REMOTE_TIMEOUT, MAX_RESPONSE_BYTES);
-        match call(connection_slot, address, &feed_req, REMOTE_TIMEOUT, limits).await {
+        match call(gateway, connection_slot, address, &feed_req, REMOTE_TIMEOUT, limits).await {
             Ok(feed) => {
                 let incarnation = Some(feed.position.incarnation);
                 partner.lacks_notices = partner.incarnation != incarnation;
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -165,7 +165,8 @@
             body: BODY_TIMEOUT,
             max_bytes: MAX_RESPONSE_BYTES,
         };
-        let feed = call(&mut self.connection, address, &feed_req, CONNECT_TIMEOUT, limits).await?;
+        let feed = call(gateway, &mut self.connection, address, &feed_req, CONNECT_TIMEOUT, limits)
+            .await?;
         self.told_notices.extend(told.into_iter().map(|id| (id, sent)));
         Ok((feed, sent))
     }
@@ -203,7 +204,7 @@
     let Ok(address) = replaced.address.parse::<SocketAddr>() else { return };
     let feed_req = FeedRequest { takes_over: true, ..feed_request(gateway) };
     let limits = ResponseLimits::within(RESPONSE_MARGIN, MAX_RESPONSE_BYTES);
-    let announced = call(&mut None, address, &feed_req, CONNECT_TIMEOUT, limits).await;
+    let announced = call(gateway, &mut None, address, &feed_req, CONNECT_TIMEOUT, limits).await;
     if let Err((_, text)) = announced {
         tracing::info!(event = "takeover_not_announced", peer = %replaced.name, text);
     }
@@ -238,7 +239,8 @@
 }
 
 /// Calls another daemon, on the connection of the last call if it is still open.
-pub(crate) async fn call(
+pub(crate) async fn call<A: Adapter>(
+    gateway: &Gateway<A>,
     connection_slot: &mut Option<Connection>,
     address: SocketAddr,
     feed_req: &FeedRequest,
@@ -257,8 +259,8 @@
     *req.method_mut() = Method::POST;
     *req.uri_mut() = http::Uri::from_static(PATH);
     req.headers_mut().extend(address.to_string().parse().ok().map(|host| (HOST, host)));
-    let (status, body) =
-        connection.send_and_read(req, limits).await.map_err(|e| unreachable(e.to_string()))?;
+    let sent = connection.send_and_read(req, limits, &gateway.control_memory).await;
+    let (status, body) = sent.map_err(|e| unreachable(e.to_string()))?;
     *connection_slot = Some(connection);
     match status {
         StatusCode::OK => rmp_serde::from_slice(&body)
--- a/components/gateway/src/registry_outage.rs
+++ b/components/gateway/src/registry_outage.rs
@@ -65,7 +65,7 @@
     };
     let feed_req = FeedRequest { whole_data_centre: true, ..feed_request(gateway) };
     let limits = ResponseLimits::within(REMOTE_TIMEOUT, MAX_RESPONSE_BYTES);
-    match call(&mut None, address, &feed_req, REMOTE_TIMEOUT, limits).await {
+    match call(gateway, &mut None, address, &feed_req, REMOTE_TIMEOUT, limits).await {
         Ok(feed) => feed.continuous_ms.map(Millis),
         Err((_, text)) => {
             tracing::info!(event = "availability_unknown", data_centre, text);
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::notices::record_completion;
 use crate::queue::{WaitOutcome, wait_for_endpoint};
 use crate::response::ResponseBody;
+use crate::response_memory::Reservation;
 use crate::routed_request::RoutedRequest;
 use crate::serve::{ANSWERED, FinishedRequest, finish};
 use crate::software_versions::check_versions_known;
@@ -54,6 +55,7 @@
         writer,
         summary: StreamSummary::new(streaming.framing),
         splitter: EventSplitter::default(),
+        reservation: gateway.endpoint_memory.reservation(),
         has_begun: false,
         tried,
         sends,
@@ -69,6 +71,8 @@
     /// The stream that is being forwarded, or was forwarded last.
     summary: StreamSummary,
     splitter: EventSplitter,
+    /// Covers the incomplete event.
+    reservation: Reservation,
     order: EventOrder,
     /// Whether the next event has to go on after those of another endpoint.
     is_continuation: bool,
@@ -177,13 +181,24 @@
             {
                 return StreamEnd::ClientLeft;
             }
-            if self.summary.unfinished_bytes > MAX_EVENT_BYTES {
-                let max_bytes = MAX_EVENT_BYTES;
-                return StreamEnd::Interrupted(Interruption::EventTooLong { max_bytes });
+            if let Err(interruption) = self.reserve_partial_event() {
+                return StreamEnd::Interrupted(interruption);
             }
         }
     }
 
+    /// Reserves memory for the bytes of an incomplete event.
+    fn reserve_partial_event(&mut self) -> Result<(), Interruption> {
+        let bytes = self.summary.unfinished_bytes;
+        if bytes > MAX_EVENT_BYTES {
+            return Err(Interruption::EventTooLong { max_bytes: MAX_EVENT_BYTES });
+        }
+        if !self.reservation.resize(bytes) {
+            return Err(Interruption::OutOfMemory { bytes, limit: self.reservation.limit() });
+        }
+        Ok(())
+    }
+
     /// Records the software version of the stream with the first event that is forwarded.
     fn record_beginning(&mut self, connection: &BusyConnection<A>) {
         if self.has_begun {
@@ -228,6 +243,8 @@
     /// it is not.
     async fn resume(&mut self) -> Result<StreamingResponse<A>, String> {
         self.splitter.take_partial();
+        // Less always fits.
+        self.reservation.resize(0);
         self.is_continuation = self.has_begun || self.request.last_event.is_some();
         if self.has_begun {
             check_versions_known(&self.gateway, now())?;
--- a/components/gateway/src/relayed_request.rs
+++ b/components/gateway/src/relayed_request.rs
@@ -3,6 +3,7 @@
 use crate::clock::now;
 use crate::connection::{Connection, ConnectionError};
 use crate::gateway::Gateway;
+use crate::kept_body::KeptBody;
 use crate::metrics::RouteLabels;
 use crate::response::{CompleteResponse, ResponseBody};
 use crate::routed_request::RoutedRequest;
@@ -11,7 +12,7 @@
 use decision::Millis;
 use decision::routing::Peer;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use rand::RngExt;
 use std::rc::Rc;
@@ -122,10 +123,10 @@
         return RelayOutcome::Answered(Box::new(response));
     }
     let limit = Duration::from_millis((request.time_left(now()) + LATE_RESPONSE_MARGIN).0);
-    let complete = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+    let complete = KeptBody::new(&gateway.endpoint_memory, MAX_RESPONSE_BYTES).receive_all(body);
     match timeout(limit, complete).await {
         Ok(Ok(body)) => {
-            let response = CompleteResponse { status: head.status, headers, body: body.to_bytes() };
+            let response = CompleteResponse { status: head.status, headers, body };
             RelayOutcome::Answered(Box::new(response.into_response()))
         }
         Ok(Err(e)) => RelayOutcome::Broken(e.to_string()),
--- a/components/gateway/src/store_connection.rs
+++ b/components/gateway/src/store_connection.rs
@@ -73,14 +73,13 @@
         let mut req = Request::new(Full::new(body));
         *req.method_mut() = method;
         *req.uri_mut() = target.parse().map_err(|e: http::uri::InvalidUri| {
-            ConnectionError::Body { address, max_bytes: 0, text: e.to_string() }
+            ConnectionError::Target { address, text: e.to_string() }
         })?;
         let host = address.to_string();
         req.headers_mut().extend(host.parse().ok().map(|host| (HOST, host)));
         req.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        let response = connection
-            .send_and_read(req, ResponseLimits::within(self.limit, MAX_RESPONSE_BYTES))
-            .await?;
+        let limits = ResponseLimits::within(self.limit, MAX_RESPONSE_BYTES);
+        let response = connection.send_and_read(req, limits, &gateway.control_memory).await?;
         self.connection = Some(connection);
         Ok(response)
     }
--- a/components/gateway/src/stream_end.rs
+++ b/components/gateway/src/stream_end.rs
@@ -21,6 +21,7 @@
             StreamEnd::Interrupted(Interruption::BeforeFirstEvent) => "before_first_event",
             StreamEnd::Interrupted(Interruption::Discontinuous) => "discontinuous",
             StreamEnd::Interrupted(Interruption::EventTooLong { .. }) => "event_too_long",
+            StreamEnd::Interrupted(Interruption::OutOfMemory { .. }) => "out_of_memory",
             StreamEnd::ClientLeft => "client_left",
         }
     }
@@ -41,13 +42,17 @@
     Discontinuous,
     #[snafu(display("event exceeds {max_bytes} bytes"))]
     EventTooLong { max_bytes: usize },
+    #[snafu(display(
+        "event of over {bytes} bytes does not fit into the {limit} bytes for responses"
+    ))]
+    OutOfMemory { bytes: usize, limit: usize },
 }
 
 impl Interruption {
     /// Whether the endpoint or its connection ended the stream, rather than the gateway.
     pub(crate) fn is_caused_by_endpoint(&self) -> bool {
-        use Interruption::{Deadline, Discontinuous, EventTooLong};
-        !matches!(self, Deadline | Discontinuous | EventTooLong { .. })
+        use Interruption::{Deadline, Discontinuous, EventTooLong, OutOfMemory};
+        !matches!(self, Deadline | Discontinuous | EventTooLong { .. } | OutOfMemory { .. })
     }
 }
 
