Leave the retry budget to the predecessor of a process that restarts

Cause: the budget lives in the process. Retries are not spread over the window, so a gateway that is killed may have spent all that the last 10 s allow, and its successor spends a share of its own requests and a part of the extra again.

Ruled out: wrong numbers of daemons (7 in all processes).

A process repeats nothing until its predecessor is out of the window, unless the whole system starts for the first time. A retry counts until it has arrived, and 0.95 of the share are used, as the requests of a window of arrivals are not quite those before a decision.

retries_before_the_window_no_longer_count expected a retry to be forgotten after 10.001 s; it may arrive 0.6 s after its decision, so the test now expects 10.601 s and checks that it still counts 1 ms before.

--- a/components/decision/src/routing/retry_budget.rs
+++ b/components/decision/src/routing/retry_budget.rs
@@ -1,6 +1,14 @@
 use crate::Millis;
 use std::collections::{BTreeMap, VecDeque};
 
+/// Maximum time from the decision on a retry to its arrival at the endpoint: that of a new connection.
+/// The arrivals in a window were decided on up to this time before it.
+const MAX_DELIVERY_TIME: Millis = Millis(600);
+
+/// The part of the share that is used. The requests of a window of retries are not quite those of the
+/// window before a decision.
+const USED_SHARE: f64 = 0.95;
+
 /// Limits the retries at another endpoint for each service, over all daemons together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBudgetConfig {
@@ -26,12 +34,15 @@
 }
 
 impl Window {
-    fn expire(&mut self, before: Millis) {
-        for times in [&mut self.requests, &mut self.retries] {
-            while times.front().is_some_and(|at| *at < before) {
-                times.pop_front();
-            }
-        }
+    fn expire(&mut self, length: Millis, now: Millis) {
+        remove_before(&mut self.requests, now - length);
+        remove_before(&mut self.retries, now - (length + MAX_DELIVERY_TIME));
+    }
+}
+
+fn remove_before(times: &mut VecDeque<Millis>, before: Millis) {
+    while times.front().is_some_and(|at| *at < before) {
+        times.pop_front();
     }
 }
 
@@ -42,19 +53,29 @@
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     cfg: RetryBudgetConfig,
+    /// Time from which requests are retried.
+    retries_from: Millis,
     services: BTreeMap<String, Window>,
 }
 
 impl RetryBudget {
     /// Creates a budget whose windows are empty.
     pub fn new(cfg: RetryBudgetConfig) -> RetryBudget {
-        RetryBudget { cfg, services: BTreeMap::new() }
+        RetryBudget { cfg, retries_from: Millis(0), services: BTreeMap::new() }
+    }
+
+    /// Creates a budget for a process that may have had a predecessor until `now`. That one may have
+    /// spent all that its requests and those since allow, so nothing is spent until it is out of the
+    /// window.
+    pub fn after_restart(cfg: RetryBudgetConfig, now: Millis) -> RetryBudget {
+        let retries_from = now + cfg.window + MAX_DELIVERY_TIME;
+        RetryBudget { retries_from, ..RetryBudget::new(cfg) }
     }
 
     /// Records a request for a service, of which a share may be retried.
     pub fn record_request(&mut self, service: &str, now: Millis) {
         let window = self.services.entry(service.to_owned()).or_default();
-        window.expire(now - self.cfg.window);
+        window.expire(self.cfg.window, now);
         window.requests.push_back(now);
     }
 
@@ -62,8 +83,11 @@
     /// number of daemons is unknown (`None`), the extra retries are not used.
     pub fn try_spend(&mut self, service: &str, daemons: Option<usize>, now: Millis) -> bool {
         let window = self.services.entry(service.to_owned()).or_default();
-        window.expire(now - self.cfg.window);
-        let share = self.cfg.ratio * window.requests.len() as f64;
+        window.expire(self.cfg.window, now);
+        if now < self.retries_from {
+            return false;
+        }
+        let share = USED_SHARE * self.cfg.ratio * window.requests.len() as f64;
         let extra = daemons.map_or(0.0, |daemons| self.cfg.extra / daemons.max(1) as f64);
         if (window.retries.len() + 1) as f64 > share + extra {
             return false;
--- a/components/decision/tests/routing/freshness_and_retry_budget.rs
+++ b/components/decision/tests/routing/freshness_and_retry_budget.rs
@@ -114,5 +114,54 @@
         RetryBudget::new(RetryBudgetConfig { extra: 1.0, ..RetryBudgetConfig::default() });
     assert!(budget.try_spend("pool", Some(1), Millis(0)));
     assert!(!budget.try_spend("pool", Some(1), Millis(9_999)));
-    assert!(budget.try_spend("pool", Some(1), Millis(10_001)));
+    // The second retry may have arrived later than the first by the time of a connection attempt.
+    assert!(!budget.try_spend("pool", Some(1), Millis(10_600)));
+    assert!(budget.try_spend("pool", Some(1), Millis(10_601)));
+}
+
+/// Retries that arrive at any time within the time of a connection attempt after they were decided on.
+#[test]
+fn retries_that_arrive_late_stay_within_the_budget() {
+    let cfg = RetryBudgetConfig { ratio: 0.0, window: Millis(10_000), extra: 54.0 };
+    let mut budget = RetryBudget::new(cfg);
+    let mut arrivals = Vec::new();
+    for now in 0..40_000 {
+        while budget.try_spend("pool", Some(1), Millis(now)) {
+            // The first of a burst is the last to arrive.
+            let delay = if now < 10_000 { 600 } else { 0 };
+            arrivals.push(now + delay);
+        }
+    }
+    for from in 0..30_000 {
+        let repeats = arrivals.iter().filter(|at| (from..from + 10_000).contains(*at)).count();
+        assert!(repeats <= 54, "{repeats} retries arrive from {from} to {} ms", from + 10_000);
+    }
+}
+
+/// Most requests fail, so each process spends what it may within a part of the window.
+#[test]
+fn daemon_that_restarts_does_not_spend_the_part_of_its_predecessor_again() {
+    let cfg = RetryBudgetConfig { ratio: 0.2, window: Millis(10_000), extra: 7.0 };
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    let mut budget = RetryBudget::new(cfg);
+    for now in 0..100_000 {
+        if [16_000, 40_000, 43_000].contains(&now) {
+            budget = RetryBudget::after_restart(cfg, Millis(now));
+        }
+        if now % 20 == 0 {
+            requests.push(now);
+            budget.record_request("pool", Millis(now));
+            if now > 10_000 && budget.try_spend("pool", Some(1), Millis(now)) {
+                retries.push(now);
+            }
+        }
+    }
+    for from in 0..90_000 {
+        let within =
+            |times: &[u64]| times.iter().filter(|at| (from..from + 10_000).contains(*at)).count();
+        let allowed = 0.2 * within(&requests) as f64 + 7.0;
+        let repeats = within(&retries);
+        assert!(repeats as f64 <= allowed, "{repeats} retries from {from} ms, {allowed} allowed");
+    }
+    assert!(retries.len() > requests.len() / 10, "{} retries", retries.len());
 }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -131,6 +131,13 @@
     pub(crate) queue_progress: Notify,
 }
 
+fn retry_budget(settings: &Settings, now: Millis) -> RetryBudget {
+    match settings.is_first_start {
+        true => RetryBudget::new(settings.retry_budget),
+        false => RetryBudget::after_restart(settings.retry_budget, now),
+    }
+}
+
 /// The memory for responses that is one part of `parts` of the limit of the process.
 fn part_of_memory(settings: &Settings, parts: u64) -> ResponseMemory {
     let bytes = settings.memory_limit_bytes / parts;
@@ -157,7 +164,7 @@
             freshness: RefCell::default(),
             source_health: RefCell::default(),
             loads: RefCell::new(LoadTable::new(PlacementConfig::default())),
-            retry_budget: RefCell::new(RetryBudget::new(settings.retry_budget)),
+            retry_budget: RefCell::new(retry_budget(&settings, now())),
             endpoint_memory: part_of_memory(&settings, ENDPOINT_MEMORY_PART),
             control_memory: part_of_memory(&settings, CONTROL_MEMORY_PART),
             settings: RefCell::new(Rc::new(settings)),
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -30,6 +30,8 @@
     pub stop_timeout: Millis,
     /// The retry budget of the whole fleet; each daemon uses its share.
     pub retry_budget: RetryBudgetConfig,
+    /// Whether the whole system starts for the first time, so that this process has no predecessor.
+    pub is_first_start: bool,
     /// The address on which other daemons connect; without one, this daemon neither follows peers
     /// nor is followed.
     pub listen_peers: Option<SocketAddr>,
@@ -55,6 +57,7 @@
             configuration_bound: None,
             stop_timeout: Millis(8_000),
             retry_budget: RetryBudgetConfig::default(),
+            is_first_start: false,
             listen_peers: None,
             data_centre: "local".to_owned(),
             memory_limit_bytes: 128 << 20,
--- a/fakes/src/platform/endpoint.rs
+++ b/fakes/src/platform/endpoint.rs
@@ -24,6 +24,9 @@
     Reject,
     /// Runs the request and closes the connection without a response.
     Close,
+    /// Fails so many of a thousand requests, spread evenly: in turn as with `Close`, `Reject` and
+    /// `Fail`.
+    FailSome(u32),
     /// Runs the request and closes the connection in the middle of its response.
     Truncate,
     /// Runs the request and sends nothing until the caller closes the connection.
@@ -48,6 +51,19 @@
     RepeatRefusal(RepeatedRefusal),
 }
 
+impl Behaviour {
+    /// How it responds to the request with a number.
+    fn of_request(self, number: usize) -> Behaviour {
+        let Behaviour::FailSome(share) = self else { return self };
+        // The numbers of an endpoint are spread evenly over the thousand.
+        let drawn = (number as u64).wrapping_mul(617) % 1_000;
+        if drawn >= u64::from(share) {
+            return Behaviour::Succeed;
+        }
+        [Behaviour::Close, Behaviour::Reject, Behaviour::Fail][number % 3]
+    }
+}
+
 /// A request that an endpoint received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -202,7 +218,8 @@
         let mut reader = BufReader::new(stream);
         let mut refusals = RefusalMemory::default();
         while let Some(message) = read_message(&mut reader)? {
-            let behaviour = self.state().behaviour;
+            let number = self.state().requests.len();
+            let behaviour = self.state().behaviour.of_request(number);
             let is_for_this_instance = message.header("x-chervilspur-expected-instance") == self.id;
             let ran = is_for_this_instance
                 && match behaviour {
@@ -332,7 +349,9 @@
                 return Ok(false);
             }
             // Answered with what the connection remembers, before.
-            Behaviour::RepeatRefusal(_) | Behaviour::Close => return Ok(false),
+            Behaviour::RepeatRefusal(_) | Behaviour::Close | Behaviour::FailSome(_) => {
+                return Ok(false);
+            }
             Behaviour::Hang => {
                 self.wait_for_close(number, writer)?;
                 return Ok(false);
--- a/fakes/src/platform/gateway.rs
+++ b/fakes/src/platform/gateway.rs
@@ -132,7 +132,7 @@
              bounds.grace_s={}\nbounds.strict_revocation=true\nbounds.revocation_ms={}\n\
              bounds.configuration_ms={}\nbounds.budget_ratio=0.2\n\
              bounds.budget_window_s=10\nbounds.budget_extra_attempts={}\nlimits.memory_mb={}\n\
-             platform.address={store}\n{others}",
+             first_start=true\nplatform.address={store}\n{others}",
             cfg.name,
             cfg.data_centre,
             cfg.region,
@@ -257,8 +257,9 @@
     }
 
     /// Ends the process with a signal, resuming it first if it is stopped, and starts it again with
-    /// the same settings.
+    /// the same settings, but that it is no first start.
     pub fn restart(&mut self, signal: &str) -> io::Result<()> {
+        self.change_settings("first_start=true", "first_start=false")?;
         self.signal("CONT")?;
         self.signal(signal)?;
         self.child.wait()?;
@@ -275,6 +276,11 @@
         self.restart(signal)
     }
 
+    /// Whether the process has ended.
+    pub fn has_exited(&mut self) -> io::Result<bool> {
+        self.child.try_wait().map(|status| status.is_some())
+    }
+
     /// Waits until the process exits; true if its exit status is 0.
     pub fn wait(&mut self) -> io::Result<bool> {
         self.child.wait().map(|status| status.success())
--- a/fakes/src/soak/main.rs
+++ b/fakes/src/soak/main.rs
@@ -11,11 +11,13 @@
 mod odd;
 mod outages;
 mod prompts;
+mod retries;
 mod run;
 mod versions;
 
 use argh::FromArgs;
 use clients::Load;
+use retries::{Ends, RetryRun};
 use run::Soak;
 use std::process::ExitCode;
 
@@ -72,6 +74,11 @@
     /// send a request again and again that crashes endpoints
     #[argh(switch)]
     repetitions: bool,
+
+    /// let endpoints fail most requests and count repeats, lost requests and processes that end by
+    /// themselves, while gateways are ended in turn: none, kills or stops; by itself
+    #[argh(option)]
+    retries: Option<String>,
 }
 
 fn main() -> ExitCode {
@@ -102,6 +109,13 @@
         eprintln!("--series: needs --outages");
         return ExitCode::FAILURE;
     }
+    let ends = match flags.retries.as_deref().map(Ends::parse).transpose() {
+        Ok(ends) => ends,
+        Err(text) => {
+            eprintln!("--retries: {text}");
+            return ExitCode::FAILURE;
+        }
+    };
     let mut failed = 0;
     for seed in flags.first_seed..flags.first_seed + flags.seeds {
         let soak = Soak {
@@ -115,7 +129,12 @@
             has_outages: flags.outages,
             has_series: flags.series,
         };
-        match soak.run() {
+        let Soak { seconds, gateways, clients, .. } = soak;
+        let result = match ends {
+            Some(ends) => RetryRun { seed, seconds, gateways, clients, ends }.run(),
+            None => soak.run(),
+        };
+        match result {
             Ok(summary) => println!("seed {seed}: {summary}"),
             Err(text) => {
                 failed += 1;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -38,6 +38,26 @@
 const SERIES_RUN: [&str; 8] =
     ["--outages", "--series", "--first-seed", "1", "--seconds", "10", "--gateways", "6"];
 
+/// A run in which endpoints fail most requests while gateways are killed in turn. A process that starts
+/// again used to spend what its predecessor had spent.
+const RETRY_RUN: [&str; 10] = [
+    "--retries",
+    "kills",
+    "--first-seed",
+    "1",
+    "--seconds",
+    "20",
+    "--gateways",
+    "5",
+    "--clients",
+    "30",
+];
+
+#[test]
+fn retries_stay_within_their_budget_while_gateways_are_killed_in_a_short_soak_run() {
+    run_soak(&RETRY_RUN);
+}
+
 #[test]
 fn gateways_follow_changes_in_quick_succession_in_a_short_soak_run() {
     run_soak(&SERIES_RUN);
