Wait for addresses that are in use at the start

Reproduced with real processes: a gateway that starts while one of its four addresses is in use exits at once, "Address already in use". That is so while a former process is still stopping, or if a connection has the address as its local one.

A process now waits for its addresses for the stop timeout and 2 s, can be stopped meanwhile, logs what it waits for, and accepts no connection before it has all.

All five tests in occupied_addresses failed before; they pass now.

--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -14,9 +14,11 @@
 use crate::{follow, load_reports};
 use decision::Millis;
 use snafu::{ResultExt, Snafu};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
@@ -27,6 +29,10 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 /// Rounds of maintenance between checks of the settings file.
 const ROUNDS_PER_SETTINGS_CHECK: u32 = 4;
+/// Time between attempts to listen on an address that is in use.
+const BIND_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after the stop timeout of a former process in which its addresses become free.
+const ADDRESS_MARGIN: Millis = Millis(2_000);
 /// Part of the stop timeout reserved for closing the log and exiting.
 const EXIT_MARGIN: Millis = Millis(300);
 
@@ -77,9 +83,12 @@
     let mut terminate = signal(SignalKind::terminate()).context(EventLoopSnafu)?;
     let hangup = signal(SignalKind::hangup()).context(EventLoopSnafu)?;
     let settings = gateway.settings();
-    listen(&gateway, settings.listen, Role::Clients)?;
-    for address in settings.listen_ready.iter().chain(&settings.listen_metrics) {
-        listen(&gateway, *address, Role::Monitoring)?;
+    let listeners = tokio::select! {
+        listeners = bind_all(&settings, log.as_deref()) => listeners?,
+        _ = terminate.recv() => return Ok(()),
+    };
+    for (listener, role) in listeners {
+        spawn_local(accept(gateway.clone(), listener, role));
     }
     if settings.listen_peers.is_some() {
         // The reader election decides whether this daemon reads the store.
@@ -90,8 +99,7 @@
     spawn_local(keep_versions(gateway.clone()));
     spawn_local(write_streams(gateway.clone()));
     spawn_local(probe_endpoints(gateway.clone()));
-    if let Some(address) = settings.listen_peers {
-        listen(&gateway, address, Role::Peers)?;
+    if settings.listen_peers.is_some() {
         spawn_local(follow::run(gateway.clone()));
         spawn_local(load_reports::exchange_loads(gateway.clone()));
     }
@@ -103,14 +111,45 @@
     Ok(())
 }
 
-fn listen<A: Adapter>(
-    gateway: &Rc<Gateway<A>>,
+/// Opens the listening sockets of all roles.
+async fn bind_all(
+    settings: &Settings,
+    log: Option<&Log>,
+) -> Result<Vec<(TcpListener, Role)>, RunError> {
+    let monitoring = settings.listen_ready.iter().chain(&settings.listen_metrics);
+    let addresses = [(settings.listen, Role::Clients)]
+        .into_iter()
+        .chain(monitoring.map(|address| (*address, Role::Monitoring)))
+        .chain(settings.listen_peers.map(|address| (address, Role::Peers)));
+    let deadline = now() + settings.stop_timeout + ADDRESS_MARGIN;
+    let mut listeners = Vec::new();
+    for (address, role) in addresses {
+        listeners.push((bind_when_free(address, deadline, log).await?, role));
+    }
+    Ok(listeners)
+}
+
+/// Opens a listening socket. While its address is in use, as by a former process that is still stopping
+/// or by a connection with that local port, it waits until `deadline`.
+async fn bind_when_free(
     address: SocketAddr,
-    role: Role,
-) -> Result<(), RunError> {
-    let listener = bind(address).context(ListenSnafu { address })?;
-    spawn_local(accept(gateway.clone(), listener, role));
-    Ok(())
+    deadline: Millis,
+    log: Option<&Log>,
+) -> Result<TcpListener, RunError> {
+    let mut is_waiting = false;
+    loop {
+        match bind(address) {
+            Err(e) if e.kind() == ErrorKind::AddrInUse && now() < deadline => {
+                if !is_waiting {
+                    tracing::warn!(event = "address_in_use", %address);
+                    log.into_iter().for_each(Log::flush);
+                }
+                is_waiting = true;
+                sleep(BIND_INTERVAL).await;
+            }
+            result => return result.context(ListenSnafu { address }),
+        }
+    }
 }
 
 /// Waits for open requests to finish, closes idle connections, and returns at the stop timeout at
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod leaving_endpoints;
 mod lost_followers;
 mod monitoring;
+mod occupied_addresses;
 mod odd_entries;
 mod out_of_step;
 mod partitioned_gateways;
