Weigh crashes against completions before a prompt part is condemned

Cause: crashes before the head were no evidence against parts, so with requests that are each new nothing stopped them. The part that all sound requests share was in most broken-off responses after the head, though it completes everywhere; three crashes between two completions that one daemon knew of condemned it. The digest of requests with equal bodies was the same whatever their prompts.

Change: crashes before the head count against parts. A content with a completion in the minute before, here or at the daemon that reports the crash (`proven`), needs five crashes in a row that are old enough for all reports to have arrived, and crashes at which another request had a content with more crashes and no completions do not count against it. The last part of a prompt counts as well, once there is evidence about it. The ids of the parts are part of the digest.

Two tests held the old rule. `crash_before_the_response_is_no_evidence_against_prompt_parts` required what lets such requests through; its replacement requires the opposite. `completed_request_clears_its_parts_of_the_crashes_before` required that three crashes condemn a part half a second after a completion; its replacement requires five reported ones, and the same acquittal.

--- a/components/decision/src/routing/content.rs
+++ b/components/decision/src/routing/content.rs
@@ -44,10 +44,18 @@
 }
 
 /// Returns the digest of a whole request, the same on all daemons. The account is part of it, so that
-/// nobody can have the same digest as a request of another account.
-pub fn request_digest(method: &str, target: &str, account: Option<&str>, body: &[u8]) -> u64 {
+/// nobody can have the same digest as a request of another account, and so are the ids of the prompt
+/// parts: requests with equal bodies may differ in these.
+pub fn request_digest(
+    method: &str,
+    target: &str,
+    account: Option<&str>,
+    parts: &[u64],
+    body: &[u8],
+) -> u64 {
     let account = account.map_or(&[][..], str::as_bytes);
-    digest(&[method.as_bytes(), target.as_bytes(), account, body])
+    let parts: Vec<u8> = parts.iter().flat_map(|id| id.to_be_bytes()).collect();
+    digest(&[method.as_bytes(), target.as_bytes(), account, &parts, body])
 }
 
 /// Returns a digest of some fields and of their lengths.
--- a/components/decision/src/routing/prompt.rs
+++ b/components/decision/src/routing/prompt.rs
@@ -31,6 +31,16 @@
         self.shared().iter().map(|part| Content::Part(part.id))
     }
 
+    /// Returns the last part, which belongs to this request or to its session.
+    pub fn own_part(&self) -> Option<Content> {
+        self.parts.last().map(|part| Content::Part(part.id))
+    }
+
+    /// Returns the ids of all parts in order.
+    pub fn part_ids(&self) -> Vec<u64> {
+        self.parts.iter().map(|part| part.id).collect()
+    }
+
     /// Returns the total length in tokens of the parts that other requests may share.
     pub fn shared_tokens(&self) -> u32 {
         self.shared().iter().map(|part| part.tokens).sum()
--- a/components/decision/src/routing/quarantine/analysis.rs
+++ b/components/decision/src/routing/quarantine/analysis.rs
@@ -6,9 +6,20 @@
 use crate::Millis;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Crashes in a row, each of a request that was sent after the crash before, after which a prompt
-/// part is condemned.
+/// Crashes in a row, none of them at the same time as the one before, after which a prompt part is
+/// condemned.
 const CRASHES_IN_ROW: usize = 3;
+/// The same for a content with completions of the last minute, as it crashes endpoints only if it
+/// has just begun to.
+const PROVEN_CRASHES_IN_ROW: usize = 5;
+/// Age from which a crash counts against a content with completions of the last minute. All daemons
+/// have reported by then what else ran at the endpoint.
+const REPORTING_TIME: Millis = Millis(2_000);
+/// Crashes without a completion from which a content may be the cause of those of others beside it.
+const MIN_ATTRIBUTED_CRASHES: usize = 3;
+/// Crashes that a content must have more than another one without completions to be the cause of
+/// crashes with both.
+const MIN_ATTRIBUTED_EXCESS: usize = 3;
 /// Crashed endpoints at which two crashes in a row suffice. Requests that run at the same time crash
 /// their endpoints together, as a failure of the network or of a rack would.
 const MANY_ENDPOINTS: usize = 5;
@@ -42,11 +53,12 @@
         crashes.filter(move |crash| Some(crash.crashed_at) > since)
     }
 
-    /// Returns the number of crashes since the last completion of which each request was sent after
-    /// the crash before.
+    /// Returns the number of crashes since the last completion that had not one cause: each request
+    /// was sent after the crash before, or its endpoint crashed so much later.
     pub(super) fn crashes_in_row(&self, known: &ServiceEvidence, content: Content) -> usize {
         let evidence = known.contents.get(&content);
-        evidence.map_or(0, |evidence| self.in_row(content, evidence, known.completed_at(content)))
+        let since = known.completed_at(content);
+        evidence.map_or(0, |evidence| self.in_row(content, evidence, since, self.latest))
     }
 
     pub(super) fn in_row(
@@ -54,8 +66,10 @@
         content: Content,
         evidence: &Evidence,
         since: Option<Millis>,
+        until: Millis,
     ) -> usize {
-        let mut crashes: Vec<&Crash> = self.crashes_of(evidence, since).collect();
+        let crashes = self.crashes_of(evidence, since);
+        let mut crashes: Vec<&Crash> = crashes.filter(|c| c.crashed_at <= until).collect();
         if crashes.len() < SUSPECTED_IN_ROW {
             return crashes.len();
         }
@@ -64,7 +78,9 @@
         let mut last_unexplained: Option<Millis> = None;
         let mut in_row = 0;
         for crash in crashes {
-            let is_next = last_crash.is_none_or(|last_crash| crash.sent_at >= last_crash);
+            let is_next = last_crash.is_none_or(|last_crash| {
+                crash.sent_at >= last_crash || crash.crashed_at.since(last_crash) > SIMULTANEOUS
+            });
             // What does not explain a crash does not explain those right after it either.
             let is_unexplained = last_unexplained
                 .is_some_and(|at| crash.crashed_at.since(at) < UNEXPLAINED_INTERVAL);
@@ -82,27 +98,58 @@
     }
 
     /// Returns whether a crash may be due to a content: enough of the endpoints that crashed at the
-    /// same time had a request with it. A part is not to blame for the crash of an endpoint at which
-    /// another request ran that crashes endpoints.
+    /// same time had a request with it, and no other request at the endpoint is more likely to be
+    /// the cause. Endpoints with such a request elsewhere are left out.
     pub(super) fn explains(&self, content: Content, crash: &Crash) -> bool {
         let mut endpoints: BTreeMap<&str, bool> = BTreeMap::new();
+        let mut attributed: BTreeSet<&str> = BTreeSet::new();
         for other in self.simultaneous(crash) {
-            let is_elsewhere =
-                other.endpoint != crash.endpoint || other.suspects.contains(&content);
-            if matches!(content, Content::Part(_))
-                && !is_elsewhere
-                && self.has_crashing_request(other)
-            {
-                return false;
+            let has_content = other.suspects.contains(&content);
+            *endpoints.entry(&other.endpoint).or_default() |= has_content;
+            if has_content {
+                continue;
+            }
+            if other.endpoint == crash.endpoint {
+                if self.is_less_likely(content, other) {
+                    return false;
+                }
+            } else if self.has_suspect(other, MIN_ATTRIBUTED_CRASHES) {
+                attributed.insert(&other.endpoint);
             }
-            *endpoints.entry(&other.endpoint).or_default() |= other.suspects.contains(&content);
         }
-        let explained = endpoints.values().filter(|had_content| **had_content).count();
+        let is_open = |(endpoint, had_content): &(&&str, &bool)| {
+            **had_content || !attributed.contains(**endpoint)
+        };
+        let open: Vec<bool> = endpoints.iter().filter(is_open).map(|(_, had)| *had).collect();
+        let explained = open.iter().filter(|had_content| **had_content).count();
         let min_share = match content {
             Content::Part(_) => MIN_EXPLAINED_SHARE,
             Content::Request(_) => MIN_REQUEST_EXPLAINED_SHARE,
         };
-        explained as f64 >= endpoints.len() as f64 * min_share
+        explained as f64 >= open.len() as f64 * min_share
+    }
+
+    /// Returns whether a content is less likely to have crashed an endpoint than the request of a crash
+    /// there, which does not have it.
+    fn is_less_likely(&self, content: Content, crash: &Crash) -> bool {
+        if matches!(content, Content::Part(_)) && self.has_crashing_request(crash) {
+            return true;
+        }
+        let Some(known) = self.services.get(&crash.service) else { return false };
+        let min_crashes = match known.is_proven(content, crash) {
+            true => MIN_ATTRIBUTED_CRASHES,
+            false => known.crashes(content) + MIN_ATTRIBUTED_EXCESS,
+        };
+        self.has_suspect(crash, min_crashes)
+    }
+
+    /// Returns whether the request of a crash has a content with so many crashes and without a
+    /// completion in the minute before.
+    fn has_suspect(&self, crash: &Crash, min_crashes: usize) -> bool {
+        let Some(known) = self.services.get(&crash.service) else { return false };
+        let mut suspects = crash.suspects.iter();
+        suspects
+            .any(|other| known.crashes(*other) >= min_crashes && !known.is_proven(*other, crash))
     }
 
     /// Returns the crashes of endpoints of the service at the time of a crash.
@@ -125,13 +172,25 @@
         requests.any(|request| crashes(request) >= CRASHES_IN_ROW)
     }
 
-    pub(super) fn is_condemned(&self, known: &ServiceEvidence, content: Content) -> bool {
+    pub(super) fn is_condemned(
+        &self,
+        known: &ServiceEvidence,
+        content: Content,
+        now: Millis,
+    ) -> bool {
         let Some(evidence) = known.contents.get(&content) else { return false };
         if evidence.crashes.len() < CRASHES_IN_ROW {
             return false;
         }
-        let in_row = self.crashes_in_row(known, content);
-        let endpoints = || self.endpoints(evidence, known.completed_at(content)).len();
+        let completed_at = known.completed_at(content);
+        let crashes = self.crashes_of(evidence, completed_at);
+        let Some(first) = crashes.min_by_key(|crash| crash.crashed_at) else { return false };
+        if known.is_proven(content, first) {
+            let until = now - REPORTING_TIME;
+            return self.in_row(content, evidence, completed_at, until) >= PROVEN_CRASHES_IN_ROW;
+        }
+        let in_row = self.in_row(content, evidence, completed_at, now);
+        let endpoints = || self.endpoints(evidence, completed_at).len();
         in_row >= CRASHES_IN_ROW || (in_row >= SUSPECTED_IN_ROW && endpoints() >= MANY_ENDPOINTS)
     }
 
--- a/components/decision/src/routing/quarantine/evidence.rs
+++ b/components/decision/src/routing/quarantine/evidence.rs
@@ -1,5 +1,6 @@
 use super::super::content::Content;
 use super::super::notices::NoticeId;
+use super::PROVEN_AGE;
 use crate::Millis;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -21,6 +22,8 @@
     /// The crashes under requests with the content since one with it was last completed.
     pub(super) crashes: BTreeSet<NoticeId>,
     pub(super) completed_at: Option<Millis>,
+    /// The latest crash whose reporter had completed a request with the content shortly before.
+    pub(super) vouched_at: Option<Millis>,
     /// When this daemon last let a request with the content through, although it is condemned, and
     /// how often it did.
     pub(super) tried_at: Option<Millis>,
@@ -42,4 +45,22 @@
         let reported = self.contents.get(&content).and_then(|evidence| evidence.completed_at);
         reported.max(self.own_completions.get(&content).copied())
     }
+
+    /// Returns when a request with the content was last known to be completed, here or, as far as
+    /// crash reports tell, elsewhere.
+    pub(super) fn proven_at(&self, content: Content) -> Option<Millis> {
+        let vouched = self.contents.get(&content).and_then(|evidence| evidence.vouched_at);
+        self.completed_at(content).max(vouched)
+    }
+
+    /// Returns whether a request with the content was completed in the last minute before a crash, or
+    /// since.
+    pub(super) fn is_proven(&self, content: Content, crash: &Crash) -> bool {
+        self.proven_at(content).is_some_and(|at| crash.crashed_at.since(at) < PROVEN_AGE)
+    }
+
+    /// Returns the number of crashes that are evidence against a content.
+    pub(super) fn crashes(&self, content: Content) -> usize {
+        self.contents.get(&content).map_or(0, |evidence| evidence.crashes.len())
+    }
 }
--- a/components/decision/src/routing/quarantine/mod.rs
+++ b/components/decision/src/routing/quarantine/mod.rs
@@ -17,6 +17,8 @@
 const MAX_AGE: Millis = Millis(600_000);
 /// Age at which a crash is no longer evidence against the content of a whole request.
 const REQUEST_MAX_AGE: Millis = Millis(86_400_000);
+/// Age up to which a completion is a reason to look for the cause of crashes elsewhere.
+const PROVEN_AGE: Millis = Millis(60_000);
 /// Maximum number of crashes that are kept, those against condemned contents included.
 const MAX_CRASHES: usize = 128;
 /// Number of crashes that are kept at least of those that condemn nothing, however many do.
@@ -36,6 +38,12 @@
 /// count once, since one event may have ended all their endpoints, and a crash does not count if most
 /// of the endpoints that crashed with it had no request with the content.
 ///
+/// A crash breaks off all requests at its endpoint, so sound contents gather crashes beside one that
+/// crashes endpoints, in proportion to their share of the traffic. Two things tell them apart. A
+/// content with completions of the last minute needs more crashes, and only those count that all
+/// daemons have had time to report. And a crash does not count against a content if another request
+/// at the endpoint had one that crashed more endpoints and was not completed.
+///
 /// Requests that crash endpoints also have prompt parts in common that are sound. A condemned part is
 /// therefore refused only together with all contents that were in each of its crashes and not in a
 /// completed request since: a request that lacks one of them tells which of them is to blame. Nor
@@ -47,6 +55,8 @@
     crashes: BTreeMap<NoticeId, Crash>,
     by_time: BTreeSet<(Millis, NoticeId)>,
     services: BTreeMap<String, ServiceEvidence>,
+    /// The latest time that this quarantine knows of.
+    latest: Millis,
 }
 
 impl Quarantine {
@@ -62,31 +72,34 @@
         notice: &CrashNotice,
         crashed_at: Millis,
     ) -> Vec<Content> {
+        self.latest = self.latest.max(crashed_at);
         let contents = Content::set(&notice.parts, notice.request);
-        let suspects =
-            if notice.has_begun { contents.clone() } else { Content::set(&[], notice.request) };
         let crash = Crash {
             service: notice.service.clone(),
             endpoint: notice.endpoint.clone(),
             sent_at: crashed_at - Millis(notice.ran_ms),
             crashed_at,
-            contents,
-            suspects: suspects.clone(),
+            contents: contents.clone(),
+            suspects: contents.clone(),
         };
         if self.crashes.len() > 2 * MAX_CRASHES {
             self.discard_excess();
         }
-        let before = self.condemned_of(&notice.service, &suspects);
+        let before = self.condemned_of(&notice.service, &contents);
         self.crashes.insert(id, crash);
         self.by_time.insert((crashed_at, id));
         let service = self.services.entry(notice.service.clone()).or_default();
-        for content in &suspects {
+        for content in &contents {
             let evidence = service.contents.entry(*content).or_default();
+            let is_proven = matches!(content, Content::Part(id) if notice.proven.contains(id));
+            if is_proven {
+                evidence.vouched_at = evidence.vouched_at.max(Some(crashed_at));
+            }
             if evidence.completed_at.is_none_or(|completed| completed < crashed_at) {
                 evidence.crashes.insert(id);
             }
         }
-        let after = self.condemned_of(&notice.service, &suspects);
+        let after = self.condemned_of(&notice.service, &contents);
         after.difference(&before).copied().collect()
     }
 
@@ -98,6 +111,7 @@
         contents: &BTreeSet<Content>,
         now: Millis,
     ) -> Vec<Content> {
+        self.latest = self.latest.max(now);
         if !self.services.contains_key(service) {
             self.services.insert(service.to_owned(), ServiceEvidence::default());
         }
@@ -118,11 +132,28 @@
         // The own completion is left out: it clears the contents for this daemon only.
         let is_suspected = |content: &Content| {
             let evidence = known.contents.get(content);
-            evidence.is_some_and(|e| self.in_row(*content, e, e.completed_at) >= SUSPECTED_IN_ROW)
+            evidence.is_some_and(|e| {
+                self.in_row(*content, e, e.completed_at, self.latest) >= SUSPECTED_IN_ROW
+            })
         };
         contents.iter().copied().filter(is_suspected).collect()
     }
 
+    /// Returns those of some prompt parts with which this daemon completed requests recently.
+    pub fn proven_parts(&self, service: &str, parts: &[u64], now: Millis) -> Vec<u64> {
+        let Some(known) = self.services.get(service) else { return Vec::new() };
+        let is_proven = |id: &&u64| {
+            let completed_at = known.own_completions.get(&Content::Part(**id));
+            completed_at.is_some_and(|at| now.since(*at) < PROVEN_AGE)
+        };
+        parts.iter().filter(is_proven).copied().collect()
+    }
+
+    /// Returns whether there is evidence for or against a content.
+    pub fn knows(&self, service: &str, content: Content) -> bool {
+        self.services.get(service).is_some_and(|known| known.contents.contains_key(&content))
+    }
+
     /// Returns whether there is evidence against any content of requests to a service.
     pub fn watches(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|known| !known.contents.is_empty())
@@ -159,6 +190,7 @@
         contents: &BTreeSet<Content>,
         at: Millis,
     ) -> Vec<Content> {
+        self.latest = self.latest.max(at);
         let before = self.condemned_of(service, contents);
         let known = self.services.entry(service.to_owned()).or_default();
         for content in contents {
@@ -185,7 +217,7 @@
             if in_row < SUSPECTED_IN_ROW || !self.signature(known, *content).is_subset(contents) {
                 continue;
             }
-            if !self.is_condemned(known, *content) {
+            if !self.is_condemned(known, *content, now) {
                 if judgement == Judgement::Admitted {
                     judgement = Judgement::Suspected;
                 }
@@ -221,6 +253,7 @@
 
     /// Discards old crashes, and above the limits the oldest ones.
     pub fn expire(&mut self, now: Millis) {
+        self.latest = self.latest.max(now);
         let is_recent = |at: Millis| now.since(at) < MAX_AGE;
         for crash in self.crashes.values_mut().filter(|crash| !is_recent(crash.crashed_at)) {
             crash.suspects.retain(|content| matches!(content, Content::Request(_)));
@@ -251,7 +284,8 @@
             self.crashes.keys().copied().partition(|id| condemning.contains(id));
         let max_open = MAX_CRASHES.saturating_sub(condemning.len()).max(MIN_OPEN_CRASHES);
         for (ids, max) in [(&mut condemning, MAX_CONDEMNING_CRASHES), (&mut open, max_open)] {
-            ids.sort_by_key(|id| self.crashes[id].crashed_at);
+            // Requests that a crash broke off beside its cause come once; the cause comes again.
+            ids.sort_by_key(|id| (self.is_repeated(id), self.crashes[id].crashed_at));
             for id in ids.iter().take(ids.len().saturating_sub(max)) {
                 self.crashes.remove(id);
             }
@@ -260,9 +294,17 @@
         self.by_time.retain(|(_, id)| crashes.contains_key(id));
     }
 
+    /// Returns whether a content of a crash that was not completed lately was in others as well.
+    fn is_repeated(&self, id: &NoticeId) -> bool {
+        let crash = &self.crashes[id];
+        let Some(known) = self.services.get(&crash.service) else { return false };
+        let mut suspects = crash.suspects.iter();
+        suspects.any(|content| !known.is_proven(*content, crash) && known.crashes(*content) > 1)
+    }
+
     fn condemned(&self) -> impl Iterator<Item = &Evidence> {
         self.services.values().flat_map(move |known| {
-            let is_condemned = |content: &Content| self.is_condemned(known, *content);
+            let is_condemned = |content: &Content| self.is_condemned(known, *content, self.latest);
             let condemned = known.contents.iter().filter(move |(c, _)| is_condemned(c));
             condemned.map(|(_, evidence)| evidence)
         })
@@ -270,6 +312,7 @@
 
     fn condemned_of(&self, service: &str, contents: &BTreeSet<Content>) -> BTreeSet<Content> {
         let Some(known) = self.services.get(service) else { return BTreeSet::new() };
-        contents.iter().copied().filter(|content| self.is_condemned(known, *content)).collect()
+        let is_condemned = |content: &Content| self.is_condemned(known, *content, self.latest);
+        contents.iter().copied().filter(is_condemned).collect()
     }
 }
--- a/components/decision/tests/routing/crashing_requests.rs
+++ b/components/decision/tests/routing/crashing_requests.rs
@@ -61,6 +61,7 @@
             service: String::from("pool"),
             endpoint: endpoint.to_owned(),
             parts: parts.to_vec(),
+            proven: Vec::new(),
             request: Some(digest),
             has_begun,
             ran_ms: RAN,
@@ -150,13 +151,17 @@
     assert_eq!(judge(&[FIRST, 0x5f]), Judgement::Admitted);
 }
 
+/// Requests that are each new have only their prompt parts in common, and many engines crash before
+/// they respond.
 #[test]
-fn crash_before_the_response_is_no_evidence_against_prompt_parts() {
+fn part_of_requests_that_crash_endpoints_before_the_response_is_condemned() {
     let mut recorder = Recorder::default();
     for (endpoint, at) in [("a", 1_000), ("b", 1_100), ("c", 1_200)] {
         recorder.crash_with(endpoint, &[FIRST], at, at);
     }
-    assert_eq!(recorder.judge(SOUND, 1_200), Judgement::Admitted);
+    assert!(recorder.is_condemned(SOUND, 1_200));
+    recorder.quarantine.record_completion("pool", &Content::set(&[FIRST], None), Millis(1_300));
+    assert_eq!(recorder.judge(SOUND, 1_300), Judgement::Admitted);
 }
 
 /// Over a day, a request that crashes each endpoint reaches four: three before it is condemned, and
@@ -238,22 +243,25 @@
 }
 
 #[rstest]
-#[case::method("PUT", "/a/?x=1", Some("north"), "body")]
-#[case::path("POST", "/b/?x=1", Some("north"), "body")]
-#[case::query("POST", "/a/?x=2", Some("north"), "body")]
-#[case::account("POST", "/a/?x=1", Some("south"), "body")]
-#[case::anonymous("POST", "/a/?x=1", None, "body")]
-#[case::body("POST", "/a/?x=1", Some("north"), "bod")]
-#[case::shifted("POST", "/a/?x=1n", Some("orth"), "body")]
+#[case::method("PUT", "/a/?x=1", Some("north"), &[FIRST], "body")]
+#[case::path("POST", "/b/?x=1", Some("north"), &[FIRST], "body")]
+#[case::query("POST", "/a/?x=2", Some("north"), &[FIRST], "body")]
+#[case::account("POST", "/a/?x=1", Some("south"), &[FIRST], "body")]
+#[case::anonymous("POST", "/a/?x=1", None, &[FIRST], "body")]
+#[case::prompt("POST", "/a/?x=1", Some("north"), &[BAD], "body")]
+#[case::without_prompt("POST", "/a/?x=1", Some("north"), &[], "body")]
+#[case::body("POST", "/a/?x=1", Some("north"), &[FIRST], "bod")]
+#[case::shifted("POST", "/a/?x=1n", Some("orth"), &[FIRST], "body")]
 fn requests_that_differ_have_different_digests(
     #[case] method: &str,
     #[case] target: &str,
     #[case] account: Option<&str>,
+    #[case] parts: &[u64],
     #[case] body: &str,
 ) {
-    let digest = request_digest("POST", "/a/?x=1", Some("north"), b"body");
-    assert_eq!(digest, request_digest("POST", "/a/?x=1", Some("north"), b"body"));
-    assert_ne!(digest, request_digest(method, target, account, body.as_bytes()));
+    let digest = request_digest("POST", "/a/?x=1", Some("north"), &[FIRST], b"body");
+    assert_eq!(digest, request_digest("POST", "/a/?x=1", Some("north"), &[FIRST], b"body"));
+    assert_ne!(digest, request_digest(method, target, account, parts, body.as_bytes()));
 }
 
 /// While all endpoints are gone, no request is completed that would clear those beside it.
--- a/components/decision/tests/routing/quarantine.rs
+++ b/components/decision/tests/routing/quarantine.rs
@@ -30,21 +30,34 @@
 struct Recorder {
     quarantine: Quarantine,
     crashes: u64,
+    /// The parts that the reporters of crashes completed recently.
+    proven: Vec<u64>,
 }
 
 impl Recorder {
     fn new() -> Recorder {
-        Recorder { quarantine: Quarantine::new(OWN), crashes: 0 }
+        Recorder { quarantine: Quarantine::new(OWN), crashes: 0, proven: Vec::new() }
     }
 
     /// Records the crash of an endpoint of its own.
     fn crash(&mut self, origin: u64, parts: &[u64], crashed_at: u64) -> Vec<u64> {
+        let endpoint = format!("i-{}", self.crashes + 1);
+        self.record(origin, &endpoint, parts, crashed_at)
+    }
+
+    /// Records the crash of an endpoint that had other requests as well.
+    fn crash_at(&mut self, endpoint: &str, parts: &[u64], crashed_at: u64) -> Vec<u64> {
+        self.record(OTHER, endpoint, parts, crashed_at)
+    }
+
+    fn record(&mut self, origin: u64, endpoint: &str, parts: &[u64], crashed_at: u64) -> Vec<u64> {
         self.crashes += 1;
         let id = NoticeId { origin, sequence: self.crashes };
         let notice = CrashNotice {
             service: String::from("pool"),
-            endpoint: format!("i-{}", self.crashes),
+            endpoint: endpoint.to_owned(),
             parts: parts.to_vec(),
+            proven: self.proven.clone(),
             request: None,
             has_begun: true,
             ran_ms: RAN,
@@ -101,18 +114,102 @@
     assert_eq!(recorder.judge(&[FIRST, 0xc2], 4_000), Judgement::Admitted);
 }
 
+/// Crashes of neighbours count against a part that is in most requests, though it completes elsewhere.
+/// It is condemned only if it has begun to crash endpoints itself, once all reports have arrived.
 #[test]
-fn completed_request_clears_its_parts_of_the_crashes_before() {
+fn part_that_was_completed_shortly_before_is_condemned_after_five_crashes_that_all_have_reported() {
     let mut recorder = Recorder::new();
     recorder.crash(OTHER, &[FIRST], 1_000);
     recorder.crash(OTHER, &[FIRST], 2_000);
     recorder.complete(&[FIRST], 2_500);
-    recorder.crash(OTHER, &[FIRST], 3_000);
-    recorder.crash(OTHER, &[FIRST], 4_000);
-    assert_eq!(recorder.judge(&[FIRST], 4_000), Judgement::Suspected);
-    assert_eq!(recorder.crash(OTHER, &[FIRST], 5_000), [FIRST]);
-    assert_eq!(recorder.complete(&[FIRST], 5_500), [FIRST]);
-    assert_eq!(recorder.judge(&[FIRST], 5_500), Judgement::Admitted);
+    for at in [3_000, 4_000, 5_000, 6_000, 7_000] {
+        assert!(recorder.crash(OTHER, &[FIRST], at).is_empty());
+        assert_eq!(recorder.judge(&[FIRST], 8_999) == Judgement::Suspected, at > 3_000);
+    }
+    assert!(recorder.is_condemned(&[FIRST], 9_000));
+    recorder.quarantine.expire(Millis(9_000));
+    assert_eq!(recorder.complete(&[FIRST], 9_500), [FIRST]);
+    assert_eq!(recorder.judge(&[FIRST], 9_500), Judgement::Admitted);
+}
+
+#[test]
+fn part_that_other_daemons_completed_shortly_before_needs_five_crashes_as_well() {
+    let mut recorder = Recorder { proven: vec![FIRST], ..Recorder::new() };
+    for at in [1_000, 2_000, 3_000, 4_000] {
+        recorder.crash(OTHER, &[FIRST, at], at);
+    }
+    assert!(!recorder.is_condemned(&[FIRST], 10_000));
+    recorder.crash(OTHER, &[FIRST, 5_000], 5_000);
+    assert!(recorder.is_condemned(&[FIRST], 10_000));
+}
+
+/// Sound requests with a common part run at each endpoint that another request crashes.
+#[test]
+fn part_of_the_neighbours_of_requests_that_crash_endpoints_is_not_condemned() {
+    let mut recorder = Recorder { proven: vec![FIRST], ..Recorder::new() };
+    for n in 0..20 {
+        let at = 1_000 + 300 * n;
+        recorder.crash_at(&format!("i-{n}"), &[BAD, 0x100 + n], at);
+        for neighbour in 0..10 {
+            recorder.crash_at(&format!("i-{n}"), &[FIRST, 0x1000 + 10 * n + neighbour], at + 10);
+        }
+    }
+    assert!(recorder.is_condemned(&[BAD, 0x99], 20_000));
+    assert_eq!(recorder.judge(&[FIRST, 0x99], 20_000), Judgement::Admitted);
+}
+
+/// The same for a part without completions: it has fewer crashes than the one that causes them.
+#[test]
+fn seldom_used_part_of_the_neighbours_is_not_condemned_either() {
+    let mut recorder = Recorder::new();
+    for n in 0..8 {
+        let at = 1_000 + 300 * n;
+        recorder.crash_at(&format!("i-{n}"), &[BAD, 0x100 + n], at);
+        if n % 2 == 0 {
+            recorder.crash_at(&format!("i-{n}"), &[0x5e, 0x200 + n], at + 10);
+        }
+    }
+    assert!(recorder.is_condemned(&[BAD], 5_000));
+    assert_eq!(recorder.judge(&[0x5e], 5_000), Judgement::Admitted);
+}
+
+#[test]
+fn three_parts_that_crash_endpoints_at_the_same_time_are_all_condemned() {
+    let mut recorder = Recorder { proven: vec![FIRST], ..Recorder::new() };
+    for n in 0..15 {
+        let at = 1_000 + 150 * n;
+        recorder.crash_at(&format!("i-{n}"), &[BAD + n % 3, 0x1000 + n], at);
+        recorder.crash_at(&format!("i-{n}"), &[FIRST, 0x2000 + n], at + 10);
+    }
+    for part in [BAD, BAD + 1, BAD + 2] {
+        assert!(recorder.is_condemned(&[part], 5_000), "{part:x}");
+    }
+    assert_eq!(recorder.judge(&[FIRST, 0x99], 5_000), Judgement::Admitted);
+}
+
+#[test]
+fn last_part_that_several_requests_have_is_condemned() {
+    let mut recorder = Recorder { proven: vec![FIRST], ..Recorder::new() };
+    for n in 0..4 {
+        recorder.crash_at(&format!("i-{n}"), &[FIRST, BAD], 1_000 + 500 * n);
+    }
+    assert!(recorder.is_condemned(&[FIRST, BAD], 3_000));
+    assert_eq!(recorder.judge(&[FIRST, 0x99], 6_000), Judgement::Admitted);
+}
+
+/// A cause that comes seldom is not pushed out by the many requests that each crash breaks off.
+#[test]
+fn evidence_against_a_rare_part_outlasts_that_of_many_neighbours() {
+    let mut recorder = Recorder { proven: vec![FIRST], ..Recorder::new() };
+    for n in 0..4 {
+        let at = 1_000 + 5_000 * n;
+        recorder.crash_at(&format!("i-{n}"), &[BAD, 0x100 + n], at);
+        for neighbour in 0..60 {
+            recorder.crash_at(&format!("i-{n}"), &[FIRST, 0x1000 + 100 * n + neighbour], at);
+        }
+        recorder.quarantine.expire(Millis(at + 1_000));
+    }
+    assert!(recorder.is_condemned(&[BAD], 20_000));
 }
 
 #[test]
--- a/components/fleet/src/crashing_prompts.rs
+++ b/components/fleet/src/crashing_prompts.rs
@@ -11,7 +11,7 @@
 const CRASHING_PART: u64 = 0xbad;
 /// The digest of the request that crashes endpoints, if there is one.
 const CRASHING_DIGEST: u64 = 0xbad;
-/// First parts that requests have in common, and sessions.
+/// First parts that requests have in common by default, and sessions.
 const FIRST_PARTS: u64 = 40;
 const SESSIONS: u64 = 255;
 /// Time from sending a request until its endpoint begins to respond, and until the response ends.
@@ -41,6 +41,12 @@
     pub sound_per_s: f64,
     /// Requests per second with the part that crashes endpoints.
     pub crashing_per_s: f64,
+    /// Number of different parts that crash endpoints.
+    pub crashing_parts: u64,
+    /// Whether endpoints crash before they respond to requests with such a part.
+    pub crashes_before_response: bool,
+    /// Number of first parts that all requests have in common.
+    pub first_parts: u64,
     /// Whether one request comes again and again, rather than several with one part; its endpoints
     /// crash before they respond.
     pub repeats: bool,
@@ -62,6 +68,9 @@
             endpoints: 12,
             sound_per_s: 60.0,
             crashing_per_s: 1.0,
+            crashing_parts: 1,
+            crashes_before_response: false,
+            first_parts: FIRST_PARTS,
             repeats: false,
             contact_time: Millis(4_000),
             loses_readers: false,
@@ -77,7 +86,7 @@
     /// Endpoints that crashed.
     pub crashes: usize,
     /// Requests that crash endpoints and were sent to one later than the contact time after the
-    /// crash from which they are limited.
+    /// crash from which they are limited; of several parts the most under one.
     pub sent_late: usize,
     /// Time from the third crash until the last daemon refused the part.
     pub condemned_after: Millis,
@@ -99,7 +108,8 @@
     begins_at: Millis,
     ends_at: Millis,
     contents: BTreeSet<Content>,
-    crashes: bool,
+    /// The number of the part with which it crashes its endpoint.
+    crashing_part: Option<usize>,
 }
 
 struct Simulation {
@@ -109,6 +119,9 @@
     up_from: Vec<Millis>,
     running: Vec<Running>,
     crashed_at: Vec<Millis>,
+    /// The crashes under each part that crashes endpoints.
+    crashed_by_part: Vec<Vec<Millis>>,
+    sent_late: Vec<usize>,
     /// Notices that a daemon publishes at a time.
     pending: Vec<(Millis, usize, Notice)>,
     result: CrashResult,
@@ -122,6 +135,8 @@
         up_from: vec![Millis(0); cfg.endpoints],
         running: Vec::new(),
         crashed_at: Vec::new(),
+        crashed_by_part: vec![Vec::new(); cfg.crashing_parts as usize],
+        sent_late: vec![0; cfg.crashing_parts as usize],
         pending: Vec::new(),
         result: CrashResult::default(),
         cfg,
@@ -132,6 +147,7 @@
         now = now + STEP;
     }
     simulation.result.crashes = simulation.crashed_at.len();
+    simulation.result.sent_late = simulation.sent_late.iter().copied().max().unwrap_or(0);
     simulation.result.mean_bytes = simulation.fleet.mean_sent_bytes();
     simulation.result.most_bytes = simulation.fleet.most_sent_bytes();
     simulation.result
@@ -163,18 +179,21 @@
         self.record_condemnation(now);
     }
 
-    fn contents(&mut self, crashes: bool) -> BTreeSet<Content> {
-        let first = 0x1000 + self.rng.random_range(0..FIRST_PARTS);
+    /// The contents of a request, and the number of the part with which it crashes its endpoint.
+    fn contents(&mut self, crashes: bool) -> (BTreeSet<Content>, Option<usize>) {
+        let first = 0x1000 + self.rng.random_range(0..self.cfg.first_parts);
         let session = 0x2000 + self.rng.random_range(0..SESSIONS);
         let has_part = crashes && !self.cfg.repeats;
-        let middle = if has_part { CRASHING_PART } else { 0x3000 + session };
+        let part = self.rng.random_range(0..self.cfg.crashing_parts);
+        let middle = if has_part { CRASHING_PART + part } else { 0x3000 + session };
         let is_repetition = crashes && self.cfg.repeats;
         let digest = if is_repetition { CRASHING_DIGEST } else { self.rng.random() };
-        Content::set(&[first, middle, session], Some(digest))
+        let crashing_part = crashes.then_some(if has_part { part as usize } else { 0 });
+        (Content::set(&[first, middle, session], Some(digest)), crashing_part)
     }
 
     fn send_request(&mut self, crashes: bool, now: Millis) {
-        let contents = self.contents(crashes);
+        let (contents, crashing_part) = self.contents(crashes);
         let daemon = self.rng.random_range(0..self.cfg.daemons);
         if !self.fleet.is_up(daemon) {
             return;
@@ -189,27 +208,27 @@
         if is_refused || up.is_empty() {
             return;
         }
-        if crashes && self.is_late(now) {
-            self.result.sent_late += 1;
+        if let Some(part) = crashing_part.filter(|part| self.is_late(*part, now)) {
+            self.sent_late[part] += 1;
         }
         let endpoint = up[self.rng.random_range(0..up.len())];
         let begins_at = now + Millis(self.rng.random_range(FIRST_BYTE_MS));
         let ends_at = begins_at + Millis(self.rng.random_range(RESPONSE_MS));
         let running =
-            Running { daemon, endpoint, sent_at: now, begins_at, ends_at, contents, crashes };
+            Running { daemon, endpoint, sent_at: now, begins_at, ends_at, contents, crashing_part };
         self.running.push(running);
     }
 
-    fn is_late(&self, now: Millis) -> bool {
+    fn is_late(&self, part: usize, now: Millis) -> bool {
         let limiting = if self.cfg.repeats { LIMITING_REPETITION } else { LIMITING_CRASH };
-        let limiting = self.crashed_at.get(limiting - 1);
+        let limiting = self.crashed_by_part[part].get(limiting - 1);
         limiting.is_some_and(|at| now > *at + self.cfg.contact_time)
     }
 
     fn end_responses(&mut self, now: Millis) {
         let (ended, running) = std::mem::take(&mut self.running)
             .into_iter()
-            .partition(|request| !request.crashes && request.ends_at <= now);
+            .partition(|request| request.crashing_part.is_none() && request.ends_at <= now);
         self.running = running;
         let ended: Vec<Running> = ended;
         for request in ended {
@@ -227,14 +246,15 @@
     }
 
     fn crash_endpoints(&mut self, now: Millis) {
-        let crashing: Vec<usize> = self
+        let crashing: Vec<(usize, usize)> = self
             .running
             .iter()
-            .filter(|request| request.crashes && request.begins_at <= now)
-            .map(|request| request.endpoint)
+            .filter(|request| request.begins_at <= now)
+            .filter_map(|request| Some((request.endpoint, request.crashing_part?)))
             .collect();
-        for endpoint in crashing {
+        for (endpoint, part) in crashing {
             if self.up_from[endpoint] <= now {
+                self.crashed_by_part[part].push(now);
                 self.crash(endpoint, now);
             }
         }
@@ -251,12 +271,16 @@
         for request in lost {
             let contents: Vec<Content> = request.contents.iter().copied().collect();
             let (parts, digest) = Content::split(&contents);
+            let quarantine = &self.fleet.daemons[request.daemon].quarantine;
+            let proven = quarantine.proven_parts(SERVICE, &parts, now);
             let crash = CrashNotice {
                 service: SERVICE.to_owned(),
                 endpoint: format!("i-{endpoint}-{}", self.crashed_at.len()),
                 parts,
+                proven,
                 request: digest,
-                has_begun: request.begins_at <= now,
+                has_begun: request.begins_at <= now
+                    && !(request.crashing_part.is_some() && self.cfg.crashes_before_response),
                 ran_ms: now.since(request.sent_at).0,
             };
             let notice = Notice { crash: Some(crash), ..empty_notice() };
--- a/components/fleet/src/succession.rs
+++ b/components/fleet/src/succession.rs
@@ -63,6 +63,7 @@
             service: String::from("modelo-agenda"),
             endpoint: registration(sequence as usize).0,
             parts: vec![sequence, sequence + 1, sequence + 2],
+            proven: Vec::new(),
             request: Some(sequence),
             has_begun: true,
             ran_ms: 100,
--- a/components/fleet/tests/crashing_prompts.rs
+++ b/components/fleet/tests/crashing_prompts.rs
@@ -7,6 +7,9 @@
 /// Requests that may reach endpoints later than the contact time after the fifth crash under a part,
 /// or the third under one request.
 const MAX_SENT_LATE: usize = 3;
+/// Percentage of sound requests that may be refused while endpoints crash all the time before they
+/// respond: nine of ten are to be served.
+const MAX_REFUSED_IN_STORM_PERCENT: usize = 10;
 
 fn small() -> CrashConfig {
     CrashConfig::default()
@@ -23,6 +26,11 @@
     }
 }
 
+/// Requests that are broken off beside those that crash endpoints have their first part in common.
+fn one_first_part() -> CrashConfig {
+    CrashConfig { first_parts: 1, sound_per_s: 150.0, crashes_before_response: true, ..small() }
+}
+
 fn check(cfg: CrashConfig) {
     let result = measure_crashes(cfg);
     assert!(result.sent_late <= MAX_SENT_LATE, "{result:?}");
@@ -64,3 +72,34 @@
 ) {
     check(CrashConfig { repeats: true, seed, ..cfg });
 }
+
+#[rstest]
+#[case::often(CrashConfig { crashing_per_s: 7.5, ..one_first_part() })]
+#[case::very_often(CrashConfig { crashing_per_s: 20.0, ..one_first_part() })]
+#[case::seldom(CrashConfig { crashing_per_s: 0.7, ..one_first_part() })]
+#[case::very_seldom(CrashConfig { crashing_per_s: 0.2, ..one_first_part() })]
+#[case::three_parts(CrashConfig { crashing_parts: 3, crashing_per_s: 7.5, ..one_first_part() })]
+#[case::four_daemons(CrashConfig { daemons: 4, crashing_per_s: 2.0, ..one_first_part() })]
+#[case::after_the_head(CrashConfig {
+    crashes_before_response: false,
+    crashing_per_s: 7.5,
+    ..one_first_part()
+})]
+fn sound_requests_are_admitted_beside_those_that_crash_endpoints_before_the_response(
+    #[case] cfg: CrashConfig,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let result = measure_crashes(CrashConfig { seed, ..cfg });
+    assert!(result.sent_late <= MAX_SENT_LATE, "{result:?}");
+    let max_refused = result.sound_sent * MAX_REFUSED_IN_STORM_PERCENT / 100;
+    assert!(result.sound_refused <= max_refused, "{result:?}");
+}
+
+#[rstest]
+#[case::one_part(1)]
+#[case::three_parts(3)]
+fn sound_requests_of_three_hundred_daemons_are_admitted_beside_those_that_crash_endpoints(
+    #[case] crashing_parts: u64,
+) {
+    check(CrashConfig { crashing_parts, first_parts: 1, crashes_before_response: true, ..large() });
+}
--- a/components/gateway/src/broken_response.rs
+++ b/components/gateway/src/broken_response.rs
@@ -33,7 +33,7 @@
     service: String,
     endpoint: String,
     address: SocketAddr,
-    /// The ids of the prompt parts that other requests may share.
+    /// The ids of the prompt parts.
     parts: Vec<u64>,
     /// The digest of the whole request.
     digest: u64,
@@ -61,7 +61,7 @@
             service: request.service.clone(),
             endpoint: in_flight.endpoint().to_owned(),
             address,
-            parts: request.prompt.as_ref().map(shared_parts).unwrap_or_default(),
+            parts: request.prompt.as_ref().map(reported_parts).unwrap_or_default(),
             digest: request.digest(),
             has_head: began_at.is_some(),
             sent_at: in_flight.sent_at(),
@@ -80,7 +80,9 @@
             let request = Some(self.digest);
             let has_begun = self.has_head;
             let BrokenResponse { service, endpoint, parts, .. } = self;
-            let crash = CrashNotice { service, endpoint, parts, request, has_begun, ran_ms };
+            let proven = gateway.quarantine.borrow().proven_parts(&service, &parts, now());
+            let crash =
+                CrashNotice { service, endpoint, parts, proven, request, has_begun, ran_ms };
             publish_crash(gateway, crash);
         }
         has_crashed
@@ -139,8 +141,11 @@
     }
 }
 
-fn shared_parts(prompt: &Prompt) -> Vec<u64> {
-    prompt.shared().iter().map(|part| part.id).take(MAX_PARTS).collect()
+/// The first parts of a prompt; more than [`MAX_PARTS`] are not reported.
+fn reported_parts(prompt: &Prompt) -> Vec<u64> {
+    let mut parts = prompt.part_ids();
+    parts.truncate(MAX_PARTS);
+    parts
 }
 
 /// Whether nothing listens at the address. An endpoint that only cut or reset a connection still
--- a/components/gateway/src/contents.rs
+++ b/components/gateway/src/contents.rs
@@ -6,15 +6,19 @@
 use decision::routing::{Content, Judgement, Prompt};
 use std::collections::BTreeSet;
 
-/// The contents of a request by which it may be kept from endpoints. The digest of the whole request
-/// is computed only while there is evidence against one to the same service.
+/// The contents of a request by which it may be kept from endpoints: the prompt parts that others
+/// share, the last one if there is evidence about it, and the digest of the whole request, which is
+/// computed only while there is evidence against one to the same service.
 pub(crate) fn contents<A: Adapter>(
     gateway: &Gateway<A>,
     request: &RoutedRequest,
 ) -> BTreeSet<Content> {
-    let is_watched = gateway.quarantine.borrow().watches_requests(&request.service);
-    let digest = is_watched.then(|| Content::Request(request.digest()));
-    request.prompt.iter().flat_map(Prompt::contents).chain(digest).collect()
+    let quarantine = gateway.quarantine.borrow();
+    let service = &request.service;
+    let digest = quarantine.watches_requests(service).then(|| Content::Request(request.digest()));
+    let own_part = request.prompt.as_ref().and_then(Prompt::own_part);
+    let own_part = own_part.filter(|part| quarantine.knows(service, *part));
+    request.prompt.iter().flat_map(Prompt::contents).chain(own_part).chain(digest).collect()
 }
 
 /// Whether an endpoint crashed under a request with a content of this one.
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -64,7 +64,8 @@
         *self.digest.get_or_init(|| {
             let target = self.target.path_and_query().map_or("", |target| target.as_str());
             let account = self.account.as_deref();
-            request_digest(self.method.as_str(), target, account, &self.body)
+            let parts = self.prompt.as_ref().map(Prompt::part_ids).unwrap_or_default();
+            request_digest(self.method.as_str(), target, account, &parts, &self.body)
         })
     }
 
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -32,11 +32,14 @@
 pub struct CrashNotice {
     ///The id of the endpoint.
     pub endpoint: ::std::string::String,
-    ///Whether the endpoint had begun to respond. Otherwise it may not have begun with the prompt, and the crash is no evidence against its parts.
+    ///Whether the endpoint had begun to respond. Fewer crashes are reported of endpoints that had not.
     #[serde(default = "defaults::default_bool::<true>")]
     pub has_begun: bool,
-    ///The ids of the prompt parts that other requests may share.
+    ///The ids of the prompt parts.
     pub parts: ::std::vec::Vec<u64>,
+    ///Those of the parts with which the reporting daemon completed requests in the last minute.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub proven: ::std::vec::Vec<u64>,
     ///The time from sending the request to the crash, in milliseconds.
     pub ran_ms: u64,
     ///The digest of the whole request, which its repetitions share.
