--- a/fakes/src/platform/crash.rs
+++ b/fakes/src/platform/crash.rs
@@ -1,3 +1,4 @@
+use super::crashing_body::CrashStage;
 use socket2::SockRef;
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -8,11 +9,13 @@
 /// The pause before a port that is still in use is bound again.
 const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
-/// The content that crashes an endpoint, and for how long it is gone.
+/// The prompt part that crashes an endpoint, and how.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CrashingPart {
     /// The id of the prompt part, as written in requests.
     pub id: String,
+    /// When it crashes.
+    pub stage: CrashStage,
     /// The time from a crash to the restart.
     pub restart_after: Duration,
 }
@@ -58,16 +61,18 @@
         Ok(())
     }
 
-    /// Closes all sockets.
-    pub(super) fn crash(&self) {
+    /// Closes all sockets. Returns when, or `None` if the process had crashed already.
+    pub(super) fn crash(&self) -> Option<Instant> {
         let mut sockets = self.lock();
-        let Some(listener) = sockets.listener.take() else { return };
-        sockets.crashes.push(Instant::now());
+        let listener = sockets.listener.take()?;
+        let now = Instant::now();
+        sockets.crashes.push(now);
         // The socket may be closed already; the accepting thread then ends by itself.
         let _ = SockRef::from(&listener).shutdown(Shutdown::Both);
         for stream in sockets.connections.drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
+        Some(now)
     }
 }
 
--- a/fakes/src/platform/endpoint.rs
+++ b/fakes/src/platform/endpoint.rs
@@ -1,7 +1,7 @@
 use super::bad_continuation::BadContinuation;
 use super::closing::close;
 use super::crash::{CrashableSockets, CrashingPart, rebind};
-use super::crashing_body::CrashingBody;
+use super::crashing_body::{CrashStage, CrashingBody};
 use super::repeated_refusal::{RefusalMemory, RepeatedRefusal};
 use super::room::{Arrival, Occupancy, Room};
 use super::unframed::{UnframedEnd, UnframedResponse};
@@ -73,6 +73,8 @@
     pub arrived: Instant,
     /// Whether the endpoint ran it.
     pub ran: bool,
+    /// When the endpoint crashed under it.
+    pub crashed: Option<Instant>,
     /// When the endpoint noticed that the caller had closed the connection before the end of the
     /// response.
     pub cancelled: Option<Instant>,
@@ -81,10 +83,12 @@
 #[derive(Debug, Default)]
 struct State {
     behaviour: Behaviour,
-    crashing_part: Option<CrashingPart>,
+    crashing_parts: Vec<CrashingPart>,
     crashing_body: Option<CrashingBody>,
     stated_limit: Option<String>,
     leaving_since: Option<Instant>,
+    gets_new_ids: bool,
+    restarts: u64,
     software_version: Option<String>,
     room: Option<Room>,
     occupancy: Occupancy,
@@ -95,7 +99,7 @@
 impl State {
     /// The time from a crash to the restart.
     fn restart_after(&self) -> Duration {
-        let part = self.crashing_part.as_ref().map(|part| part.restart_after);
+        let part = self.crashing_parts.first().map(|part| part.restart_after);
         let body = self.crashing_body.as_ref().map(|body| body.restart_after);
         let room = self.room.map(|room| room.restart_after);
         part.or(body).or(room).unwrap_or_default()
@@ -107,7 +111,7 @@
 pub struct PlatformEndpoint {
     /// The address that it listens on.
     pub address: SocketAddr,
-    /// Its instance id, which requests must name.
+    /// The id that it starts with, which requests must name.
     pub id: String,
     state: Arc<Mutex<State>>,
     sockets: Arc<CrashableSockets>,
@@ -145,6 +149,7 @@
             })?;
             thread::sleep(self.state().restart_after());
             listener = rebind(self.address)?;
+            self.state().restarts += 1;
         }
     }
 
@@ -157,9 +162,29 @@
         self.state().behaviour = behaviour;
     }
 
-    /// Sets the prompt part that crashes it as soon as it begins to respond.
-    pub fn set_crashing_part(&self, part: Option<CrashingPart>) {
-        self.state().crashing_part = part;
+    /// Sets the prompt parts that crash it.
+    pub fn set_crashing_parts(&self, parts: &[CrashingPart]) {
+        self.state().crashing_parts = parts.to_vec();
+    }
+
+    /// Sets whether each restart is a new instance, with an id of its own.
+    pub fn set_gets_new_ids(&self, gets_new_ids: bool) {
+        self.state().gets_new_ids = gets_new_ids;
+    }
+
+    /// The number of restarts after a crash.
+    pub fn restarts(&self) -> u64 {
+        self.state().restarts
+    }
+
+    /// The id that requests must name now.
+    pub fn current_id(&self) -> String {
+        let state = self.state();
+        if state.gets_new_ids && state.restarts > 0 {
+            format!("{}-{}", self.id, state.restarts)
+        } else {
+            self.id.clone()
+        }
     }
 
     /// Sets the request body that crashes it.
@@ -220,7 +245,8 @@
         while let Some(message) = read_message(&mut reader)? {
             let number = self.state().requests.len();
             let behaviour = self.state().behaviour.of_request(number);
-            let is_for_this_instance = message.header("x-chervilspur-expected-instance") == self.id;
+            let own_id = self.current_id();
+            let is_for_this_instance = message.header("x-chervilspur-expected-instance") == own_id;
             let ran = is_for_this_instance
                 && match behaviour {
                     Behaviour::Reject => false,
@@ -228,10 +254,14 @@
                     _ => true,
                 };
             let arrived = Instant::now();
-            let request =
-                ReceivedRequest { message: message.clone(), arrived, ran, cancelled: None };
-            let number = self.state().requests.len();
-            self.state().requests.push(request);
+            let request = ReceivedRequest {
+                message: message.clone(),
+                arrived,
+                ran,
+                crashed: None,
+                cancelled: None,
+            };
+            let number = self.record_request(request);
             if !is_for_this_instance {
                 let stated = self.stated_headers();
                 write!(writer, "HTTP/1.1 421 X\r\n{stated}content-length: 0\r\n\r\n")?;
@@ -240,19 +270,22 @@
             if let Behaviour::RepeatRefusal(when) = behaviour {
                 let id = message.header("x-chervilspur-attempt-id");
                 let signed = format!(
-                    "x-chervilspur-attempt-id: {id}\r\nx-chervilspur-server-seal: {}\r\n",
-                    self.id
+                    "x-chervilspur-attempt-id: {id}\r\nx-chervilspur-server-seal: {own_id}\r\n"
                 );
                 refusals.respond(when, id, &signed, &mut writer)?;
                 continue;
             }
-            if self.crashes_on(&message) {
-                return self.crash_within_response(&message, &mut writer);
+            if let Some(stage) = self.crash_stage(&message) {
+                let id = message.header("x-chervilspur-attempt-id");
+                let sent = stage.send(id, &own_id, self.event_interval, &mut writer);
+                let crashed = self.sockets.crash();
+                self.state().requests[number].crashed = crashed;
+                return sent;
             }
             let crashing_body = self.state().crashing_body.clone();
             if let Some(crashing) = crashing_body.filter(|crashing| crashing.is_in(&message)) {
                 let id = message.header("x-chervilspur-attempt-id");
-                let sent = crashing.send(id, &self.id, self.event_interval, &mut writer);
+                let sent = crashing.stage.send(id, &own_id, self.event_interval, &mut writer);
                 self.sockets.crash();
                 return sent;
             }
@@ -287,26 +320,14 @@
         Some((state.occupancy.arrive(&room, Instant::now()), room))
     }
 
-    fn crashes_on(&self, message: &Message) -> bool {
+    /// When it crashes under a request, if the prompt has a crashing part.
+    fn crash_stage(&self, message: &Message) -> Option<CrashStage> {
         let parts = message.header("x-chervilspur-prompt-prefix").split(',');
-        let mut ids = parts.filter_map(|part| part.split(':').next());
+        let ids: Vec<&str> =
+            parts.filter_map(|part| part.split(':').next()).map(str::trim).collect();
         let state = self.state();
-        state.crashing_part.as_ref().is_some_and(|crashing| ids.any(|id| id.trim() == crashing.id))
-    }
-
-    /// Sends the head and the first bytes of an event, then closes all sockets.
-    fn crash_within_response(&self, message: &Message, writer: &mut TcpStream) -> io::Result<()> {
-        let id = message.header("x-chervilspur-attempt-id");
-        thread::sleep(self.event_interval);
-        write!(
-            writer,
-            "HTTP/1.1 200 X\r\nx-chervilspur-attempt-id: {id}\r\nx-chervilspur-server-seal: {}\r\n\
-             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n3\r\nid:\r\n",
-            self.id
-        )?;
-        thread::sleep(self.event_interval);
-        self.sockets.crash();
-        Ok(())
+        let crashing = state.crashing_parts.iter().find(|part| ids.contains(&part.id.as_str()))?;
+        Some(crashing.stage)
     }
 
     /// Responds to a request; true if the connection is kept open.
@@ -320,7 +341,8 @@
         let id = message.header("x-chervilspur-attempt-id");
         let stated = self.stated_headers();
         let id_header = format!("x-chervilspur-attempt-id: {id}\r\n{stated}");
-        let signed_headers = format!("{id_header}x-chervilspur-server-seal: {}\r\n", self.id);
+        let signed_headers =
+            format!("{id_header}x-chervilspur-server-seal: {}\r\n", self.current_id());
         match behaviour {
             Behaviour::Fail => {
                 write!(writer, "HTTP/1.1 500 X\r\n{signed_headers}content-length: 4\r\n\r\noops")?;
@@ -479,6 +501,13 @@
         read.map(|_| ())
     }
 
+    /// Returns the number of the request.
+    fn record_request(&self, request: ReceivedRequest) -> usize {
+        let mut state = self.state();
+        state.requests.push(request);
+        state.requests.len() - 1
+    }
+
     fn record_cancellation(&self, number: usize) {
         self.state().requests[number].cancelled = Some(Instant::now());
     }
--- a/fakes/src/soak/run.rs
+++ b/fakes/src/soak/run.rs
@@ -46,7 +46,8 @@
         Load::Plain | Load::Versions => {}
         Load::Prompts => {
             let id = CRASHING_PART.to_owned();
-            endpoint.set_crashing_part(Some(CrashingPart { id, restart_after }));
+            let stage = CrashStage::WithinEvent;
+            endpoint.set_crashing_parts(&[CrashingPart { id, stage, restart_after }]);
         }
         Load::Repetitions => {
             let body = CRASHING_BODY.to_owned();
--- a/tests/gateway/crashing_prompts.rs
+++ b/tests/gateway/crashing_prompts.rs
@@ -1,7 +1,7 @@
 //! What reaches endpoints of requests with a prompt part that crashes them.
 
 use crate::support::{KEY, Site, registration};
-use fakes::{Client, ClientResponse, CrashingPart, GatewayConfig, GatewayProcess};
+use fakes::{Client, ClientResponse, CrashStage, CrashingPart, GatewayConfig, GatewayProcess};
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::thread::sleep;
@@ -48,7 +48,8 @@
         for runner in &site.runners {
             site.store.put("servers", &runner.id, registration(runner, "ready", 2));
             let id = CRASHING_PART.to_owned();
-            runner.set_crashing_part(Some(CrashingPart { id, restart_after: RESTART_AFTER }));
+            let (stage, restart_after) = (CrashStage::WithinEvent, RESTART_AFTER);
+            runner.set_crashing_parts(&[CrashingPart { id, stage, restart_after }]);
         }
         let addresses = others.iter().map(|gateway| gateway.address);
         let gateways = [site.gateway.address].into_iter().chain(addresses).collect();
