--- a/components/messages/src/lib.rs
+++ b/components/messages/src/lib.rs
@@ -6,6 +6,9 @@
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 pub mod cluster;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+pub mod duties;
 mod envelope;
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
--- a/components/schema/src/message.rs
+++ b/components/schema/src/message.rs
@@ -28,7 +28,7 @@
 
 /// Names of the message schemas. `schema/NAME.json` generates the module NAME of the `messages`
 /// crate.
-pub const MESSAGE_SCHEMAS: [&str; 4] = ["cluster", "feed", "forward", "status"];
+pub const MESSAGE_SCHEMAS: [&str; 5] = ["cluster", "duties", "feed", "forward", "status"];
 
 /// The schema of bytes that are not encoded as a sequence of numbers.
 fn packed_schema() -> SchemaObject {
