--- /dev/null
+++ b/components/decision/src/duties/capacity/mod.rs
@@ -0,0 +1,16 @@
+//! How many endpoints of each kind are ordered for a service in each data centre.
+
+mod demand;
+mod order;
+mod planner;
+mod pressure;
+mod reports;
+mod scaling;
+mod share;
+mod site;
+
+pub use demand::{DataCentreDemand, EndpointCounts, ServiceDemand, Work};
+pub use order::{EndpointKind, Order, OrderOutcome, OrderedCount};
+pub use planner::CapacityPlanner;
+pub use reports::DemandReports;
+pub use scaling::ServiceScaling;
--- /dev/null
+++ b/components/decision/tests/duties/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the decisions of the platform duties through the public interface.
+
+mod capacity;
+mod simulated_service;
--- a/components/messages/src/duties.rs
+++ b/components/messages/src/duties.rs
@@ -45,6 +45,12 @@
 ///What a daemon has seen of a service since its previous report.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ServiceReport {
+    ///The number of responses that began.
+    #[serde(default)]
+    pub begun: u64,
+    ///The number of these that began after more than half of the objective of their route had passed.
+    #[serde(default)]
+    pub begun_late: u64,
     ///The requests in flight at the time of the report, by data centre of the endpoints.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub in_flight: ::std::vec::Vec<DataCentreUse>,
@@ -60,6 +66,9 @@
     pub response_tokens: u64,
     ///The name of the service.
     pub service: ::std::string::String,
+    ///Prompt tokens of the requests that have not produced a first byte at the time of the report.
+    #[serde(default)]
+    pub unread_tokens: u64,
 }
 ///The requests of a usage window so far. A repetition replaces the counts that came before.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
