Add the interfaces of duties and of ordered capacity

Settings, configuration and registry entries carry what the holder of the duties needs; encodings between daemons stay as they were where there is none of it. A notice tells all daemons the holder. The holder itself is not carried out yet.

--- a/components/decision/src/routing/catalog.rs
+++ b/components/decision/src/routing/catalog.rs
@@ -92,8 +92,24 @@
     pub event_tokens: u32,
 }
 
+/// How many endpoints of a service the platform runs on order, and what they cost.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Scaling {
+    /// The minimum number of endpoints in each data centre, spot endpoints included.
+    pub minimum: u32,
+    /// The maximum number of endpoints in each data centre, spot endpoints included.
+    pub maximum: u32,
+    /// The time from the order of an endpoint until it serves.
+    pub boot: Millis,
+    /// The price of a spot endpoint as a share of that of an ordinary one; `None` if there are none.
+    pub spot_price: Option<f64>,
+    /// The price of an endpoint-second by data centre.
+    pub data_centre_prices: BTreeMap<String, f64>,
+}
+
 /// A group of endpoints that serve the same requests.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
 pub struct Service {
     /// The name.
@@ -102,6 +118,9 @@
     pub connection_limit: u32,
     /// The capacity of each of its engines; `None` for a plain service.
     pub engine: Option<EngineSize>,
+    /// The orders of endpoints; `None` if their number is not ours to choose.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub scaling: Option<Scaling>,
 }
 
 /// A client account and its keys.
--- a/components/decision/src/routing/directory.rs
+++ b/components/decision/src/routing/directory.rs
@@ -33,6 +33,17 @@
     pub started: u64,
     /// The number of its heartbeats; restarts with each incarnation.
     pub heartbeats: u64,
+    /// Whether it runs on capacity that costs less and may be reclaimed.
+    #[serde(skip_serializing_if = "is_false")]
+    pub spot: bool,
+    /// The time until it is gone, in milliseconds, if it is being reclaimed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub leaves_ms: Option<u64>,
+}
+
+/// Leaves a field out of the encoding, so that it is as in builds without that field.
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 impl Registration {
--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -43,7 +43,7 @@
 pub use brittle_endpoints::{BrittleEndpoints, Division, Part};
 pub use catalog::{
     Account, Caller, Catalog, ClientLimits, Configuration, Destination, EngineSize, Repeat, Route,
-    Service,
+    Scaling, Service,
 };
 pub use change_log::ChangeLog;
 pub use configuration_change::{AccountsChange, ConfigurationChange};
--- a/components/decision/tests/routing/main.rs
+++ b/components/decision/tests/routing/main.rs
@@ -17,6 +17,7 @@
 mod reachability;
 mod readers;
 mod relays;
+mod scaling_fields;
 mod simulated_engine;
 mod simulated_fleet;
 mod simulated_readers;
--- a/components/decision/tests/routing/notices.rs
+++ b/components/decision/tests/routing/notices.rs
@@ -16,6 +16,7 @@
         completion: Some(completion),
         limit: None,
         departure: None,
+        holder: None,
     }
 }
 
--- a/components/fleet/src/crashing_prompts.rs
+++ b/components/fleet/src/crashing_prompts.rs
@@ -300,5 +300,6 @@
         completion: None,
         limit: None,
         departure: None,
+        holder: None,
     }
 }
--- a/components/fleet/src/departure.rs
+++ b/components/fleet/src/departure.rs
@@ -52,5 +52,6 @@
         completion: None,
         limit: None,
         departure: Some(departure),
+        holder: None,
     }
 }
--- a/components/fleet/src/succession.rs
+++ b/components/fleet/src/succession.rs
@@ -75,6 +75,7 @@
             completion: None,
             limit: None,
             departure: None,
+            holder: None,
         };
         board.receive(&notice, NoticeSource::Peer, Millis(REPORT_MS));
     }
--- a/components/gateway/src/adapter.rs
+++ b/components/gateway/src/adapter.rs
@@ -1,4 +1,5 @@
 use decision::Millis;
+use decision::duties::DutyCall;
 use decision::routing::{Configuration, Peer, Prompt, ReaderRecord, Registration};
 use http::{HeaderMap, HeaderName, StatusCode};
 use serde::Serialize;
@@ -68,6 +69,8 @@
     SoftwareVersions,
     /// The streams that daemons began while a service had several software versions.
     Streams,
+    /// The record of the daemon that carries out the duties.
+    Duties,
 }
 
 impl ObjectKind {
@@ -79,6 +82,7 @@
             ObjectKind::Readers => "readers",
             ObjectKind::SoftwareVersions => "software_versions",
             ObjectKind::Streams => "streams",
+            ObjectKind::Duties => "duties",
         }
     }
 }
@@ -135,6 +139,15 @@
     /// Sets the headers of a client on a request that is passed on to another daemon.
     fn write_relayed(&self, headers: &mut HeaderMap, key: Option<&str>, remaining: Millis);
 
+    /// Sets the headers of a call to the platform that only the holder of the duties makes.
+    fn write_duty_headers(&self, headers: &mut HeaderMap, holder: &str, token: u64);
+
+    /// The request target of such a call, a POST.
+    fn duty_target(&self, call: &DutyCall) -> &'static str;
+
+    /// Encodes the body of such a call.
+    fn write_duty_call(&self, call: &DutyCall) -> String;
+
     /// Evaluates the status and headers of an endpoint response.
     fn read_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 use crate::clock::now;
 use crate::configuration_history::ConfigurationHistory;
 use crate::continuation::StreamLookup;
+use crate::duties::Duties;
 use crate::large_responses::LargeResponses;
 use crate::log::LogQuota;
 use crate::metrics::Metrics;
@@ -129,6 +130,8 @@
     pub(crate) wait_queues: RefCell<WaitQueues>,
     /// Notified when a response begins, a request ends, or one leaves its queue.
     pub(crate) queue_progress: Notify,
+    /// The holder of the calls that one daemon makes for all.
+    pub(crate) duties: Duties,
 }
 
 fn retry_budget(settings: &Settings, now: Millis) -> RetryBudget {
@@ -202,6 +205,7 @@
             stream_reads: Cell::default(),
             wait_queues: RefCell::default(),
             queue_progress: Notify::new(),
+            duties: Duties::default(),
         }
     }
 
--- a/components/gateway/src/notices.rs
+++ b/components/gateway/src/notices.rs
@@ -6,8 +6,11 @@
 use crate::log::LineKind;
 use crate::routed_request::RoutedRequest;
 use decision::Millis;
-use decision::routing::{Content, NoticeId, NoticeSource};
-use messages::feed::{CompletionNotice, CrashNotice, DepartureNotice, LimitNotice, Notice};
+use decision::duties::KnownHolder;
+use decision::routing::{Content, NoticeId, NoticeSource, Peer};
+use messages::feed::{
+    CompletionNotice, CrashNotice, DepartureNotice, HolderNotice, LimitNotice, Notice,
+};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -55,6 +58,19 @@
     publish(gateway, Notice { departure: Some(departure), ..empty_notice() });
 }
 
+/// Publishes which daemon holds the duties.
+#[allow(dead_code)]
+pub(crate) fn publish_holder<A: Adapter>(gateway: &Rc<Gateway<A>>, holder: KnownHolder) {
+    let KnownHolder { peer: Peer { name, address }, token, window } = holder;
+    let holder = HolderNotice { name, address, token, window };
+    publish(gateway, Notice { holder: Some(holder), ..empty_notice() });
+}
+
+fn known_holder(notice: &HolderNotice) -> KnownHolder {
+    let peer = Peer { name: notice.name.clone(), address: notice.address.clone() };
+    KnownHolder { peer, token: notice.token, window: notice.window }
+}
+
 fn empty_notice() -> Notice {
     Notice {
         origin: 0,
@@ -64,6 +80,7 @@
         completion: None,
         limit: None,
         departure: None,
+        holder: None,
     }
 }
 
@@ -121,6 +138,9 @@
     if let Some(departure) = &notice.departure {
         return apply_departure(gateway, notice, departure);
     }
+    if let Some(holder) = &notice.holder {
+        return gateway.duties.learn(&known_holder(holder));
+    }
     let observed_at = now - Millis(notice.age_ms);
     let mut quarantine = gateway.quarantine.borrow_mut();
     if let Some(crash) = &notice.crash {
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -1,8 +1,50 @@
 use decision::Millis;
+use decision::duties::Duty;
 use decision::routing::RetryBudgetConfig;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+/// The settings of the calls to the platform that exactly one daemon makes at a time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DutySettings {
+    /// The address that receives the calls.
+    pub address: SocketAddr,
+    /// The duties to carry out.
+    pub duties: BTreeSet<Duty>,
+    /// The calls per second that the platform accepts from all daemons together.
+    pub calls_per_second: f64,
+    /// Whether the platform checks the fencing token.
+    pub checks_token: bool,
+    /// The time for which a holder may act after a renewal.
+    pub lease: Millis,
+    /// The time after a suspension of the sender or of its link in which the platform tolerates the
+    /// calls of a former holder.
+    pub thaw: Millis,
+    /// The length of a window of usage reports.
+    pub report_window: Millis,
+    /// The tolerated deviation of a reported count, as a share of the true count.
+    pub usage_tolerance: f64,
+    /// The time after the end of a window at which its report is due.
+    pub usage_lateness: Millis,
+}
+
+impl Default for DutySettings {
+    fn default() -> DutySettings {
+        DutySettings {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            duties: BTreeSet::new(),
+            calls_per_second: 10.0,
+            checks_token: false,
+            lease: Millis(3_000),
+            thaw: Millis(300),
+            report_window: Millis(5_000),
+            usage_tolerance: 0.05,
+            usage_lateness: Millis(10_000),
+        }
+    }
+}
+
 /// The settings of one gateway daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -41,6 +83,8 @@
     pub memory_limit_bytes: u64,
     /// The limit on open file descriptors, from which the limit on client connections follows.
     pub open_files_limit: u32,
+    /// The calls to the platform that one daemon makes for all; `None` if there are none.
+    pub duties: Option<DutySettings>,
 }
 
 impl Default for Settings {
@@ -62,6 +106,7 @@
             data_centre: "local".to_owned(),
             memory_limit_bytes: 128 << 20,
             open_files_limit: 1024,
+            duties: None,
         }
     }
 }
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -256,6 +256,19 @@
     ///Its version; 0 if it holds none.
     pub version: u64,
 }
+///The daemon that carries out the calls to the platform which exactly one daemon makes at a time.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct HolderNotice {
+    ///The address at which other daemons reach it; empty if they cannot.
+    pub address: ::std::string::String,
+    ///The name of its instance.
+    pub name: ::std::string::String,
+    ///The fencing token of its calls, which increases with each change of holder.
+    pub token: u64,
+    ///The number of the last window whose usage report was begun, by it or an earlier holder; absent if there is none.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub window: ::std::option::Option<u64>,
+}
 ///An endpoint stated how many requests it takes.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LimitNotice {
@@ -297,6 +310,8 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub departure: ::std::option::Option<DepartureNotice>,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub holder: ::std::option::Option<HolderNotice>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub limit: ::std::option::Option<LimitNotice>,
     ///The incarnation of the daemon that observed it.
     pub origin: u64,
