--- a/components/decision/src/duties/capacity/order.rs
+++ b/components/decision/src/duties/capacity/order.rs
@@ -1,8 +1,7 @@
-use serde::{Deserialize, Serialize};
+use crate::duties::DutyCall;
 
 /// How the endpoints of an order are billed.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum EndpointKind {
     /// The full price; the platform does not reclaim them.
     #[default]
@@ -47,3 +46,25 @@
     /// The number of endpoints.
     pub count: u32,
 }
+
+impl Order {
+    /// Returns the call to the platform that gives the order.
+    pub fn call(&self) -> DutyCall {
+        DutyCall::Scale {
+            service: self.service.clone(),
+            data_centre: self.data_centre.clone(),
+            desired_count: self.count,
+            spot: self.kind == EndpointKind::Spot,
+        }
+    }
+}
+
+impl EndpointKind {
+    /// The name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            EndpointKind::Ordinary => "ordinary",
+            EndpointKind::Spot => "spot",
+        }
+    }
+}
--- a/components/decision/src/duties/capacity/planner.rs
+++ b/components/decision/src/duties/capacity/planner.rs
@@ -59,7 +59,7 @@
             has_reported: BTreeMap::new(),
             pressure: Pressure::new(now),
         });
-        plan.pressure.update(demand, scaling.boot, now);
+        plan.pressure.update(demand, scaling.boot(), now);
         let known = plan.observe(demand, scaling, started_at, now);
         plan.orders(&demand.service, &known, scaling, now)
     }
@@ -107,8 +107,10 @@
         let mut known = Vec::new();
         for (name, data_centre) in &demand.data_centres {
             let endpoints = data_centre.endpoints;
-            let site =
-                self.sites.entry(name.clone()).or_insert_with(|| Site::new(endpoints, now));
+            let site = self
+                .sites
+                .entry(name.clone())
+                .or_insert_with(|| Site::new(endpoints, scaling, now));
             site.observe(endpoints, scaling, now);
             let has_reported = self.has_reported.entry(name.clone()).or_default();
             *has_reported |= data_centre.reporting > 0;
--- a/components/decision/src/duties/capacity/share.rs
+++ b/components/decision/src/duties/capacity/share.rs
@@ -30,7 +30,7 @@
     let mut goals = BTreeMap::new();
     for (name, need) in needs {
         let wanted = need.total.ceil() as u32;
-        overflow += wanted.saturating_sub(scaling.maximum);
+        overflow += wanted.saturating_sub(scaling.maximum());
         let total = scaling.clamp(wanted);
         let base = if scaling.has_spot() {
             ((need.average * BASE_SHARE).ceil() as u32).min(total)
@@ -78,9 +78,9 @@
     scaling: &ServiceScaling,
 ) -> u32 {
     for placed in 0..count {
-        let open = goals.iter_mut().filter(|(name, goal)| {
-            Some(name.as_str()) != except && goal.total < scaling.maximum
-        });
+        let open = goals
+            .iter_mut()
+            .filter(|(name, goal)| Some(name.as_str()) != except && goal.total < scaling.maximum());
         let cost = |name: &str, goal: &Goal| f64::from(goal.total + 1) * scaling.price(name);
         let cheapest = open.min_by(|(a, x), (b, y)| cost(a, x).total_cmp(&cost(b, y)));
         let Some((_, goal)) = cheapest else { return count - placed };
--- a/components/decision/src/duties/capacity/site.rs
+++ b/components/decision/src/duties/capacity/site.rs
@@ -39,12 +39,38 @@
     /// The greatest number that may be ordered at the platform: an order without a response may be
     /// in force, and one whose endpoints were reclaimed or refused may be carried out later.
     standing: u32,
-    /// When the count was last raised or confirmed.
+    /// When the count was last set or equal to the number of registered endpoints.
     at: Millis,
     /// When it was last changed.
     changed_at: Millis,
 }
 
+impl Ordered {
+    /// Records the registered endpoints. If there are others than those ordered, they are taken over:
+    /// at once if the former holder may have ordered them (`is_first`), if there are more, in the boot
+    /// time, which is long enough for an order to take effect, else later. Returns whether endpoints
+    /// that were ordered have not come.
+    fn observe(&mut self, registered: u32, is_first: bool, boot: Millis, now: Millis) -> bool {
+        let is_missing = registered < self.count;
+        let timeout = match is_missing {
+            _ if is_first => Millis(0),
+            true => boot + ORDER_GRACE,
+            false => boot,
+        };
+        if registered == self.count {
+            self.at = now;
+            return false;
+        }
+        if now.since(self.at) < timeout {
+            return false;
+        }
+        self.count = registered;
+        self.standing = self.standing.max(registered);
+        self.at = now;
+        is_missing && !is_first
+    }
+}
+
 /// How many endpoints a data centre is to have.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) struct Goal {
@@ -64,6 +90,8 @@
     recent_spot: VecDeque<(Millis, u32)>,
     /// Spot endpoints are not ordered before this time.
     spot_refused_until: Option<Millis>,
+    /// Whether the platform has refused to reduce an order of spot endpoints that do not come.
+    is_reduction_refused: bool,
     /// The order without a response so far.
     pending: Option<(EndpointKind, u32)>,
     started_at: Millis,
@@ -81,12 +109,14 @@
 }
 
 impl Site {
-    /// Starts from the registered endpoints.
-    pub(super) fn new(registered: EndpointCounts, now: Millis) -> Site {
+    /// Starts from the registered endpoints. The former holder may have ordered more spot endpoints,
+    /// which were reclaimed or refused.
+    pub(super) fn new(registered: EndpointCounts, scaling: &ServiceScaling, now: Millis) -> Site {
         let ordered = |count| Ordered { count, standing: count, at: now, changed_at: now };
+        let standing = if scaling.has_spot() { scaling.maximum() } else { registered.spot };
         Site {
             ordinary: ordered(registered.ordinary),
-            spot: ordered(registered.spot),
+            spot: Ordered { standing, ..ordered(registered.spot) },
             registered,
             recent_spot: VecDeque::from([(now, registered.spot)]),
             started_at: now,
@@ -103,7 +133,9 @@
         scaling: &ServiceScaling,
         now: Millis,
     ) {
-        let were_reclaimed = registered.reclaimed > 0 && registered.spot < self.registered.spot;
+        // All spot endpoints leave together, whether or not their entries say so before they are gone.
+        let were_reclaimed = registered.spot < self.registered.spot
+            && (registered.reclaimed > 0 || registered.spot == 0);
         self.registered = registered;
         self.recent_spot.push_back((now, registered.spot));
         while self.recent_spot.get(1).is_some_and(|(at, _)| now.since(*at) >= WARM_UP) {
@@ -112,24 +144,11 @@
         if were_reclaimed {
             self.spot.count = registered.spot;
         }
-        let timeout = scaling.boot + ORDER_GRACE;
-        if registered.spot != self.spot.count && now.since(self.spot.at) >= timeout {
-            if registered.spot < self.spot.count {
-                self.spot_refused_until = Some(now + SPOT_RETRY_AFTER);
-            }
-            let count = registered.spot;
-            self.spot = Ordered { count, standing: count.max(self.spot.standing), at: now, ..self.spot };
-        }
-        if registered.ordinary != self.ordinary.count && now.since(self.ordinary.at) >= timeout {
-            let count = registered.ordinary;
-            self.ordinary = Ordered { count, standing: count.max(self.ordinary.standing), at: now, ..self.ordinary };
-        }
-        if registered.spot == self.spot.count {
-            self.spot.at = now;
-        }
-        if registered.ordinary == self.ordinary.count {
-            self.ordinary.at = now;
+        let is_first = now.since(self.started_at) < scaling.boot();
+        if self.spot.observe(registered.spot, is_first, scaling.boot(), now) {
+            self.spot_refused_until = Some(now + SPOT_RETRY_AFTER);
         }
+        self.ordinary.observe(registered.ordinary, is_first, scaling.boot(), now);
     }
 
     /// Records the work of the callers of the data centre.
@@ -191,7 +210,6 @@
         }
     }
 
-
     pub(super) fn start(&mut self, kind: EndpointKind, count: u32) {
         self.pending = Some((kind, count));
     }
@@ -212,13 +230,15 @@
                     self.lowered_at = now;
                 }
                 *ordered = Ordered { count, standing: count, at: now, changed_at: now };
+                self.is_reduction_refused &= kind == EndpointKind::Ordinary;
             }
             OrderOutcome::Unavailable => {
                 ordered.count = present.min(ordered.count);
-                if count <= present {
-                    ordered.standing = count;
-                }
                 if kind == EndpointKind::Spot {
+                    self.is_reduction_refused = count < ordered.standing;
+                    if count == 0 {
+                        ordered.standing = 0;
+                    }
                     self.spot_refused_until = Some(now + SPOT_RETRY_AFTER);
                 }
             }
@@ -237,7 +257,9 @@
         scaling: &ServiceScaling,
         now: Millis,
     ) -> Option<(EndpointKind, u32)> {
-        if self.pending.is_some() {
+        let term = now.since(self.started_at);
+        // Endpoints that the former holder ordered may not be registered before the boot time.
+        if self.pending.is_some() || term < scaling.boot() {
             return None;
         }
         let raise = self.raised_spot(goal, scaling, now);
@@ -245,8 +267,7 @@
         if raise.is_some() {
             return raise;
         }
-        let has_settled = now.since(self.started_at) >= LOWER_AFTER;
-        if !may_lower || !has_settled || now.since(self.lowered_at) < LOWER_INTERVAL {
+        if !may_lower || term < LOWER_AFTER || now.since(self.lowered_at) < LOWER_INTERVAL {
             return None;
         }
         let ordinary = self.lowered_ordinary(goal, scaling, now);
@@ -273,7 +294,7 @@
         if !self.has_spot(scaling, now) {
             return None;
         }
-        let room = scaling.maximum.saturating_sub(self.present(EndpointKind::Ordinary));
+        let room = scaling.maximum().saturating_sub(self.present(EndpointKind::Ordinary));
         let wanted = goal.total.saturating_sub(goal.base);
         if wanted.min(room) <= self.spot.count {
             return None;
@@ -300,15 +321,27 @@
         if wanted <= self.ordinary.count {
             return None;
         }
-        let room = scaling.maximum.saturating_sub(self.present(EndpointKind::Spot));
-        if wanted > room && self.spot.standing > self.spot.count {
+        let room = scaling.maximum().saturating_sub(self.present(EndpointKind::Spot));
+        let count = wanted.min(room);
+        let has_minimum = self.ordinary.count + self.spot.count >= scaling.minimum();
+        let is_blocked = wanted > room && self.spot.standing > self.spot.count;
+        if is_blocked && (has_minimum || count <= self.ordinary.count) {
             // The spot endpoints that were ordered before do not come, so the order is reduced.
-            return Some((EndpointKind::Spot, self.spot.count));
+            return Some((EndpointKind::Spot, self.withdrawn_spot(scaling)));
         }
-        let count = wanted.min(room);
         (count > self.ordinary.count).then_some((EndpointKind::Ordinary, count))
     }
 
+    /// Returns the number to which an order of spot endpoints that do not come is reduced: the minimum
+    /// holds with it, unless the platform refuses even that number.
+    fn withdrawn_spot(&self, scaling: &ServiceScaling) -> u32 {
+        let missing = scaling.minimum().saturating_sub(self.ordinary.count);
+        if self.is_reduction_refused || missing >= self.spot.standing {
+            return self.spot.count;
+        }
+        self.spot.count.max(missing)
+    }
+
     /// Returns whether the spot endpoints that the goal asks for are ordered.
     fn spot_is_full(&self, goal: Goal, scaling: &ServiceScaling) -> bool {
         !scaling.has_spot() || self.spot.count >= goal.total.saturating_sub(goal.base)
@@ -332,7 +365,10 @@
     }
 
     fn lowered_spot(&self, goal: Goal, scaling: &ServiceScaling) -> Option<u32> {
-        let floor = scaling.clamp(with_margin(goal.total)).saturating_sub(goal.base);
+        let ordinary = self.ordinary.count.min(goal.base);
+        let total = scaling.clamp(goal.total);
+        let margin = scaling.clamp(with_margin(goal.total)).saturating_sub(goal.base);
+        let floor = margin.max(total.saturating_sub(ordinary));
         let excess = self.spot.count.saturating_sub(floor);
         if excess <= LOWER_MIN.max(self.spot.count / SPOT_EXCESS_DIVISOR) {
             return None;
