--- a/components/decision/src/lib.rs
+++ b/components/decision/src/lib.rs
@@ -5,6 +5,7 @@
 //! typed effects are returned for an executor to carry out.
 
 pub mod cluster;
+pub mod duties;
 pub mod execution;
 pub mod load;
 pub mod orders;
--- a/components/messages/src/duties.rs
+++ b/components/messages/src/duties.rs
@@ -31,6 +31,12 @@
     pub data_centre: ::std::string::String,
     ///Distinguishes this process from earlier ones of the same name, whose counts are added to its own.
     pub incarnation: u64,
+    ///Whether the daemon stops and reports no more.
+    #[serde(default)]
+    pub is_last: bool,
+    ///The last window whose report has begun, as far as the daemon knows.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub last_window: ::std::option::Option<u64>,
     ///The name of the reporting instance.
     pub name: ::std::string::String,
     ///Counts the reports of the incarnation. A report with a number that was received before is a repetition.
