--- a/components/decision/src/duties/mod.rs
+++ b/components/decision/src/duties/mod.rs
@@ -1,11 +1,13 @@
-//! Duties towards the platform that one daemon at a time performs for all: reports of usage.
+//! Calls to the platform that exactly one daemon makes at a time: who makes them, and what they say.
 
+mod call;
+mod record;
 mod usage_counts;
 mod usage_reports;
-mod usage_state;
 mod window_clock;
 
+pub use call::{Duty, DutyCall, Subject};
+pub use record::{DutyRecord, KnownHolder, UsageState};
 pub use usage_counts::{MAX_ACCOUNTS, MAX_WINDOWS, UsageCounts, UsageLoss, report_interval};
 pub use usage_reports::{ReportOutcome, SkippedWindows, UsageConfig, UsageReports};
-pub use usage_state::UsageState;
 pub use window_clock::WindowClock;
--- a/components/decision/src/duties/usage_reports.rs
+++ b/components/decision/src/duties/usage_reports.rs
@@ -1,5 +1,5 @@
+use super::record::UsageState;
 use super::usage_counts::{MAX_ACCOUNTS, MAX_WINDOWS, UsageLoss};
-use super::usage_state::UsageState;
 use super::window_clock::WindowClock;
 use crate::Millis;
 use messages::duties::{DutyReport, UsageWindow};
@@ -72,13 +72,33 @@
     /// Counts by window and daemon.
     windows: BTreeMap<u64, BTreeMap<DaemonId, BTreeMap<String, u64>>>,
     daemons: BTreeMap<String, Daemon>,
-    /// The report that is to be written to the store. It does not change until it was written: a write
-    /// whose response was lost may still succeed.
-    proposed: Option<UsageWindow>,
-    /// The report that the store holds, and that may not have been accepted.
-    stored: Option<UsageWindow>,
-    /// When the stored report was first sent by this holder.
-    sent_at: Option<Millis>,
+    /// The report that is under way; `None` until this daemon acts as the holder.
+    progress: Option<Progress>,
+}
+
+/// How far the report of a window has got.
+#[derive(Clone, Debug)]
+enum Progress {
+    /// None is under way.
+    Idle,
+    /// It is to be written to the store. It does not change until it was written: a write whose response was
+    /// lost may still succeed.
+    Writing(UsageWindow),
+    /// The store holds it, and the platform may not have accepted it.
+    Sending {
+        report: UsageWindow,
+        /// When this holder first sent it.
+        sent_at: Option<Millis>,
+    },
+    /// It has ended, which is to be written to the store, so that the renewals of the lease do not carry its
+    /// counts.
+    Ended,
+}
+
+impl From<&UsageState> for UsageWindow {
+    fn from(state: &UsageState) -> UsageWindow {
+        UsageWindow { number: state.window, counts: state.counts.clone() }
+    }
 }
 
 /// The name of an instance, and the incarnation of its process.
@@ -99,20 +119,30 @@
         UsageReports { cfg, clock, last_window: None, holding: None }
     }
 
-    /// Begins to hold the duties, after a claim that replaced an object with this state. The daemons report
-    /// to this one within `report_time` from now, as they learn of the claim.
-    pub fn start(&mut self, state: &UsageState, report_time: Millis, now: Millis) {
-        self.last_window = self.last_window.max(state.last_window);
-        // A report begins only after the previous one has ended.
-        let is_last = |report: &&UsageWindow| self.last_window <= Some(report.number);
+    /// Begins to take the reports of daemons, as soon as these may learn that this daemon has claimed the
+    /// duties. All have reported to it within `report_time` from now.
+    pub fn start(&mut self, report_time: Millis, now: Millis) {
         self.holding = Some(Holding {
             complete_at: now + report_time,
             first_window: self.clock.window(now),
             windows: BTreeMap::new(),
             daemons: BTreeMap::new(),
-            proposed: None,
-            stored: state.report.as_ref().filter(is_last).cloned(),
-            sent_at: None,
+            progress: None,
+        });
+    }
+
+    /// Begins to act as the holder, with the state that the object in the store held at the claim.
+    pub fn take_over(&mut self, state: Option<&UsageState>) {
+        let known = self.last_window;
+        if let Some(state) = state {
+            self.observe_last_window(state.window);
+        }
+        let Some(holding) = &mut self.holding else { return };
+        // A report begins only after the previous one has ended.
+        let unended = state.filter(|state| !state.is_accepted && known <= Some(state.window));
+        holding.progress = Some(match unended {
+            Some(state) => Progress::Sending { report: state.into(), sent_at: None },
+            None => Progress::Idle,
         });
     }
 
@@ -155,7 +185,7 @@
         if !holding.record_daemon(report, now) {
             return false;
         }
-        let begun = last_window.max(holding.proposed.as_ref().map(|report| report.number));
+        let begun = last_window.max(holding.written_window());
         for window in &report.windows {
             let has_begun = begun.is_some_and(|begun| window.number <= begun);
             if !has_begun && (oldest..=newest).contains(&window.number) {
@@ -188,68 +218,74 @@
     }
 
     /// Begins the report of the next window if its counts are complete and the previous report has ended. It
-    /// is part of [`UsageReports::state`] from then on. Returns which accounts were left out.
+    /// is part of [`UsageReports::state_to_write`] from then on. Returns which accounts were left out.
     pub fn begin_report(&mut self, now: Millis) -> Option<UsageLoss> {
         let window = self.complete_window(now)?;
         let holding = self.holding.as_mut()?;
         let (counts, is_cut) = holding.merged(window);
-        holding.proposed = Some(UsageWindow { number: window, counts });
+        holding.progress = Some(Progress::Writing(UsageWindow { number: window, counts }));
         is_cut.then_some(UsageLoss::Accounts(window))
     }
 
-    /// The state to be written to the store with the next renewal of the lease.
-    pub fn state(&self) -> UsageState {
-        let holding = self.holding.as_ref();
-        let proposed = holding.and_then(|holding| holding.proposed.as_ref());
-        let stored = holding.and_then(|holding| holding.stored.as_ref());
-        UsageState {
-            last_window: self.last_window.max(proposed.map(|report| report.number)),
-            report: proposed.or(stored).cloned(),
+    /// The state that has to be written to the store before the report is sent, or after it has ended.
+    pub fn state_to_write(&self) -> Option<UsageState> {
+        match self.holding.as_ref()?.progress.as_ref()? {
+            Progress::Idle | Progress::Sending { .. } => None,
+            Progress::Writing(report) => {
+                let counts = report.counts.clone();
+                Some(UsageState { window: report.number, counts, is_accepted: false })
+            }
+            Progress::Ended => {
+                let window = self.last_window?;
+                Some(UsageState { window, counts: BTreeMap::new(), is_accepted: true })
+            }
         }
     }
 
-    /// Whether the lease should be renewed now, since a report has to be written before it is sent.
-    pub fn needs_write(&self) -> bool {
-        self.holding.as_ref().is_some_and(|holding| holding.proposed.is_some())
-    }
-
     /// Records what the object in the store holds, after this holder has written it or read it back.
     pub fn confirm(&mut self, state: &UsageState) {
-        if let Some(holding) = &mut self.holding
-            && let Some(report) = &state.report
-            && holding.proposed.as_ref().is_some_and(|p| p.number == report.number)
-        {
-            holding.proposed = None;
-            holding.stored = Some(report.clone());
-            holding.sent_at = None;
-        }
-        if let Some(window) = state.last_window {
-            self.observe_last_window(window);
+        if let Some(progress) = self.holding.as_mut().and_then(|h| h.progress.as_mut()) {
+            match progress {
+                Progress::Writing(report) if report.number == state.window => {
+                    *progress = Progress::Sending { report: state.into(), sent_at: None };
+                }
+                Progress::Ended if state.is_accepted && self.last_window == Some(state.window) => {
+                    *progress = Progress::Idle;
+                }
+                _ => {}
+            }
         }
+        self.observe_last_window(state.window);
     }
 
-    /// The report to be sent: what the store holds, until it was accepted.
+    /// The report to be sent: what the store holds, until it has ended.
     pub fn report(&self) -> Option<&UsageWindow> {
-        self.holding.as_ref()?.stored.as_ref()
+        match self.holding.as_ref()?.progress.as_ref()? {
+            Progress::Sending { report, .. } => Some(report),
+            _ => None,
+        }
     }
 
-    /// Records how the platform responded to the report of a window that was sent at `sent_at`. Returns the
+    /// Records how the platform responded to the report of a window that was sent at `sent`. Returns the
     /// window if its report is given up.
     pub fn record_outcome(
         &mut self,
         window: u64,
         outcome: ReportOutcome,
-        sent_at: Millis,
+        sent: Millis,
         now: Millis,
     ) -> Option<SkippedWindows> {
         let max_time = Millis(self.cfg.late.0 * MAX_CALL_TIME_FACTOR);
-        let holding = self.holding.as_mut()?;
-        holding.stored.as_ref().filter(|report| report.number == window)?;
-        let sent_at = *holding.sent_at.get_or_insert(sent_at);
+        let progress = self.holding.as_mut()?.progress.as_mut()?;
+        let Progress::Sending { report, sent_at } = progress else { return None };
+        if report.number != window {
+            return None;
+        }
+        let first_sent = *sent_at.get_or_insert(sent);
         match outcome {
-            ReportOutcome::Accepted => holding.stored = None,
-            ReportOutcome::Unclear if now.since(sent_at) >= max_time => {
-                holding.stored = None;
+            ReportOutcome::Accepted => *progress = Progress::Ended,
+            ReportOutcome::Unclear if now.since(first_sent) >= max_time => {
+                *progress = Progress::Ended;
                 let reason = "the platform did not accept the report";
                 return Some(SkippedWindows { first: window, last: window, reason });
             }
@@ -279,16 +315,30 @@
 }
 
 impl Holding {
-    /// Whether no report is under way.
+    /// Whether the next report may begin.
     fn may_begin(&self) -> bool {
-        self.proposed.is_none() && self.stored.is_none()
+        matches!(self.progress, Some(Progress::Idle | Progress::Ended))
+    }
+
+    /// The window whose report is being written.
+    fn written_window(&self) -> Option<u64> {
+        match &self.progress {
+            Some(Progress::Writing(report)) => Some(report.number),
+            _ => None,
+        }
     }
 
     /// Drops what has ended when the report of a window has begun.
     fn forget_until(&mut self, last_window: u64) {
         self.windows.retain(|window, _| *window > last_window);
-        self.proposed.take_if(|report| report.number <= last_window);
-        self.stored.take_if(|report| report.number < last_window);
+        let has_ended = match &self.progress {
+            Some(Progress::Writing(report)) => report.number <= last_window,
+            Some(Progress::Sending { report, .. }) => report.number < last_window,
+            _ => false,
+        };
+        if has_ended {
+            self.progress = Some(Progress::Ended);
+        }
     }
 
     /// Records how far a daemon has reported. Returns false if the report is older than the last one.
--- a/components/decision/tests/duties/usage.rs
+++ b/components/decision/tests/duties/usage.rs
@@ -32,12 +32,22 @@
 
 /// The reports of a holder since window 90, which has reported all windows until 99.
 fn holder() -> UsageReports {
+    successor(Some(&ended(99)), start(90))
+}
+
+/// A daemon that took over from a holder that left this state in the store.
+fn successor(state: Option<&UsageState>, now: Millis) -> UsageReports {
     let mut holder = reports();
-    let state = UsageState { last_window: Some(99), report: None };
-    holder.start(&state, REPORT_TIME, start(90));
+    holder.start(REPORT_TIME, now);
+    holder.take_over(state);
     holder
 }
 
+/// The state when the report of a window has been accepted.
+fn ended(window: u64) -> UsageState {
+    UsageState { window, counts: BTreeMap::new(), is_accepted: true }
+}
+
 /// A report that a daemon makes in window `current`.
 fn report(name: &str, sequence: u64, current: u64, windows: Vec<UsageWindow>) -> DutyReport {
     DutyReport {
@@ -57,11 +67,11 @@
 /// Writes what the holder has to write, and returns the report that may be sent then.
 fn begin(holder: &mut UsageReports, now: Millis) -> Option<UsageWindow> {
     holder.begin_report(now);
-    holder.needs_write().then(|| {
-        assert_eq!(holder.report(), None, "sent before it was written");
-        holder.confirm(&holder.state());
-        holder.report().cloned().unwrap()
-    })
+    let state = holder.state_to_write().filter(|state| !state.is_accepted)?;
+    assert_eq!(holder.report(), None, "sent before it was written");
+    holder.confirm(&state);
+    assert_eq!(holder.report().unwrap().counts, state.counts);
+    holder.report().cloned()
 }
 
 /// Begins the next report and has it accepted.
@@ -77,20 +87,22 @@
     for name in ["i-1", "i-2"] {
         holder.receive(&report(name, 1, 100, vec![window(100, &[("hule", 3)])]), start(100));
     }
-    let ended = start(101);
-    holder.receive(&report("i-1", 2, 101, vec![window(100, &[("hule", 4)])]), ended + Millis(200));
+    let end = start(101);
+    holder.receive(&report("i-1", 2, 101, vec![window(100, &[("hule", 4)])]), end + Millis(200));
     assert_eq!(
-        accept(&mut holder, ended + Millis(300)),
+        accept(&mut holder, end + Millis(300)),
         None,
         "a daemon has not reported its last requests"
     );
     holder.receive(
         &report("i-2", 2, 101, vec![window(100, &[("hule", 3), ("fida", 1)])]),
-        ended + Millis(400),
+        end + Millis(400),
     );
-    let reported = accept(&mut holder, ended + Millis(500));
+    let reported = accept(&mut holder, end + Millis(500));
     assert_eq!(reported, Some(window(100, &[("fida", 1), ("hule", 7)])));
-    assert_eq!(holder.state(), UsageState { last_window: Some(100), report: None });
+    assert_eq!(holder.state_to_write(), Some(ended(100)), "the store need not keep the counts");
+    holder.confirm(&ended(100));
+    assert_eq!(holder.state_to_write(), None);
 }
 
 /// Its last second is missing, but not the whole window, and the report is not late.
@@ -147,10 +159,10 @@
     let mut first = holder();
     first.receive(&report("i-1", 1, 101, vec![window(100, &[("hule", 8)])]), start(101));
     let sent = begin(&mut first, start(101)).unwrap();
-    let stored = first.state();
-    let mut second = reports();
+    let counts = sent.counts.clone();
+    let stored = UsageState { window: 100, counts, is_accepted: false };
     let claimed = start(102);
-    second.start(&stored, REPORT_TIME, claimed);
+    let mut second = successor(Some(&stored), claimed);
     assert_eq!(second.report(), Some(&sent));
     // The daemon was not told that the report of window 100 has begun, and has counted on.
     let windows = vec![window(100, &[("hule", 9)]), window(101, &[("hule", 2)])];
@@ -163,9 +175,7 @@
 /// At the takeover, it has heard from no daemon, and the counts of all would be missing.
 #[test]
 fn successor_waits_until_the_daemons_have_had_time_to_report_to_it() {
-    let mut holder = reports();
-    let state = UsageState { last_window: Some(98), report: None };
-    holder.start(&state, REPORT_TIME, start(103));
+    let mut holder = successor(Some(&ended(98)), start(103));
     assert_eq!(accept(&mut holder, start(103) + Millis(2_499)), None);
     holder.receive(
         &report("i-1", 1, 103, vec![window(99, &[("hule", 1)])]),
@@ -222,15 +232,13 @@
     counts.record("hule", 100);
     first.receive(&report("i-1", 1, 101, counts.windows()), start(101));
     first.begin_report(start(101));
-    assert!(first.needs_write());
+    assert_eq!(first.state_to_write().unwrap().window, 100);
     assert_eq!(first.report(), None, "not written, so not sent");
-    let stored = UsageState { last_window: Some(99), report: None };
     assert_eq!(first.last_window(), Some(99), "the daemons keep the window");
     first.stop();
     counts.record("hule", 101);
     counts.record("hule", 103);
-    let mut second = reports();
-    second.start(&stored, REPORT_TIME, start(104));
+    let mut second = successor(Some(&ended(99)), start(104));
     second.receive(&report("i-1", 2, 104, counts.windows()), start(104) + Millis(100));
     let now = start(104) + REPORT_TIME;
     let reported = Vec::from_iter(std::iter::from_fn(|| accept(&mut second, now)));
@@ -244,10 +252,11 @@
 /// What was begun since may have been accepted with other counts.
 #[test]
 fn windows_that_an_older_copy_of_the_store_does_not_know_are_not_reported_again() {
-    let copy = UsageState { last_window: Some(97), report: Some(window(97, &[("hule", 1)])) };
+    let copy = UsageState { window: 97, counts: counts(&[("hule", 1)]), is_accepted: false };
     let mut holder = reports();
     holder.observe_last_window(99);
-    holder.start(&copy, REPORT_TIME, start(102));
+    holder.start(REPORT_TIME, start(102));
+    holder.take_over(Some(&copy));
     assert_eq!(holder.report(), None, "a later report has begun, so that of window 97 has ended");
     // A daemon has got a reply of the predecessor later than any other.
     let told = DutyReport {
@@ -266,11 +275,11 @@
     let mut holder = holder();
     holder.receive(&report("i-1", 1, 101, vec![window(100, &[("hule", 8)])]), start(101));
     holder.begin_report(start(101));
-    let written = holder.state();
-    holder.confirm(&UsageState { last_window: Some(99), report: None });
+    let written = holder.state_to_write().unwrap();
+    holder.confirm(&ended(99));
     holder.receive(&report("i-2", 1, 101, vec![window(100, &[("hule", 1)])]), start(101));
     holder.begin_report(start(101) + Millis(500));
-    assert_eq!(holder.state(), written);
+    assert_eq!(holder.state_to_write().as_ref(), Some(&written));
     holder.confirm(&written);
     assert_eq!(holder.report(), Some(&window(100, &[("hule", 8)])));
 }
@@ -278,9 +287,7 @@
 /// After an outage of the whole system, the windows of which nobody has counts are not reported one by one.
 #[test]
 fn windows_that_are_no_longer_kept_are_skipped() {
-    let mut holder = reports();
-    let state = UsageState { last_window: Some(10), report: None };
-    holder.start(&state, REPORT_TIME, start(100));
+    let mut holder = successor(Some(&ended(10)), start(100));
     let skipped = holder.expire(start(100)).unwrap();
     assert_eq!((skipped.first, skipped.last), (11, 88));
     assert_eq!(accept(&mut holder, start(100) + REPORT_TIME).unwrap().number, 89);
@@ -289,8 +296,7 @@
 
 #[test]
 fn first_holder_reports_from_the_first_window_that_a_daemon_has_counted() {
-    let mut holder = reports();
-    holder.start(&UsageState::default(), REPORT_TIME, start(100));
+    let mut holder = successor(None, start(100));
     holder.receive(&report("i-1", 1, 101, vec![window(98, &[("hule", 1)])]), start(101));
     assert_eq!(accept(&mut holder, start(101)).unwrap().number, 98);
     assert_eq!(accept(&mut holder, start(101)).unwrap().number, 99);
@@ -307,6 +313,17 @@
     assert_eq!(former.report(), None);
 }
 
+/// The daemons learn of a claim before it may act, and the object may hold a report of the predecessor.
+#[test]
+fn claimant_takes_reports_but_begins_none_before_it_may_act() {
+    let mut holder = reports();
+    holder.start(REPORT_TIME, start(100));
+    assert!(holder.receive(&report("i-1", 1, 101, vec![window(100, &[("hule", 2)])]), start(101)));
+    assert_eq!(accept(&mut holder, start(101)), None);
+    holder.take_over(Some(&ended(99)));
+    assert_eq!(accept(&mut holder, start(101)), Some(window(100, &[("hule", 2)])));
+}
+
 #[test]
 fn daemon_keeps_counts_until_their_report_has_begun() {
     let mut counts = UsageCounts::default();
@@ -368,5 +385,5 @@
     holder.receive(&report("i-1", 1, 101, counts.windows()), start(101));
     holder.receive(&report("i-2", 1, 101, vec![window(100, &[("one more", 1)])]), start(101));
     assert_eq!(holder.begin_report(start(101)), Some(UsageLoss::Accounts(100)));
-    assert_eq!(holder.state().report.unwrap().counts.len(), MAX_ACCOUNTS);
+    assert_eq!(holder.state_to_write().unwrap().counts.len(), MAX_ACCOUNTS);
 }
