--- a/components/decision/src/duties/mod.rs
+++ b/components/decision/src/duties/mod.rs
@@ -3,6 +3,9 @@
 mod call;
 mod capacity;
 mod record;
+mod usage_counts;
+mod usage_reports;
+mod window_clock;
 
 pub use call::{Duty, DutyCall, Subject};
 pub use capacity::{
@@ -10,3 +13,6 @@
     OrderOutcome, OrderedCount, ServiceDemand, ServiceScaling, Work,
 };
 pub use record::{DutyRecord, KnownHolder, UsageState};
+pub use usage_counts::{MAX_ACCOUNTS, MAX_WINDOWS, UsageCounts, UsageLoss, report_interval};
+pub use usage_reports::{ReportOutcome, SkippedWindows, UsageConfig, UsageReports};
+pub use window_clock::WindowClock;
--- a/components/decision/tests/duties/capacity.rs
+++ b/components/decision/tests/duties/capacity.rs
@@ -258,6 +258,8 @@
         incarnation: 1,
         sequence,
         current_window: 1,
+        is_last: false,
+        last_window: None,
         windows: Vec::new(),
         covered_ms: 2_000,
         services: vec![ServiceReport {
