--- a/components/decision/src/duties/capacity/mod.rs
+++ b/components/decision/src/duties/capacity/mod.rs
@@ -1,5 +1,6 @@
 //! How many endpoints of each kind are ordered for a service in each data centre.
 
+mod counts;
 mod demand;
 mod order;
 mod planner;
@@ -9,6 +10,7 @@
 mod share;
 mod site;
 
+pub use counts::{DemandCounts, ServiceCounts};
 pub use demand::{DataCentreDemand, EndpointCounts, ServiceDemand, Work};
 pub use order::{EndpointKind, Order, OrderOutcome, OrderedCount};
 pub use planner::CapacityPlanner;
--- a/components/decision/src/duties/capacity/site.rs
+++ b/components/decision/src/duties/capacity/site.rs
@@ -21,8 +21,12 @@
 const WARM_UP: Millis = Millis(2_000);
 /// Time after which spot endpoints are ordered again where there were none.
 const SPOT_RETRY_AFTER: Millis = Millis(15_000);
+/// Time after which ordinary endpoints are ordered again where there were none.
+const ORDINARY_RETRY_AFTER: Millis = Millis(5_000);
 /// Time beyond the boot time after which an order that was not carried out counts as refused.
 const ORDER_GRACE: Millis = Millis(6_000);
+/// The same for an order that may have been reduced.
+const UNCERTAIN_GRACE: Millis = Millis(2_000);
 /// Time constant of the long-term averages, in milliseconds. A load that has just
 /// jumped is not expected to jump as much again.
 const AVERAGE_MS: f64 = 30_000.0;
@@ -39,6 +43,8 @@
     /// The greatest number that may be ordered at the platform: an order without a response may be
     /// in force, and one whose endpoints were reclaimed or refused may be carried out later.
     standing: u32,
+    /// Whether the latest order may or may not be in force.
+    is_uncertain: bool,
     /// When the count was last set or equal to the number of registered endpoints.
     at: Millis,
     /// When it was last changed.
@@ -46,6 +52,10 @@
 }
 
 impl Ordered {
+    fn new(count: u32, now: Millis) -> Ordered {
+        Ordered { count, standing: count, is_uncertain: false, at: now, changed_at: now }
+    }
+
     /// Records the registered endpoints. If there are others than those ordered, they are taken over:
     /// at once if the former holder may have ordered them (`is_first`), if there are more, in the boot
     /// time, which is long enough for an order to take effect, else later. Returns whether endpoints
@@ -54,6 +64,7 @@
         let is_missing = registered < self.count;
         let timeout = match is_missing {
             _ if is_first => Millis(0),
+            true if self.is_uncertain => UNCERTAIN_GRACE,
             true => boot + ORDER_GRACE,
             false => boot,
         };
@@ -64,10 +75,11 @@
         if now.since(self.at) < timeout {
             return false;
         }
+        let was_certain = !self.is_uncertain;
         self.count = registered;
         self.standing = self.standing.max(registered);
         self.at = now;
-        is_missing && !is_first
+        is_missing && was_certain && !is_first
     }
 }
 
@@ -90,6 +102,8 @@
     recent_spot: VecDeque<(Millis, u32)>,
     /// Spot endpoints are not ordered before this time.
     spot_refused_until: Option<Millis>,
+    /// Ordinary endpoints are not ordered before this time.
+    ordinary_refused_until: Option<Millis>,
     /// Whether the platform has refused to reduce an order of spot endpoints that do not come.
     is_reduction_refused: bool,
     /// The order without a response so far.
@@ -112,11 +126,10 @@
     /// Starts from the registered endpoints. The former holder may have ordered more spot endpoints,
     /// which were reclaimed or refused.
     pub(super) fn new(registered: EndpointCounts, scaling: &ServiceScaling, now: Millis) -> Site {
-        let ordered = |count| Ordered { count, standing: count, at: now, changed_at: now };
         let standing = if scaling.has_spot() { scaling.maximum() } else { registered.spot };
         Site {
-            ordinary: ordered(registered.ordinary),
-            spot: Ordered { standing, ..ordered(registered.spot) },
+            ordinary: Ordered::new(registered.ordinary, now),
+            spot: Ordered { standing, ..Ordered::new(registered.spot, now) },
             registered,
             recent_spot: VecDeque::from([(now, registered.spot)]),
             started_at: now,
@@ -229,12 +242,14 @@
                 if count < ordered.count {
                     self.lowered_at = now;
                 }
-                *ordered = Ordered { count, standing: count, at: now, changed_at: now };
+                *ordered = Ordered::new(count, now);
                 self.is_reduction_refused &= kind == EndpointKind::Ordinary;
             }
             OrderOutcome::Unavailable => {
                 ordered.count = present.min(ordered.count);
-                if kind == EndpointKind::Spot {
+                if kind == EndpointKind::Ordinary {
+                    self.ordinary_refused_until = Some(now + ORDINARY_RETRY_AFTER);
+                } else {
                     self.is_reduction_refused = count < ordered.standing;
                     if count == 0 {
                         ordered.standing = 0;
@@ -243,8 +258,8 @@
                 }
             }
             OrderOutcome::Unknown => {
-                ordered.count = count.min(ordered.count);
                 ordered.standing = count.max(ordered.standing);
+                ordered.is_uncertain = true;
             }
         }
     }
@@ -309,6 +324,9 @@
         scaling: &ServiceScaling,
         now: Millis,
     ) -> Option<(EndpointKind, u32)> {
+        if self.ordinary_refused_until.is_some_and(|until| now < until) {
+            return None;
+        }
         let is_short = self.ordinary.count + self.spot.count < goal.total;
         let wanted = if is_short && !self.has_spot(scaling, now) {
             scaling.clamp(with_margin(goal.total)).saturating_sub(self.spot.count)
--- a/components/decision/src/duties/mod.rs
+++ b/components/decision/src/duties/mod.rs
@@ -9,8 +9,8 @@
 
 pub use call::{Duty, DutyCall, Subject};
 pub use capacity::{
-    CapacityPlanner, DataCentreDemand, DemandReports, EndpointCounts, EndpointKind, Order,
-    OrderOutcome, OrderedCount, ServiceDemand, ServiceScaling, Work,
+    CapacityPlanner, DataCentreDemand, DemandCounts, DemandReports, EndpointCounts, EndpointKind,
+    Order, OrderOutcome, OrderedCount, ServiceCounts, ServiceDemand, ServiceScaling, Work,
 };
 pub use record::{DutyRecord, KnownHolder, UsageState};
 pub use usage_counts::{MAX_ACCOUNTS, MAX_WINDOWS, UsageCounts, UsageLoss, report_interval};
--- a/components/decision/src/routing/wait_queues.rs
+++ b/components/decision/src/routing/wait_queues.rs
@@ -60,6 +60,12 @@
         self.queues.get(key).map_or(0, BTreeSet::len)
     }
 
+    /// Returns the number of requests that wait for endpoints of a service.
+    pub fn of_service(&self, service: &str) -> usize {
+        let queues = self.queues.iter().filter(|(key, _)| key.service == service);
+        queues.map(|(_, tickets)| tickets.len()).sum()
+    }
+
     /// Returns whether all queues are empty.
     pub fn is_empty(&self) -> bool {
         self.queues.is_empty()
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -300,6 +300,9 @@
             (false, Some(_)) => Reason::CannotResume,
             (false, None) => Reason::NoEndpoint,
         };
+        if matches!(reason, Reason::Overloaded | Reason::NoEndpoint) {
+            gateway.demand.borrow_mut().record_refusal(&request.service);
+        }
         let mut refusal = not_run_refusal(gateway, reason);
         let limit_wait = limit_wait(gateway, &request.service, now()).map(|wait| wait.0 as f64);
         refusal.retry_after =
--- a/components/gateway/src/duties/mod.rs
+++ b/components/gateway/src/duties/mod.rs
@@ -6,6 +6,11 @@
 // The duties themselves are not carried out yet.
 #![allow(dead_code)]
 
+mod capacity;
+pub(crate) mod demand;
+
+pub(crate) use capacity::order_capacity;
+
 use crate::adapter::Adapter;
 use crate::gateway::Gateway;
 use decision::Millis;
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use crate::software_versions::SoftwareVersions;
 use crate::update_source::CurrentSource;
 use decision::Millis;
+use decision::duties::{DemandCounts, DemandReports};
 use decision::routing::{
     BrittleEndpoints, Catalog, ChangeLog, ConnectionBudget, Directory, DirectoryChange,
     EndpointLimits, FleetSize, Freshness, LoadExchange, LoadTable, NoticeBoard, NoticeId,
@@ -132,6 +133,10 @@
     pub(crate) queue_progress: Notify,
     /// The holder of the calls that one daemon makes for all.
     pub(crate) duties: Duties,
+    /// The requests to services whose endpoints are ordered.
+    pub(crate) demand: RefCell<DemandCounts>,
+    /// What other daemons and this one reported to this one as the holder.
+    pub(crate) demand_reports: RefCell<DemandReports>,
 }
 
 fn retry_budget(settings: &Settings, now: Millis) -> RetryBudget {
@@ -206,6 +211,8 @@
             wait_queues: RefCell::default(),
             queue_progress: Notify::new(),
             duties: Duties::default(),
+            demand: RefCell::default(),
+            demand_reports: RefCell::default(),
         }
     }
 
--- a/components/gateway/src/in_flight.rs
+++ b/components/gateway/src/in_flight.rs
@@ -34,6 +34,7 @@
         let now = now();
         let usage = gateway.loads.borrow().usage(&choice.id);
         record_send(gateway, &request.service, &choice.id, usage, now);
+        gateway.demand.borrow_mut().record_send(&request.service, choice.unread_tokens);
         let in_flight_id =
             gateway.loads.borrow_mut().start(choice, &request.demand(Millis(0), 0), now);
         let registration = gateway.directory().get(&choice.id).cloned();
@@ -93,6 +94,12 @@
     pub(crate) fn record_first_byte(&self, request: &RoutedRequest) {
         self.first_byte_at.set(Some(now()));
         self.gateway.reachability.borrow_mut().record_response(now());
+        self.gateway.demand.borrow_mut().record_first_byte(
+            &request.service,
+            request.arrived,
+            request.first_byte_due,
+            now(),
+        );
         if let Some(in_flight_id) = self.in_flight_id {
             let mut loads = self.gateway.loads.borrow_mut();
             loads.record_first_byte(&self.endpoint, in_flight_id, request.prompt.as_ref(), now());
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -59,6 +59,18 @@
     pub(crate) outcome: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct CapacityLabels {
+    pub(crate) service: String,
+    pub(crate) data_centre: String,
+    pub(crate) kind: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct OrderLabels {
+    pub(crate) outcome: &'static str,
+}
+
 fn latencies() -> Histogram {
     Histogram::new(LATENCY_BUCKETS_SECONDS)
 }
@@ -85,6 +97,8 @@
     pub(crate) brittle_services: Gauge,
     pub(crate) leaving_endpoints: Gauge,
     pub(crate) recorded_streams: Gauge,
+    pub(crate) ordered_endpoints: Family<CapacityLabels, Gauge>,
+    pub(crate) orders: Family<OrderLabels, Counter>,
     pub(crate) first_byte_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
     pub(crate) complete_response_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
@@ -111,6 +125,8 @@
             brittle_services: Gauge::default(),
             leaving_endpoints: Gauge::default(),
             recorded_streams: Gauge::default(),
+            ordered_endpoints: Family::default(),
+            orders: Family::default(),
             first_byte_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
             complete_response_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
         };
@@ -196,6 +212,12 @@
             "Streams whose software version is kept",
             self.recorded_streams.clone(),
         );
+        r.register(
+            "ordered_endpoints",
+            "Endpoints that this daemon has ordered as the holder of the duty",
+            self.ordered_endpoints.clone(),
+        );
+        r.register("orders", "Orders of endpoints by outcome", self.orders.clone());
         r.register(
             "first_byte_seconds",
             "Time from a request to the head of its answer",
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -1,5 +1,6 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
+use crate::duties::order_capacity;
 use crate::gateway::Gateway;
 use crate::listener::{Role, accept, bind};
 use crate::log::{self, Log};
@@ -13,6 +14,7 @@
 use crate::update_source::UpdateSource;
 use crate::{follow, load_reports};
 use decision::Millis;
+use decision::duties::Duty;
 use snafu::{ResultExt, Snafu};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -103,6 +105,11 @@
         spawn_local(follow::run(gateway.clone()));
         spawn_local(load_reports::exchange_loads(gateway.clone()));
     }
+    if let Some(duties) = &settings.duties
+        && duties.duties.contains(&Duty::Scaling)
+    {
+        spawn_local(order_capacity(gateway.clone()));
+    }
     spawn_local(maintenance_loop(gateway.clone(), log, settings_file, hangup));
     tracing::info!(event = "started", name = %settings.name, listen = %settings.listen,
         store = %settings.store);
