--- /dev/null
+++ b/components/decision/tests/duties/main.rs
@@ -0,0 +1,6 @@
+//! Tests that the duties have at most one holder, whatever fails, and have one again afterwards.
+
+mod failures;
+mod random_faults;
+mod simulation;
+mod steps;
