Hold the duties by a lease in the store and make their calls

Daemons that read the store contend. The holder checks its lease right before each call, which ends before the lease does, and nothing that was sent arrives later. A notice tells all daemons who the holder is. No duty makes calls yet.

--- a/components/decision/tests/duties/simulation.rs
+++ b/components/decision/tests/duties/simulation.rs
@@ -102,14 +102,21 @@
     is_stopping: bool,
 }
 
+/// A former state of the store.
+#[derive(Clone, Debug)]
+struct FormerState {
+    lasted_until: u64,
+    revision: u64,
+    object: Option<(DutyRecord, u64)>,
+}
+
 #[derive(Debug)]
 pub struct World {
     pub now: u64,
     daemons: Vec<Daemon>,
     revision: u64,
     object: Option<(DutyRecord, u64)>,
-    /// The former states of the store, with the time until which they lasted.
-    history: Vec<(u64, u64, Option<(DutyRecord, u64)>)>,
+    history: Vec<FormerState>,
     writes: Vec<Write>,
     notices: Vec<(u64, usize, u64)>,
     down_until: u64,
@@ -214,8 +221,9 @@
 
     fn revert(&mut self, age: u64) {
         let time = self.now.saturating_sub(age);
-        let Some(at) = self.history.iter().position(|(until, _, _)| *until > time) else { return };
-        let (_, revision, object) = self.history[at].clone();
+        let is_later = |state: &FormerState| state.lasted_until > time;
+        let Some(at) = self.history.iter().position(is_later) else { return };
+        let FormerState { revision, object, .. } = self.history[at].clone();
         self.history.truncate(at);
         (self.revision, self.object) = (revision, object);
     }
@@ -266,7 +274,11 @@
         for write in due {
             let is_current = write.replaces == self.object.as_ref().map(|(_, revision)| *revision);
             if is_current {
-                self.history.push((self.now, self.revision, self.object.clone()));
+                self.history.push(FormerState {
+                    lasted_until: self.now,
+                    revision: self.revision,
+                    object: self.object.clone(),
+                });
                 self.revision += 1;
                 self.object = Some((write.record, self.revision));
             }
--- a/components/gateway/src/clock.rs
+++ b/components/gateway/src/clock.rs
@@ -8,3 +8,9 @@
     let time = clock_gettime(ClockId::Boottime);
     Millis(time.tv_sec as u64 * 1000 + time.tv_nsec as u64 / 1_000_000)
 }
+
+/// The time of day as Unix time in milliseconds. It may jump.
+pub(crate) fn unix_ms() -> u64 {
+    let time = clock_gettime(ClockId::Realtime);
+    time.tv_sec as u64 * 1000 + time.tv_nsec as u64 / 1_000_000
+}
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -106,12 +106,27 @@
         address: SocketAddr,
         limit: Millis,
     ) -> Result<Connection, ConnectionError> {
-        let connect_timeout = Duration::from_millis(limit.0);
-        let stream = match timeout(connect_timeout, TcpStream::connect(address)).await {
-            Ok(connected) => connected.context(ConnectSnafu { address })?,
-            Err(_) => return ConnectTimeoutSnafu { address, limit }.fail(),
-        };
+        let stream = connect(address, limit).await?;
         set_socket_options(&stream, USER_TIMEOUT).context(ConnectSnafu { address })?;
+        Connection::start(address, stream).await
+    }
+
+    /// Opens a connection that delivers nothing late: it is reset when it is closed, and when what was
+    /// sent stays unacknowledged for `max_delivery`, also while this process is stopped.
+    pub(crate) async fn open_aborting(
+        address: SocketAddr,
+        limit: Millis,
+        max_delivery: Millis,
+    ) -> Result<Connection, ConnectionError> {
+        let stream = connect(address, limit).await?;
+        let user_timeout = Duration::from_millis(max_delivery.0);
+        set_socket_options(&stream, user_timeout).context(ConnectSnafu { address })?;
+        let socket = SockRef::from(&stream);
+        socket.set_linger(Some(Duration::ZERO)).context(ConnectSnafu { address })?;
+        Connection::start(address, stream).await
+    }
+
+    async fn start(address: SocketAddr, stream: TcpStream) -> Result<Connection, ConnectionError> {
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -196,6 +211,13 @@
     }
 }
 
+async fn connect(address: SocketAddr, limit: Millis) -> Result<TcpStream, ConnectionError> {
+    match timeout(Duration::from_millis(limit.0), TcpStream::connect(address)).await {
+        Ok(connected) => connected.context(ConnectSnafu { address }),
+        Err(_) => ConnectTimeoutSnafu { address, limit }.fail(),
+    }
+}
+
 /// Receives a body to its end, unless there is a pause of `pause` without further bytes.
 async fn collect(
     address: SocketAddr,
--- a/components/gateway/src/duties/mod.rs
+++ b/components/gateway/src/duties/mod.rs
@@ -3,38 +3,44 @@
 //! The holder of the duties has a lease, which it renews in the store. [`Duties`] tells every daemon
 //! who the holder is, and the holder whether it may act. [`call`] makes a call to the platform.
 
-// The duties themselves are not carried out yet.
-#![allow(dead_code)]
+// The duties that make calls are still to come.
+#![allow(dead_code, unused_imports)]
 
-use crate::adapter::Adapter;
-use crate::gateway::Gateway;
+mod calls;
+mod holder;
+mod record_store;
+
+pub(crate) use calls::{CallOutcome, call, call_until_accepted};
+pub(crate) use holder::hold_duties;
+
+use crate::clock::now;
+use calls::DutyCalls;
 use decision::Millis;
-use decision::duties::{DutyCall, KnownHolder, UsageState};
-use std::cell::RefCell;
-use std::rc::Rc;
+use decision::duties::{KnownHolder, Lease, UsageState};
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
-/// The outcome of a call to the platform.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum CallOutcome {
-    /// The platform accepted it (status 200).
-    Accepted,
-    /// The platform has no more endpoints of the ordered kind (status 409).
-    Unavailable,
-    /// It was not accepted and may be repeated: the platform did not respond, or with another status,
-    /// or the limit on the rate is reached.
-    Failed,
-    /// This daemon may not act, so that nothing was sent.
-    NotHolder,
-}
+/// Time after which a lease is checked again without a notification.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What a daemon knows about the holder of the duties, and its own lease.
 #[derive(Debug, Default)]
 pub(crate) struct Duties {
     known: RefCell<Option<KnownHolder>>,
+    /// The part of this daemon in the choice of the holder; `None` without duties.
+    lease: RefCell<Option<Lease>>,
+    /// Whether this daemon could act when it last looked.
+    was_acting: Cell<bool>,
+    calls: DutyCalls,
     /// Notified when another holder or begun window is known, and when this daemon begins or ceases
     /// to be the holder.
     pub(crate) changed: Notify,
+    /// Notified when there is something to be written.
+    wake: Notify,
+    /// Notified after each read and write of the stored object.
+    stepped: Notify,
 }
 
 impl Duties {
@@ -45,6 +51,9 @@
 
     /// Takes over what a notice or the stored object says about the holder.
     pub(crate) fn learn(&self, holder: &KnownHolder) {
+        if let Some(lease) = self.lease.borrow_mut().as_mut() {
+            lease.observe_token(holder.token);
+        }
         let mut known = self.known.borrow_mut();
         if known.get_or_insert_default().merge(holder) {
             self.changed.notify_waiters();
@@ -52,35 +61,45 @@
     }
 
     /// Returns the token if this daemon may act as the holder now.
-    pub(crate) fn may_act(&self, _now: Millis) -> Option<u64> {
-        None
+    pub(crate) fn may_act(&self, now: Millis) -> Option<u64> {
+        self.act_until(now).map(|(token, _)| token)
+    }
+
+    /// Returns the token, and the time before which calls must have ended, if this daemon may act.
+    fn act_until(&self, now: Millis) -> Option<(u64, Millis)> {
+        self.lease.borrow().as_ref()?.act_until(now)
+    }
+
+    /// Returns the token if this daemon is the holder, also while it waits to act: in the first lease
+    /// after its claim, and until the store responds again.
+    pub(crate) fn held_token(&self, now: Millis) -> Option<u64> {
+        self.lease.borrow().as_ref()?.held_token(now)
     }
 
     /// Returns the usage report that the stored object holds, as this daemon read or wrote it last.
     /// It is current only while [`Duties::may_act`] returns a token.
     pub(crate) fn stored_usage(&self) -> Option<UsageState> {
-        None
+        self.lease.borrow().as_ref()?.stored_usage().cloned()
     }
 
     /// Writes the state of the usage reports into the stored object, together with a renewal of the
     /// lease. Returns whether it is stored and this daemon is still the holder. Otherwise it may be
     /// stored or not: after a change of holder, [`Duties::stored_usage`] says so.
-    pub(crate) async fn store_usage(&self, _usage: UsageState) -> bool {
-        false
+    pub(crate) async fn store_usage(&self, usage: UsageState) -> bool {
+        let Some(token) = self.held_token(now()) else { return false };
+        if let Some(lease) = self.lease.borrow_mut().as_mut() {
+            lease.set_usage(usage.clone());
+        }
+        self.wake.notify_one();
+        loop {
+            if self.held_token(now()) != Some(token) {
+                return false;
+            }
+            if self.stored_usage().as_ref() == Some(&usage) {
+                return true;
+            }
+            // The lease may expire without a notification.
+            let _ = timeout(CHECK_INTERVAL, self.stepped.notified()).await;
+        }
     }
 }
-
-/// Makes a call once, with the headers of the holder: if this daemon may act and the limit on the
-/// rate admits it. Waits for an earlier call about the same subject.
-pub(crate) async fn call<A: Adapter>(_gateway: &Rc<Gateway<A>>, _call: &DutyCall) -> CallOutcome {
-    CallOutcome::NotHolder
-}
-
-/// Makes a call until it is accepted or the platform states that there are no more endpoints, with a
-/// growing pause between attempts. Returns early when this daemon may no longer act.
-pub(crate) async fn call_until_accepted<A: Adapter>(
-    _gateway: &Rc<Gateway<A>>,
-    _call: &DutyCall,
-) -> CallOutcome {
-    CallOutcome::NotHolder
-}
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -59,6 +59,12 @@
     pub(crate) outcome: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct DutyCallLabels {
+    pub(crate) duty: &'static str,
+    pub(crate) outcome: &'static str,
+}
+
 fn latencies() -> Histogram {
     Histogram::new(LATENCY_BUCKETS_SECONDS)
 }
@@ -85,6 +91,8 @@
     pub(crate) brittle_services: Gauge,
     pub(crate) leaving_endpoints: Gauge,
     pub(crate) recorded_streams: Gauge,
+    pub(crate) duty_holder: Gauge,
+    pub(crate) duty_calls: Family<DutyCallLabels, Counter>,
     pub(crate) first_byte_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
     pub(crate) complete_response_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
@@ -111,6 +119,8 @@
             brittle_services: Gauge::default(),
             leaving_endpoints: Gauge::default(),
             recorded_streams: Gauge::default(),
+            duty_holder: Gauge::default(),
+            duty_calls: Family::default(),
             first_byte_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
             complete_response_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
         };
@@ -196,6 +206,16 @@
             "Streams whose software version is kept",
             self.recorded_streams.clone(),
         );
+        r.register(
+            "duty_holder",
+            "Whether this daemon makes the calls to the platform that one makes for all",
+            self.duty_holder.clone(),
+        );
+        r.register(
+            "duty_calls",
+            "Such calls of this daemon by duty and outcome",
+            self.duty_calls.clone(),
+        );
         r.register(
             "first_byte_seconds",
             "Time from a request to the head of its answer",
--- a/components/gateway/src/notices.rs
+++ b/components/gateway/src/notices.rs
@@ -59,7 +59,6 @@
 }
 
 /// Publishes which daemon holds the duties.
-#[allow(dead_code)]
 pub(crate) fn publish_holder<A: Adapter>(gateway: &Rc<Gateway<A>>, holder: KnownHolder) {
     let KnownHolder { peer: Peer { name, address }, token, window } = holder;
     let holder = HolderNotice { name, address, token, window };
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -1,5 +1,6 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
+use crate::duties::hold_duties;
 use crate::gateway::Gateway;
 use crate::listener::{Role, accept, bind};
 use crate::log::{self, Log};
@@ -99,6 +100,9 @@
     spawn_local(keep_versions(gateway.clone()));
     spawn_local(write_streams(gateway.clone()));
     spawn_local(probe_endpoints(gateway.clone()));
+    if settings.duties.is_some() {
+        spawn_local(hold_duties(gateway.clone()));
+    }
     if settings.listen_peers.is_some() {
         spawn_local(follow::run(gateway.clone()));
         spawn_local(load_reports::exchange_loads(gateway.clone()));
