--- a/components/decision/src/duties/capacity/site.rs
+++ b/components/decision/src/duties/capacity/site.rs
@@ -27,6 +27,8 @@
 const ORDER_GRACE: Millis = Millis(6_000);
 /// The same for an order that may have been reduced.
 const UNCERTAIN_GRACE: Millis = Millis(2_000);
+/// Time for which a refusal says that the platform has no spot endpoints at all.
+const REFUSAL_HOLDS: Millis = Millis(500);
 /// Time constant of the long-term averages, in milliseconds. A load that has just
 /// jumped is not expected to jump as much again.
 const AVERAGE_MS: f64 = 30_000.0;
@@ -104,8 +106,8 @@
     spot_refused_until: Option<Millis>,
     /// Ordinary endpoints are not ordered before this time.
     ordinary_refused_until: Option<Millis>,
-    /// Whether the platform has refused to reduce an order of spot endpoints that do not come.
-    is_reduction_refused: bool,
+    /// When the platform refused to reduce an order of spot endpoints that do not come.
+    reduction_refused_at: Option<Millis>,
     /// The order without a response so far.
     pending: Option<(EndpointKind, u32)>,
     started_at: Millis,
@@ -243,14 +245,13 @@
                     self.lowered_at = now;
                 }
                 *ordered = Ordered::new(count, now);
-                self.is_reduction_refused &= kind == EndpointKind::Ordinary;
             }
             OrderOutcome::Unavailable => {
                 ordered.count = present.min(ordered.count);
                 if kind == EndpointKind::Ordinary {
                     self.ordinary_refused_until = Some(now + ORDINARY_RETRY_AFTER);
                 } else {
-                    self.is_reduction_refused = count < ordered.standing;
+                    self.reduction_refused_at = (count < ordered.standing).then_some(now);
                     if count == 0 {
                         ordered.standing = 0;
                     }
@@ -345,16 +346,18 @@
         let is_blocked = wanted > room && self.spot.standing > self.spot.count;
         if is_blocked && (has_minimum || count <= self.ordinary.count) {
             // The spot endpoints that were ordered before do not come, so the order is reduced.
-            return Some((EndpointKind::Spot, self.withdrawn_spot(scaling)));
+            return Some((EndpointKind::Spot, self.withdrawn_spot(scaling, now)));
         }
         (count > self.ordinary.count).then_some((EndpointKind::Ordinary, count))
     }
 
     /// Returns the number to which an order of spot endpoints that do not come is reduced: the minimum
     /// holds with it, unless the platform refuses even that number.
-    fn withdrawn_spot(&self, scaling: &ServiceScaling) -> u32 {
+    fn withdrawn_spot(&self, scaling: &ServiceScaling, now: Millis) -> u32 {
         let missing = scaling.minimum().saturating_sub(self.ordinary.count);
-        if self.is_reduction_refused || missing >= self.spot.standing {
+        let refused_at = self.reduction_refused_at;
+        let is_refused = refused_at.is_some_and(|at| now.since(at) < REFUSAL_HOLDS);
+        if is_refused || missing >= self.spot.standing {
             return self.spot.count;
         }
         self.spot.count.max(missing)
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -71,6 +71,12 @@
     pub(crate) outcome: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct DutyCallLabels {
+    pub(crate) duty: &'static str,
+    pub(crate) outcome: &'static str,
+}
+
 fn latencies() -> Histogram {
     Histogram::new(LATENCY_BUCKETS_SECONDS)
 }
@@ -99,6 +105,8 @@
     pub(crate) recorded_streams: Gauge,
     pub(crate) ordered_endpoints: Family<CapacityLabels, Gauge>,
     pub(crate) orders: Family<OrderLabels, Counter>,
+    pub(crate) duty_holder: Gauge,
+    pub(crate) duty_calls: Family<DutyCallLabels, Counter>,
     pub(crate) first_byte_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
     pub(crate) complete_response_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
@@ -127,6 +135,8 @@
             recorded_streams: Gauge::default(),
             ordered_endpoints: Family::default(),
             orders: Family::default(),
+            duty_holder: Gauge::default(),
+            duty_calls: Family::default(),
             first_byte_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
             complete_response_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
         };
@@ -218,6 +228,16 @@
             self.ordered_endpoints.clone(),
         );
         r.register("orders", "Orders of endpoints by outcome", self.orders.clone());
+        r.register(
+            "duty_holder",
+            "Whether this daemon makes the calls to the platform that one makes for all",
+            self.duty_holder.clone(),
+        );
+        r.register(
+            "duty_calls",
+            "Such calls of this daemon by duty and outcome",
+            self.duty_calls.clone(),
+        );
         r.register(
             "first_byte_seconds",
             "Time from a request to the head of its answer",
