--- a/components/decision/src/duties/capacity/planner.rs
+++ b/components/decision/src/duties/capacity/planner.rs
@@ -3,7 +3,7 @@
 use super::pressure::Pressure;
 use super::scaling::ServiceScaling;
 use super::share::{Need, share_needs};
-use super::site::Site;
+use super::site::{Goal, Site};
 use crate::Millis;
 use std::collections::BTreeMap;
 
@@ -38,8 +38,8 @@
         CapacityPlanner { started_at: now, services: BTreeMap::new() }
     }
 
-    /// Returns the orders that are to be sent now, at most one for each data centre. Each is passed
-    /// to [`CapacityPlanner::record`] with its outcome before a further one for its data centre is
+    /// Returns the orders that are to be sent now, at most one for each data centre and `limit` in
+    /// all, first those for more endpoints. Each is passed to [`CapacityPlanner::record`] with its outcome before a further one for its data centre is
     /// returned.
     ///
     /// Nothing is ordered if the demand is older than [`MAX_AGE`] or fewer than half of the daemons
@@ -48,6 +48,7 @@
         &mut self,
         demand: &ServiceDemand,
         scaling: &ServiceScaling,
+        limit: usize,
         now: Millis,
     ) -> Vec<Order> {
         if now.since(demand.confirmed_at) > MAX_AGE || demand.is_incomplete() {
@@ -61,7 +62,7 @@
         });
         plan.pressure.update(demand, scaling.boot(), now);
         let known = plan.observe(demand, scaling, started_at, now);
-        plan.orders(&demand.service, &known, scaling, now)
+        plan.orders(&demand.service, &known, scaling, limit, now)
     }
 
     /// Records the outcome of an order.
@@ -128,6 +129,7 @@
         service: &str,
         known: &[String],
         scaling: &ServiceScaling,
+        limit: usize,
         now: Millis,
     ) -> Vec<Order> {
         let may_lower = !self.pressure.is_high();
@@ -142,16 +144,22 @@
             Some((name.as_str(), need))
         });
         let goals = share_needs(&needs.collect(), scaling);
-        let mut orders = Vec::new();
-        for (name, goal) in goals {
-            let Some(site) = self.sites.get_mut(&name) else { continue };
-            let Some((kind, count)) = site.next_order(goal, may_lower, scaling, now) else {
-                continue;
-            };
-            site.start(kind, count);
-            orders.push(Order { service: service.to_owned(), data_centre: name, kind, count });
+        let next_order = |(data_centre, goal): (String, Goal)| {
+            let site = self.sites.get(&data_centre)?;
+            let (kind, count) = site.next_order(goal, may_lower, scaling, now)?;
+            let is_reduction = count < site.ordered(kind);
+            let service = service.to_owned();
+            Some((is_reduction, Order { service, data_centre, kind, count }))
+        };
+        let mut orders: Vec<(bool, Order)> = goals.into_iter().filter_map(next_order).collect();
+        orders.sort();
+        orders.truncate(limit);
+        for (_, order) in &orders {
+            if let Some(site) = self.sites.get_mut(&order.data_centre) {
+                site.start(order.kind, order.count);
+            }
         }
-        orders
+        orders.into_iter().map(|(_, order)| order).collect()
     }
 }
 
--- a/components/decision/tests/duties/capacity.rs
+++ b/components/decision/tests/duties/capacity.rs
@@ -218,11 +218,11 @@
     let mut simulation = Simulation::new(usual_scaling());
     let scaling = usual_scaling();
     let mut planner = CapacityPlanner::new(Millis(0));
-    assert!(planner.plan(&simulation.demand(), &scaling, Millis(0)).is_empty());
+    assert!(planner.plan(&simulation.demand(), &scaling, 9, Millis(0)).is_empty());
     simulation.now = 5_000;
     let demand = simulation.demand();
-    assert!(planner.plan(&demand, &scaling, Millis(8_001)).is_empty());
-    assert!(!planner.plan(&demand, &scaling, Millis(8_000)).is_empty());
+    assert!(planner.plan(&demand, &scaling, 9, Millis(8_001)).is_empty());
+    assert!(!planner.plan(&demand, &scaling, 9, Millis(8_000)).is_empty());
 }
 
 /// A new holder does not know the needs of the last seconds.
@@ -239,6 +239,23 @@
     assert!(simulation.orders_since(since).count() > 0);
 }
 
+/// The platform accepts few calls, and those for endpoints that callers wait for come last.
+#[test]
+fn orders_for_more_endpoints_come_first() {
+    let mut simulation = settled();
+    simulation.load = 0.1;
+    simulation.run(12);
+    for (name, data_centre) in &mut simulation.data_centres {
+        data_centre.callers = if *name == "ridge" { 0.9 } else { 0.02 };
+    }
+    simulation.load = 1.0;
+    let demand = simulation.demand();
+    let now = Millis(simulation.now);
+    let orders = simulation.planner.plan(&demand, &simulation.scaling, 1, now);
+    let first: Vec<_> = orders.iter().map(|order| order.data_centre.as_str()).collect();
+    assert_eq!(first, ["ridge"]);
+}
+
 /// Engines read at rates that no configuration states.
 #[test]
 fn slow_engines_get_more_endpoints_than_estimated() {
--- a/components/decision/tests/duties/simulated_service.rs
+++ b/components/decision/tests/duties/simulated_service.rs
@@ -268,7 +268,7 @@
         (self.begun, self.late) = (0.0, 0.0);
         // A refused order is followed by another at once.
         for _ in 0..5 {
-            let orders = self.planner.plan(&demand, &self.scaling, Millis(self.now));
+            let orders = self.planner.plan(&demand, &self.scaling, usize::MAX, Millis(self.now));
             for order in orders {
                 let outcome = self.carry_out(&order);
                 self.planner.record(&order, outcome, Millis(self.now));
--- a/components/gateway/src/duties/capacity.rs
+++ b/components/gateway/src/duties/capacity.rs
@@ -9,7 +9,7 @@
     ServiceScaling,
 };
 use decision::routing::{PlacementConfig, Service};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -19,6 +19,10 @@
 /// Time between two decisions.
 const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for which orders may wait for the limit on the rate of calls: they are not to be based on
+/// counts older than 3 s.
+const MAX_DELAY_SECONDS: f64 = 1.5;
+
 /// The planner of the term in which this daemon holds the duties.
 #[derive(Debug)]
 struct Term {
@@ -30,6 +34,8 @@
 #[derive(Debug, Default)]
 struct Terms {
     current: RefCell<Option<Term>>,
+    /// The number of orders without a response.
+    under_way: Cell<usize>,
     /// Notified when an order was refused, so that another kind is ordered at once.
     refused: Notify,
 }
@@ -40,7 +46,7 @@
     loop {
         // Decides again after the interval, or earlier if an order was refused.
         let _ = timeout(PLAN_INTERVAL, terms.refused.notified()).await;
-        let Some(token) = gateway.duties.may_act(now()) else {
+        let Some(token) = gateway.duties.held_token(now()) else {
             if terms.current.take().is_some() {
                 gateway.metrics.ordered_endpoints.clear();
             }
@@ -51,7 +57,11 @@
             terms.current.replace(Some(Term { token, planner }));
         }
         gateway.demand_reports.borrow_mut().expire(now());
+        if gateway.duties.may_act(now()) != Some(token) {
+            continue;
+        }
         for order in plan(&gateway, &terms, now()) {
+            terms.under_way.update(|count| count + 1);
             spawn_local(send(gateway.clone(), terms.clone(), token, order));
         }
         set_gauges(&gateway, &terms);
@@ -62,6 +72,10 @@
     let Some(catalog) = gateway.catalog() else { return Vec::new() };
     let mut current = terms.current.borrow_mut();
     let Some(term) = current.as_mut() else { return Vec::new() };
+    let settings = gateway.settings();
+    let Some(duties) = &settings.duties else { return Vec::new() };
+    let limit = (duties.calls_per_second * MAX_DELAY_SECONDS).max(1.0) as usize;
+    let mut limit = limit.saturating_sub(terms.under_way.get());
     let mut orders = Vec::new();
     for service in &catalog.configuration().services {
         let slots = slots(gateway, service);
@@ -69,7 +83,8 @@
             continue;
         };
         let Some(demand) = service_demand(gateway, &service.name, now) else { continue };
-        let service_orders = term.planner.plan(&demand, &scaling, now);
+        let service_orders = term.planner.plan(&demand, &scaling, limit, now);
+        limit -= service_orders.len();
         for order in &service_orders {
             log_order(&term.planner, order, &demand);
         }
@@ -143,6 +158,7 @@
 
 async fn send<A: Adapter>(gateway: Rc<Gateway<A>>, terms: Rc<Terms>, token: u64, order: Order) {
     let call_outcome = call(&gateway, &order.call()).await;
+    terms.under_way.update(|count| count.saturating_sub(1));
     let (outcome, name) = match call_outcome {
         CallOutcome::Accepted => (OrderOutcome::Accepted, "accepted"),
         CallOutcome::Unavailable => (OrderOutcome::Unavailable, "unavailable"),
