--- a/components/fleet/src/crashing_prompts.rs
+++ b/components/fleet/src/crashing_prompts.rs
@@ -324,5 +324,6 @@
         completion: None,
         limit: None,
         departure: None,
+        holder: None,
     }
 }
