Test the holder of the duties with real gateways

A stand-in for the platform records the calls of the holder and checks their tokens. The stand-in for the store checks the condition of a write and carries the write out under one lock; two writes on one condition could both succeed before.

--- a/components/gateway/src/duties/mod.rs
+++ b/components/gateway/src/duties/mod.rs
@@ -55,9 +55,15 @@
             lease.observe_token(holder.token);
         }
         let mut known = self.known.borrow_mut();
-        if known.get_or_insert_default().merge(holder) {
+        let known = known.get_or_insert_default();
+        let token = known.token;
+        if known.merge(holder) {
             self.changed.notify_waiters();
         }
+        if known.token > token {
+            let (name, token) = (&known.peer.name, known.token);
+            tracing::info!(event = "duty_holder_known", %name, token);
+        }
     }
 
     /// Returns the token if this daemon may act as the holder now.
--- a/components/gateway/src/monitoring.rs
+++ b/components/gateway/src/monitoring.rs
@@ -33,6 +33,8 @@
     if req.uri().path() != gateway.settings().metrics_path {
         return text_response(StatusCode::NOT_FOUND, String::from("no such page\n"));
     }
+    // A process that was suspended has no longer the lease that it had.
+    gateway.metrics.duty_holder.set(i64::from(gateway.duties.may_act(now()).is_some()));
     match gateway.metrics.text() {
         Ok(text) => {
             let mut response = text_response(StatusCode::OK, text);
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -22,9 +22,10 @@
 pub use object_api::{ObjectApiConfig, run_object_api};
 pub use platform::{
     AddressMap, BadContinuation, Behaviour, Client, ClientResponse, CrashStage, CrashingBody,
-    CrashingPart, EndlessEndpoint, EndlessPart, GatewayConfig, GatewayProcess, HeadCut, HeadCutter,
-    Link, Message, NarrowNetwork, NetworkPath, PathState, PlatformEndpoint, PlatformStore, Proxy,
-    ReceivedRequest, RefusedKinds, RepeatedRefusal, Room, StoreMode, UnframedEnd,
+    CrashingPart, DutyApi, DutyApiMode, DutyCallRecord, EndlessEndpoint, EndlessPart,
+    GatewayConfig, GatewayProcess, HeadCut, HeadCutter, Link, Message, NarrowNetwork, NetworkPath,
+    PathState, PlatformEndpoint, PlatformStore, Proxy, ReceivedRequest, RefusedKinds,
+    RepeatedRefusal, Room, StoreMode, UnframedEnd, check_duty_calls,
 };
 pub use process::{Process, binary, build_programs, earlier_gateway};
 pub use service::{ServiceConfig, run_service};
--- a/fakes/src/platform/gateway.rs
+++ b/fakes/src/platform/gateway.rs
@@ -37,6 +37,8 @@
     pub extra_attempts: u64,
     /// The memory limit of the process (`limits.memory_mb`), in MiB.
     pub memory_mb: u64,
+    /// Further lines of its settings file, each ended by a line feed.
+    pub further_settings: String,
     /// The program; `None` for the one of this build.
     pub program: Option<PathBuf>,
 }
@@ -53,6 +55,7 @@
             grace_s: 8,
             extra_attempts: 54,
             memory_mb: 110,
+            further_settings: String::new(),
             program: None,
         }
     }
@@ -132,7 +135,7 @@
              bounds.grace_s={}\nbounds.strict_revocation=true\nbounds.revocation_ms={}\n\
              bounds.configuration_ms={}\nbounds.budget_ratio=0.2\n\
              bounds.budget_window_s=10\nbounds.budget_extra_attempts={}\nlimits.memory_mb={}\n\
-             first_start=true\nplatform.address={store}\n{others}",
+             first_start=true\nplatform.address={store}\n{others}{}",
             cfg.name,
             cfg.data_centre,
             cfg.region,
@@ -145,6 +148,7 @@
             cfg.configuration_ms,
             cfg.extra_attempts,
             cfg.memory_mb,
+            cfg.further_settings,
         );
         let settings_path = std::env::temp_dir().join(format!(
             "chervilspur-{}-{}.conf",
--- a/fakes/src/platform/store.rs
+++ b/fakes/src/platform/store.rs
@@ -37,6 +37,19 @@
     calls: u64,
 }
 
+impl State {
+    /// Writes an object under the next revision.
+    fn put(&mut self, kind: &str, name: &str, specification: Value) {
+        self.revision += 1;
+        let object = json!({
+            "metadata": { "name": name, "revision": self.revision },
+            "specification": specification,
+        });
+        self.objects.insert((kind.to_owned(), name.to_owned()), (self.revision, object.clone()));
+        self.changes.push((self.revision, kind.to_owned(), name.to_owned(), Some(object)));
+    }
+}
+
 /// What the addresses of all processes begin with.
 const LOOPBACK: &[u8] = b"127.0.0.1:";
 
@@ -188,15 +201,7 @@
 
     /// Writes an object under the next revision.
     pub fn put(&self, kind: &str, name: &str, specification: Value) {
-        let mut state = self.state();
-        state.revision += 1;
-        let revision = state.revision;
-        let object = json!({
-            "metadata": { "name": name, "revision": revision },
-            "specification": specification,
-        });
-        state.objects.insert((kind.to_owned(), name.to_owned()), (revision, object.clone()));
-        state.changes.push((revision, kind.to_owned(), name.to_owned(), Some(object)));
+        self.state().put(kind, name, specification);
         self.shared.1.notify_all();
     }
 
@@ -348,16 +353,22 @@
         };
         let named = object["metadata"]["name"].as_str().unwrap_or("").to_owned();
         let name = name.map_or(named, str::to_owned);
-        let stored = self.state().objects.get(&(kind.to_owned(), name.clone())).map(|o| o.0);
+        // The condition is checked and the object written under one lock: of two writes on the same
+        // condition, one succeeds.
+        let mut state = self.state();
+        let stored = state.objects.get(&(kind.to_owned(), name.clone())).cloned();
         let expected = object["metadata"]["revision"].as_u64();
         match (method, stored) {
-            ("POST", Some(_)) => (409, json!({})),
+            ("POST", Some((_, stored))) => (409, stored),
             ("PUT", None) => (404, json!({})),
-            ("PUT", Some(stored)) if expected.is_some_and(|expected| expected != stored) => {
-                (409, json!({}))
+            ("PUT", Some((revision, stored)))
+                if expected.is_some_and(|expected| expected != revision) =>
+            {
+                (409, stored)
             }
             _ => {
-                self.put(kind, &name, object["specification"].clone());
+                state.put(kind, &name, object["specification"].clone());
+                self.shared.1.notify_all();
                 (200, object)
             }
         }
