--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 use crate::clock::now;
 use crate::connection::{Connection, ConnectionError};
 use crate::contents::condemned;
+use crate::duties::count_request;
 use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::in_flight::InFlightRequest;
@@ -209,6 +210,9 @@
             return Ok(EndpointResponse::Streaming(Box::new(streaming)));
         }
     }
+    if !response_head.not_run {
+        count_request(gateway, request);
+    }
     let body = match collect(gateway, body, request, now()).await {
         Ok(body) => body,
         Err(text) if response_head.not_run => {
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -140,6 +140,10 @@
         Ok(Connection { address, sender, is_new: true })
     }
 
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     pub(crate) fn is_ready(&self) -> bool {
         self.sender.is_ready()
     }
--- a/components/gateway/src/duties/calls.rs
+++ b/components/gateway/src/duties/calls.rs
@@ -29,8 +29,8 @@
 /// A call is not sent if its time limit would be less than this part of a lease.
 const MIN_CALL_TIME_DIVISOR: u64 = 10;
 /// The first pause before a repetition; it doubles with each.
-const MIN_BACKOFF: Millis = Millis(200);
-const MAX_BACKOFF: Millis = Millis(2_000);
+pub(super) const MIN_BACKOFF: Millis = Millis(200);
+pub(super) const MAX_BACKOFF: Millis = Millis(2_000);
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
 /// Idle connections that are kept.
 const MAX_IDLE: usize = 4;
@@ -42,9 +42,12 @@
     Accepted,
     /// The platform has no more endpoints of the ordered kind (status 409).
     Unavailable,
-    /// It was not accepted and may be repeated: the platform did not respond or with another status,
-    /// or this daemon may not send calls for a moment.
+    /// It was not accepted and may be repeated: the platform was not reached or is overloaded (status 429
+    /// or 5xx), or this daemon may not send calls for a moment.
     Failed,
+    /// It may have been accepted, and may be repeated: the platform did not respond. Or the platform does
+    /// not accept it, with another status.
+    Unclear,
     /// This daemon is not the holder, so that nothing was sent.
     NotHolder,
 }
@@ -56,6 +59,7 @@
             CallOutcome::Accepted => "accepted",
             CallOutcome::Unavailable => "unavailable",
             CallOutcome::Failed => "failed",
+            CallOutcome::Unclear => "unclear",
             CallOutcome::NotHolder => "not_holder",
         }
     }
@@ -117,7 +121,7 @@
     let mut backoff = MIN_BACKOFF;
     while token.is_some() && gateway.duties.held_token(now()) == token {
         match call(gateway, content).await {
-            CallOutcome::Failed => {}
+            CallOutcome::Failed | CallOutcome::Unclear => {}
             outcome => return outcome,
         }
         let jitter = gateway.rng.borrow_mut().random_range(0..=backoff.0 / 4);
@@ -137,18 +141,26 @@
         Ok(StatusCode::CONFLICT) if matches!(call, DutyCall::Scale { .. }) => {
             CallOutcome::Unavailable
         }
-        Ok(status) => failed(gateway, call, status.as_str()),
-        Err(Some(e)) => failed(gateway, call, &e.to_string()),
+        Ok(status) => {
+            log_failure(gateway, call, status.as_str());
+            match status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+                true => CallOutcome::Failed,
+                false => CallOutcome::Unclear,
+            }
+        }
+        Err(Some(e)) => {
+            log_failure(gateway, call, &e.to_string());
+            if e.is_unsent() { CallOutcome::Failed } else { CallOutcome::Unclear }
+        }
         Err(None) if gateway.duties.held_token(now()).is_some() => CallOutcome::Failed,
         Err(None) => CallOutcome::NotHolder,
     }
 }
 
-fn failed<A: Adapter>(gateway: &Gateway<A>, call: &DutyCall, text: &str) -> CallOutcome {
+fn log_failure<A: Adapter>(gateway: &Gateway<A>, call: &DutyCall, text: &str) {
     if gateway.log_quota.borrow_mut().admits(LineKind::Failure, now()) {
         tracing::warn!(event = "duty_call_failed", duty = call.duty().as_str(), text);
     }
-    CallOutcome::Failed
 }
 
 /// Sends a call and returns the status of the response; an error without a cause if this daemon may not
--- a/components/gateway/src/duties/mod.rs
+++ b/components/gateway/src/duties/mod.rs
@@ -9,9 +9,15 @@
 mod calls;
 mod holder;
 mod record_store;
+mod reports;
+mod usage;
 
 pub(crate) use calls::{CallOutcome, call, call_until_accepted};
 pub(crate) use holder::hold_duties;
+pub(crate) use reports::{
+    DutyReports, REPORT_PATH, respond_to_report, send_last_report, start_reports,
+};
+pub(crate) use usage::count_request;
 
 use crate::clock::now;
 use calls::DutyCalls;
@@ -34,6 +40,8 @@
     /// Whether this daemon could act when it last looked.
     was_acting: Cell<bool>,
     calls: DutyCalls,
+    /// What daemons report to the holder; `None` without such a duty.
+    pub(crate) reports: RefCell<Option<DutyReports>>,
     /// Notified when another holder or begun window is known, and when this daemon begins or ceases
     /// to be the holder.
     pub(crate) changed: Notify,
--- /dev/null
+++ b/components/gateway/src/duties/reports.rs
@@ -0,0 +1,213 @@
+use super::usage::report_usage;
+use crate::adapter::Adapter;
+use crate::clock::{now, unix_ms};
+use crate::connection::{Connection, ResponseLimits};
+use crate::gateway::Gateway;
+use crate::peer_server::text_response;
+use crate::response::ResponseBody;
+use bytes::Bytes;
+use decision::Millis;
+use decision::duties::{
+    Duty, KnownHolder, UsageConfig, UsageCounts, UsageReports, WindowClock, report_interval,
+};
+use http::header::HOST;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use messages::duties::{DutyReply, DutyReport};
+use rand::RngExt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// The path of reports on the peer listener.
+pub(crate) const REPORT_PATH: &str = "/duty-report";
+/// Connect timeout: several round trips between the data centres.
+const CONNECT_TIMEOUT: Millis = Millis(300);
+/// Response timeout of a report.
+const RESPONSE_TIMEOUT: Millis = Millis(800);
+/// Time limit of the last report of a daemon that stops.
+const LAST_REPORT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Maximum size of a report: 12 windows with the largest number of accounts.
+const MAX_REPORT_BYTES: usize = 4 << 20;
+const MAX_REPLY_BYTES: usize = 4 << 10;
+
+/// What a daemon reports to the holder of the duties, and what it has got of others as the holder.
+#[derive(Debug)]
+pub(crate) struct DutyReports {
+    pub(super) clock: WindowClock,
+    pub(super) counts: UsageCounts,
+    pub(super) usage: UsageReports,
+    /// The number of reports sent so far.
+    sequence: u64,
+}
+
+/// Starts to count requests, to report them to the holder, and to make the usage reports as the holder, if
+/// the settings have this duty.
+pub(crate) fn start_reports<A: Adapter>(gateway: &Rc<Gateway<A>>) {
+    let settings = gateway.settings();
+    let Some(duties) = &settings.duties else { return };
+    if !duties.duties.contains(&Duty::UsageReporting) {
+        return;
+    }
+    let clock = WindowClock::new(Millis(unix_ms()), now(), duties.report_window);
+    let usage = UsageReports::new(UsageConfig { late: duties.usage_lateness }, clock);
+    let counts = UsageCounts::default();
+    gateway.duties.reports.replace(Some(DutyReports { clock, counts, usage, sequence: 0 }));
+    spawn_local(send_reports(gateway.clone()));
+    spawn_local(report_usage(gateway.clone()));
+}
+
+/// Reports to the holder at regular intervals. Never returns.
+async fn send_reports<A: Adapter>(gateway: Rc<Gateway<A>>) {
+    let mut connection = None;
+    // Daemons that started together report at different times.
+    let interval = report_interval(gateway.daemon_count(now()).unwrap_or(1));
+    let phase = gateway.rng.borrow_mut().random_range(0..interval.0);
+    sleep(Duration::from_millis(phase)).await;
+    loop {
+        send_report(&gateway, &mut connection, false).await;
+        let interval = report_interval(gateway.daemon_count(now()).unwrap_or(1));
+        sleep(Duration::from_millis(interval.0)).await;
+    }
+}
+
+/// Sends the last report of a daemon that stops, when its requests have ended.
+pub(crate) async fn send_last_report<A: Adapter>(gateway: &Gateway<A>) {
+    // Without it, the holder waits for this daemon, and its last second is missing.
+    let _ = timeout(LAST_REPORT_TIMEOUT, send_report(gateway, &mut None, true)).await;
+}
+
+/// Reports to the known holder what it lacks, if anything.
+async fn send_report<A: Adapter>(
+    gateway: &Gateway<A>,
+    connection: &mut Option<Connection>,
+    is_last: bool,
+) {
+    let Some(holder) = gateway.duties.known_holder() else { return };
+    let Some((report, recorded)) = next_report(gateway, &holder, is_last) else { return };
+    let current_window = report.current_window;
+    let reply = if gateway.duties.held_token(now()) == Some(holder.token) {
+        receive(gateway, &report)
+    } else {
+        match send(gateway, connection, &holder, &report).await {
+            Ok(reply) => reply,
+            Err(text) => {
+                tracing::debug!(event = "duty_report_failed", holder = %holder.peer.name, text);
+                return;
+            }
+        }
+    };
+    let mut reports = gateway.duties.reports.borrow_mut();
+    let Some(reports) = reports.as_mut() else { return };
+    if reply.is_holder {
+        reports.counts.record_taken(recorded, current_window, holder.token);
+    }
+    reports.observe_last_window(reply.last_window);
+}
+
+impl DutyReports {
+    fn observe_last_window(&mut self, window: Option<u64>) {
+        if let Some(window) = window {
+            self.counts.observe_last_window(window);
+            self.usage.observe_last_window(window);
+        }
+    }
+}
+
+/// The next report, and the number of requests counted so far.
+fn next_report<A: Adapter>(
+    gateway: &Gateway<A>,
+    holder: &KnownHolder,
+    is_last: bool,
+) -> Option<(DutyReport, u64)> {
+    let settings = gateway.settings();
+    let mut reports = gateway.duties.reports.borrow_mut();
+    let reports = reports.as_mut()?;
+    reports.observe_last_window(holder.window);
+    let current_window = reports.clock.window(now());
+    if !is_last && !reports.counts.is_report_due(current_window, holder.token) {
+        return None;
+    }
+    reports.sequence += 1;
+    let report = DutyReport {
+        name: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation: gateway.incarnation,
+        sequence: reports.sequence,
+        current_window,
+        last_window: reports.usage.last_window(),
+        is_last,
+        windows: reports.counts.windows(),
+        covered_ms: 0,
+        services: Vec::new(),
+    };
+    Some((report, reports.counts.recorded()))
+}
+
+async fn send<A: Adapter>(
+    gateway: &Gateway<A>,
+    connection_slot: &mut Option<Connection>,
+    holder: &KnownHolder,
+    report: &DutyReport,
+) -> Result<DutyReply, String> {
+    let address: SocketAddr =
+        holder.peer.address.parse().map_err(|e| format!("{}: {e}", holder.peer.address))?;
+    let body = rmp_serde::to_vec_named(report).map_err(|e| e.to_string())?;
+    let kept = connection_slot.take().filter(|c| c.is_ready() && c.address() == address);
+    let mut connection = match kept {
+        Some(connection) => connection,
+        None => Connection::open(address, CONNECT_TIMEOUT).await.map_err(|e| e.to_string())?,
+    };
+    let mut req = Request::new(Full::new(Bytes::from(body)));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = http::Uri::from_static(REPORT_PATH);
+    req.headers_mut().extend(address.to_string().parse().ok().map(|host| (HOST, host)));
+    let limits = ResponseLimits::within(RESPONSE_TIMEOUT, MAX_REPLY_BYTES);
+    let sent = connection.send_and_read(req, limits, &gateway.control_memory).await;
+    let (status, body) = sent.map_err(|e| e.to_string())?;
+    *connection_slot = Some(connection);
+    match status {
+        StatusCode::OK => rmp_serde::from_slice(&body).map_err(|e| e.to_string()),
+        status => Err(format!("{address}: response status {status}")),
+    }
+}
+
+/// Responds to the report of another daemon.
+pub(crate) async fn respond_to_report<A: Adapter>(
+    gateway: &Gateway<A>,
+    req: Request<Incoming>,
+) -> Response<ResponseBody> {
+    if gateway.duties.reports.borrow().is_none() {
+        let text = String::from("this daemon has no duties");
+        return text_response(StatusCode::NOT_FOUND, text);
+    }
+    let body = match Limited::new(req.into_body(), MAX_REPORT_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) => return text_response(StatusCode::BAD_REQUEST, e.to_string()),
+    };
+    let report: DutyReport = match rmp_serde::from_slice(&body) {
+        Ok(report) => report,
+        Err(e) => {
+            tracing::warn!(event = "duty_report_unreadable", error = %e);
+            return text_response(StatusCode::BAD_REQUEST, e.to_string());
+        }
+    };
+    match rmp_serde::to_vec_named(&receive(gateway, &report)) {
+        Ok(body) => Response::new(ResponseBody::Complete(Some(Bytes::from(body)))),
+        Err(e) => text_response(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+    }
+}
+
+/// Takes a report if this daemon holds the duties.
+fn receive<A: Adapter>(gateway: &Gateway<A>, report: &DutyReport) -> DutyReply {
+    let token = gateway.duties.known_holder().map_or(0, |holder| holder.token);
+    let mut reports = gateway.duties.reports.borrow_mut();
+    let Some(reports) = reports.as_mut() else {
+        return DutyReply { is_holder: false, token, last_window: None };
+    };
+    let is_holder = reports.usage.receive(report, now());
+    DutyReply { is_holder, token, last_window: reports.usage.last_window() }
+}
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -93,6 +93,8 @@
     pub(crate) recorded_streams: Gauge,
     pub(crate) duty_holder: Gauge,
     pub(crate) duty_calls: Family<DutyCallLabels, Counter>,
+    pub(crate) usage_windows_reported: Counter,
+    pub(crate) usage_reports_late: Counter,
     pub(crate) first_byte_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
     pub(crate) complete_response_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
 }
@@ -121,6 +123,8 @@
             recorded_streams: Gauge::default(),
             duty_holder: Gauge::default(),
             duty_calls: Family::default(),
+            usage_windows_reported: Counter::default(),
+            usage_reports_late: Counter::default(),
             first_byte_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
             complete_response_seconds: Family::new_with_constructor(latencies as fn() -> Histogram),
         };
@@ -216,6 +220,16 @@
             "Such calls of this daemon by duty and outcome",
             self.duty_calls.clone(),
         );
+        r.register(
+            "usage_windows_reported",
+            "Windows whose usage report the platform has accepted",
+            self.usage_windows_reported.clone(),
+        );
+        r.register(
+            "usage_reports_late",
+            "Usage reports that were accepted later than they were due",
+            self.usage_reports_late.clone(),
+        );
         r.register(
             "first_byte_seconds",
             "Time from a request to the head of its answer",
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -1,6 +1,7 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
 use crate::configuration_updates::{MAX_SMALL_BYTES, is_large, lacks_configuration, next_piece};
+use crate::duties::{REPORT_PATH, respond_to_report};
 use crate::feed_response::{build_feed_response, empty_response, endpoint_groups};
 use crate::gateway::Gateway;
 use crate::large_responses::{BUSY, LargeContent, LargePermit};
@@ -27,11 +28,15 @@
 /// after that, unless it has been lost, and only its last request can hold up others.
 const MAX_PIECE_WAIT: Millis = Millis(200);
 
-/// Responds to a daemon that follows this one or exchanges the loads of its data centre.
+/// Responds to a daemon that reports to the holder of the duties, follows this one or exchanges the loads of
+/// its data centre.
 pub(crate) async fn respond<A: Adapter>(
     gateway: &Rc<Gateway<A>>,
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
+    if req.uri().path() == REPORT_PATH {
+        return respond_to_report(gateway, req).await;
+    }
     let arrived = now();
     match read(gateway, req).await {
         Ok(req) => serve_feed(gateway, &req, arrived).await,
@@ -42,7 +47,7 @@
     }
 }
 
-fn text_response(status: StatusCode, text: String) -> Response<ResponseBody> {
+pub(crate) fn text_response(status: StatusCode, text: String) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::Complete(Some(Bytes::from(text))));
     *response.status_mut() = status;
     response
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 use crate::clock::now;
 use crate::contents::{has_evidence, judge};
 use crate::continuation::{known_origin, record_beginning};
+use crate::duties::count_request;
 use crate::event_order::EventOrder;
 use crate::framing::Framing;
 use crate::gateway::Gateway;
@@ -205,6 +206,7 @@
             return;
         }
         self.has_begun = true;
+        count_request(&self.gateway, &self.request);
         let in_flight = &connection.in_flight;
         if in_flight.has_other_version() {
             return;
--- a/components/gateway/src/routed_request.rs
+++ b/components/gateway/src/routed_request.rs
@@ -44,6 +44,8 @@
     pub(crate) client_leaves: Millis,
     /// Whether an endpoint or another daemon may have run the request so far.
     pub(crate) may_have_run: Rc<Cell<bool>>,
+    /// Whether it is among the requests of its account that began to run.
+    pub(crate) is_counted: Rc<Cell<bool>>,
     /// Computed when it is first needed.
     pub(crate) digest: OnceCell<u64>,
     pub(crate) arrived: Millis,
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -1,6 +1,6 @@
 use crate::adapter::Adapter;
 use crate::clock::now;
-use crate::duties::hold_duties;
+use crate::duties::{hold_duties, send_last_report, start_reports};
 use crate::gateway::Gateway;
 use crate::listener::{Role, accept, bind};
 use crate::log::{self, Log};
@@ -102,6 +102,7 @@
     spawn_local(probe_endpoints(gateway.clone()));
     if settings.duties.is_some() {
         spawn_local(hold_duties(gateway.clone()));
+        start_reports(&gateway);
     }
     if settings.listen_peers.is_some() {
         spawn_local(follow::run(gateway.clone()));
@@ -112,6 +113,7 @@
         store = %settings.store);
     terminate.recv().await;
     shut_down(&gateway).await;
+    send_last_report(&gateway).await;
     Ok(())
 }
 
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -197,6 +197,7 @@
         origin: None,
         client_leaves: arrived + head.remaining.unwrap_or(route.timeout),
         may_have_run: Rc::default(),
+        is_counted: Rc::default(),
         digest: OnceCell::new(),
         arrived,
         deadline: arrived + limit,
