--- a/components/gateway/src/duties/capacity.rs
+++ b/components/gateway/src/duties/capacity.rs
@@ -164,6 +164,7 @@
         CallOutcome::Unavailable => (OrderOutcome::Unavailable, "unavailable"),
         // The next decision orders again, from newer counts.
         CallOutcome::Failed => (OrderOutcome::Unknown, "failed"),
+        CallOutcome::Unclear => (OrderOutcome::Unknown, "unclear"),
         CallOutcome::NotHolder => (OrderOutcome::Unknown, "not_holder"),
     };
     gateway.metrics.orders.get_or_create(&OrderLabels { outcome: name }).inc();
