--- a/components/decision/src/duties/lease.rs
+++ b/components/decision/src/duties/lease.rs
@@ -21,7 +21,7 @@
 const RETRY_DIVISOR: u64 = 12;
 /// The longest random delay of a claim is this part of a lease.
 const CLAIM_DELAY_DIVISOR: u64 = 6;
-/// Without an address of its own, a daemon is asked again after this part of a lease.
+/// A daemon that does not contend is asked again after this part of a lease.
 const IDLE_DIVISOR: u64 = 2;
 
 /// The identity of a daemon and the duration of its lease.
--- a/components/gateway/src/duties/calls.rs
+++ b/components/gateway/src/duties/calls.rs
@@ -161,13 +161,13 @@
     let calls = &gateway.duties.calls;
     let address = settings.address;
     gateway.duties.may_act(now()).ok_or(None)?;
-    let mut rate = calls.rate.lock().await;
-    let wait = rate.next_at(settings.calls_per_second, now()).since(now());
-    sleep(Duration::from_millis(wait.0)).await;
     let mut connection = match calls.take_idle(address) {
         Some(connection) => connection,
         None => open(settings).await.map_err(Some)?,
     };
+    let mut rate = calls.rate.lock().await;
+    let wait = rate.next_at(settings.calls_per_second, now()).since(now());
+    sleep(Duration::from_millis(wait.0)).await;
     // The lease is checked right before the call is sent: everything above takes time.
     let (token, until) = gateway.duties.act_until(now()).ok_or(None)?;
     let limit = call_timeout(settings.lease, until, now()).ok_or(None)?;
--- a/components/gateway/src/duties/mod.rs
+++ b/components/gateway/src/duties/mod.rs
@@ -23,7 +23,7 @@
 use tokio::time::timeout;
 
 /// Time after which a lease is checked again without a notification.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// What a daemon knows about the holder of the duties, and its own lease.
 #[derive(Debug, Default)]
