--- a/components/decision/src/duties/usage_reports.rs
+++ b/components/decision/src/duties/usage_reports.rs
@@ -332,8 +332,10 @@
     fn forget_until(&mut self, last_window: u64) {
         self.windows.retain(|window, _| *window > last_window);
         let has_ended = match &self.progress {
-            Some(Progress::Writing(report)) => report.number <= last_window,
-            Some(Progress::Sending { report, .. }) => report.number < last_window,
+            // Others may have read what this holder has written, before it knows that it has.
+            Some(Progress::Writing(report) | Progress::Sending { report, .. }) => {
+                report.number < last_window
+            }
             _ => false,
         };
         if has_ended {
--- a/components/decision/tests/duties/usage.rs
+++ b/components/decision/tests/duties/usage.rs
@@ -284,6 +284,20 @@
     assert_eq!(holder.report(), Some(&window(100, &[("hule", 8)])));
 }
 
+/// A candidate reads the object before the holder learns that its write was carried out, and says so in its
+/// report. The window would be lost if the holder took it for reported.
+#[test]
+fn report_that_others_know_of_before_its_write_is_confirmed_is_sent() {
+    let mut holder = holder();
+    holder.receive(&report("i-1", 1, 101, vec![window(100, &[("hule", 8)])]), start(101));
+    holder.begin_report(start(101));
+    let written = holder.state_to_write().unwrap();
+    let told = DutyReport { last_window: Some(100), ..report("i-2", 1, 101, vec![]) };
+    holder.receive(&told, start(101));
+    holder.confirm(&written);
+    assert_eq!(holder.report(), Some(&window(100, &[("hule", 8)])));
+}
+
 /// After an outage of the whole system, the windows of which nobody has counts are not reported one by one.
 #[test]
 fn windows_that_are_no_longer_kept_are_skipped() {
--- a/components/gateway/src/duties/usage.rs
+++ b/components/gateway/src/duties/usage.rs
@@ -99,9 +99,13 @@
         if token != self.token {
             *self = UsageTask { token, ..UsageTask::default() };
             let interval = report_interval(gateway.daemon_count(now).unwrap_or(1));
-            with_reports(gateway, |reports| match token {
-                Some(_) => reports.start(NOTICE_TIME + interval, now),
-                None => reports.stop(),
+            let last_window = gateway.duties.known_holder().and_then(|holder| holder.window);
+            with_reports(gateway, |reports| {
+                last_window.into_iter().for_each(|window| reports.observe_last_window(window));
+                match token {
+                    Some(_) => reports.start(NOTICE_TIME + interval, now),
+                    None => reports.stop(),
+                }
             });
         }
         if token.is_some() && !self.has_taken_over && gateway.duties.may_act(now) == token {
--- /dev/null
+++ b/tests/usage_reports.rs
@@ -0,0 +1,248 @@
+//! Several gateways that count requests, and the usage reports that the platform receives.
+
+mod platform_objects;
+
+use fakes::{
+    Client, DutyApi, DutyApiMode, GatewayConfig, GatewayProcess, PlatformEndpoint, PlatformStore,
+    check_duty_calls,
+};
+use platform_objects::{KEY, configuration, registration};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{JoinHandle, sleep, spawn};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const LEASE: Duration = Duration::from_millis(1_500);
+const WINDOW: Duration = Duration::from_secs(2);
+const LATE: Duration = Duration::from_secs(10);
+/// The tolerated deviation of a count.
+const TOLERANCE: f64 = 0.05;
+/// Time between the requests of a client.
+const PAUSE: Duration = Duration::from_millis(10);
+/// The account of all requests, which [`configuration`] has.
+const ACCOUNT: &str = "north";
+
+fn window_at(time: SystemTime) -> u64 {
+    (time.duration_since(UNIX_EPOCH).unwrap().as_millis() / WINDOW.as_millis()) as u64
+}
+
+struct Fleet {
+    store: PlatformStore,
+    _endpoints: Vec<PlatformEndpoint>,
+    platform: DutyApi,
+    gateways: Vec<GatewayProcess>,
+}
+
+impl Fleet {
+    /// Starts a gateway in each of three data centres, and a second one in the first.
+    fn start(further_settings: &str) -> Fleet {
+        fakes::build_programs().unwrap();
+        let store = PlatformStore::start().unwrap();
+        store.put("config", "main", configuration(1, &[KEY]));
+        let start = |id: &str| PlatformEndpoint::start(id, 3, Duration::from_millis(2)).unwrap();
+        let endpoints = vec![start("i-1"), start("i-2")];
+        for endpoint in &endpoints {
+            store.put("servers", &endpoint.id, registration(endpoint, "ready", 1));
+        }
+        let platform = DutyApi::start().unwrap();
+        let mut fleet = Fleet { store, _endpoints: endpoints, platform, gateways: Vec::new() };
+        for (name, data_centre) in
+            [("front-a-1", "a"), ("front-b-1", "b"), ("front-c-1", "c"), ("front-a-2", "a")]
+        {
+            fleet.add_gateway(name, data_centre, further_settings);
+        }
+        for gateway in &fleet.gateways {
+            gateway.wait_for_log(&["configuration_in_force"]).unwrap();
+            gateway.wait_for_log(&["endpoint_joined", "i-2"]).unwrap();
+        }
+        fleet
+    }
+
+    fn add_gateway(&mut self, name: &str, data_centre: &str, further_settings: &str) {
+        let others = ["a", "b", "c"].into_iter().filter(|other| *other != data_centre);
+        let cfg = GatewayConfig {
+            name: name.to_owned(),
+            data_centre: data_centre.to_owned(),
+            other_data_centres: others.map(|d| (d.to_owned(), String::from("r"))).collect(),
+            further_settings: format!(
+                "cloud.address={}\ncloud.duty_per_s=20\nbounds.lease_ms={}\n\
+                 bounds.report_window_s={}\nbounds.usage_late_s={}\n{further_settings}",
+                self.platform.address,
+                LEASE.as_millis(),
+                WINDOW.as_secs(),
+                LATE.as_secs(),
+            ),
+            ..GatewayConfig::default()
+        };
+        self.gateways.push(GatewayProcess::start(self.store.address, &cfg).unwrap());
+    }
+
+    /// Waits until a gateway has reported a window, and returns it.
+    fn wait_for_holder(&self) -> usize {
+        let end = Instant::now() + LEASE * 10;
+        while Instant::now() < end {
+            if let Some(call) = self.platform.calls().last() {
+                let number = call.holder.as_str();
+                let names = ["front-a-1", "front-b-1", "front-c-1", "front-a-2"];
+                return names.iter().position(|name| *name == number).unwrap();
+            }
+            sleep(Duration::from_millis(50));
+        }
+        panic!("no usage was reported:\n{}", self.log());
+    }
+
+    fn log(&self) -> String {
+        let lines = |gateway: &GatewayProcess| {
+            let lines = gateway.log().into_iter();
+            lines.filter(|line| line.contains("duty") || line.contains("usage")).collect()
+        };
+        let lines: Vec<Vec<String>> = self.gateways.iter().map(lines).collect();
+        lines.concat().join("\n")
+    }
+
+    /// Checks the reports of the windows from `first` to `last` against the true counts.
+    fn check_reports(&self, first: u64, last: u64, truth: &BTreeMap<u64, u64>) {
+        let calls = self.platform.calls();
+        assert_eq!(check_duty_calls(&calls, LEASE), Ok(()), "{}", self.log());
+        let mut accepted: BTreeMap<u64, u64> = BTreeMap::new();
+        for call in calls.iter().filter(|call| call.status == 200) {
+            assert_eq!(call.target, "/usage");
+            let window = call.body["window_number"].as_u64().unwrap();
+            let count = call.body["counts"][ACCOUNT].as_u64().unwrap_or(0);
+            let former = accepted.insert(window, count);
+            assert!(former.is_none_or(|former| former == count), "two counts of {window}");
+            let due = (window + 1) as u128 * WINDOW.as_millis() + LATE.as_millis();
+            let arrived = SystemTime::now() - call.arrived.elapsed();
+            let arrived = arrived.duration_since(UNIX_EPOCH).unwrap().as_millis();
+            assert!(arrived <= due, "window {window} is {} ms late", arrived - due);
+        }
+        for window in first..=last {
+            let count = accepted.get(&window);
+            let count = *count.unwrap_or_else(|| panic!("no {window}:\n{}", self.log()));
+            let expected = truth.get(&window).copied().unwrap_or(0);
+            let deviation = count.abs_diff(expected) as f64 / expected.max(1) as f64;
+            assert!(deviation <= TOLERANCE, "window {window}: {count} instead of {expected}");
+        }
+    }
+}
+
+/// Clients that send plain requests, streams and requests without an account to gateways.
+struct Load {
+    is_ended: Arc<AtomicBool>,
+    truth: Arc<Mutex<BTreeMap<u64, u64>>>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    fn start<'a>(gateways: impl Iterator<Item = &'a GatewayProcess>) -> Load {
+        let (is_ended, truth) = (Arc::new(AtomicBool::new(false)), Arc::default());
+        let mut load = Load { is_ended, truth, clients: Vec::new() };
+        for (number, gateway) in gateways.enumerate() {
+            let (is_ended, truth) = (load.is_ended.clone(), load.truth.clone());
+            let address = gateway.address;
+            load.clients.push(spawn(move || send_requests(number, address, &is_ended, &truth)));
+        }
+        load
+    }
+
+    /// Ends the load, and returns the number of requests of the account by window.
+    fn end(self) -> BTreeMap<u64, u64> {
+        self.is_ended.store(true, Ordering::Relaxed);
+        for client in self.clients {
+            client.join().unwrap();
+        }
+        let truth = self.truth.lock().unwrap();
+        truth.clone()
+    }
+}
+
+fn send_requests(
+    number: usize,
+    address: SocketAddr,
+    is_ended: &AtomicBool,
+    truth: &Mutex<BTreeMap<u64, u64>>,
+) {
+    let targets = ["/safe/", "/stream/", "/open/"];
+    for request in 0.. {
+        if is_ended.load(Ordering::Relaxed) {
+            return;
+        }
+        let target = targets[request % targets.len()];
+        let key = if target == "/open/" { "" } else { KEY };
+        let mut client = Client::connect(address).unwrap();
+        client.send_request(target, &format!("{number}-{request}"), key, "body").unwrap();
+        let response = client.read_response().unwrap();
+        assert_eq!(response.message.status(), 200, "{target}");
+        if target != "/open/" {
+            *truth.lock().unwrap().entry(window_at(SystemTime::now())).or_default() += 1;
+        }
+        sleep(PAUSE);
+    }
+}
+
+/// Sleeps until windows have passed since now. Returns the first and the last of them that are complete.
+fn pass_windows(windows: u32) -> (u64, u64) {
+    let first = window_at(SystemTime::now()) + 1;
+    sleep(WINDOW * (windows + 1));
+    (first, first + u64::from(windows) - 1)
+}
+
+/// Guards against counts that are missing, counted twice or assigned to another window.
+#[test]
+fn counts_of_all_gateways_are_reported_once_for_each_window() {
+    let fleet = Fleet::start("cloud.duties=usage_reporting\n");
+    fleet.wait_for_holder();
+    let load = Load::start(fleet.gateways.iter());
+    let (first, last) = pass_windows(4);
+    let truth = load.end();
+    sleep(WINDOW * 3);
+    fleet.check_reports(first, last, &truth);
+}
+
+/// The counts that only the holder had are sent again to its successor, in time, and a report that was sent
+/// is not sent with other counts.
+#[test]
+fn counts_are_reported_in_time_although_the_holder_is_killed() {
+    let mut fleet = Fleet::start("cloud.duties=usage_reporting\n");
+    let holder = fleet.wait_for_holder();
+    let others = fleet.gateways.iter().enumerate().filter(|(number, _)| *number != holder);
+    let load = Load::start(others.map(|(_, gateway)| gateway));
+    let (first, _) = pass_windows(2);
+    fleet.gateways[holder].restart("KILL").unwrap();
+    let (_, last) = pass_windows(6);
+    let truth = load.end();
+    sleep(LATE);
+    fleet.check_reports(first, last, &truth);
+}
+
+/// Windows wait for the platform, and none is given up.
+#[test]
+fn windows_are_reported_after_an_outage_of_the_platform() {
+    let fleet = Fleet::start("cloud.duties=usage_reporting\n");
+    fleet.wait_for_holder();
+    let load = Load::start(fleet.gateways.iter());
+    let (first, _) = pass_windows(1);
+    fleet.platform.set_mode(DutyApiMode::Down);
+    sleep(WINDOW * 2);
+    fleet.platform.set_mode(DutyApiMode::Refusing(429));
+    let (_, last) = pass_windows(1);
+    fleet.platform.set_mode(DutyApiMode::Up);
+    let truth = load.end();
+    sleep(WINDOW * 3);
+    fleet.check_reports(first, last, &truth);
+}
+
+/// A deployment without the duty is served as before.
+#[test]
+fn nothing_is_reported_without_the_duty() {
+    let fleet = Fleet::start("cloud.duties=scaling\n");
+    let load = Load::start(fleet.gateways.iter());
+    pass_windows(2);
+    load.end();
+    assert_eq!(fleet.platform.calls().len(), 0);
+    let mut client = Client::connect(fleet.gateways[0].peers).unwrap();
+    client.send_request("/duty-report", "r", "", "body").unwrap();
+    assert_eq!(client.read_response().unwrap().message.status(), 404);
+}
