--- a/tests/usage_reports.rs
+++ b/tests/usage_reports.rs
@@ -3,8 +3,8 @@
 mod platform_objects;
 
 use fakes::{
-    Client, DutyApi, DutyApiMode, GatewayConfig, GatewayProcess, PlatformEndpoint, PlatformStore,
-    check_duty_calls,
+    Behaviour, Client, DutyApi, DutyApiMode, GatewayConfig, GatewayProcess, PlatformEndpoint,
+    PlatformStore, check_duty_calls,
 };
 use platform_objects::{KEY, configuration, registration};
 use std::collections::BTreeMap;
@@ -30,7 +30,7 @@
 
 struct Fleet {
     store: PlatformStore,
-    _endpoints: Vec<PlatformEndpoint>,
+    endpoints: Vec<PlatformEndpoint>,
     platform: DutyApi,
     gateways: Vec<GatewayProcess>,
 }
@@ -47,7 +47,7 @@
             store.put("servers", &endpoint.id, registration(endpoint, "ready", 1));
         }
         let platform = DutyApi::start().unwrap();
-        let mut fleet = Fleet { store, _endpoints: endpoints, platform, gateways: Vec::new() };
+        let mut fleet = Fleet { store, endpoints, platform, gateways: Vec::new() };
         for (name, data_centre) in
             [("front-a-1", "a"), ("front-b-1", "b"), ("front-c-1", "c"), ("front-a-2", "a")]
         {
@@ -234,6 +234,42 @@
     fleet.check_reports(first, last, &truth);
 }
 
+/// Guards against a request that is counted with each of its attempts, and against the count of one that no
+/// endpoint has run.
+#[test]
+fn request_is_counted_once_however_often_it_is_sent_and_not_if_it_did_not_run() {
+    let fleet = Fleet::start("cloud.duties=usage_reporting\n");
+    fleet.wait_for_holder();
+    let mut client = Client::connect(fleet.gateways[0].address).unwrap();
+    let mut send = |target: &str, id: &str| {
+        client.send_request(target, id, KEY, "body").unwrap();
+        client.read_response().unwrap().message.status()
+    };
+    let set = |behaviours: [Behaviour; 2]| {
+        let endpoints = fleet.endpoints.iter().zip(behaviours);
+        endpoints.for_each(|(endpoint, behaviour)| endpoint.set_behaviour(behaviour));
+    };
+    set([Behaviour::Fail, Behaviour::Fail]);
+    assert_eq!([send("/safe/", "fail-1"), send("/safe/", "fail-2")], [500, 500]);
+    let sends: usize = fleet.endpoints.iter().map(|e| e.received_requests().len()).sum();
+    assert!(sends > 2, "no request was sent again");
+    set([Behaviour::Reject, Behaviour::Reject]);
+    assert_eq!([send("/safe/", "reject-1"), send("/stream/", "reject-2")], [503, 503]);
+    set([Behaviour::Succeed, Behaviour::Succeed]);
+    let mut served = 0;
+    for number in 0..10 {
+        served += u64::from(send("/stream/", &format!("serve-{number}")) == 200);
+    }
+    sleep(WINDOW * 3);
+    let mut accepted: BTreeMap<u64, u64> = BTreeMap::new();
+    for call in fleet.platform.calls() {
+        let window = call.body["window_number"].as_u64().unwrap();
+        accepted.insert(window, call.body["counts"][ACCOUNT].as_u64().unwrap_or(0));
+    }
+    assert!(served > 0);
+    assert_eq!(accepted.values().sum::<u64>(), served + 2, "{}", fleet.log());
+}
+
 /// A deployment without the duty is served as before.
 #[test]
 fn nothing_is_reported_without_the_duty() {
