--- a/components/decision/tests/duties/random_usage.rs
+++ b/components/decision/tests/duties/random_usage.rs
@@ -263,7 +263,7 @@
         for index in 0..DAEMONS {
             self.run_requests(index);
             let steps = report_interval(DAEMONS).0 / STEP.0;
-            if (self.now.0 / STEP.0 + index as u64) % steps == 0 {
+            if (self.now.0 / STEP.0 + index as u64).is_multiple_of(steps) {
                 self.report(index);
             }
             self.act(index);
--- a/components/gateway/src/duties/calls.rs
+++ b/components/gateway/src/duties/calls.rs
@@ -113,6 +113,7 @@
 /// Makes a call until it is accepted or the platform states that there are no more endpoints, with a
 /// growing pause between attempts. Returns early when this daemon is no longer the holder, or has
 /// become the holder anew.
+#[allow(dead_code)]
 pub(crate) async fn call_until_accepted<A: Adapter>(
     gateway: &Rc<Gateway<A>>,
     content: &DutyCall,
--- a/components/gateway/src/duties/mod.rs
+++ b/components/gateway/src/duties/mod.rs
@@ -3,15 +3,14 @@
 //! The holder of the duties has a lease, which it renews in the store. [`Duties`] tells every daemon
 //! who the holder is, and the holder whether it may act. [`call`] makes a call to the platform.
 
-// The duties that make calls are still to come.
-#![allow(dead_code, unused_imports)]
-
 mod calls;
 mod holder;
 mod record_store;
 mod reports;
 mod usage;
 
+// The orders of endpoints, which use these, are still to come.
+#[allow(unused_imports)]
 pub(crate) use calls::{CallOutcome, call, call_until_accepted};
 pub(crate) use holder::hold_duties;
 pub(crate) use reports::{
