--- a/components/decision/tests/duties/capacity.rs
+++ b/components/decision/tests/duties/capacity.rs
@@ -3,11 +3,14 @@
 use crate::simulated_service::{DATA_CENTRES, SERVICE, Simulation, usual_scaling};
 use decision::Millis;
 use decision::duties::EndpointKind::{Ordinary, Spot};
-use decision::duties::{CapacityPlanner, DemandReports, OrderOutcome, ServiceScaling};
+use decision::duties::{
+    CapacityPlanner, DemandCounts, DemandReports, OrderOutcome, ServiceCounts, ServiceScaling,
+};
 use decision::routing::Scaling;
 use messages::duties::{DataCentreUse, DutyReport, ServiceReport};
 use proptest::prelude::*;
 use rstest::rstest;
+use std::collections::BTreeSet;
 
 /// What the endpoints cost before any order: 15 ordinary ones in each of six data centres.
 const INITIAL_PRICE: f64 = 90.0;
@@ -319,6 +322,26 @@
     assert_eq!((demand.daemons, demand.reporting, demand.work.placed), (1, 1, 15.0));
 }
 
+/// The work of other services, or that of the time before the first report, seems to be that of the
+/// service within a second.
+#[test]
+fn counts_cover_the_requests_of_a_service_since_the_previous_report() {
+    let mut counts = DemandCounts::default();
+    counts.set_services(&BTreeSet::from([SERVICE]));
+    counts.record_send(SERVICE, 100);
+    assert_eq!(counts.take(Millis(5_000)).0, Millis(0));
+    counts.record_send(SERVICE, 40);
+    counts.record_send("other", 70);
+    counts.record_first_byte(SERVICE, Millis(5_000), Millis(6_000), Millis(5_500));
+    counts.record_first_byte(SERVICE, Millis(5_000), Millis(6_000), Millis(5_501));
+    counts.record_refusal(SERVICE);
+    let (covered, taken) = counts.take(Millis(6_000));
+    let expected =
+        ServiceCounts { placed: 1, prompt_tokens: 40, refused: 1, begun: 2, begun_late: 1 };
+    assert_eq!((covered, &taken[SERVICE], taken.len()), (Millis(1_000), &expected, 1));
+    assert_eq!(counts.take(Millis(7_000)).1[SERVICE], ServiceCounts::default());
+}
+
 /// What happens in a second of a random simulation.
 #[derive(Clone, Debug)]
 enum Event {
