--- a/components/decision/tests/duties/main.rs
+++ b/components/decision/tests/duties/main.rs
@@ -1,4 +1,5 @@
-//! Tests of the duties that one daemon at a time performs for all.
+//! Tests that the duties have at most one holder, whatever fails, and have one again afterwards, that it
+//! reports each usage window once, and that it orders the endpoints that callers need.
 
 mod call_rate;
 mod capacity;
--- a/components/gateway/src/duties/capacity.rs
+++ b/components/gateway/src/duties/capacity.rs
@@ -41,7 +41,7 @@
 }
 
 /// Orders endpoints while this daemon holds the duties. Never returns.
-pub(crate) async fn order_capacity<A: Adapter>(gateway: Rc<Gateway<A>>) {
+pub(super) async fn order_capacity<A: Adapter>(gateway: Rc<Gateway<A>>) {
     let terms = Rc::new(Terms::default());
     loop {
         // Decides again after the interval, or earlier if an order was refused.
@@ -164,6 +164,7 @@
         CallOutcome::Unavailable => (OrderOutcome::Unavailable, "unavailable"),
         // The next decision orders again, from newer counts.
         CallOutcome::Failed => (OrderOutcome::Unknown, "failed"),
+        CallOutcome::Unclear => (OrderOutcome::Unknown, "unclear"),
         CallOutcome::NotHolder => (OrderOutcome::Unknown, "not_holder"),
     };
     gateway.metrics.orders.get_or_create(&OrderLabels { outcome: name }).inc();
--- a/components/gateway/src/duties/demand.rs
+++ b/components/gateway/src/duties/demand.rs
@@ -14,7 +14,7 @@
 
 /// Returns what this daemon has seen of the services whose endpoints are ordered since the previous
 /// call, and the time that it covers, for the report to the holder of the duties.
-pub(crate) fn demand_report<A: Adapter>(
+pub(super) fn demand_report<A: Adapter>(
     gateway: &Gateway<A>,
     now: Millis,
 ) -> (Millis, Vec<ServiceReport>) {
@@ -67,6 +67,6 @@
 
 /// Records the demand in a report that a daemon sent to this one as the holder of the duties, or that
 /// this one made itself.
-pub(crate) fn record_demand<A: Adapter>(gateway: &Gateway<A>, report: &DutyReport, now: Millis) {
+pub(super) fn record_demand<A: Adapter>(gateway: &Gateway<A>, report: &DutyReport, now: Millis) {
     gateway.demand_reports.borrow_mut().record(report, now);
 }
--- a/components/gateway/src/duties/mod.rs
+++ b/components/gateway/src/duties/mod.rs
@@ -8,13 +8,18 @@
 
 mod calls;
 mod capacity;
-pub(crate) mod demand;
+mod demand;
 mod holder;
 mod record_store;
+mod reports;
+mod usage;
 
 pub(crate) use calls::{CallOutcome, call, call_until_accepted};
-pub(crate) use capacity::order_capacity;
 pub(crate) use holder::hold_duties;
+pub(crate) use reports::{
+    DutyReports, REPORT_PATH, respond_to_report, send_last_report, start_reports,
+};
+pub(crate) use usage::count_request;
 
 use crate::clock::now;
 use calls::DutyCalls;
@@ -37,6 +42,8 @@
     /// Whether this daemon could act when it last looked.
     was_acting: Cell<bool>,
     calls: DutyCalls,
+    /// What daemons report to the holder; `None` without such a duty.
+    pub(crate) reports: RefCell<Option<DutyReports>>,
     /// Notified when another holder or begun window is known, and when this daemon begins or ceases
     /// to be the holder.
     pub(crate) changed: Notify,
@@ -58,9 +65,15 @@
             lease.observe_token(holder.token);
         }
         let mut known = self.known.borrow_mut();
-        if known.get_or_insert_default().merge(holder) {
+        let known = known.get_or_insert_default();
+        let token = known.token;
+        if known.merge(holder) {
             self.changed.notify_waiters();
         }
+        if known.token > token {
+            let (name, token) = (&known.peer.name, known.token);
+            tracing::info!(event = "duty_holder_known", %name, token);
+        }
     }
 
     /// Returns the token if this daemon may act as the holder now.
