--- a/components/decision/tests/duties/main.rs
+++ b/components/decision/tests/duties/main.rs
@@ -1,5 +1,5 @@
 //! Tests that the duties have at most one holder, whatever fails, and have one again afterwards, that it
-//! reports each usage window once, and that the capacity that it orders follows the load.
+//! reports each usage window once, and that it orders the endpoints that callers need.
 
 mod call_rate;
 mod capacity;
--- a/components/gateway/src/duties/capacity.rs
+++ b/components/gateway/src/duties/capacity.rs
@@ -41,7 +41,7 @@
 }
 
 /// Orders endpoints while this daemon holds the duties. Never returns.
-pub(crate) async fn order_capacity<A: Adapter>(gateway: Rc<Gateway<A>>) {
+pub(super) async fn order_capacity<A: Adapter>(gateway: Rc<Gateway<A>>) {
     let terms = Rc::new(Terms::default());
     loop {
         // Decides again after the interval, or earlier if an order was refused.
--- a/components/gateway/src/duties/mod.rs
+++ b/components/gateway/src/duties/mod.rs
@@ -12,7 +12,6 @@
 mod usage;
 
 pub(crate) use calls::{CallOutcome, call};
-pub(crate) use capacity::order_capacity;
 pub(crate) use holder::hold_duties;
 pub(crate) use reports::{
     DutyReports, REPORT_PATH, respond_to_report, send_last_report, start_reports,
--- a/components/gateway/src/duties/reports.rs
+++ b/components/gateway/src/duties/reports.rs
@@ -1,3 +1,4 @@
+use super::capacity::order_capacity;
 use super::demand::{demand_report, record_demand};
 use super::usage::report_usage;
 use crate::adapter::Adapter;
@@ -41,26 +42,36 @@
     pub(super) clock: WindowClock,
     pub(super) counts: UsageCounts,
     pub(super) usage: UsageReports,
+    /// Whether the usage is reported to the platform.
+    pub(super) has_usage: bool,
+    /// Whether the capacity of services is ordered.
+    has_scaling: bool,
     /// The number of reports sent so far.
     sequence: u64,
 }
 
-/// Starts to report to the holder, and to make the usage reports as the holder if the settings have this
-/// duty.
+/// Starts to count requests, to report them to the holder, and as the holder to make the usage reports and
+/// to order capacity, as far as the settings have these duties.
 pub(crate) fn start_reports<A: Adapter>(gateway: &Rc<Gateway<A>>) {
     let settings = gateway.settings();
     let Some(duties) = &settings.duties else { return };
-    if duties.duties.is_empty() {
+    let has_usage = duties.duties.contains(&Duty::UsageReporting);
+    let has_scaling = duties.duties.contains(&Duty::Scaling);
+    if !has_usage && !has_scaling {
         return;
     }
     let clock = WindowClock::new(Millis(unix_ms()), now(), duties.report_window);
     let usage = UsageReports::new(UsageConfig { late: duties.usage_lateness }, clock);
     let counts = UsageCounts::default();
-    gateway.duties.reports.replace(Some(DutyReports { clock, counts, usage, sequence: 0 }));
+    let reports = DutyReports { clock, counts, usage, has_usage, has_scaling, sequence: 0 };
+    gateway.duties.reports.replace(Some(reports));
     spawn_local(send_reports(gateway.clone()));
-    if duties.duties.contains(&Duty::UsageReporting) {
+    if has_usage {
         spawn_local(report_usage(gateway.clone()));
     }
+    if has_scaling {
+        spawn_local(order_capacity(gateway.clone()));
+    }
 }
 
 /// Reports to the holder at regular intervals. Never returns.
@@ -131,14 +142,17 @@
     let reports = reports.as_mut()?;
     reports.observe_last_window(holder.window);
     let current_window = reports.clock.window(now());
-    let duties = settings.duties.as_ref();
-    let has_scaling = duties.is_some_and(|duties| duties.duties.contains(&Duty::Scaling));
-    if !is_last && !has_scaling && !reports.counts.is_report_due(current_window, holder.token) {
+    let is_usage_due = reports.has_usage
+        && (is_last || reports.counts.is_report_due(current_window, holder.token));
+    let (covered, services) = match reports.has_scaling {
+        true => demand_report(gateway, now()),
+        false => (Millis(0), Vec::new()),
+    };
+    // A daemon without requests says so, as the holder keeps what silent daemons need.
+    if !is_last && !is_usage_due && !reports.has_scaling {
         return None;
     }
     reports.sequence += 1;
-    let (covered, services) =
-        if has_scaling { demand_report(gateway, now()) } else { Default::default() };
     let report = DutyReport {
         name: settings.name.clone(),
         data_centre: settings.data_centre.clone(),
@@ -147,7 +161,7 @@
         current_window,
         last_window: reports.usage.last_window(),
         is_last,
-        windows: reports.counts.windows(),
+        windows: if is_usage_due { reports.counts.windows() } else { Vec::new() },
         covered_ms: covered.0,
         services,
     };
@@ -210,14 +224,16 @@
 
 /// Takes a report if this daemon holds the duties.
 fn receive<A: Adapter>(gateway: &Gateway<A>, report: &DutyReport) -> DutyReply {
-    if gateway.duties.held_token(now()).is_some() {
-        record_demand(gateway, report, now());
-    }
     let token = gateway.duties.known_holder().map_or(0, |holder| holder.token);
     let mut reports = gateway.duties.reports.borrow_mut();
     let Some(reports) = reports.as_mut() else {
         return DutyReply { is_holder: false, token, last_window: None };
     };
-    let is_holder = reports.usage.receive(report, now());
+    let is_acting = gateway.duties.held_token(now()).is_some();
+    if is_acting && reports.has_scaling {
+        record_demand(gateway, report, now());
+    }
+    let is_holder =
+        if reports.has_usage { reports.usage.receive(report, now()) } else { is_acting };
     DutyReply { is_holder, token, last_window: reports.usage.last_window() }
 }
--- a/components/gateway/src/duties/usage.rs
+++ b/components/gateway/src/duties/usage.rs
@@ -6,7 +6,7 @@
 use crate::routed_request::RoutedRequest;
 use decision::Millis;
 use decision::duties::{
-    Duty, DutyCall, ReportOutcome, SkippedWindows, UsageLoss, UsageReports, report_interval,
+    DutyCall, ReportOutcome, SkippedWindows, UsageLoss, UsageReports, report_interval,
 };
 use messages::duties::UsageWindow;
 use std::rc::Rc;
@@ -22,12 +22,9 @@
     if request.last_event.is_some() || request.is_counted.get() {
         return;
     }
-    let settings = gateway.settings();
-    if settings.duties.as_ref().is_none_or(|d| !d.duties.contains(&Duty::UsageReporting)) {
-        return;
-    }
     let mut reports = gateway.duties.reports.borrow_mut();
-    let Some(DutyReports { clock, counts, .. }) = reports.as_mut() else { return };
+    let reports = reports.as_mut().filter(|reports| reports.has_usage);
+    let Some(DutyReports { clock, counts, .. }) = reports else { return };
     request.is_counted.set(true);
     if let Some(loss) = counts.record(account, clock.window(now())) {
         log_loss(loss);
