--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 use crate::clock::now;
 use crate::configuration_history::ConfigurationHistory;
 use crate::continuation::StreamLookup;
+use crate::duties::Duties;
 use crate::large_responses::LargeResponses;
 use crate::log::LogQuota;
 use crate::metrics::Metrics;
@@ -15,6 +16,7 @@
 use crate::software_versions::SoftwareVersions;
 use crate::update_source::CurrentSource;
 use decision::Millis;
+use decision::duties::{DemandCounts, DemandReports};
 use decision::routing::{
     BrittleEndpoints, Catalog, ChangeLog, ConnectionBudget, Directory, DirectoryChange,
     EndpointLimits, FleetSize, Freshness, LoadExchange, LoadTable, NoticeBoard, NoticeId,
@@ -129,6 +131,12 @@
     pub(crate) wait_queues: RefCell<WaitQueues>,
     /// Notified when a response begins, a request ends, or one leaves its queue.
     pub(crate) queue_progress: Notify,
+    /// The holder of the calls that one daemon makes for all.
+    pub(crate) duties: Duties,
+    /// The requests to services whose endpoints are ordered.
+    pub(crate) demand: RefCell<DemandCounts>,
+    /// What other daemons and this one reported to this one as the holder.
+    pub(crate) demand_reports: RefCell<DemandReports>,
 }
 
 fn retry_budget(settings: &Settings, now: Millis) -> RetryBudget {
@@ -202,6 +210,9 @@
             stream_reads: Cell::default(),
             wait_queues: RefCell::default(),
             queue_progress: Notify::new(),
+            duties: Duties::default(),
+            demand: RefCell::default(),
+            demand_reports: RefCell::default(),
         }
     }
 
