--- a/components/decision/src/duties/capacity/mod.rs
+++ b/components/decision/src/duties/capacity/mod.rs
@@ -3,6 +3,7 @@
 mod counts;
 mod demand;
 mod order;
+mod ordered;
 mod planner;
 mod pressure;
 mod reports;
--- a/components/decision/src/duties/capacity/site.rs
+++ b/components/decision/src/duties/capacity/site.rs
@@ -1,5 +1,6 @@
 use super::demand::{EndpointCounts, Work};
 use super::order::{EndpointKind, OrderOutcome};
+use super::ordered::Ordered;
 use super::scaling::ServiceScaling;
 use crate::Millis;
 use std::collections::VecDeque;
@@ -23,68 +24,16 @@
 const SPOT_RETRY_AFTER: Millis = Millis(15_000);
 /// Time after which ordinary endpoints are ordered again where there were none.
 const ORDINARY_RETRY_AFTER: Millis = Millis(5_000);
-/// Time beyond the boot time after which an order that was not carried out counts as refused.
-const ORDER_GRACE: Millis = Millis(6_000);
-/// The same for an order that may have been reduced.
-const UNCERTAIN_GRACE: Millis = Millis(2_000);
 /// Time for which a refusal says that the platform has no spot endpoints at all.
 const REFUSAL_HOLDS: Millis = Millis(500);
-/// Time constant of the long-term averages, in milliseconds. A load that has just
-/// jumped is not expected to jump as much again.
+/// Time constant of the long-term averages, in milliseconds. A load that has just jumped is not
+/// expected to jump as much again.
 const AVERAGE_MS: f64 = 30_000.0;
 /// Weight of the latest report in the short-term average of the work: counts of one second vary.
 const WORK_WEIGHT: f64 = 0.5;
 /// Growth above the short-term average that is followed at once.
 const JUMP_FACTOR: f64 = 1.4;
 
-/// The endpoints of one kind.
-#[derive(Clone, Copy, Debug, Default)]
-struct Ordered {
-    /// The number that is expected to serve.
-    count: u32,
-    /// The greatest number that may be ordered at the platform: an order without a response may be
-    /// in force, and one whose endpoints were reclaimed or refused may be carried out later.
-    standing: u32,
-    /// Whether the latest order may or may not be in force.
-    is_uncertain: bool,
-    /// When the count was last set or equal to the number of registered endpoints.
-    at: Millis,
-    /// When it was last changed.
-    changed_at: Millis,
-}
-
-impl Ordered {
-    fn new(count: u32, now: Millis) -> Ordered {
-        Ordered { count, standing: count, is_uncertain: false, at: now, changed_at: now }
-    }
-
-    /// Records the registered endpoints. If there are others than those ordered, they are taken over:
-    /// at once if the former holder may have ordered them (`is_first`), if there are more, in the boot
-    /// time, which is long enough for an order to take effect, else later. Returns whether endpoints
-    /// that were ordered have not come.
-    fn observe(&mut self, registered: u32, is_first: bool, boot: Millis, now: Millis) -> bool {
-        let is_missing = registered < self.count;
-        let timeout = match is_missing {
-            _ if is_first => Millis(0),
-            true if self.is_uncertain => UNCERTAIN_GRACE,
-            true => boot + ORDER_GRACE,
-            false => boot,
-        };
-        if registered == self.count {
-            self.at = now;
-            return false;
-        }
-        if now.since(self.at) < timeout {
-            return false;
-        }
-        let was_certain = !self.is_uncertain;
-        self.count = registered;
-        self.standing = self.standing.max(registered);
-        self.at = now;
-        is_missing && was_certain && !is_first
-    }
-}
-
 /// How many endpoints a data centre is to have.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) struct Goal {
@@ -120,7 +69,7 @@
     average_burst: f64,
     /// When the need was last updated; `None` before any report.
     updated_at: Option<Millis>,
-    /// Needs of the last [`LOWER_AFTER`]: all, and in the long run.
+    /// The needs of the last [`LOWER_AFTER`], with and without a burst.
     recent_needs: VecDeque<(Millis, f64, f64)>,
 }
 
--- a/components/decision/tests/duties/capacity.rs
+++ b/components/decision/tests/duties/capacity.rs
@@ -167,6 +167,7 @@
     assert_eq!(simulation.late_ms, 0);
 }
 
+/// Endpoints are given back for others that never come.
 #[test]
 fn ordinary_endpoints_are_kept_while_no_spot_endpoints_are_available() {
     let mut simulation = Simulation::new(usual_scaling());
@@ -180,6 +181,7 @@
     assert!(f64::from(simulation.serving(Ordinary)) >= needs.iter().sum::<f64>());
 }
 
+/// The platform gets orders of a kind that it does not have.
 #[test]
 fn only_ordinary_endpoints_are_ordered_without_a_spot_price() {
     let mut simulation = Simulation::new(without_spot());
@@ -204,6 +206,7 @@
     assert!(orders.iter().all(|order| order.data_centre != FIRST));
 }
 
+/// Most callers seem to have left when their daemons cannot reach the holder.
 #[test]
 fn nothing_is_ordered_on_counts_of_fewer_than_half_of_the_daemons() {
     let mut simulation = settled();
@@ -216,6 +219,7 @@
     assert_eq!(simulation.orders_since(since).count(), 0);
 }
 
+/// Endpoints that left long ago count as capacity.
 #[test]
 fn nothing_is_ordered_on_a_list_of_endpoints_older_than_3_s() {
     let mut simulation = Simulation::new(usual_scaling());
