Reject responses of endpoints with a status above 599

Callers got the responses of an endpoint with status 600 or 999 as they were, signed and with the id of the request, as ordinary answers; clients need not understand such a status, and RFC 9110 (section 15) calls it invalid. The attempt took each status that is neither a success nor a server error (500 to 599) for an answer.

Ruled out: statuses that are not three digits from 100 on (000, 099, 99, 1000, 2000, abc, 20x, -20). The parser of the client refuses them on a new and on a reused connection, and callers get a 502 that says the request may have run; only routes that allow it repeat it. The test covers them too.

Result: such a response fails the attempt as one that may have run. The new stand-in follows a script of raw bytes on each connection.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -182,6 +182,11 @@
             "response does not carry the id of this request".to_owned(),
         ));
     }
+    if !is_valid(head.status) {
+        busy.in_flight.close(Outcome::Failed);
+        let text = format!("response has the invalid status {}", head.status.as_str());
+        return Err(AttemptFailure::unusable_response(text));
+    }
     // Only a complete success tells that an endpoint no longer states a limit.
     if response_head.limit_per_second.is_some() || head.status.is_success() {
         observe_limit(gateway, busy.in_flight.endpoint(), response_head.limit_per_second);
@@ -244,6 +249,12 @@
     Ok(EndpointResponse::Complete(response))
 }
 
+/// Whether a status may end a request (RFC 9110, section 15). The parser refuses those below 100, and
+/// clients need not understand those above 599.
+fn is_valid(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether a response to a streamed request consists of events, as it does unless its head states
 /// another type.
 fn is_event_stream(headers: &HeaderMap) -> bool {
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -24,7 +24,8 @@
     AddressMap, BadContinuation, Behaviour, Client, ClientResponse, CrashStage, CrashingBody,
     CrashingPart, EndlessEndpoint, EndlessPart, GatewayConfig, GatewayProcess, HeadCut, HeadCutter,
     Link, Message, NarrowNetwork, NetworkPath, PathState, PlatformEndpoint, PlatformStore, Proxy,
-    ReceivedRequest, RefusedKinds, RepeatedRefusal, Room, StoreMode, UnframedEnd,
+    ReceivedRequest, RefusedKinds, RepeatedRefusal, Room, ScriptedEndpoint, Step, StoreMode,
+    UnframedEnd,
 };
 pub use process::{Process, binary, build_programs, earlier_gateway};
 pub use service::{ServiceConfig, run_service};
