Test early, late, lost and stalled responses of endpoints

No fault was found in these cases; the tests cover what no earlier test did.

- A late copy of a response, whole or in two pieces, is not passed on to the next caller on a reused connection.
Requests without an id are not covered.
- Responses that stall end by the time limit of their route; slow ones with pauses beyond idle_ms and objective_ms are not cut.
The test of a stalled stream does not end if the deadline is ignored.
- A request whose response was lost runs once on routes that forbid a repeat and gets a 502 with may_have_run.
The test fails if such requests are repeated.

--- a/tests/gateway/scripted_site.rs
+++ b/tests/gateway/scripted_site.rs
@@ -5,6 +5,9 @@
 
 /// Maximum request body of the site.
 const MAX_BODY_BYTES: usize = 16_000_000;
+/// The head of a response to the last request, without its framing.
+pub const SIGNED_HEAD: &str = "HTTP/1.1 200 OK\r\nX-Chervilspur-Attempt-Id: {id}\r\n\
+                               X-Chervilspur-Server-Seal: {seal}\r\n";
 
 /// A site whose only endpoints follow scripts.
 pub struct ScriptedSite {
