Test what a gateway uses after a restart

No fault was found: a key that is withdrawn and an endpoint that leaves while the process stands still are not used after a restart, by KILL or by TERM. No earlier test with real processes showed the key.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -28,6 +28,7 @@
 mod region;
 mod repeated_refusals;
 mod responses;
+mod restarts;
 mod returning_endpoints;
 mod scripted_site;
 mod shutdown;
