--- a/tests/usage_reports.rs
+++ b/tests/usage_reports.rs
@@ -7,6 +7,7 @@
     PlatformStore, check_duty_calls,
 };
 use platform_objects::{KEY, configuration, registration};
+use rstest::rstest;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -270,15 +271,18 @@
     assert_eq!(accepted.values().sum::<u64>(), served + 2, "{}", fleet.log());
 }
 
-/// A deployment without the duty is served as before.
-#[test]
-fn nothing_is_reported_without_the_duty() {
-    let fleet = Fleet::start("cloud.duties=scaling\n");
+/// A deployment without the duty is served as before. One that orders capacity has reports of the demand,
+/// but no usage reports.
+#[rstest]
+#[case::no_duty("", 404)]
+#[case::another_duty("scaling", 400)]
+fn nothing_is_reported_without_the_duty(#[case] duties: &str, #[case] status: u16) {
+    let fleet = Fleet::start(&format!("cloud.duties={duties}\n"));
     let load = Load::start(fleet.gateways.iter());
     pass_windows(2);
     load.end();
     assert_eq!(fleet.platform.calls().len(), 0);
     let mut client = Client::connect(fleet.gateways[0].peers).unwrap();
     client.send_request("/duty-report", "r", "", "body").unwrap();
-    assert_eq!(client.read_response().unwrap().message.status(), 404);
+    assert_eq!(client.read_response().unwrap().message.status(), status);
 }
