--- a/components/decision/src/duties/mod.rs
+++ b/components/decision/src/duties/mod.rs
@@ -4,6 +4,7 @@
 mod call_rate;
 mod capacity;
 mod lease;
+mod lease_step;
 mod record;
 mod token;
 mod usage_counts;
@@ -16,7 +17,8 @@
     CapacityPlanner, DataCentreDemand, DemandCounts, DemandReports, EndpointCounts, EndpointKind,
     Order, OrderOutcome, OrderedCount, ServiceCounts, ServiceDemand, ServiceScaling, Work,
 };
-pub use lease::{Lease, LeaseChange, LeaseConfig, LeaseEvent, LeaseStep, LossReason};
+pub use lease::Lease;
+pub use lease_step::{LeaseChange, LeaseConfig, LeaseEvent, LeaseStep, LossReason};
 pub use record::{DutyRecord, KnownHolder, UsageState};
 pub use usage_counts::{MAX_ACCOUNTS, MAX_WINDOWS, UsageCounts, UsageLoss, report_interval};
 pub use usage_reports::{ReportOutcome, SkippedWindows, UsageConfig, UsageReports};
--- a/components/decision/src/duties/token.rs
+++ b/components/decision/src/duties/token.rs
@@ -1,4 +1,4 @@
-use super::lease::LeaseConfig;
+use super::lease_step::LeaseConfig;
 use sha2::{Digest, Sha256};
 
 /// The number of low bits of a token that identify the claimant. With the time in milliseconds above
