Let daemons that do not hold the duties name the holder

The reply to a report now names the holder that the daemon knows, and a daemon whose report failed or reached another daemon asks the store reader of its data centre next. Older builds ignore the new fields. Why the notice was lost is not traced: the first reader of the region was turned away by the store at the time.

The test failed before (no such fields in the reply) and passes.

--- a/components/gateway/src/duties/reports.rs
+++ b/components/gateway/src/duties/reports.rs
@@ -12,6 +12,7 @@
 use decision::duties::{
     Duty, KnownHolder, UsageConfig, UsageCounts, UsageReports, WindowClock, report_interval,
 };
+use decision::routing::Peer;
 use http::header::HOST;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -81,8 +82,12 @@
     let interval = report_interval(gateway.daemon_count(now()).unwrap_or(1));
     let phase = gateway.rng.borrow_mut().random_range(0..interval.0);
     sleep(Duration::from_millis(phase)).await;
+    let mut has_failed = false;
     loop {
-        send_report(&gateway, &mut connection, false).await;
+        // A notice of a new holder may be late or lost. The store reader of the data centre reads the stored
+        // object, so it knows the holder when the former one does not respond.
+        let reader = gateway.readers.borrow().reader().cloned().filter(|_| has_failed);
+        has_failed = !send_report(&gateway, &mut connection, reader, false).await;
         let interval = report_interval(gateway.daemon_count(now()).unwrap_or(1));
         sleep(Duration::from_millis(interval.0)).await;
     }
@@ -91,35 +96,44 @@
 /// Sends the last report of a daemon that stops, when its requests have ended.
 pub(crate) async fn send_last_report<A: Adapter>(gateway: &Gateway<A>) {
     // Without it, the holder waits for this daemon, and its last second is missing.
-    let _ = timeout(LAST_REPORT_TIMEOUT, send_report(gateway, &mut None, true)).await;
+    let _ = timeout(LAST_REPORT_TIMEOUT, send_report(gateway, &mut None, None, true)).await;
 }
 
-/// Reports to the known holder what it lacks, if anything.
+/// Reports to the known holder what it lacks, if anything, or asks another daemon in its place. Returns
+/// whether that daemon is the holder.
 async fn send_report<A: Adapter>(
     gateway: &Gateway<A>,
     connection: &mut Option<Connection>,
+    other: Option<Peer>,
     is_last: bool,
-) {
-    let Some(holder) = gateway.duties.known_holder() else { return };
-    let Some((report, recorded)) = next_report(gateway, &holder, is_last) else { return };
+) -> bool {
+    let Some(holder) = gateway.duties.known_holder() else { return true };
+    let Some((report, recorded)) = next_report(gateway, &holder, is_last) else { return true };
     let current_window = report.current_window;
     let reply = if gateway.duties.held_token(now()) == Some(holder.token) {
         receive(gateway, &report)
     } else {
-        match send(gateway, connection, &holder, &report).await {
+        let peer = other.as_ref().unwrap_or(&holder.peer);
+        match send(gateway, connection, peer, &report).await {
             Ok(reply) => reply,
             Err(text) => {
-                tracing::debug!(event = "duty_report_failed", holder = %holder.peer.name, text);
-                return;
+                tracing::debug!(event = "duty_report_failed", peer = %peer.name, text);
+                return false;
             }
         }
     };
+    if reply.token > holder.token && !reply.address.is_empty() {
+        let peer = Peer { name: reply.holder.clone(), address: reply.address.clone() };
+        let (token, window) = (reply.token, reply.last_window);
+        gateway.duties.learn(&KnownHolder { peer, token, window });
+    }
     let mut reports = gateway.duties.reports.borrow_mut();
-    let Some(reports) = reports.as_mut() else { return };
+    let Some(reports) = reports.as_mut() else { return true };
     if reply.is_holder {
-        reports.counts.record_taken(recorded, current_window, holder.token);
+        reports.counts.record_taken(recorded, current_window, reply.token);
     }
     reports.observe_last_window(reply.last_window);
+    reply.is_holder
 }
 
 impl DutyReports {
@@ -171,11 +185,10 @@
 async fn send<A: Adapter>(
     gateway: &Gateway<A>,
     connection_slot: &mut Option<Connection>,
-    holder: &KnownHolder,
+    peer: &Peer,
     report: &DutyReport,
 ) -> Result<DutyReply, String> {
-    let address: SocketAddr =
-        holder.peer.address.parse().map_err(|e| format!("{}: {e}", holder.peer.address))?;
+    let address: SocketAddr = peer.address.parse().map_err(|e| format!("{}: {e}", peer.address))?;
     let body = rmp_serde::to_vec_named(report).map_err(|e| e.to_string())?;
     let kept = connection_slot.take().filter(|c| c.is_ready() && c.address() == address);
     let mut connection = match kept {
@@ -222,12 +235,13 @@
     }
 }
 
-/// Takes a report if this daemon holds the duties.
+/// Takes a report if this daemon holds the duties, and says who does.
 fn receive<A: Adapter>(gateway: &Gateway<A>, report: &DutyReport) -> DutyReply {
-    let token = gateway.duties.known_holder().map_or(0, |holder| holder.token);
+    let KnownHolder { peer, token, .. } = gateway.duties.known_holder().unwrap_or_default();
+    let (holder, address) = (peer.name, peer.address);
     let mut reports = gateway.duties.reports.borrow_mut();
     let Some(reports) = reports.as_mut() else {
-        return DutyReply { is_holder: false, token, last_window: None };
+        return DutyReply { is_holder: false, token, last_window: None, holder, address };
     };
     let is_acting = gateway.duties.held_token(now()).is_some();
     if is_acting && reports.has_scaling {
@@ -235,5 +249,5 @@
     }
     let is_holder =
         if reports.has_usage { reports.usage.receive(report, now()) } else { is_acting };
-    DutyReply { is_holder, token, last_window: reports.usage.last_window() }
+    DutyReply { is_holder, token, last_window: reports.usage.last_window(), holder, address }
 }
--- a/components/messages/src/duties.rs
+++ b/components/messages/src/duties.rs
@@ -11,6 +11,12 @@
 ///The response of a daemon to a DutyReport.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct DutyReply {
+    ///The address at which other daemons reach the holder.
+    #[serde(default)]
+    pub address: ::std::string::String,
+    ///The name of the instance that holds the duties with this token, as far as the daemon knows.
+    #[serde(default)]
+    pub holder: ::std::string::String,
     ///Whether the daemon holds the duties and has taken the report.
     pub is_holder: bool,
     ///The last window whose report has begun. It and lower windows need not be reported again.
--- a/tests/usage_reports.rs
+++ b/tests/usage_reports.rs
@@ -6,6 +6,7 @@
     Behaviour, Client, DutyApi, DutyApiMode, GatewayConfig, GatewayProcess, PlatformEndpoint,
     PlatformStore, check_duty_calls,
 };
+use messages::duties::{DutyReply, DutyReport};
 use platform_objects::{KEY, configuration, registration};
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -271,6 +272,39 @@
     assert_eq!(accepted.values().sum::<u64>(), served + 2, "{}", fleet.log());
 }
 
+/// Sends a report of a daemon without requests to a gateway.
+fn report_to(gateway: &GatewayProcess) -> DutyReply {
+    let report = DutyReport {
+        name: String::from("front-d-1"),
+        data_centre: String::from("a"),
+        incarnation: 1,
+        sequence: 1,
+        current_window: window_at(SystemTime::now()),
+        last_window: None,
+        is_last: true,
+        windows: Vec::new(),
+        covered_ms: 0,
+        services: Vec::new(),
+    };
+    let url = format!("http://{}/duty-report", gateway.peers);
+    let req = attohttpc::post(url).bytes(rmp_serde::to_vec_named(&report).unwrap());
+    let response = req.send().unwrap();
+    assert_eq!(response.status().as_u16(), 200);
+    rmp_serde::from_slice(&response.bytes().unwrap()).unwrap()
+}
+
+/// Guards against counts that go on to a former holder because the notice of the new one was lost.
+#[test]
+fn daemon_that_does_not_hold_the_duties_names_the_holder() {
+    let fleet = Fleet::start("cloud.duties=usage_reporting\n");
+    let holder = fleet.wait_for_holder();
+    for gateway in &fleet.gateways {
+        gateway.wait_for_log(&["duty_holder_known"]).unwrap();
+        let reply = report_to(gateway);
+        assert_eq!(reply.address, fleet.gateways[holder].peers.to_string());
+    }
+}
+
 /// A deployment without the duty is served as before. One that orders capacity has reports of the demand,
 /// but no usage reports.
 #[rstest]
