--- a/components/gateway/src/duties/reports.rs
+++ b/components/gateway/src/duties/reports.rs
@@ -82,12 +82,13 @@
     let interval = report_interval(gateway.daemon_count(now()).unwrap_or(1));
     let phase = gateway.rng.borrow_mut().random_range(0..interval.0);
     sleep(Duration::from_millis(phase)).await;
-    let mut has_failed = false;
+    let mut asks_reader = false;
     loop {
         // A notice of a new holder may be late or lost. The store reader of the data centre reads the stored
-        // object, so it knows the holder when the former one does not respond.
-        let reader = gateway.readers.borrow().reader().cloned().filter(|_| has_failed);
-        has_failed = !send_report(&gateway, &mut connection, reader, false).await;
+        // object, so it knows the holder when the former one does not take the report.
+        let reader = gateway.readers.borrow().reader().cloned().filter(|_| asks_reader);
+        let is_taken = send_report(&gateway, &mut connection, reader, false).await;
+        asks_reader = !is_taken && !asks_reader;
         let interval = report_interval(gateway.daemon_count(now()).unwrap_or(1));
         sleep(Duration::from_millis(interval.0)).await;
     }
