Keep reports of never-completed parts apart from those of their neighbours

Each crash after the head breaks off a dozen requests, and a daemon accepts 32 crash reports a second, so most reports of the part that causes the crashes may be left out, and the endpoints without one count against it.

Reports of requests with a shared part that their daemon has not completed in the last minute have a quota of their own.

--- a/components/decision/src/routing/notices.rs
+++ b/components/decision/src/routing/notices.rs
@@ -1,6 +1,6 @@
 use super::set_digest::SetDigest;
 use crate::Millis;
-use messages::feed::Notice;
+use messages::feed::{CrashNotice, Notice};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time for which a notice is reported to the daemon that this one follows: several polls, so that
@@ -28,6 +28,8 @@
     crashes: u32,
     /// Crashes of endpoints that had not begun to respond.
     interrupted: u32,
+    /// Crashes under requests with a shared prompt part that the reporter has not completed lately.
+    unproven: u32,
     completions: u32,
 }
 
@@ -38,6 +40,10 @@
             *self = NoticeRate { period_started: now, ..NoticeRate::default() };
         }
         let (count, max) = match notice {
+            // A crash interrupts many requests beside its cause, which must not exhaust its quota.
+            Notice { crash: Some(crash), .. } if has_unproven_part(crash) => {
+                (&mut self.unproven, MAX_NOTICES_PER_PERIOD)
+            }
             Notice { crash: Some(crash), .. } if !crash.has_begun => {
                 (&mut self.interrupted, max_interrupted)
             }
@@ -50,6 +56,12 @@
     }
 }
 
+/// Whether a prompt part other than the last, which belongs to the request alone, is not proven.
+fn has_unproven_part(crash: &CrashNotice) -> bool {
+    let shared = crash.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().any(|part| !crash.proven.contains(part))
+}
+
 /// Identifies a notice: the incarnation of the daemon that observed it, and its number there.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct NoticeId {
--- a/components/decision/tests/routing/notices.rs
+++ b/components/decision/tests/routing/notices.rs
@@ -2,7 +2,7 @@
 
 use decision::Millis;
 use decision::routing::{NoticeBoard, NoticeId, NoticeSource};
-use messages::feed::{CompletionNotice, Notice};
+use messages::feed::{CompletionNotice, CrashNotice, Notice};
 use std::collections::BTreeSet;
 
 fn content(part: u64) -> Notice {
@@ -154,3 +154,27 @@
         burst.filter(|notice| receiver.receive(notice, NoticeSource::Follower, Millis(0)));
     assert_eq!(received.count(), 32);
 }
+
+/// A crash breaks off dozens of sound requests at an endpoint. Their reports must not push out that of the
+/// request that caused it.
+#[test]
+fn report_of_a_part_that_never_completed_is_accepted_in_a_burst_of_others() {
+    let crash = |sequence: u64, shared: u64, proven: &[u64]| {
+        let crash = CrashNotice {
+            service: String::from("pool"),
+            endpoint: String::from("i-1"),
+            parts: vec![shared, 0x1_0000 + sequence],
+            proven: proven.to_vec(),
+            request: None,
+            has_begun: true,
+            ran_ms: 10,
+        };
+        Notice { origin: 3, sequence, crash: Some(crash), completion: None, ..content(0) }
+    };
+    let mut board = NoticeBoard::new(2);
+    for sequence in 0..200 {
+        board.receive(&crash(sequence, 0xf1, &[0xf1]), NoticeSource::Follower, Millis(0));
+    }
+    let unproven = crash(200, 0xbad, &[]);
+    assert!(board.receive(&unproven, NoticeSource::Follower, Millis(0)));
+}
