--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -189,12 +189,6 @@
         }
         Ok(())
     }
-
-    /// The lines of its log that contain a text.
-    pub fn log_with(&self, text: &str) -> Vec<String> {
-        let log = fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
-    }
 }
 
 impl Drop for Gateway {
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -1,6 +1,6 @@
 //! Messages of HTTP/1.1.
 
-use std::io::{self, BufRead, Read};
+use std::io::{self, BufRead};
 
 /// A request or a response.
 #[derive(Clone, Debug, Default)]
--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -4,8 +4,8 @@
 use crate::record::Record;
 use crate::store::Store;
 use std::io::{self, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -28,7 +28,7 @@
     work: Duration,
     runs: Arc<Mutex<Vec<Run>>>,
     has_left: Arc<AtomicBool>,
-    running: Arc<AtomicU64>,
+    channels: Arc<Mutex<Vec<TcpStream>>>,
     record: Record,
 }
 
@@ -50,7 +50,7 @@
             work,
             runs: Arc::default(),
             has_left: Arc::default(),
-            running: Arc::default(),
+            channels: Arc::default(),
             record: record.clone(),
         };
         let accepting = runner.clone();
@@ -87,8 +87,21 @@
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Exits: it takes no more channels, and closes those that are open.
+    pub fn exit(&self) {
+        self.has_left.store(true, Ordering::Relaxed);
+        // Wakes the thread that accepts channels, which then closes the listener.
+        drop(TcpStream::connect(self.address));
+        for channel in self.channels.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+            // It may be closed already.
+            let _ = channel.shutdown(Shutdown::Both);
+        }
+        self.record.line(&format!("runner {}: exits", self.id));
+    }
+
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        self.channels.lock().unwrap_or_else(PoisonError::into_inner).push(stream.try_clone()?);
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(message) = read_message(&mut reader)? {
@@ -129,6 +142,10 @@
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run);
         self.record.line(&format!("runner {}: runs {id}", self.id));
         thread::sleep(self.work);
+        if self.has_left.load(Ordering::Relaxed) {
+            self.record.line(&format!("runner {}: has not finished {id} at its exit", self.id));
+            return Ok(());
+        }
         let body = format!("{} has run {id}", self.id);
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Chervilspur-Attempt-Id: {id}\r\n\
