--- a/review/standins-2/src/roll.rs
+++ b/review/standins-2/src/roll.rs
@@ -161,8 +161,8 @@
     stops: &mut Vec<(usize, Instant)>,
     record: &Record,
 ) -> io::Result<()> {
-    for number in 0..2 {
-        gateways[number].signal("TERM", record)?;
+    for (number, gateway) in gateways.iter().enumerate().take(2) {
+        gateway.signal("TERM", record)?;
         stops.push((number, Instant::now()));
         thread::sleep(GAP);
     }
