Review case 8: a window of usage is reported twice with different counts

Rule ONE: the platform doesn't get two usage reports for one window with different counts.

Cause: the last reported window is known from the stored object and from running gateways only. If the store comes back from an older copy while all gateways are killed, the new holder goes on after the window that the copy names, with empty counts. `Store-Era` is not read.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,7 +5,6 @@
 mod config;
 mod crowd;
 mod gateway;
-mod handover;
 mod http;
 mod json;
 mod platform;
@@ -14,6 +13,7 @@
 mod roll;
 mod runner;
 mod store;
+mod windows;
 
 use record::Record;
 use std::path::{Path, PathBuf};
@@ -52,7 +52,7 @@
     let folder = temporary_folder()?;
     let result = match case {
         "crowd" => crowd::run(with_trouble, &folder, &record),
-        "handover" => handover::run(with_trouble, &folder, &record),
+        "windows" => windows::run(with_trouble, &folder, &record),
         "roll" => roll::run(with_trouble, &folder, &record),
         _ => Err(io::Error::other(format!("there is no case {case}"))),
     };
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -88,14 +88,37 @@
     }
 }
 
-/// Starts the platform's address for calls of duties, which accepts all.
-pub fn start_duties(record: &Record) -> io::Result<SocketAddr> {
+/// A call of a duty that was accepted.
+#[derive(Clone, Debug)]
+pub struct DutyCall {
+    pub path: String,
+    pub body: String,
+}
+
+/// The platform's address for calls of duties, which accepts all.
+#[derive(Clone, Debug)]
+pub struct Duties {
+    pub address: SocketAddr,
+    calls: Arc<Mutex<Vec<DutyCall>>>,
+}
+
+impl Duties {
+    /// The calls so far.
+    pub fn calls(&self) -> Vec<DutyCall> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+/// Starts the platform's address for calls of duties.
+pub fn start_duties(record: &Record) -> io::Result<Duties> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
     let record = record.clone();
+    let duties = Duties { address, calls: Arc::default() };
+    let accepting = duties.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let record = record.clone();
+            let (record, calls) = (record.clone(), accepting.calls.clone());
             thread::spawn(move || -> io::Result<()> {
                 let mut writer = stream.try_clone()?;
                 let mut reader = BufReader::new(stream);
@@ -107,11 +130,16 @@
                         message.header("x-chervilspur-fencing-token"),
                         String::from_utf8_lossy(&message.body)
                     ));
+                    let call = DutyCall {
+                        path: message.word(1).to_owned(),
+                        body: String::from_utf8_lossy(&message.body).into_owned(),
+                    };
+                    calls.lock().unwrap_or_else(PoisonError::into_inner).push(call);
                     write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")?;
                 }
                 Ok(())
             });
         }
     });
-    Ok(address)
+    Ok(duties)
 }
--- a/review/standins-2/src/roll.rs
+++ b/review/standins-2/src/roll.rs
@@ -62,7 +62,7 @@
             Runner::start(&format!("i-{n}"), "app", zone, WORK, &store, record)
         })
         .collect::<io::Result<_>>()?;
-    let duties = start_duties(record)?;
+    let duties = start_duties(record)?.address;
     let regions = Regions {
         gateways: GATEWAYS.iter().map(|(number, _, region)| (*number, *region)).collect(),
     };
@@ -116,7 +116,7 @@
     }
     stop.store(true, Ordering::Relaxed);
     let sent: usize = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
-    let ran: BTreeSet<String> = runners.iter().flat_map(Runner::runs).map(|run| run.id).collect();
+    let ran: BTreeSet<String> = runners.iter().flat_map(Runner::runs).collect();
     let unanswered = unanswered.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let lost: Vec<&Unanswered> = unanswered.iter().filter(|u| ran.contains(&u.id)).collect();
     for request in &lost {
--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -4,20 +4,10 @@
 use crate::record::Record;
 use crate::store::Store;
 use std::io::{self, BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
-
-/// A request that a runner began to run.
-#[derive(Clone, Debug)]
-pub struct Run {
-    /// The id of the client's attempt.
-    pub id: String,
-    /// When it began.
-    pub began: Instant,
-}
+use std::time::Duration;
 
 /// A runner; clones share its state.
 #[derive(Clone, Debug)]
@@ -26,9 +16,8 @@
     pub service: String,
     pub address: SocketAddr,
     work: Duration,
-    runs: Arc<Mutex<Vec<Run>>>,
-    has_left: Arc<AtomicBool>,
-    channels: Arc<Mutex<Vec<TcpStream>>>,
+    /// The ids of the requests that it began to run.
+    runs: Arc<Mutex<Vec<String>>>,
     record: Record,
 }
 
@@ -49,16 +38,11 @@
             address: listener.local_addr()?,
             work,
             runs: Arc::default(),
-            has_left: Arc::default(),
-            channels: Arc::default(),
             record: record.clone(),
         };
         let accepting = runner.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if accepting.has_left.load(Ordering::Relaxed) {
-                    return;
-                }
                 let runner = accepting.clone();
                 thread::spawn(move || runner.serve(stream));
             }
@@ -82,26 +66,13 @@
         self.record.line(&format!("runner {id}: the store has accepted its state {state}"));
     }
 
-    /// The requests that it began to run.
-    pub fn runs(&self) -> Vec<Run> {
+    /// The ids of the requests that it began to run.
+    pub fn runs(&self) -> Vec<String> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    /// Exits: it takes no more channels, and closes those that are open.
-    pub fn exit(&self) {
-        self.has_left.store(true, Ordering::Relaxed);
-        // Wakes the thread that accepts channels, which then closes the listener.
-        drop(TcpStream::connect(self.address));
-        for channel in self.channels.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
-            // It may be closed already.
-            let _ = channel.shutdown(Shutdown::Both);
-        }
-        self.record.line(&format!("runner {}: exits", self.id));
-    }
-
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        self.channels.lock().unwrap_or_else(PoisonError::into_inner).push(stream.try_clone()?);
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(message) = read_message(&mut reader)? {
@@ -138,14 +109,9 @@
                 self.id
             );
         }
-        let run = Run { id: id.to_owned(), began: Instant::now() };
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run);
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner).push(id.to_owned());
         self.record.line(&format!("runner {}: runs {id}", self.id));
         thread::sleep(self.work);
-        if self.has_left.load(Ordering::Relaxed) {
-            self.record.line(&format!("runner {}: has not finished {id} at its exit", self.id));
-            return Ok(());
-        }
         let body = format!("{} has run {id}", self.id);
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Chervilspur-Attempt-Id: {id}\r\n\
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -18,8 +18,21 @@
     deleted: bool,
 }
 
+/// What the store held at a moment.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, String)>,
+}
+
 #[derive(Debug)]
 struct State {
+    /// Rises each time that the store comes back from a copy.
+    era: u64,
+    /// Whether calls get no answer.
+    is_away: bool,
+    /// The oldest revision from which a watch may go on.
+    oldest: u64,
     revision: u64,
     /// Specifications with the revisions of their last changes, by kind and name.
     objects: BTreeMap<(String, String), (u64, String)>,
@@ -66,7 +79,14 @@
     /// Starts a store at a free port of 127.0.0.1.
     pub fn start() -> io::Result<Store> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let state = State { revision: 100, objects: BTreeMap::new(), changes: Vec::new() };
+        let state = State {
+            era: 1,
+            is_away: false,
+            oldest: 100,
+            revision: 100,
+            objects: BTreeMap::new(),
+            changes: Vec::new(),
+        };
         let store = Store {
             shared: Arc::new((Mutex::new(state), Condvar::new())),
             address: listener.local_addr()?,
@@ -110,6 +130,29 @@
         self.shared.1.notify_all();
     }
 
+    /// A copy of its content.
+    pub fn copy(&self) -> Copy {
+        let state = self.state();
+        Copy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Goes away: calls get no answer, and their channels are closed.
+    pub fn go_away(&self) {
+        self.state().is_away = true;
+        self.shared.1.notify_all();
+    }
+
+    /// Comes back from a copy.
+    pub fn come_back(&self, copy: Copy) {
+        let mut state = self.state();
+        state.era += 1;
+        state.is_away = false;
+        state.oldest = copy.revision;
+        state.revision = copy.revision;
+        state.objects = copy.objects;
+        state.changes.clear();
+    }
+
     /// The specification of an object.
     pub fn get(&self, kind: &str, name: &str) -> Option<String> {
         let state = self.state();
@@ -124,13 +167,20 @@
             if let Some((_, regions)) = view {
                 regions.plain(&mut message.body);
             }
+            if self.state().is_away {
+                return Ok(());
+            }
             let (status, body) = self.respond(&message);
+            if self.state().is_away {
+                return Ok(());
+            }
+            let era = self.state().era;
             let mut body = body.into_bytes();
             if let Some((region, regions)) = view {
                 regions.seen_from(region, &mut body);
             }
             let head = format!(
-                "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\n\
+                "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\nstore-era: {era}\r\n\
                  content-length: {}\r\n\r\n",
                 body.len()
             );
@@ -184,7 +234,11 @@
         let since = number("watch").unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
         let mut state = self.state();
+        let era = state.era;
         loop {
+            if state.is_away || state.era != era || since > state.revision || since < state.oldest {
+                return (410, String::from("{}"));
+            }
             let new = state.changes.iter().filter(|c| c.kind == kind && c.revision > since);
             let events: Vec<String> = new
                 .map(|c| format!("{{\"object\":{},\"deleted\":{}}}", c.object, c.deleted))
