--- a/review/standins-2/src/roll.rs
+++ b/review/standins-2/src/roll.rs
@@ -33,7 +33,7 @@
 const LIMIT_MS: u64 = 2_000;
 /// Between the stops of two gateways.
 const GAP: Duration = Duration::from_millis(1_000);
-const ROUNDS: usize = 6;
+const ROUNDS: usize = 9;
 const ROUTE: Route<'static> = Route {
     name: "r-book",
     path_prefix: "/puxa403/",
