--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -135,7 +135,8 @@
 
     /// Sends a signal by its name, such as `TERM`.
     pub fn signal(&self, name: &str, record: &Record) -> io::Result<()> {
-        let sent = Command::new("kill").args(["-s", name, &self.id().to_string()]).status()?;
+        let sent =
+            Command::new("sh").args(["-c", &format!("kill -s {name} {}", self.id())]).status()?;
         record.line(&format!("{}: SIG{name} sent, {sent}", self.settings.name));
         Ok(())
     }
