--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,21 @@
 const PROGRAM: &str = "target/release/chervilspur-gateway";
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// The numbers of the processes that were started and not waited for yet.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn started() -> MutexGuard<'static, Vec<u32>> {
+    STARTED.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Kills all processes that were started, when a case takes too long.
+pub fn kill_all() {
+    for id in started().drain(..) {
+        // It may have ended already.
+        let _ = Command::new("sh").args(["-c", &format!("kill -s KILL {id}")]).status();
+    }
+}
+
 /// What the settings of a gateway say beside its own addresses.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -124,6 +140,7 @@
             .stderr(log)
             .spawn()?;
         record.line(&format!("{}: started as process {}", self.settings.name, child.id()));
+        started().push(child.id());
         self.child = Some(child);
         Ok(())
     }
@@ -144,7 +161,13 @@
     /// Whether its process has ended.
     pub fn has_ended(&mut self) -> io::Result<bool> {
         match &mut self.child {
-            Some(child) => Ok(child.try_wait()?.is_some()),
+            Some(child) => {
+                let has_ended = child.try_wait()?.is_some();
+                if has_ended {
+                    started().retain(|id| *id != child.id());
+                }
+                Ok(has_ended)
+            }
             None => Ok(true),
         }
     }
@@ -155,6 +178,7 @@
             // It may have ended already.
             let _ = child.kill();
             let _ = child.wait();
+            started().retain(|id| *id != child.id());
         }
     }
 
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -18,8 +18,11 @@
 use record::Record;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::{env, fs, io};
+use std::time::Duration;
+use std::{env, fs, io, thread};
 
+/// The longest time of a case.
+const TIME_LIMIT: Duration = Duration::from_secs(115);
 /// The exit code of a case that could not run.
 const COULD_NOT_RUN: u8 = 2;
 
@@ -30,6 +33,12 @@
         return ExitCode::from(COULD_NOT_RUN);
     };
     let with_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        eprintln!("the case took too long");
+        gateway::kill_all();
+        std::process::exit(i32::from(COULD_NOT_RUN));
+    });
     match run(case, Path::new(record), with_trouble) {
         Ok(true) => {
             println!("the rule held");
--- a/review/standins-2/src/windows.rs
+++ b/review/standins-2/src/windows.rs
@@ -81,7 +81,7 @@
         .collect();
     for _ in 0..ROUNDS {
         let known = duties.calls().len();
-        let copy = wait_for_reports(&store, &duties, known + REPORTS_BEFORE)?;
+        let copy = wait_for_reports(&store, &duties, known + REPORTS_BEFORE, record)?;
         if with_trouble {
             drill(&store, copy, &mut gateways, record)?;
         }
@@ -96,7 +96,12 @@
 }
 
 /// Waits for a number of reports and a moment more. Returns the copy of the store of some seconds before.
-fn wait_for_reports(store: &Store, duties: &Duties, count: usize) -> io::Result<Copy> {
+fn wait_for_reports(
+    store: &Store,
+    duties: &Duties,
+    count: usize,
+    record: &Record,
+) -> io::Result<Copy> {
     let end = Instant::now() + Duration::from_secs(30);
     let mut copies: VecDeque<(Instant, Copy)> = VecDeque::new();
     let mut reported = None;
@@ -109,8 +114,9 @@
             copies.pop_front();
         }
         if reported.is_some_and(|at: Instant| at.elapsed() >= DELAY)
-            && let Some((_, copy)) = copies.pop_front()
+            && let Some((at, copy)) = copies.pop_front()
         {
+            record.line(&format!("the copy is {} ms old", at.elapsed().as_millis()));
             return Ok(copy);
         }
         if Instant::now() > end {
@@ -131,6 +137,9 @@
     thread::sleep(AWAY);
     store.come_back(copy);
     record.line("the store comes back from a copy");
+    if store.get("config", "main").is_none() || store.get("servers", "i-2").is_none() {
+        return Err(io::Error::other("the copy lacks what the operator and the runners wrote"));
+    }
     for gateway in gateways {
         gateway.spawn(false, record)?;
     }
