Close the listeners of a stopping gateway before its last usage report

Cause: shut_down returned when no client was connected, and serve then awaited the last report to the holder of the duties (up to 150 ms) while the listeners went on accepting.

The order of steps makes it impossible now, whatever is awaited later: the listeners close while open requests still hold the exit back, the connections that the kernel had queued are accepted and served, then all requests are refused. A connection counts from its acceptance on, not from the first run of its task. A request that another gateway passes on is not known before its head is read, so it is refused with 503 then.

--- a/components/gateway/src/listener.rs
+++ b/components/gateway/src/listener.rs
@@ -16,6 +16,7 @@
 use socket2::{Domain, SockRef, Socket, Type};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -55,30 +56,61 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Accepts connections; closes new ones of every role while client connections are at their limit.
-/// Never returns.
+/// Accepts connections until the listeners close at a shutdown, also those that the kernel has queued by
+/// then. Closes new ones of every role while client connections are at their limit.
 pub(crate) async fn accept<A: Adapter>(gateway: Rc<Gateway<A>>, listener: TcpListener, role: Role) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let limit =
-                    gateway.settings().open_files_limit.saturating_sub(RESERVED_FILES).max(64);
-                if gateway.metrics.clients.get() < i64::from(limit) {
-                    spawn_local(serve_connection(gateway.clone(), stream, role));
-                } else {
-                    tracing::warn!(
-                        event = "connection_refused",
-                        most = limit,
-                        "connection closed: the limit of client connections is reached"
-                    );
-                }
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = gateway.shutdown.listeners_close() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => start_connection(&gateway, stream, role),
             Err(e) => {
                 tracing::warn!(event = "accept_failed", error = %e);
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    if let Err(e) = accept_queued(&gateway, listener, role) {
+        tracing::warn!(event = "accept_failed", error = %e);
+    }
+}
+
+/// Accepts the connections that the kernel has queued, and closes the listener.
+fn accept_queued<A: Adapter>(
+    gateway: &Rc<Gateway<A>>,
+    listener: TcpListener,
+    role: Role,
+) -> std::io::Result<()> {
+    // The event loop may not have seen yet that there are such connections.
+    let listener = listener.into_std()?;
+    for _ in 0..BACKLOG {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+            Err(e) => return Err(e),
+        };
+        stream.set_nonblocking(true)?;
+        start_connection(gateway, TcpStream::from_std(stream)?, role);
+    }
+    Ok(())
+}
+
+/// Serves a connection unless client connections are at their limit. It counts from now on, so that a
+/// shutdown does not miss it.
+fn start_connection<A: Adapter>(gateway: &Rc<Gateway<A>>, stream: TcpStream, role: Role) {
+    let limit = gateway.settings().open_files_limit.saturating_sub(RESERVED_FILES).max(64);
+    if gateway.metrics.clients.get() < i64::from(limit) {
+        gateway.metrics.clients.inc_by(i64::from(role == Role::Clients));
+        spawn_local(serve_connection(gateway.clone(), stream, role));
+    } else {
+        tracing::warn!(
+            event = "connection_refused",
+            most = limit,
+            "connection closed: the limit of client connections is reached"
+        );
+    }
 }
 
 /// Open requests of a connection, and the time since which it has none.
@@ -93,20 +125,17 @@
 }
 
 async fn serve_connection<A: Adapter>(gateway: Rc<Gateway<A>>, stream: TcpStream, role: Role) {
-    if let Err(e) = set_socket_options(&stream, CLIENT_USER_TIMEOUT) {
-        tracing::debug!(event = "client_lost", error = %e);
-        return;
-    }
     let activity = Activity {
         requests: Cell::new(0),
         idle_since: Cell::new(now()),
         is_http_1_0: Cell::new(false),
         is_relayed: Cell::new(false),
     };
-    let client_delta = i64::from(role == Role::Clients);
-    gateway.metrics.clients.inc_by(client_delta);
-    drive_connection(&gateway, stream, role, &activity).await;
-    gateway.metrics.clients.dec_by(client_delta);
+    match set_socket_options(&stream, CLIENT_USER_TIMEOUT) {
+        Ok(()) => drive_connection(&gateway, stream, role, &activity).await,
+        Err(e) => tracing::debug!(event = "client_lost", error = %e),
+    }
+    gateway.metrics.clients.dec_by(i64::from(role == Role::Clients));
     let relayed = gateway.relayed_connections.get() - u32::from(activity.is_relayed.get());
     gateway.relayed_connections.set(relayed);
 }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -22,12 +22,14 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 use tracing_subscriber::filter::LevelFilter;
 
 /// Time between rounds of maintenance.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between looks at the open requests during a shutdown.
+const SHUTDOWN_INTERVAL: Duration = Duration::from_millis(60);
 /// Rounds of maintenance between checks of the settings file.
 const ROUNDS_PER_SETTINGS_CHECK: u32 = 4;
 /// Time between attempts to listen on an address that is in use.
@@ -88,9 +90,10 @@
         listeners = bind_all(&settings, log.as_deref()) => listeners?,
         _ = terminate.recv() => return Ok(()),
     };
-    for (listener, role) in listeners {
-        spawn_local(accept(gateway.clone(), listener, role));
-    }
+    let accepting = listeners
+        .into_iter()
+        .map(|(listener, role)| spawn_local(accept(gateway.clone(), listener, role)))
+        .collect();
     if settings.listen_peers.is_some() {
         // The reader election decides whether this daemon reads the store.
         gateway.update_source.set(UpdateSource::Peer);
@@ -112,7 +115,7 @@
     tracing::info!(event = "started", name = %settings.name, listen = %settings.listen,
         store = %settings.store);
     terminate.recv().await;
-    shut_down(&gateway).await;
+    shut_down(&gateway, accepting).await;
     send_last_report(&gateway).await;
     Ok(())
 }
@@ -158,23 +161,26 @@
     }
 }
 
-/// Waits for open requests to finish, closes idle connections, and returns at the stop timeout at
-/// the latest.
-async fn shut_down<A: Adapter>(gateway: &Rc<Gateway<A>>) {
+/// Waits for open requests to finish, closes idle connections and the listeners, and returns at the stop
+/// timeout at the latest. From then on no request is accepted.
+async fn shut_down<A: Adapter>(gateway: &Rc<Gateway<A>>, accepting: Vec<JoinHandle<()>>) {
     let started = now();
     let deadline = started + gateway.settings().stop_timeout - EXIT_MARGIN;
     tracing::info!(event = "stopping", clients = gateway.metrics.clients.get());
     gateway.shutdown.start(started, deadline);
-    while now() < deadline {
-        sleep(MAINTENANCE_INTERVAL / 4).await;
-        if now().since(started) < IDLE_GRACE_PERIOD {
-            continue;
-        }
-        gateway.shutdown.close_idle();
-        if gateway.metrics.clients.get() == 0 && gateway.relayed_connections.get() == 0 {
-            break;
+    while now() < deadline.min(started + IDLE_GRACE_PERIOD) {
+        sleep(SHUTDOWN_INTERVAL).await;
+    }
+    finish_requests(gateway, deadline).await;
+    gateway.shutdown.close_listeners();
+    for task in accepting {
+        if let Err(e) = task.await {
+            tracing::error!(event = "listener_failed", error = %e);
         }
     }
+    // Those of connections that were accepted since.
+    finish_requests(gateway, deadline).await;
+    gateway.shutdown.refuse_requests();
     tracing::info!(
         event = "stopped",
         clients = gateway.metrics.clients.get(),
@@ -182,6 +188,18 @@
     );
 }
 
+/// Closes idle connections and waits until no client is connected and no request of another daemon is open,
+/// until `deadline` at the latest.
+async fn finish_requests<A: Adapter>(gateway: &Gateway<A>, deadline: Millis) {
+    while now() < deadline {
+        gateway.shutdown.close_idle();
+        if gateway.metrics.clients.get() == 0 && gateway.relayed_connections.get() == 0 {
+            return;
+        }
+        sleep(SHUTDOWN_INTERVAL).await;
+    }
+}
+
 async fn maintenance_loop<A: Adapter>(
     gateway: Rc<Gateway<A>>,
     log: Option<Rc<Log>>,
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -33,13 +33,19 @@
     }
 }
 
-/// The state of a shutdown. Idle connections stay open at first, so that clients can still send
-/// requests on them, and are closed later. Requests are accepted as long as they can end before the
-/// exit.
+/// The state of a shutdown, in this order:
+///
+/// 1. Idle connections stay open at first, so that clients can still send requests on them, and are closed
+///    later. Requests are accepted as long as they can end before the exit.
+/// 2. When no request is open, or the time is over, the listeners close.
+/// 3. When the requests of the connections that were accepted until then have ended, all others are refused.
+///    Only after that may the process wait for anything else, and exit.
 #[derive(Debug, Default)]
 pub(crate) struct Shutdown {
     plan: Cell<Option<StopPlan>>,
     closes_idle: Cell<bool>,
+    closes_listeners: Cell<bool>,
+    refuses_requests: Cell<bool>,
     changed: Notify,
 }
 
@@ -58,6 +64,17 @@
         self.changed.notify_waiters();
     }
 
+    /// Closes the listeners from now on.
+    pub(crate) fn close_listeners(&self) {
+        self.closes_listeners.set(true);
+        self.changed.notify_waiters();
+    }
+
+    /// Refuses all requests from now on.
+    pub(crate) fn refuse_requests(&self) {
+        self.refuses_requests.set(true);
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.plan.get().is_some()
     }
@@ -68,7 +85,8 @@
 
     /// Returns whether a request that arrives now, and ends within `time_limit`, is accepted.
     pub(crate) fn accepts_request(&self, time_limit: Millis, now: Millis) -> bool {
-        self.plan.get().is_none_or(|plan| plan.accepts(time_limit, now))
+        let is_in_time = self.plan.get().is_none_or(|plan| plan.accepts(time_limit, now));
+        is_in_time && !self.refuses_requests.get()
     }
 
     /// Waits until the state changes.
@@ -76,6 +94,13 @@
         self.changed.notified().await;
     }
 
+    /// Waits until the listeners close.
+    pub(crate) async fn listeners_close(&self) {
+        while !self.closes_listeners.get() {
+            self.changed().await;
+        }
+    }
+
     /// Waits until requests under way must get their final answers.
     pub(crate) async fn final_answers_due(&self) {
         loop {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod feed_traffic;
 mod framing;
 mod invalid_statuses;
+mod last_reports;
 mod late_responses;
 mod leaving_endpoints;
 mod lost_followers;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -24,8 +24,19 @@
 
     /// Starts a site whose endpoints stream `events` events, `pause` apart.
     pub fn with(terms: &GatewayConfig, events: u32, pause: Duration) -> Site {
+        Site::with_store(terms, events, pause, |_| {})
+    }
+
+    /// Starts a site in whose store there are further objects before the gateway starts.
+    pub fn with_store(
+        terms: &GatewayConfig,
+        events: u32,
+        pause: Duration,
+        fill: impl FnOnce(&PlatformStore),
+    ) -> Site {
         build_once();
         let store = PlatformStore::start().unwrap();
+        fill(&store);
         store.put("config", "main", configuration(1, &[KEY]));
         let start = |id: &str| PlatformEndpoint::start(id, events, pause).unwrap();
         let runners = vec![start("i-1"), start("i-2")];
