Skip windows of usage whose reports the store may have lost

The loss of the holder alone is enough within a second of its report.

Cause: the holder went on after the last window that the restored object or another daemon names. The era of the store, which its responses state, was read nowhere, so nothing could tell that a history was lost.

Each response of the store is asked for its era, on both paths to it. The object of the duties says in which era it was written. A holder that takes over from an object of an earlier era, or of none, passes over the windows that had ended when it learned of the latest one: the store had come back by then, and a report is only begun after the end of its window. A holder that keeps its lease has begun all reports itself, skips nothing and has the new era written. A write whose response has a new era is read back. Older builds ignore the field, and drop it when they write.

windows_that_the_store_has_lost_are_not_reported_again failed before in both cases (two counts) and passes. Tests of decision, gateway and platform pass.

--- a/components/decision/src/duties/record.rs
+++ b/components/decision/src/duties/record.rs
@@ -12,6 +12,10 @@
     pub counts: BTreeMap<String, u64>,
     /// Whether the platform has accepted it.
     pub is_accepted: bool,
+    /// The number of the store's latest era, as the writer knew it. Reports that were begun before that era
+    /// are not missing from this state. `None` if the store states no eras, or the writer ignores them.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub era: Option<u64>,
 }
 
 /// The stored object that says which daemon holds the duties, with the state of the duties that a
--- a/components/decision/src/duties/usage_reports.rs
+++ b/components/decision/src/duties/usage_reports.rs
@@ -1,7 +1,7 @@
 use super::record::UsageState;
 use super::usage_counts::{MAX_ACCOUNTS, MAX_WINDOWS, UsageLoss};
 use super::window_clock::WindowClock;
-use crate::Millis;
+use crate::{Millis, StoreEra};
 use messages::duties::{DutyReport, UsageWindow};
 use std::collections::BTreeMap;
 
@@ -74,6 +74,8 @@
     daemons: BTreeMap<String, Daemon>,
     /// The report that is under way; `None` until this daemon acts as the holder.
     progress: Option<Progress>,
+    /// The number of the store's latest era. What was begun before it is known.
+    era: Option<u64>,
 }
 
 /// How far the report of a window has got.
@@ -128,22 +130,57 @@
             windows: BTreeMap::new(),
             daemons: BTreeMap::new(),
             progress: None,
+            era: None,
         });
     }
 
-    /// Begins to act as the holder, with the state that the object in the store held at the claim.
-    pub fn take_over(&mut self, state: Option<&UsageState>) {
+    /// Begins to act as the holder, with the state that the object in the store held at the claim, in the
+    /// latest era of the store.
+    ///
+    /// If the state is from an earlier era, the store may have lost the reports of windows that ended before
+    /// it came back. These are not reported, and are returned as far as they are not known to have begun.
+    pub fn take_over(
+        &mut self,
+        state: Option<&UsageState>,
+        era: Option<StoreEra>,
+    ) -> Option<SkippedWindows> {
         let known = self.last_window;
         if let Some(state) = state {
             self.observe_last_window(state.window);
         }
-        let Some(holding) = &mut self.holding else { return };
+        let stated = state.and_then(|state| state.era);
+        let skipped = era
+            .filter(|era| stated != Some(era.number))
+            .and_then(|era| self.skip_windows_before(era.known_at));
+        let Some(holding) = &mut self.holding else { return skipped };
+        holding.era = era.map(|era| era.number);
         // A report begins only after the previous one has ended.
         let unended = state.filter(|state| !state.is_accepted && known <= Some(state.window));
         holding.progress = Some(match unended {
             Some(state) => Progress::Sending { report: state.into(), sent_at: None },
             None => Progress::Idle,
         });
+        skipped
+    }
+
+    /// Passes over all windows that ended by `time`.
+    fn skip_windows_before(&mut self, time: Millis) -> Option<SkippedWindows> {
+        let first = next_window(self.last_window, self.holding.as_ref()?)?;
+        let last = self.clock.window(time).checked_sub(1)?;
+        self.observe_last_window(last);
+        let reason = "their reports may be lost with the history of the store";
+        (first <= last).then_some(SkippedWindows { first, last, reason })
+    }
+
+    /// Takes note of an era of the store that began while this daemon held the duties. It has begun all
+    /// reports since its claim itself, so none is unknown to it; the object has to say so.
+    pub fn observe_era(&mut self, number: u64) {
+        let Some(holding) = self.holding.as_mut().filter(|h| h.progress.is_some()) else { return };
+        if holding.era.replace(number) != Some(number)
+            && matches!(holding.progress, Some(Progress::Idle))
+        {
+            holding.progress = Some(Progress::Ended);
+        }
     }
 
     /// Stops to hold the duties.
@@ -229,27 +266,33 @@
 
     /// The state that has to be written to the store before the report is sent, or after it has ended.
     pub fn state_to_write(&self) -> Option<UsageState> {
-        match self.holding.as_ref()?.progress.as_ref()? {
+        let holding = self.holding.as_ref()?;
+        let era = holding.era;
+        match holding.progress.as_ref()? {
             Progress::Idle | Progress::Sending { .. } => None,
             Progress::Writing(report) => {
                 let counts = report.counts.clone();
-                Some(UsageState { window: report.number, counts, is_accepted: false })
+                Some(UsageState { window: report.number, counts, is_accepted: false, era })
             }
             Progress::Ended => {
                 let window = self.last_window?;
-                Some(UsageState { window, counts: BTreeMap::new(), is_accepted: true })
+                Some(UsageState { window, counts: BTreeMap::new(), is_accepted: true, era })
             }
         }
     }
 
     /// Records what the object in the store holds, after this holder has written it or read it back.
     pub fn confirm(&mut self, state: &UsageState) {
-        if let Some(progress) = self.holding.as_mut().and_then(|h| h.progress.as_mut()) {
+        if let Some(Holding { progress: Some(progress), era, .. }) = &mut self.holding {
             match progress {
                 Progress::Writing(report) if report.number == state.window => {
                     *progress = Progress::Sending { report: state.into(), sent_at: None };
                 }
-                Progress::Ended if state.is_accepted && self.last_window == Some(state.window) => {
+                Progress::Ended
+                    if state.is_accepted
+                        && state.era == *era
+                        && self.last_window == Some(state.window) =>
+                {
                     *progress = Progress::Idle;
                 }
                 _ => {}
--- a/components/decision/src/lib.rs
+++ b/components/decision/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod load;
 pub mod orders;
 pub mod routing;
+mod store_era;
 mod time;
 
+pub use store_era::{LatestEra, StoreEra};
 pub use time::Millis;
--- a/components/decision/tests/duties/random_usage.rs
+++ b/components/decision/tests/duties/random_usage.rs
@@ -1,10 +1,10 @@
 //! Usage reports while holders change, daemons restart, and the store, the platform and other daemons lose
 //! requests and responses.
 
-use decision::Millis;
 use decision::duties::{
     ReportOutcome, UsageConfig, UsageCounts, UsageReports, UsageState, WindowClock, report_interval,
 };
+use decision::{LatestEra, Millis};
 use messages::duties::{DutyReport, UsageWindow};
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -39,8 +39,8 @@
     PlatformDown(u64),
     /// Half of all requests or responses are lost or delayed for this many steps.
     Losses(u64),
-    /// The store comes back as an older copy.
-    OlderCopy,
+    /// The store comes back as an older copy, which all of this many daemons survive.
+    OlderCopy(usize),
 }
 
 fn fault() -> impl Strategy<Value = Fault> {
@@ -50,7 +50,7 @@
         1 => (1_u64..30).prop_map(Fault::StoreDown),
         1 => (1_u64..60).prop_map(Fault::PlatformDown),
         3 => (1_u64..40).prop_map(Fault::Losses),
-        1 => Just(Fault::OlderCopy),
+        1 => (0..=DAEMONS).prop_map(Fault::OlderCopy),
     ]
 }
 
@@ -81,6 +81,9 @@
     is_unsure: bool,
     has_taken_over: bool,
     known_holder: (u64, usize),
+    /// When its last renewal was sent.
+    renewed_at: Millis,
+    era: LatestEra,
 }
 
 impl Daemon {
@@ -95,6 +98,8 @@
             is_unsure: false,
             has_taken_over: false,
             known_holder: (0, 0),
+            renewed_at: Millis(0),
+            era: LatestEra::default(),
         }
     }
 
@@ -132,13 +137,20 @@
     /// What the platform has accepted, and when.
     accepted: BTreeMap<u64, (BTreeMap<String, u64>, Millis)>,
     truth: BTreeMap<u64, BTreeMap<String, u64>>,
-    has_lost_history: bool,
+    /// The number of the store's era.
+    era: u64,
+    /// When a holder that found an object of an earlier era had learned of the latest one.
+    skipped_until: Option<Millis>,
 }
 
 impl World {
     fn new(seed: u64) -> World {
-        let counts = BTreeMap::new();
-        let ended = UsageState { window: FIRST_WINDOW - 1, counts, is_accepted: true };
+        let ended = UsageState {
+            window: FIRST_WINDOW - 1,
+            is_accepted: true,
+            era: Some(1),
+            ..UsageState::default()
+        };
         World {
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: Millis(0),
@@ -152,7 +164,8 @@
             last_claim: (0, 0),
             accepted: BTreeMap::new(),
             truth: BTreeMap::new(),
-            has_lost_history: false,
+            era: 1,
+            skipped_until: None,
         }
     }
 
@@ -181,39 +194,32 @@
             Fault::StoreDown(steps) => self.store_down_until = until(steps).min(FAULTY_TIME),
             Fault::PlatformDown(steps) => self.platform_down_until = until(steps).min(FAULTY_TIME),
             Fault::Losses(steps) => self.lossy_until = until(steps).min(FAULTY_TIME),
-            Fault::OlderCopy => self.lose_history(),
+            Fault::OlderCopy(survivors) => self.lose_history(survivors),
         }
     }
 
     fn restart(&mut self, index: usize) {
-        // What the store has lost must be known to a daemon.
-        if !self.has_lost_history {
-            let incarnation = self.daemons[index].incarnation + 100;
-            self.daemons[index] = Daemon::new(incarnation);
-            // It gets the notices that others know.
-            let (token, holder) = self.last_claim;
-            self.delay(Delayed::Notice { token, holder, to: index }, NOTICE_TIME);
-        }
+        let incarnation = self.daemons[index].incarnation + 100;
+        self.daemons[index] = Daemon::new(incarnation);
+        // It gets the notices that others know.
+        let (token, holder) = self.last_claim;
+        self.delay(Delayed::Notice { token, holder, to: index }, NOTICE_TIME);
     }
 
-    fn last_begun(&self) -> Option<u64> {
-        let copies = self.copies.iter().chain([&self.store]);
-        copies.filter_map(|copy| copy.usage.as_ref()).map(|usage| usage.window).max()
-    }
-
-    fn lose_history(&mut self) {
-        let last_begun = self.last_begun();
-        let is_known = self.daemons.iter().all(|d| d.reports.last_window() >= last_begun);
-        let is_writing = self.daemons.iter().any(|d| d.reports.state_to_write().is_some());
-        let has_delayed =
-            self.delayed.iter().any(|(_, delayed)| matches!(delayed, Delayed::Write { .. }));
-        if is_known && !is_writing && !has_delayed && !self.copies.is_empty() {
-            let index = self.rng.random_range(0..self.copies.len());
-            // The revisions of the two histories are told apart by the lease.
-            let revision = self.store.revision + 1;
-            self.store = Record { revision, ..self.copies[index].clone() };
-            self.has_lost_history = true;
+    fn lose_history(&mut self, survivors: usize) {
+        if self.copies.is_empty() {
+            return;
         }
+        // The holder is among the first to be lost.
+        let (_, holder) = self.last_claim;
+        for lost in (0..DAEMONS).rev().take(DAEMONS - survivors) {
+            self.restart((holder + 1 + lost) % DAEMONS);
+        }
+        let index = self.rng.random_range(0..self.copies.len());
+        // The revisions of the two histories are told apart by the lease.
+        let revision = self.store.revision + 1;
+        self.store = Record { revision, ..self.copies[index].clone() };
+        self.era += 1;
     }
 
     fn claim(&mut self, by: usize) {
@@ -228,6 +234,7 @@
         let now = self.now;
         let daemon = &mut self.daemons[by];
         daemon.claim = Some((token, now + LEASE));
+        daemon.renewed_at = now;
         daemon.has_taken_over = false;
         daemon.reports.start(NOTICE_TIME + report_interval(DAEMONS), now);
         for to in 0..DAEMONS {
@@ -261,6 +268,9 @@
             self.happen(delayed);
         }
         for index in 0..DAEMONS {
+            if self.now >= self.store_down_until {
+                self.daemons[index].era.observe(self.era, self.now);
+            }
             self.run_requests(index);
             let steps = report_interval(DAEMONS).0 / STEP.0;
             if (self.now.0 / STEP.0 + index as u64).is_multiple_of(steps) {
@@ -345,9 +355,13 @@
         let is_store_up = self.now >= self.store_down_until;
         let renews = is_store_up && self.rng.random_range(0..4) == 0;
         let is_replaced = self.daemons[index].known_holder.0 > token;
-        if is_replaced || (renews && self.store.token != token) {
+        let has_expired = self.now > self.daemons[index].renewed_at + LEASE;
+        if is_replaced || has_expired || (renews && self.store.token != token) {
             return self.daemons[index].stop();
         }
+        if renews {
+            self.daemons[index].renewed_at = self.now;
+        }
         let has_to_read = self.daemons[index].is_unsure || !self.daemons[index].has_taken_over;
         if self.now < acts_at || (has_to_read && !is_store_up) {
             return;
@@ -359,13 +373,23 @@
                 return daemon.stop();
             }
             if !daemon.has_taken_over {
-                daemon.reports.take_over(record.usage.as_ref());
+                let stated = record.usage.as_ref().and_then(|usage| usage.era);
+                let era = daemon.era.get();
+                let skipped = daemon.reports.take_over(record.usage.as_ref(), era);
+                if stated == era.map(|era| era.number) {
+                    assert_eq!(skipped, None, "windows of the present era are skipped");
+                } else {
+                    self.skipped_until = self.skipped_until.max(era.map(|era| era.known_at));
+                }
                 daemon.has_taken_over = true;
             } else if let Some(usage) = &record.usage {
                 daemon.reports.confirm(usage);
             }
             daemon.is_unsure = false;
         }
+        if let Some(era) = daemon.era.get() {
+            daemon.reports.observe_era(era.number);
+        }
         daemon.reports.expire(now);
         daemon.reports.begin_report(now);
         if let Some(usage) = daemon.reports.state_to_write() {
@@ -463,8 +487,9 @@
             let end = start(window + 1 - FIRST_WINDOW);
             let accepted = world.accepted.get(&window);
             if end <= FAULTY_TIME {
-                // A window that the store has forgotten may have been accepted, and is skipped.
-                prop_assert!(accepted.is_some() || world.has_lost_history, "window {window} is missing");
+                // A window that ended before the store came back may have been accepted, and is skipped.
+                let may_be_skipped = world.skipped_until.is_some_and(|until| end <= until);
+                prop_assert!(accepted.is_some() || may_be_skipped, "window {window} is missing");
                 continue;
             }
             let Some((counts, at)) = accepted else {
--- a/components/decision/tests/duties/usage.rs
+++ b/components/decision/tests/duties/usage.rs
@@ -1,11 +1,12 @@
 //! How requests are counted by window, and how the holder reports each window once.
 
-use decision::Millis;
 use decision::duties::{
     MAX_ACCOUNTS, MAX_WINDOWS, ReportOutcome, SkippedWindows, UsageConfig, UsageCounts, UsageLoss,
     UsageReports, UsageState, WindowClock, report_interval,
 };
+use decision::{Millis, StoreEra};
 use messages::duties::{DutyReport, UsageWindow};
+use rstest::rstest;
 use std::collections::BTreeMap;
 
 const WINDOW_MS: u64 = 5_000;
@@ -39,13 +40,13 @@
 fn successor(state: Option<&UsageState>, now: Millis) -> UsageReports {
     let mut holder = reports();
     holder.start(REPORT_TIME, now);
-    holder.take_over(state);
+    holder.take_over(state, None);
     holder
 }
 
 /// The state when the report of a window has been accepted.
 fn ended(window: u64) -> UsageState {
-    UsageState { window, counts: BTreeMap::new(), is_accepted: true }
+    UsageState { window, is_accepted: true, ..UsageState::default() }
 }
 
 /// A report that a daemon makes in window `current`.
@@ -160,7 +161,7 @@
     first.receive(&report("i-1", 1, 101, vec![window(100, &[("hule", 8)])]), start(101));
     let sent = begin(&mut first, start(101)).unwrap();
     let counts = sent.counts.clone();
-    let stored = UsageState { window: 100, counts, is_accepted: false };
+    let stored = UsageState { window: 100, counts, ..UsageState::default() };
     let claimed = start(102);
     let mut second = successor(Some(&stored), claimed);
     assert_eq!(second.report(), Some(&sent));
@@ -252,11 +253,11 @@
 /// What was begun since may have been accepted with other counts.
 #[test]
 fn windows_that_an_older_copy_of_the_store_does_not_know_are_not_reported_again() {
-    let copy = UsageState { window: 97, counts: counts(&[("hule", 1)]), is_accepted: false };
+    let copy = UsageState { window: 97, counts: counts(&[("hule", 1)]), ..UsageState::default() };
     let mut holder = reports();
     holder.observe_last_window(99);
     holder.start(REPORT_TIME, start(102));
-    holder.take_over(Some(&copy));
+    holder.take_over(Some(&copy), None);
     assert_eq!(holder.report(), None, "a later report has begun, so that of window 97 has ended");
     // A daemon has got a reply of the predecessor later than any other.
     let told = DutyReport {
@@ -268,6 +269,67 @@
     assert_eq!(accept(&mut holder, start(102) + REPORT_TIME), Some(window(101, &[("hule", 3)])));
 }
 
+/// Guards against a second report of a window, with other counts, by a holder that nobody can tell of the
+/// first one. What certainly has not begun is still reported.
+#[rstest]
+#[case::written_in_an_earlier_era(Some(1), 102)]
+#[case::written_by_an_earlier_build(None, 102)]
+#[case::written_in_the_latest_era(Some(2), 100)]
+fn windows_that_ended_before_the_store_came_back_are_not_reported(
+    #[case] era: Option<u64>,
+    #[case] first: u64,
+) {
+    let state = UsageState { era, ..ended(99) };
+    let mut holder = reports();
+    holder.start(REPORT_TIME, start(103));
+    let came_back = start(102) + Millis(1);
+    let skipped = holder.take_over(Some(&state), Some(StoreEra { number: 2, known_at: came_back }));
+    assert_eq!(
+        skipped.map(|skipped| (skipped.first, skipped.last + 1)),
+        match first {
+            100 => None,
+            _ => Some((100, first)),
+        }
+    );
+    let windows = (100..=102).map(|number| window(number, &[("hule", number)]));
+    holder.receive(&report("i-1", 1, 103, windows.collect()), start(103));
+    let now = start(103) + REPORT_TIME;
+    let reported = accept(&mut holder, now);
+    assert_eq!(reported, Some(window(first, &[("hule", first)])));
+    assert_eq!(holder.state_to_write().unwrap().era, Some(2));
+}
+
+/// The report that the copy holds may not have been accepted, and its counts cannot have changed since.
+#[test]
+fn report_in_an_older_copy_of_the_store_is_repeated_unchanged() {
+    let counts = counts(&[("hule", 8)]);
+    let copy = UsageState { window: 99, counts, era: Some(1), ..UsageState::default() };
+    let mut holder = reports();
+    holder.start(REPORT_TIME, start(102));
+    holder.take_over(Some(&copy), Some(StoreEra { number: 2, known_at: start(102) }));
+    assert_eq!(holder.report(), Some(&window(99, &[("hule", 8)])));
+    assert_eq!(holder.last_window(), Some(101));
+}
+
+/// A holder that keeps the duties has begun all reports of the lost history itself. Its successor must see
+/// that nothing is missing from the object.
+#[test]
+fn holder_that_keeps_the_duties_skips_no_window_and_has_the_era_written() {
+    let mut holder = reports();
+    holder.start(REPORT_TIME, start(99));
+    let state = UsageState { era: Some(1), ..ended(98) };
+    holder.take_over(Some(&state), Some(StoreEra { number: 1, known_at: start(90) }));
+    holder.receive(&report("i-1", 1, 100, vec![window(99, &[("hule", 3)])]), start(100));
+    holder.observe_era(2);
+    assert_eq!(holder.state_to_write(), Some(UsageState { era: Some(2), ..state }));
+    let reported = accept(&mut holder, start(100) + REPORT_TIME);
+    assert_eq!(reported, Some(window(99, &[("hule", 3)])));
+    holder.confirm(&ended(99));
+    assert!(holder.state_to_write().is_some(), "what was stored has no era");
+    holder.confirm(&UsageState { era: Some(2), ..ended(99) });
+    assert_eq!(holder.state_to_write(), None);
+}
+
 /// The store may execute a write whose response was lost, after the holder has looked. Another content of
 /// a second write would then be another report of the same window.
 #[test]
@@ -334,7 +396,7 @@
     holder.start(REPORT_TIME, start(100));
     assert!(holder.receive(&report("i-1", 1, 101, vec![window(100, &[("hule", 2)])]), start(101)));
     assert_eq!(accept(&mut holder, start(101)), None);
-    holder.take_over(Some(&ended(99)));
+    holder.take_over(Some(&ended(99)), None);
     assert_eq!(accept(&mut holder, start(101)), Some(window(100, &[("hule", 2)])));
 }
 
--- a/components/gateway/src/adapter.rs
+++ b/components/gateway/src/adapter.rs
@@ -148,6 +148,10 @@
     /// Encodes the body of such a call.
     fn write_duty_call(&self, call: &DutyCall) -> String;
 
+    /// The number of the store's era that the headers of a response of the store state, if any. It rises each
+    /// time that the store comes back as an older copy.
+    fn read_store_era(&self, headers: &HeaderMap) -> Option<u64>;
+
     /// Evaluates the status and headers of an endpoint response.
     fn read_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
--- a/components/gateway/src/duties/record_store.rs
+++ b/components/gateway/src/duties/record_store.rs
@@ -48,6 +48,7 @@
         record: &DutyRecord,
         replaces: Option<u64>,
     ) -> LeaseEvent {
+        let era = gateway.store_era();
         let body = gateway.adapter.write_object(RECORD_NAME, record, replaces);
         let (method, name) = match replaces {
             Some(_) => (Method::PUT, Some(RECORD_NAME)),
@@ -55,6 +56,8 @@
         };
         let target = gateway.adapter.object_target(ObjectKind::Duties, name);
         match self.call(gateway, method, &target, Bytes::from(body)).await {
+            // The revision that it replaced may be another one than that which was read.
+            Ok(_) if gateway.store_era() != era => write_failed("the store has a new era"),
             Ok((status, body)) if status.is_success() => {
                 let stored = gateway.adapter.read_object::<DutyRecord>(&body).ok();
                 // A store may repeat the object as it was sent, with the replaced revision.
--- a/components/gateway/src/duties/usage.rs
+++ b/components/gateway/src/duties/usage.rs
@@ -111,8 +111,14 @@
         }
         if token.is_some() && !self.has_taken_over && gateway.duties.may_act(now) == token {
             let state = gateway.duties.stored_usage();
-            with_reports(gateway, |reports| reports.take_over(state.as_ref()));
+            let era = gateway.store_era();
+            let skipped = with_reports(gateway, |reports| reports.take_over(state.as_ref(), era));
+            skipped.flatten().into_iter().for_each(log_skipped);
             self.has_taken_over = true;
+        } else if token.is_some()
+            && let Some(era) = gateway.store_era()
+        {
+            with_reports(gateway, |reports| reports.observe_era(era.number));
         }
     }
 
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -15,7 +15,6 @@
 use crate::shutdown::Shutdown;
 use crate::software_versions::SoftwareVersions;
 use crate::update_source::CurrentSource;
-use decision::Millis;
 use decision::duties::{DemandCounts, DemandReports};
 use decision::routing::{
     BrittleEndpoints, Catalog, ChangeLog, ConnectionBudget, Directory, DirectoryChange,
@@ -23,6 +22,7 @@
     OutcomeExchange, Peer, PlacementConfig, Quarantine, Reachability, ReaderElection, Relays,
     RetryBudget, Service, SetDigest, Source, SourceHealth, StreamRecords, WaitQueues, start_wait,
 };
+use decision::{LatestEra, Millis};
 use messages::feed::EndpointChange;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -79,6 +79,7 @@
     pub(crate) unsettled_until: Cell<Millis>,
     pub(crate) freshness: RefCell<Freshness>,
     pub(crate) source_health: RefCell<SourceHealth>,
+    pub(crate) latest_era: RefCell<LatestEra>,
     pub(crate) loads: RefCell<LoadTable>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) pool: RefCell<Pool>,
@@ -181,6 +182,7 @@
             log_quota: RefCell::default(),
             metrics: Metrics::default(),
             shutdown: Shutdown::default(),
+            latest_era: RefCell::default(),
             started: now(),
             incarnation: seed,
             change_log: RefCell::new(ChangeLog::new(CHANGE_LOG_LIMIT)),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -58,6 +58,7 @@
 mod sse;
 mod stated_departure;
 mod store_connection;
+mod store_era;
 mod store_reader;
 mod stream_body;
 mod stream_end;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -105,6 +105,7 @@
     pub(crate) recorded_streams: Gauge,
     pub(crate) ordered_endpoints: Family<CapacityLabels, Gauge>,
     pub(crate) orders: Family<OrderLabels, Counter>,
+    pub(crate) store_era: Gauge,
     pub(crate) duty_holder: Gauge,
     pub(crate) duty_calls: Family<DutyCallLabels, Counter>,
     pub(crate) usage_windows_reported: Counter,
@@ -137,6 +138,7 @@
             recorded_streams: Gauge::default(),
             ordered_endpoints: Family::default(),
             orders: Family::default(),
+            store_era: Gauge::default(),
             duty_holder: Gauge::default(),
             duty_calls: Family::default(),
             usage_windows_reported: Counter::default(),
@@ -232,6 +234,11 @@
             self.ordered_endpoints.clone(),
         );
         r.register("orders", "Orders of endpoints by outcome", self.orders.clone());
+        r.register(
+            "store_era",
+            "The latest era of the store, which rises when it comes back as an older copy",
+            self.store_era.clone(),
+        );
         r.register(
             "duty_holder",
             "Whether this daemon makes the calls to the platform that one makes for all",
--- a/components/gateway/src/store_connection.rs
+++ b/components/gateway/src/store_connection.rs
@@ -79,7 +79,9 @@
         req.headers_mut().extend(host.parse().ok().map(|host| (HOST, host)));
         req.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         let limits = ResponseLimits::within(self.limit, MAX_RESPONSE_BYTES);
-        let response = connection.send_and_read(req, limits, &gateway.control_memory).await?;
+        let response = connection.send(req, limits.head).await?;
+        gateway.observe_store_response(response.headers());
+        let response = connection.read(response, limits, &gateway.control_memory).await?;
         self.connection = Some(connection);
         Ok(response)
     }
--- a/components/gateway/src/store_reader.rs
+++ b/components/gateway/src/store_reader.rs
@@ -202,6 +202,7 @@
         let due = now() + limit - READ_TIMEOUT;
         let head = self.head_or_notice(connection.send_get(&host, target, limit), F::SOURCE, due);
         let response = head.await?;
+        self.gateway.observe_store_response(response.headers());
         let response = connection.read(response, limits, &self.gateway.control_memory).await?;
         self.connection = Some(connection);
         Ok(response)
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -25,7 +25,8 @@
     CrashingPart, DutyApi, DutyApiMode, DutyCallRecord, EndlessEndpoint, EndlessPart,
     GatewayConfig, GatewayProcess, HeadCut, HeadCutter, Link, Message, NarrowNetwork, NetworkPath,
     PathState, PlatformEndpoint, PlatformStore, Proxy, ReceivedRequest, RefusedKinds,
-    RepeatedRefusal, Room, ScriptedEndpoint, Step, StoreMode, UnframedEnd, check_duty_calls,
+    RepeatedRefusal, Room, ScriptedEndpoint, Step, StoreCopy, StoreMode, UnframedEnd,
+    check_duty_calls,
 };
 pub use process::{Process, binary, build_programs, earlier_gateway};
 pub use service::{ServiceConfig, run_service};
--- a/fakes/src/platform/mod.rs
+++ b/fakes/src/platform/mod.rs
@@ -36,6 +36,6 @@
 pub use repeated_refusal::RepeatedRefusal;
 pub use room::Room;
 pub use scripted::{ScriptedEndpoint, Step};
-pub use store::{AddressMap, PlatformStore, RefusedKinds, StoreMode};
+pub use store::{AddressMap, PlatformStore, RefusedKinds, StoreCopy, StoreMode};
 pub use unframed::UnframedEnd;
 pub use wire::Message;
--- a/fakes/src/platform/store.rs
+++ b/fakes/src/platform/store.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Default)]
 struct State {
     mode: StoreMode,
+    /// Stated in all responses.
+    era: u64,
     revision: u64,
     objects: BTreeMap<(String, String), (u64, Value)>,
     changes: Vec<(u64, String, String, Option<Value>)>,
@@ -37,6 +39,21 @@
     calls: u64,
 }
 
+/// What the store held at a moment.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, Value)>,
+}
+
+impl StoreCopy {
+    /// The specification of an object, if it exists.
+    pub fn specification(&self, kind: &str, name: &str) -> Option<&Value> {
+        let (_, object) = self.objects.get(&(kind.to_owned(), name.to_owned()))?;
+        object.get("specification")
+    }
+}
+
 impl State {
     /// Writes an object under the next revision.
     fn put(&mut self, kind: &str, name: &str, specification: Value) {
@@ -150,7 +167,7 @@
     /// Starts an empty store.
     pub fn start() -> io::Result<PlatformStore> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let state = State { revision: 1, ..State::default() };
+        let state = State { era: 1, revision: 1, ..State::default() };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let store = PlatformStore { address: listener.local_addr()?, shared };
         store.clone().listen(listener, AddressMap::default(), RefusedKinds::default());
@@ -194,6 +211,22 @@
         self.shared.1.notify_all();
     }
 
+    /// A copy of its content.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state();
+        StoreCopy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Comes back as an older copy, in a new era: later revisions are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.state();
+        state.era += 1;
+        state.revision = copy.revision;
+        state.objects = copy.objects;
+        state.changes.retain(|(revision, ..)| *revision <= copy.revision);
+        self.shared.1.notify_all();
+    }
+
     /// The number of calls that it received.
     pub fn calls(&self) -> u64 {
         self.state().calls
@@ -253,7 +286,10 @@
             let (status, body) = refusal().unwrap_or_else(|| self.handle(&call));
             // A watch that waited may be turned away by now.
             let (status, body) = refusal().unwrap_or((status, body));
-            let mode = self.state().mode;
+            let (mode, era) = {
+                let state = self.state();
+                (state.mode, state.era)
+            };
             match mode {
                 StoreMode::Silent => thread::sleep(SILENCE),
                 StoreMode::Closed => return Ok(()),
@@ -266,7 +302,8 @@
             let body = self.insert_raw(body.into_bytes());
             write!(
                 writer,
-                "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+                "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\nstore-era: {era}\r\n\
+                 content-length: {}\r\n\r\n",
                 body.len()
             )?;
             writer.write_all(&body)?;
@@ -330,7 +367,11 @@
     fn watch(&self, kind: &str, since: u64, wait_ms: u64) -> (u16, Value) {
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.state();
+        let era = state.era;
         loop {
+            if since > state.revision || state.era != era {
+                return (410, json!({ "since": since }));
+            }
             let changes = state.changes.iter().filter(|(at, k, _, _)| *at > since && k == kind);
             let events: Vec<Value> = changes
                 .map(|(_, _, name, object)| match object {
--- a/tests/usage_reports.rs
+++ b/tests/usage_reports.rs
@@ -3,8 +3,8 @@
 mod platform_objects;
 
 use fakes::{
-    Behaviour, Client, DutyApi, DutyApiMode, GatewayConfig, GatewayProcess, PlatformEndpoint,
-    PlatformStore, check_duty_calls,
+    Behaviour, Client, DutyApi, DutyApiMode, DutyCallRecord, GatewayConfig, GatewayProcess,
+    PlatformEndpoint, PlatformStore, StoreCopy, StoreMode, check_duty_calls,
 };
 use messages::duties::{DutyReply, DutyReport};
 use platform_objects::{KEY, configuration, registration};
@@ -95,6 +95,27 @@
         panic!("no usage was reported:\n{}", self.log());
     }
 
+    /// Waits until another window with counts is reported. Returns a copy of the store from before that
+    /// report was begun.
+    fn copy_before_next_report(&self) -> StoreCopy {
+        let (started, known) = (Instant::now(), self.platform.calls().len());
+        let counted = |call: &DutyCallRecord| call.body["counts"][ACCOUNT].as_u64() > Some(0);
+        let mut last = (None, self.store.copy());
+        let mut before = last.1.clone();
+        while !self.platform.calls()[known..].iter().any(counted) {
+            assert!(started.elapsed() < LATE, "no usage was reported:\n{}", self.log());
+            let copy = self.store.copy();
+            let record = copy.specification("chervilspur-duties", "main").unwrap();
+            let window = record["usage"]["window"].as_u64();
+            if last.0 != window {
+                before = last.1;
+            }
+            last = (window, copy);
+            sleep(Duration::from_millis(1));
+        }
+        before
+    }
+
     fn log(&self) -> String {
         let lines = |gateway: &GatewayProcess| {
             let lines = gateway.log().into_iter();
@@ -219,6 +240,43 @@
     fleet.check_reports(first, last, &truth);
 }
 
+/// Which gateways are lost with the history of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Lost {
+    Holder,
+    All,
+}
+
+/// Guards against a second report of a window, with other counts, when the store has lost the first one and
+/// every gateway that knew of it is gone. What ends after the return is reported.
+#[rstest]
+fn windows_that_the_store_has_lost_are_not_reported_again(
+    #[values(Lost::Holder, Lost::All)] lost: Lost,
+) {
+    let mut fleet = Fleet::start("cloud.duties=usage_reporting\n");
+    for _ in 0..2 {
+        let holder = fleet.wait_for_holder();
+        let load = Load::start(fleet.gateways.iter());
+        let copy = fleet.copy_before_next_report();
+        load.end();
+        fleet.store.set_mode(StoreMode::Unavailable);
+        for (number, gateway) in fleet.gateways.iter_mut().enumerate() {
+            if lost == Lost::All || number == holder {
+                gateway.restart("KILL").unwrap();
+            }
+        }
+        fleet.store.restore(copy);
+        fleet.store.set_mode(StoreMode::Up);
+        let first = window_at(SystemTime::now()) + 1;
+        sleep(LEASE * 4);
+        let load = Load::start(fleet.gateways.iter());
+        let (_, last) = pass_windows(2);
+        let truth = load.end();
+        sleep(WINDOW * 3);
+        fleet.check_reports(first, last, &truth);
+    }
+}
+
 /// Windows wait for the platform, and none is given up.
 #[test]
 fn windows_are_reported_after_an_outage_of_the_platform() {
