List objects again when the store has a new era

A gateway could miss a change of the configuration or the registry that was written after the store had come back as an older copy: it watched from a revision that was given out again in the meantime. Not seen by callers so far; found from the code, as the reports of usage had the same cause.

Cause: the reader kept the revision of its watch without the era in which it had read it. Ruled out: a newer configuration that is read and ignored (its version is above the one in force, and the log has neither a listing nor a change).

The reader keeps the era with the revision, and lists the objects when the store states another one, also between the pages of a list.

activates_a_configuration_whose_revision_was_given_out_before failed before (version 3 is not in force after 15 s) and passes, with the other 15 tests of store_changes.

--- a/components/gateway/src/store_reader.rs
+++ b/components/gateway/src/store_reader.rs
@@ -7,8 +7,8 @@
 use crate::registry_outage::keep_missing_endpoints;
 use crate::update_source::UpdateSource;
 use bytes::Bytes;
-use decision::Millis;
 use decision::routing::Source;
+use decision::{Millis, StoreEra};
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use rand::RngExt;
@@ -59,6 +59,8 @@
     connection: Option<Connection>,
     /// The revision from which to watch; `None` if the objects have to be listed first.
     revision: Option<u64>,
+    /// The store's era in which that revision was read.
+    era: Option<StoreEra>,
     failing_since: Option<Millis>,
     retry_delay: Millis,
 }
@@ -69,6 +71,7 @@
         gateway,
         connection: None,
         revision: None,
+        era: None,
         failing_since: None,
         retry_delay: FIRST_RETRY_DELAY,
     };
@@ -117,13 +120,19 @@
                 .map_err(|text| CallError::Unreadable { target, text })?;
             // Watching from the first page's revision includes changes made while later pages were
             // read.
-            revision.get_or_insert(page.revision);
+            if revision.is_none() {
+                revision = Some(page.revision);
+                self.era = self.gateway.store_era();
+            }
             let is_last = !page.has_more;
             items.extend(page.items);
             if is_last {
                 break;
             }
         }
+        if self.era_has_ended::<F>() {
+            return Ok(());
+        }
         let after_outage = !self.gateway.is_registry_settled(now());
         let items = F::admit(&self.gateway, items, true, now());
         F::replace(&self.gateway, items, after_outage, now());
@@ -147,6 +156,9 @@
             }
             Err(e) => return Err(e),
         };
+        if self.era_has_ended::<F>() {
+            return Ok(());
+        }
         let changes = F::read_changes(&self.gateway.adapter, &body)
             .map_err(|text| CallError::Unreadable { target, text })?;
         let after_outage = !self.gateway.is_registry_settled(now());
@@ -158,6 +170,19 @@
         Ok(())
     }
 
+    /// Has the objects listed anew if the store has come back as an older copy since they were listed: its
+    /// revisions are given out again, so that a watch may miss changes.
+    fn era_has_ended<F: ObjectFeed>(&mut self) -> bool {
+        let has_ended = self.gateway.store_era() != self.era;
+        if has_ended {
+            self.revision = None;
+            if F::SOURCE == Source::Endpoints {
+                self.gateway.registry_watched.set(false);
+            }
+        }
+        has_ended
+    }
+
     async fn get<F: ObjectFeed>(
         &mut self,
         target: &str,
--- a/fakes/src/platform/store.rs
+++ b/fakes/src/platform/store.rs
@@ -217,13 +217,17 @@
         StoreCopy { revision: state.revision, objects: state.objects.clone() }
     }
 
-    /// Comes back as an older copy, in a new era: later revisions are given out again.
-    pub fn restore(&self, copy: StoreCopy) {
+    /// Comes back as an older copy, in a new era: later revisions are given out again, first to these objects
+    /// (kind, name and specification).
+    pub fn restore(&self, copy: StoreCopy, written: &[(&str, &str, Value)]) {
         let mut state = self.state();
         state.era += 1;
         state.revision = copy.revision;
         state.objects = copy.objects;
         state.changes.retain(|(revision, ..)| *revision <= copy.revision);
+        for (kind, name, specification) in written {
+            state.put(kind, name, specification.clone());
+        }
         self.shared.1.notify_all();
     }
 
@@ -367,9 +371,8 @@
     fn watch(&self, kind: &str, since: u64, wait_ms: u64) -> (u16, Value) {
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.state();
-        let era = state.era;
         loop {
-            if since > state.revision || state.era != era {
+            if since > state.revision {
                 return (410, json!({ "since": since }));
             }
             let changes = state.changes.iter().filter(|(at, k, _, _)| *at > since && k == kind);
--- a/tests/gateway/store_changes.rs
+++ b/tests/gateway/store_changes.rs
@@ -16,6 +16,21 @@
     assert_eq!(site.send_request("/safe/", "r1").message.status(), 401);
 }
 
+/// Guards against changes that are missed because the store came back as an older copy and gave out again the
+/// revisions up to the one from which the gateway watches.
+#[test]
+fn activates_a_configuration_whose_revision_was_given_out_before() {
+    let site = Site::start();
+    let copy = site.store.copy();
+    site.store.put("config", "main", configuration(2, &[KEY]));
+    site.gateway.wait_for_log(&["configuration_in_force", "\"version\":2"]).unwrap();
+    let names: Vec<String> = (0..20).map(|number| format!("object-{number}")).collect();
+    let mut written = vec![("config", "main", configuration(3, &[KEY]))];
+    written.extend(names.iter().map(|name| ("other", name.as_str(), json!({}))));
+    site.store.restore(copy, &written);
+    site.gateway.wait_for_log(&["configuration_in_force", "\"version\":3"]).unwrap();
+}
+
 #[test]
 fn ignores_an_older_configuration() {
     let site = Site::start();
--- a/tests/usage_reports.rs
+++ b/tests/usage_reports.rs
@@ -265,7 +265,7 @@
                 gateway.restart("KILL").unwrap();
             }
         }
-        fleet.store.restore(copy);
+        fleet.store.restore(copy, &[]);
         fleet.store.set_mode(StoreMode::Up);
         let first = window_at(SystemTime::now()) + 1;
         sleep(LEASE * 4);
