Name what the store reader does after a new era

A reader of the code met a predicate that also reset the position of the watch. The reset has a name of its own now, which the answer "history gone" uses as well, and the comparison of the eras stands where its reason is. No change in behaviour.

--- a/components/gateway/src/store_reader.rs
+++ b/components/gateway/src/store_reader.rs
@@ -130,7 +130,9 @@
                 break;
             }
         }
-        if self.era_has_ended::<F>() {
+        if self.gateway.store_era() != self.era {
+            // Revisions are given out again, so that a watch from an earlier era may miss changes.
+            self.forget_position::<F>();
             return Ok(());
         }
         let after_outage = !self.gateway.is_registry_settled(now());
@@ -147,16 +149,15 @@
         let body = match self.get::<F>(&target, F::WATCH_WAIT + READ_TIMEOUT).await {
             Ok(body) => body,
             Err(CallError::HistoryGone { target }) => {
-                self.revision = None;
-                if F::SOURCE == Source::Endpoints {
-                    self.gateway.registry_watched.set(false);
-                }
+                self.forget_position::<F>();
                 tracing::info!(event = "history_gone", kind = F::KIND.as_str(), target);
                 return Ok(());
             }
             Err(e) => return Err(e),
         };
-        if self.era_has_ended::<F>() {
+        if self.gateway.store_era() != self.era {
+            // Revisions are given out again, so that a watch from an earlier era may miss changes.
+            self.forget_position::<F>();
             return Ok(());
         }
         let changes = F::read_changes(&self.gateway.adapter, &body)
@@ -170,17 +171,12 @@
         Ok(())
     }
 
-    /// Has the objects listed anew if the store has come back as an older copy since they were listed: its
-    /// revisions are given out again, so that a watch may miss changes.
-    fn era_has_ended<F: ObjectFeed>(&mut self) -> bool {
-        let has_ended = self.gateway.store_era() != self.era;
-        if has_ended {
-            self.revision = None;
-            if F::SOURCE == Source::Endpoints {
-                self.gateway.registry_watched.set(false);
-            }
+    /// Has the objects listed anew.
+    fn forget_position<F: ObjectFeed>(&mut self) {
+        self.revision = None;
+        if F::SOURCE == Source::Endpoints {
+            self.gateway.registry_watched.set(false);
         }
-        has_ended
     }
 
     async fn get<F: ObjectFeed>(
