Test the duties beside daemons that write no era of the store

While instances are upgraded, or an upgrade is turned back, a holder of an earlier build writes the object of the duties without the era. The test has each build take over from the other, with requests under way: no window is missing, and none has two counts.

--- a/tests/earlier_builds.rs
+++ b/tests/earlier_builds.rs
@@ -4,8 +4,8 @@
 mod platform_objects;
 
 use fakes::{
-    Client, GatewayConfig, GatewayProcess, NetworkPath, PathState, PlatformEndpoint, PlatformStore,
-    earlier_gateway,
+    Client, DutyApi, GatewayConfig, GatewayProcess, NetworkPath, PathState, PlatformEndpoint,
+    PlatformStore, check_duty_calls, earlier_gateway,
 };
 use platform_objects::{KEY, configuration, registration, route};
 use rstest::rstest;
@@ -18,6 +18,8 @@
 
 /// The last commit whose daemons send configurations whole.
 const EARLIER_COMMIT: &str = "1768b130011a96f2c1555d06759a960cf2f4ffa6";
+/// The last commit whose holders of the duties write no era of the store.
+const COMMIT_WITHOUT_ERAS: &str = "64214d92af3bc29845840d8e6ad8a6151fe463f0";
 /// The time after which requests at a gateway that reaches no endpoint must be served (`contact_ms`).
 const CONTACT_TIME: Duration = Duration::from_secs(4);
 const ADDED_ROUTES: usize = 1_400;
@@ -212,3 +214,78 @@
     }
     assert!(!gateways[0].log_with(&["\"event\":\"relayed\""]).is_empty());
 }
+
+/// The lease and the usage windows of gateways with duties.
+const LEASE: Duration = Duration::from_millis(1_500);
+const USAGE_WINDOW: Duration = Duration::from_secs(2);
+
+fn gateway_with_duties(
+    platform: &Platform,
+    api: &DutyApi,
+    name: &str,
+    build: Build,
+) -> GatewayProcess {
+    let earlier = || earlier_gateway(COMMIT_WITHOUT_ERAS).unwrap();
+    let cfg = GatewayConfig {
+        name: name.to_owned(),
+        further_settings: format!(
+            "cloud.address={}\ncloud.duties=usage_reporting\ncloud.duty_per_s=20\n\
+             bounds.lease_ms={}\nbounds.report_window_s={}\nbounds.usage_late_s=10\n",
+            api.address,
+            LEASE.as_millis(),
+            USAGE_WINDOW.as_secs(),
+        ),
+        program: (build == Build::Earlier).then(earlier),
+        ..GatewayConfig::default()
+    };
+    GatewayProcess::start(platform.store.address, &cfg).unwrap()
+}
+
+/// The windows that a gateway has reported, in the order of the calls.
+fn reported_windows(api: &DutyApi, name: &str) -> Vec<u64> {
+    let calls = api.calls().into_iter().filter(|call| call.holder == name && call.status == 200);
+    calls.filter_map(|call| call.body["window_number"].as_u64()).collect()
+}
+
+/// Sends requests to a gateway until it has reported a number of windows.
+fn wait_for_reports(api: &DutyApi, gateway: &GatewayProcess, name: &str, count: usize) {
+    let has_reported = || {
+        // Keys are not confirmed for a moment after the reader is lost, so that some are refused.
+        status(gateway, "/safe/");
+        reported_windows(api, name).len() >= count
+    };
+    gateway.wait_for(has_reported, "windows of usage are reported").unwrap();
+}
+
+/// Guards against windows that are left out or get two counts while instances are upgraded: one of the two
+/// builds writes no era of the store into the object of the duties.
+#[rstest]
+#[case(Build::Earlier, Build::Current)]
+#[case(Build::Current, Build::Earlier)]
+fn duties_go_on_at_a_daemon_of_the_other_build(#[case] holder: Build, #[case] successor: Build) {
+    let platform = Platform::start();
+    let api = DutyApi::start().unwrap();
+    let first = gateway_with_duties(&platform, &api, "front-1", holder);
+    wait_for_reports(&api, &first, "front-1", 1);
+    let second = gateway_with_duties(&platform, &api, "front-2", successor);
+    second.wait_for_log(&["peer_followed", "front-1"]).unwrap();
+    let before = reported_windows(&api, "front-1").len();
+    wait_for_reports(&api, &first, "front-1", before + 2);
+    first.signal("KILL").unwrap();
+    wait_for_reports(&api, &second, "front-2", 3);
+    assert_eq!(check_duty_calls(&api.calls(), LEASE), Ok(()));
+    let mut counts: BTreeMap<u64, Value> = BTreeMap::new();
+    for call in api.calls().iter().filter(|call| call.status == 200) {
+        let window = call.body["window_number"].as_u64().unwrap();
+        // The successor may repeat the last report of the holder, unchanged.
+        let former = counts.insert(window, call.body["counts"].clone());
+        assert!(
+            former.is_none_or(|former| former == call.body["counts"]),
+            "two counts of {window}"
+        );
+    }
+    assert!(counts.values().any(|counts| counts["north"].as_u64() > Some(0)), "nothing is counted");
+    let windows: Vec<u64> = counts.into_keys().collect();
+    let all: Vec<u64> = (windows[0]..).take(windows.len()).collect();
+    assert_eq!(windows, all, "a window is missing");
+}
