--- /dev/null
+++ b/review/standins-3/src/config.rs
@@ -0,0 +1,43 @@
+//! Objects of the operator and of runners, and settings of gateways.
+
+use std::net::SocketAddr;
+
+/// The key of the only client account.
+pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
+/// The host of all routes.
+pub const HOST: &str = "ficu95.example";
+
+/// A configuration with one route for each kind; `body_bytes` as in the site file of agenda-campo.
+pub fn configuration(version: u64) -> String {
+    let route = |name: &str, kind: &str, attempts: u32, resumable: bool, timeout_ms: u32| {
+        format!(
+            "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\
+             \"kind\":\"{kind}\",\"timeout_ms\":{timeout_ms},\"objective_ms\":1000,\
+             \"priority\":1,\"service\":\"pool\",\"attempts\":{attempts},\"anonymous\":false,\
+             \"resumable\":{resumable}}}"
+        )
+    };
+    let routes = [
+        route("safe", "safe", 2, false, 5000),
+        route("unsafe", "unsafe", 1, false, 5000),
+        route("stream", "stream", 2, true, 12000),
+        route("fixed", "stream", 1, false, 12000),
+    ];
+    format!(
+        "{{\"version\":{version},\"routes\":[{}],\
+         \"services\":[{{\"name\":\"pool\",\"connection_limit\":360}}],\
+         \"limits\":{{\"header_bytes\":16384,\"body_bytes\":4194304,\"header_ms\":3000,\
+         \"idle_ms\":15000}},\
+         \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[\"{KEY}\"]}}]}}",
+        routes.join(",")
+    )
+}
+
+/// The registry entry of a runner.
+pub fn registration(address: SocketAddr, sequence: u64) -> String {
+    format!(
+        "{{\"service\":\"pool\",\"address\":\"{address}\",\"zone\":\"aburra-norte\",\
+         \"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,\
+         \"sequence\":{sequence},\"born\":1}}"
+    )
+}
--- /dev/null
+++ b/review/standins-3/src/lib.rs
@@ -0,0 +1,30 @@
+//! Stand-ins for the platform, runners and clients, and a handle for gateway processes. They speak
+//! the platform's protocol over loopback and use only the standard library.
+
+pub mod client;
+pub mod config;
+pub mod gateway;
+pub mod http;
+pub mod json;
+pub mod memory_case;
+pub mod record;
+pub mod runner;
+pub mod store;
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Locks a mutex, also after a panic of another thread.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns a free loopback address.
+///
+/// # Errors
+///
+/// Returns an error if no port can be bound.
+pub fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
