Review case 13: a crowd of unfinished heads exceeds the memory of a machine

Cause: a process admits clients by the descriptors of its machine only, and each connection has a read buffer that grows with the head it receives. 3,150 unfinished heads exceed 88 MB.

--- a/review/standins-3/src/bin/small-chunks.rs
+++ b/review/standins-3/src/bin/small-chunks.rs
@@ -2,7 +2,7 @@
 
 use standins_3::client::head;
 use standins_3::http::read_message;
-use standins_3::memory_case::{Machine, run};
+use standins_3::memory_case::{Machine, SMALL_SITE_MEMORY_MB, run};
 use standins_3::record::Record;
 use std::io::{self, BufReader, Write};
 use std::net::TcpStream;
@@ -15,7 +15,7 @@
 const ORDINARY_CHUNK: usize = 16 << 10;
 
 fn main() -> ExitCode {
-    run(send_body)
+    run(SMALL_SITE_MEMORY_MB, send_body)
 }
 
 fn send_body(machine: &Machine, round: u64, record: &Record, has_trouble: bool) -> io::Result<()> {
--- a/review/standins-3/src/bin/unfinished-bodies.rs
+++ b/review/standins-3/src/bin/unfinished-bodies.rs
@@ -1,7 +1,7 @@
 //! Many clients send bodies of legal size at once, stop just short of their end and stay.
 
 use standins_3::client::head;
-use standins_3::memory_case::{Machine, run};
+use standins_3::memory_case::{Machine, SMALL_SITE_MEMORY_MB, run};
 use standins_3::record::Record;
 use std::io::{self, Write};
 use std::net::TcpStream;
@@ -17,7 +17,7 @@
 const STAY: Duration = Duration::from_secs(3);
 
 fn main() -> ExitCode {
-    run(send_bodies)
+    run(SMALL_SITE_MEMORY_MB, send_bodies)
 }
 
 fn send_bodies(
--- /dev/null
+++ b/review/standins-3/src/bin/unfinished-heads.rs
@@ -0,0 +1,73 @@
+//! A crowd of clients sends heads of legal size, stops before their end and stays.
+
+use standins_3::client::head;
+use standins_3::http::read_message;
+use standins_3::memory_case::{GROWN_SITE_MEMORY_MB, Machine, run};
+use standins_3::record::Record;
+use std::fs;
+use std::io::{self, BufReader, Write};
+use std::net::TcpStream;
+use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+
+/// The clients of a round. A machine has 4,100 descriptors, and its process admits 3,200 clients.
+const CLIENTS: usize = 3_150;
+/// The size of a head, less than the `header_bytes` of the configuration.
+const HEAD_BYTES: usize = 16_000;
+/// How long the clients stay after the last one has come, less than the `header_ms` of the
+/// configuration.
+const STAY: Duration = Duration::from_millis(1_500);
+/// The descriptors that this process and a gateway need.
+const MIN_FILES: u64 = 4_100;
+
+fn main() -> ExitCode {
+    if open_files_limit().is_none_or(|limit| limit < MIN_FILES) {
+        eprintln!("the case needs a limit of {MIN_FILES} open files");
+        return ExitCode::from(2);
+    }
+    run(GROWN_SITE_MEMORY_MB, send_heads)
+}
+
+/// The limit of open files of this process.
+fn open_files_limit() -> Option<u64> {
+    let limits = fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    match line.split_whitespace().next()? {
+        "unlimited" => Some(u64::MAX),
+        limit => limit.parse().ok(),
+    }
+}
+
+fn send_heads(machine: &Machine, round: u64, record: &Record, has_trouble: bool) -> io::Result<()> {
+    let what = if has_trouble {
+        "send a head without its end and stay"
+    } else {
+        "send a request and leave"
+    };
+    record.line(&format!("{} round {round}: {CLIENTS} clients {what}", machine.name));
+    let mut open = Vec::with_capacity(CLIENTS);
+    for client in 0..CLIENTS {
+        let id = format!("{}-head-{round}-{client}", machine.name);
+        let mut stream = TcpStream::connect(machine.front)?;
+        if has_trouble {
+            let mut head = head("/safe/1", &id, 5_000, "Content-Length: 0\r\nX-Note: ");
+            head.truncate(head.len() - 2);
+            head.extend(std::iter::repeat_n('n', HEAD_BYTES - head.len()));
+            stream.write_all(head.as_bytes())?;
+        } else {
+            let head = head("/none/1", &id, 5_000, "Content-Length: 0\r\n");
+            stream.write_all(head.as_bytes())?;
+            stream.set_read_timeout(Some(Duration::from_secs(6)))?;
+            let answer = read_message(&mut BufReader::new(stream), false)?;
+            if client % 100 == 0 {
+                record.quiet(&format!("{id}: {}", answer.map_or(String::new(), |a| a.start)));
+            }
+            continue;
+        }
+        open.push(stream);
+    }
+    thread::sleep(STAY);
+    record.quiet(&format!("{} round {round}: all clients have come", machine.name));
+    Ok(())
+}
