--- a/review/standins-3/src/gateway.rs
+++ b/review/standins-3/src/gateway.rs
@@ -106,7 +106,7 @@
 
     /// Whether the process runs.
     pub fn is_alive(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+        is_alive(&mut self.child)
     }
 
     /// Whether its log has a line with all texts.
@@ -124,6 +124,11 @@
     }
 }
 
+/// Whether a process runs.
+pub fn is_alive(child: &mut Child) -> bool {
+    matches!(child.try_wait(), Ok(None))
+}
+
 /// Sends a signal by name to a process of this run.
 ///
 /// # Errors
