--- a/review/standins-3/src/bin/unfinished-heads.rs
+++ b/review/standins-3/src/bin/unfinished-heads.rs
@@ -1,10 +1,10 @@
 //! A crowd of clients sends heads of legal size, stops before their end and stays.
 
 use standins_3::client::head;
+use standins_3::gateway::open_files_limit;
 use standins_3::http::read_message;
-use standins_3::memory_case::{GROWN_SITE_MEMORY_MB, Machine, run};
+use standins_3::memory_case::{Machine, run};
 use standins_3::record::Record;
-use std::fs;
 use std::io::{self, BufReader, Write};
 use std::net::TcpStream;
 use std::process::ExitCode;
@@ -18,6 +18,9 @@
 /// How long the clients stay after the last one has come, less than the `header_ms` of the
 /// configuration.
 const STAY: Duration = Duration::from_millis(1_500);
+/// Time limits of a client, which a killed process does not meet.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The descriptors that this process and a gateway need.
 const MIN_FILES: u64 = 4_100;
 
@@ -26,17 +29,7 @@
         eprintln!("the case needs a limit of {MIN_FILES} open files");
         return ExitCode::from(2);
     }
-    run(GROWN_SITE_MEMORY_MB, send_heads)
-}
-
-/// The limit of open files of this process.
-fn open_files_limit() -> Option<u64> {
-    let limits = fs::read_to_string("/proc/self/limits").ok()?;
-    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
-    match line.split_whitespace().next()? {
-        "unlimited" => Some(u64::MAX),
-        limit => limit.parse().ok(),
-    }
+    run(send_heads)
 }
 
 fn send_heads(machine: &Machine, round: u64, record: &Record, has_trouble: bool) -> io::Result<()> {
@@ -49,7 +42,13 @@
     let mut open = Vec::with_capacity(CLIENTS);
     for client in 0..CLIENTS {
         let id = format!("{}-head-{round}-{client}", machine.name);
-        let mut stream = TcpStream::connect(machine.front)?;
+        // A crowd comes within about a second, and a client that is not accepted in time tries again.
+        if client % 10 == 0 {
+            thread::sleep(Duration::from_millis(2));
+        }
+        let connect = || TcpStream::connect_timeout(&machine.front, CONNECT_TIMEOUT);
+        let mut stream = connect().or_else(|_| connect())?;
+        stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
         if has_trouble {
             let mut head = head("/safe/1", &id, 5_000, "Content-Length: 0\r\nX-Note: ");
             head.truncate(head.len() - 2);
--- a/review/standins-3/src/gateway.rs
+++ b/review/standins-3/src/gateway.rs
@@ -152,3 +152,13 @@
         .stderr(log)
         .spawn()
 }
+
+/// The limit of open files of this process.
+pub fn open_files_limit() -> Option<u64> {
+    let limits = fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    match line.split_whitespace().next()? {
+        "unlimited" => Some(u64::MAX),
+        limit => limit.parse().ok(),
+    }
+}
--- a/review/standins-3/src/memory_case.rs
+++ b/review/standins-3/src/memory_case.rs
@@ -19,12 +19,10 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-/// The `limits.memory_mb` of a machine of the site agenda-campo.
-pub const SMALL_SITE_MEMORY_MB: u64 = 110;
 /// The `limits.memory_mb` of the smallest machines of the grown sites.
-pub const GROWN_SITE_MEMORY_MB: u64 = 88;
+const MEMORY_MB: u64 = 88;
 /// Rounds of the disruption at each machine.
-const ROUNDS: u64 = 3;
+const ROUNDS: u64 = 4;
 /// Machines in use. The rule wants a tenth of them, two at least.
 const MACHINES: usize = 2;
 /// Ends of a process on one machine that break the rule.
@@ -40,22 +38,21 @@
     pub name: String,
     pub front: SocketAddr,
     ready: SocketAddr,
-    memory_mb: u64,
     gateway: Arc<Mutex<Gateway>>,
     ends: Arc<AtomicU64>,
     peak_kb: Arc<AtomicU64>,
 }
 
 impl Machine {
-    fn start(name: &str, store: SocketAddr, folder: &Path, memory_mb: u64) -> io::Result<Machine> {
+    fn start(name: &str, store: SocketAddr, folder: &Path) -> io::Result<Machine> {
         // The last line of a key counts.
-        let memory = format!("limits.memory_mb={memory_mb}\n");
+        let memory = format!("limits.memory_mb={MEMORY_MB}\n");
         let gateway = Gateway::start(name, "aburra-norte", store, folder, &memory)?;
         let (front, ready) = (gateway.front, gateway.ready);
         let (ends, peak_kb) = (Arc::default(), Arc::default());
         let gateway = Arc::new(Mutex::new(gateway));
         let name = name.to_owned();
-        Ok(Machine { name, front, ready, memory_mb, gateway, ends, peak_kb })
+        Ok(Machine { name, front, ready, gateway, ends, peak_kb })
     }
 
     /// Kills the process when it exceeds its memory, and starts it again after its end.
@@ -65,12 +62,12 @@
             let mut gateway = lock(&self.gateway);
             let kb = gateway.status_kb("VmRSS").unwrap_or(0);
             self.peak_kb.fetch_max(kb, Ordering::Relaxed);
-            let is_over_limit = kb > self.memory_mb * 1024;
+            let is_over_limit = kb > MEMORY_MB * 1024;
             if is_over_limit {
                 record.line(&format!(
                     "{}: process has {kb} kB in memory, limit {} kB: killed",
                     self.name,
-                    self.memory_mb * 1024
+                    MEMORY_MB * 1024
                 ));
                 gateway.child.kill()?;
             } else if gateway.is_alive() {
@@ -109,14 +106,14 @@
 /// Sends the requests of one round to a machine; the last argument says whether with the disruption.
 type Disrupt = fn(&Machine, u64, &Record, bool) -> io::Result<()>;
 
-/// Runs a case in the folder that the first argument names, with machines of `memory_mb`.
-pub fn run(memory_mb: u64, disrupt: Disrupt) -> ExitCode {
+/// Runs a case in the folder that the first argument names.
+pub fn run(disrupt: Disrupt) -> ExitCode {
     let folder = PathBuf::from(env::args().nth(1).unwrap_or_default());
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let scratch = env::temp_dir().join(format!("review-3-{}", std::process::id()));
     let result = fs::create_dir_all(&scratch)
         .and_then(|()| Record::create(&folder))
-        .and_then(|record| play(&record, &scratch, has_trouble, memory_mb, disrupt));
+        .and_then(|record| play(&record, &scratch, has_trouble, disrupt));
     if let Err(e) = fs::remove_dir_all(&scratch) {
         eprintln!("{}: {e}", scratch.display());
     }
@@ -130,20 +127,14 @@
     }
 }
 
-fn play(
-    record: &Record,
-    scratch: &Path,
-    has_trouble: bool,
-    memory_mb: u64,
-    disrupt: Disrupt,
-) -> io::Result<bool> {
+fn play(record: &Record, scratch: &Path, has_trouble: bool, disrupt: Disrupt) -> io::Result<bool> {
     let store = Store::start()?;
     store.put("config", "main", &config::configuration(1));
     let runner = Runner::start("i-1", Answers::default())?;
     store.put("servers", "i-1", &config::registration(runner.address, 1));
     let machines: Vec<Machine> = (1..=MACHINES)
         .map(|number| format!("front-{number}"))
-        .map(|name| Machine::start(&name, store.address, scratch, memory_mb))
+        .map(|name| Machine::start(&name, store.address, scratch))
         .collect::<io::Result<_>>()?;
     for machine in &machines {
         if !wait_until_ready(machine.ready, Duration::from_secs(15)) {
@@ -186,7 +177,7 @@
             machine.name,
             machine.ends.load(Ordering::Relaxed),
             machine.peak_kb.load(Ordering::Relaxed),
-            machine.memory_mb * 1024,
+            MEMORY_MB * 1024,
         ));
     }
     record.line(&format!(
