--- a/review/standins-3/src/bin/many-fields.rs
+++ b/review/standins-3/src/bin/many-fields.rs
@@ -10,7 +10,7 @@
 use std::net::TcpStream;
 use std::process::ExitCode;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The clients of a round. A machine has 4,100 descriptors, and its process admits 3,200 clients.
 const CLIENTS: usize = 3_000;
@@ -45,6 +45,7 @@
     let value = "y".repeat(VALUE_BYTES);
     let fields: String = (0..FIELDS).map(|field| format!("X-{field:03}: {value}\r\n")).collect();
     let mut open = Vec::with_capacity(CLIENTS);
+    let (started, mut bytes) = (Instant::now(), 0);
     for client in 0..CLIENTS {
         let id = format!("{}-head-{round}-{client}", machine.name);
         // A crowd comes within about a second, and a client that is not accepted in time tries again.
@@ -57,6 +58,11 @@
         if has_trouble {
             let head = head("/unsafe/1", &id, 5_000, &format!("Content-Length: 1\r\n{fields}"));
             stream.write_all(head.as_bytes())?;
+            bytes += head.len();
+            if client % 500 == 499 {
+                let ms = started.elapsed().as_millis();
+                record.quiet(&format!("{} clients have sent {bytes} bytes in {ms} ms", client + 1));
+            }
         } else {
             let head = head("/none/1", &id, 5_000, "Content-Length: 0\r\n");
             stream.write_all(head.as_bytes())?;
--- a/review/standins-3/src/bin/refused-reader.rs
+++ b/review/standins-3/src/bin/refused-reader.rs
@@ -1,19 +1,18 @@
 //! The store turns away 7 of 20 machines of a zone, the reader of the zone among them, as the
 //! configuration changes.
 
+use standins_3::case;
 use standins_3::client::{request, wait_until_ready};
-use standins_3::config::{configuration_with, registration_of};
+use standins_3::config::configuration_with;
 use standins_3::gateway::Gateway;
 use standins_3::lock;
 use standins_3::record::Record;
 use standins_3::runner::{Answers, Runner};
 use standins_3::store::{Store, View};
 use std::collections::{BTreeMap, BTreeSet};
-use std::env;
-use std::fs;
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -32,8 +31,6 @@
 const OUTAGE: Duration = Duration::from_secs(8);
 /// The time between two requests of a client.
 const PAUSE: Duration = Duration::from_millis(60);
-/// The time between two heartbeats of a runner.
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// The settings that differ from those of the site agenda-campo.
 const SETTINGS: &str = "zone=squamish\nregion=coast\nzones.squamish=coast\nlimits.memory_mb=260\n";
 
@@ -46,23 +43,7 @@
 }
 
 fn main() -> ExitCode {
-    let folder = PathBuf::from(env::args().nth(1).unwrap_or_default());
-    let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
-    let scratch = env::temp_dir().join(format!("review-3-{}", std::process::id()));
-    let result = fs::create_dir_all(&scratch)
-        .and_then(|()| Record::create(&folder))
-        .and_then(|record| play(&record, &scratch, has_trouble));
-    if let Err(e) = fs::remove_dir_all(&scratch) {
-        eprintln!("{}: {e}", scratch.display());
-    }
-    match result {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(1),
-        Err(e) => {
-            eprintln!("the case could not run: {e}");
-            ExitCode::from(2)
-        }
-    }
+    case::run(play)
 }
 
 fn start_machine(number: usize, store: &Store, scratch: &Path) -> io::Result<(Gateway, View)> {
@@ -72,18 +53,6 @@
     Ok((gateway, view))
 }
 
-/// Writes the entries of runners again and again, as these do.
-fn send_heartbeats(store: &Store, runners: &[(&'static str, Runner)], is_over: &AtomicBool) {
-    let mut sequence = 1;
-    while !is_over.load(Ordering::Relaxed) {
-        sequence += 1;
-        for (service, runner) in runners {
-            store.put("servers", &runner.id, &registration_of(service, runner.address, sequence));
-            thread::sleep(HEARTBEAT / runners.len() as u32);
-        }
-    }
-}
-
 fn send_requests(
     machine: usize,
     front: SocketAddr,
@@ -114,13 +83,11 @@
     let mut runners = Vec::new();
     for (service, id) in [("pool", "i-1"), ("pool", "i-2"), ("other", "j-1"), ("other", "j-2")] {
         let runner = Runner::start(id, Answers::default())?;
-        store.put("servers", id, &registration_of(service, runner.address, 1));
+        runner.register(&store, service);
         runners.push((service, runner));
     }
     let is_over = Arc::new(AtomicBool::new(false));
     let mut threads = Vec::new();
-    let (of_store, of_runners, over) = (store.clone(), runners.clone(), is_over.clone());
-    threads.push(thread::spawn(move || send_heartbeats(&of_store, &of_runners, &over)));
     let mut machines = BTreeMap::new();
     machines.insert(READER, start_machine(READER, &store, scratch)?);
     if !wait_until_ready(machines[&READER].0.ready, Duration::from_secs(15)) {
--- a/review/standins-3/src/config.rs
+++ b/review/standins-3/src/config.rs
@@ -20,7 +20,7 @@
             "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\
              \"kind\":\"{kind}\",\"timeout_ms\":{timeout_ms},\"objective_ms\":1000,\
              \"priority\":1,\"service\":\"{service}\",\"attempts\":{attempts},\"anonymous\":false,\
-             \"resumable\":{resumable}}}"
+             \"sticky\":false,\"resumable\":{resumable}}}"
         )
     };
     let routes = [
@@ -31,22 +31,25 @@
     ];
     format!(
         "{{\"version\":{version},\"routes\":[{}],\
-         \"services\":[{{\"name\":\"pool\",\"connection_limit\":360}},\
-         {{\"name\":\"other\",\"connection_limit\":360}}],\
+         \"services\":[{},{}],\
          \"limits\":{{\"header_bytes\":16384,\"body_bytes\":4194304,\"header_ms\":3000,\
          \"idle_ms\":15000}},\
          \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[\"{KEY}\"]}}]}}",
-        routes.join(",")
+        routes.join(","),
+        service_of("pool"),
+        service_of("other")
     )
 }
 
-/// The registry entry of a runner.
-pub fn registration(address: SocketAddr, sequence: u64) -> String {
-    registration_of("pool", address, sequence)
+fn service_of(name: &str) -> String {
+    format!(
+        "{{\"name\":\"{name}\",\"health_path\":\"/health\",\"connection_limit\":360,\
+         \"protocol\":\"h1\",\"transport_security\":false}}"
+    )
 }
 
-/// The registry entry of a runner of a service.
-pub fn registration_of(service: &str, address: SocketAddr, sequence: u64) -> String {
+/// The registry entry of a runner.
+pub fn registration(service: &str, address: SocketAddr, sequence: u64) -> String {
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"aburra-norte\",\
          \"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,\
--- a/review/standins-3/src/gateway.rs
+++ b/review/standins-3/src/gateway.rs
@@ -1,10 +1,13 @@
 //! Gateway processes, started as the deploy file says.
 
+use crate::lock;
+use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU8, Ordering};
 
 /// The ports of each machine, as in the example of DEPLOY.md.
@@ -12,18 +15,24 @@
 const READY_PORT: u16 = 8_220;
 const FIRST_INTERNAL_PORT: u16 = 7_340;
 /// The port of `--metrics` in deploy/system.toml.
-const METRICS_PORT: u16 = 7_345;
+pub const METRICS_PORT: u16 = 7_345;
 
+/// The processes that run, or have ended and were not waited for.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 /// The last byte of the address of the machine that was started last.
 static LAST_MACHINE: AtomicU8 = AtomicU8::new(0);
 
 /// Returns a loopback address of its own for a machine, on which its ports are free.
-fn machine_address() -> io::Result<IpAddr> {
+///
+/// # Errors
+///
+/// Returns an error if there is none.
+pub fn machine_address(internal_port: u16) -> io::Result<IpAddr> {
     let network = 16 + (std::process::id() % 200) as u8;
     for _ in 0..u8::MAX {
         let number = LAST_MACHINE.fetch_add(1, Ordering::Relaxed).wrapping_add(1);
         let address = IpAddr::V4(Ipv4Addr::new(127, 0, network, number));
-        let ports = [FRONT_PORT, READY_PORT, FIRST_INTERNAL_PORT, METRICS_PORT];
+        let ports = BTreeSet::from([FRONT_PORT, READY_PORT, internal_port, METRICS_PORT]);
         let bound: io::Result<Vec<TcpListener>> =
             ports.iter().map(|port| TcpListener::bind((address, *port))).collect();
         if number > 0 && bound.is_ok() {
@@ -95,8 +104,24 @@
         folder: &Path,
         further: &str,
     ) -> io::Result<Gateway> {
-        let address = machine_address()?;
-        let ports = [FRONT_PORT, READY_PORT, FIRST_INTERNAL_PORT];
+        Gateway::start_at(name, zone, store, folder, further, FIRST_INTERNAL_PORT)
+    }
+
+    /// Starts a process whose internal ports begin at another one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Gateway::start`].
+    pub fn start_at(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        folder: &Path,
+        further: &str,
+        internal_port: u16,
+    ) -> io::Result<Gateway> {
+        let address = machine_address(internal_port)?;
+        let ports = [FRONT_PORT, READY_PORT, internal_port];
         let addresses = ports.map(|port| SocketAddr::new(address, port));
         let settings_path = folder.join(format!("{name}.conf"));
         let log_path = folder.join(format!("{name}.log"));
@@ -126,6 +151,17 @@
         signal(self.child.id(), name)
     }
 
+    /// Waits for the process, which has ended or was killed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it cannot be waited for.
+    pub fn wait(&mut self) -> io::Result<ExitStatus> {
+        let status = self.child.wait()?;
+        lock(&RUNNING).retain(|pid| *pid != self.child.id());
+        Ok(status)
+    }
+
     /// A figure in kB of the process status, such as `VmRSS`; `None` after its end.
     pub fn status_kb(&self, field: &str) -> Option<u64> {
         let text = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
@@ -149,12 +185,21 @@
     fn drop(&mut self) {
         // It may have ended before.
         let _ = self.child.kill();
-        let _ = self.child.wait();
+        let _ = self.wait();
+    }
+}
+
+/// Kills all processes of this run that have not been waited for.
+pub fn end_all() {
+    for pid in lock(&RUNNING).drain(..) {
+        if let Err(e) = signal(pid, "KILL") {
+            eprintln!("{pid}: {e}");
+        }
     }
 }
 
 /// Whether a process runs.
-pub fn is_alive(child: &mut Child) -> bool {
+fn is_alive(child: &mut Child) -> bool {
     matches!(child.try_wait(), Ok(None))
 }
 
@@ -172,14 +217,16 @@
 fn spawn(address: IpAddr, settings_path: &Path, log_path: &Path) -> io::Result<Child> {
     let log = File::options().create(true).append(true).open(log_path)?;
     let metrics = SocketAddr::new(address, METRICS_PORT);
-    Command::new("target/release/chervilspur-gateway")
+    let child = Command::new("target/release/chervilspur-gateway")
         .args(["--metrics", &metrics.to_string()])
         .env_clear()
         .env("CHERVILSPUR_NODE_FILE", settings_path)
         .stdin(Stdio::null())
         .stdout(log.try_clone()?)
         .stderr(log)
-        .spawn()
+        .spawn()?;
+    lock(&RUNNING).push(child.id());
+    Ok(child)
 }
 
 /// The limit of open files of this process.
--- a/review/standins-3/src/lib.rs
+++ b/review/standins-3/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform, runners and clients, and a handle for gateway processes. They speak
 //! the platform's protocol over loopback and use only the standard library.
 
+pub mod case;
 pub mod client;
 pub mod config;
 pub mod gateway;
@@ -11,20 +12,9 @@
 pub mod runner;
 pub mod store;
 
-use std::io;
-use std::net::{IpAddr, TcpListener};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Locks a mutex, also after a panic of another thread.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-/// Returns a free port on a loopback address.
-///
-/// # Errors
-///
-/// Returns an error if no port can be bound.
-pub fn free_port_on(address: IpAddr) -> io::Result<u16> {
-    Ok(TcpListener::bind((address, 0))?.local_addr()?.port())
-}
--- a/review/standins-3/src/memory_case.rs
+++ b/review/standins-3/src/memory_case.rs
@@ -1,6 +1,7 @@
 //! Cases about the memory of gateway processes. The platform kills a process that exceeds
 //! `limits.memory_mb` and starts it again.
 
+use crate::case;
 use crate::client::{is_ready, request, wait_until_ready};
 use crate::config;
 use crate::gateway::Gateway;
@@ -8,11 +9,9 @@
 use crate::record::Record;
 use crate::runner::{Answers, Runner};
 use crate::store::Store;
-use std::env;
-use std::fs;
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -75,7 +74,7 @@
             } else {
                 record.line(&format!("{}: process ended by itself", self.name));
             }
-            gateway.child.wait()?;
+            gateway.wait()?;
             self.ends.fetch_add(1, Ordering::Relaxed);
             thread::sleep(RESTART_DELAY);
             gateway.start_again()?;
@@ -106,32 +105,16 @@
 /// Sends the requests of one round to a machine; the last argument says whether with the disruption.
 type Disrupt = fn(&Machine, u64, &Record, bool) -> io::Result<()>;
 
-/// Runs a case in the folder that the first argument names.
+/// Runs a case.
 pub fn run(disrupt: Disrupt) -> ExitCode {
-    let folder = PathBuf::from(env::args().nth(1).unwrap_or_default());
-    let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
-    let scratch = env::temp_dir().join(format!("review-3-{}", std::process::id()));
-    let result = fs::create_dir_all(&scratch)
-        .and_then(|()| Record::create(&folder))
-        .and_then(|record| play(&record, &scratch, has_trouble, disrupt));
-    if let Err(e) = fs::remove_dir_all(&scratch) {
-        eprintln!("{}: {e}", scratch.display());
-    }
-    match result {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(1),
-        Err(e) => {
-            eprintln!("the case could not run: {e}");
-            ExitCode::from(2)
-        }
-    }
+    case::run(|record, scratch, has_trouble| play(record, scratch, has_trouble, disrupt))
 }
 
 fn play(record: &Record, scratch: &Path, has_trouble: bool, disrupt: Disrupt) -> io::Result<bool> {
     let store = Store::start()?;
     store.put("config", "main", &config::configuration(1));
     let runner = Runner::start("i-1", Answers::default())?;
-    store.put("servers", "i-1", &config::registration(runner.address, 1));
+    runner.register(&store, "pool");
     let machines: Vec<Machine> = (1..=MACHINES)
         .map(|number| format!("front-{number}"))
         .map(|name| Machine::start(&name, store.address, scratch))
--- a/review/standins-3/src/runner.rs
+++ b/review/standins-3/src/runner.rs
@@ -1,13 +1,18 @@
 //! Runners of the service `pool`.
 
-use crate::http::{Message, read_head, read_message};
+use crate::config::registration;
+use crate::http::{Message, read_message};
 use crate::lock;
+use crate::store::Store;
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// The time between two heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
 /// A request that a runner received.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -76,6 +81,18 @@
         Ok(runner)
     }
 
+    /// Registers the runner in the store, and renews the entry with heartbeats.
+    pub fn register(&self, store: &Store, service: &'static str) {
+        let (store, runner) = (store.clone(), self.clone());
+        store.put("servers", &runner.id, &registration(service, runner.address, 1));
+        thread::spawn(move || {
+            for sequence in 2.. {
+                thread::sleep(HEARTBEAT);
+                store.put("servers", &runner.id, &registration(service, runner.address, sequence));
+            }
+        });
+    }
+
     /// The requests that ran.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.runs).clone()
@@ -144,12 +161,3 @@
         writer.write_all(b"0\r\n\r\n")
     }
 }
-
-/// Reads only the head of the next request of a connection.
-///
-/// # Errors
-///
-/// Returns the error of the connection.
-pub fn read_request_head(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
-    read_head(reader)
-}
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -139,7 +139,8 @@
                 return Ok(());
             }
             let head = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: 1\r\n\
+                 Content-Length: {}\r\n\r\n",
                 body.len()
             );
             writer.write_all(format!("{head}{body}").as_bytes())?;
