Log when a daemon plans to become the store reader, and why

A slow succession could not be explained from the log: it said when a claim was made, but not when the daemons had learned that their reader had lost the store, nor which place each of them had in the order. `claim_planned` states the reason, the delay and what decided on them.

--- a/components/decision/src/routing/reader_election.rs
+++ b/components/decision/src/routing/reader_election.rs
@@ -64,7 +64,7 @@
 
 /// Why a follower tries to become the reader.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ClaimReason {
+pub enum ClaimReason {
     /// The data centre has no record yet.
     NoRecord,
     /// Neither the reader nor a standby before this daemon responds.
@@ -183,6 +183,21 @@
         }
     }
 
+    /// Returns when this daemon tries to become the reader, and why, if it has a reason to.
+    pub fn planned_claim(&self) -> Option<(ClaimReason, Millis)> {
+        self.claim
+    }
+
+    /// Returns the position of this daemon among the standbys of its reader.
+    pub fn standby_position(&self) -> Option<usize> {
+        self.standbys.iter().position(|peer| *peer == self.own)
+    }
+
+    /// Returns the position of this daemon among those of its data centre, if known.
+    pub fn rank(&self) -> Option<u32> {
+        self.rank
+    }
+
     /// Sets the position of this daemon among those of its data centre.
     pub fn set_rank(&mut self, position: u32) {
         self.rank = Some(position);
@@ -316,8 +331,7 @@
 
     /// Returns the delay of this daemon's succession. Standbys come first, in order.
     fn claim_delay(&mut self, reason: ClaimReason) -> Millis {
-        let rank = self.standbys.iter().position(|peer| *peer == self.own);
-        match (reason, rank) {
+        match (reason, self.standby_position()) {
             (ClaimReason::NoRecord, _) => self.random_delay(FIRST_CLAIM_SPREAD),
             // The standbys before this one did not respond either.
             (ClaimReason::NoneReachable, Some(_)) => Millis(0),
@@ -334,7 +348,7 @@
 
     /// Returns when to try again after the store did not respond: standbys soon, others seldom.
     fn next_claim_retry(&mut self, now: Millis) -> Millis {
-        let is_standby = self.standbys.contains(&self.own);
+        let is_standby = self.standby_position().is_some();
         let is_alone = self.follow_target().is_none();
         let delay = if is_standby || is_alone {
             self.retry_delay()
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -5,7 +5,8 @@
 use crate::peer_feed::{FollowedPeer, announce_takeover};
 use crate::reader_records::ReaderRecords;
 use crate::update_source::UpdateSource;
-use decision::routing::{ClaimOutcome, Peer, PeerFault, Source, Step};
+use decision::Millis;
+use decision::routing::{ClaimOutcome, ClaimReason, Peer, PeerFault, Source, Step};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -18,10 +19,16 @@
 pub(crate) async fn run<A: Adapter>(gateway: Rc<Gateway<A>>) {
     let mut records = ReaderRecords::default();
     let mut followed: Option<FollowedPeer> = None;
+    let mut planned_claim = None;
     loop {
         let is_new = followed.as_ref().is_some_and(|peer| !peer.is_established());
         let is_outdated = !is_new && gateway.is_outdated(now());
         let step = gateway.readers.borrow_mut().next(is_outdated, now());
+        let planned_before = planned_claim;
+        planned_claim = gateway.readers.borrow().planned_claim();
+        if let Some((reason, at)) = planned_claim.filter(|_| planned_claim != planned_before) {
+            log_planned_claim(&gateway, reason, at, now());
+        }
         match step {
             Step::Follow(peer) => followed = follow(&gateway, followed.take(), peer).await,
             Step::ReadStore => {
@@ -39,6 +46,26 @@
     }
 }
 
+/// Logs when this daemon will try to become the reader, with what decided on it.
+fn log_planned_claim<A: Adapter>(
+    gateway: &Gateway<A>,
+    reason: ClaimReason,
+    at: Millis,
+    now: Millis,
+) {
+    let readers = gateway.readers.borrow();
+    tracing::info!(
+        event = "claim_planned",
+        reason = ?reason,
+        in_ms = at.since(now).0,
+        reader = readers.reader().map(|reader| &*reader.name),
+        standby = readers.standby_position(),
+        rank = readers.rank(),
+        failing_ms = gateway.source_health.borrow().failing_for(now).map(|time| time.0),
+        proof_age_ms = gateway.freshness.borrow().age(now).map(|age| age.0),
+    );
+}
+
 async fn wait_for_change<A: Adapter>(gateway: &Gateway<A>, limit: Duration) {
     // The election is asked again after the time-out, also without a notification.
     let _ = timeout(limit, gateway.reader_changed.notified()).await;
