Tell the followers of a replaced store reader at once who its successor is

Callers: none saw it. Followers of a reader that the store turns away go on with an outdated configuration and registry for up to 0.4 s after a successor has taken over.

Cause: the replaced reader passed the news on only after it had followed its successor itself, and the task that does so may wait for a response of the store to a read of the reader records, for 0.4 s if the store is silent to it.

Ruled out: a late claim and a late notice of the failing store, which would show at all moments.

Change: on the announcement of a successor the reader ends the polls of its followers; the responses name the successor.

The simulation of the elections now ends polls when the followed daemon has news, as the gateway does, lets a reader notice a silent store while it waits for the records, and has calls to the store take 30 ms in place of 10.

--- a/components/decision/tests/routing/readers.rs
+++ b/components/decision/tests/routing/readers.rs
@@ -4,7 +4,8 @@
 use decision::Millis;
 use decision::routing::{Peer, PeerFault, ReaderElection, ReaderRecord, Step};
 use rstest::rstest;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 /// A key may be trusted until its configuration was confirmed this long ago.
 const MAX_CONFIRMATION_AGE_MS: u64 = 4_750;
@@ -71,7 +72,7 @@
     let mut fleet = settled_fleet(295, seed);
     let readers = fleet.readers();
     // The daemons of each data centre have every sixth index.
-    fleet.turned_away = Box::new(move |index| readers.contains(&index) || (index / 6) % 3 == 0);
+    fleet.turned_away = Rc::new(move |index| readers.contains(&index) || (index / 6) % 3 == 0);
     fleet.run_for(12_000);
     assert!(fleet.oldest_ms < MAX_CONFIRMATION_AGE_MS, "{} ms old", fleet.oldest_ms);
     assert!(fleet.calls < 295.0, "{} calls to the store", fleet.calls);
@@ -94,7 +95,7 @@
         fleet.run_for(seed * 37 % 1_100);
         let readers = fleet.readers();
         let is_in_third = move |index: usize| (index / 6 + seed as usize).is_multiple_of(3);
-        fleet.turned_away = Box::new(move |index| readers.contains(&index) || is_in_third(index));
+        fleet.turned_away = Rc::new(move |index| readers.contains(&index) || is_in_third(index));
         let cut_at = fleet.now;
         fleet.run_for(bound_ms);
         let late = fleet.unconfirmed_since(cut_at);
@@ -102,16 +103,37 @@
     }
 }
 
+/// The time until a reader that the store does not answer says so: its watch, and how late the response
+/// may be.
+const SILENCE_NOTICED_MS: u64 = 1_100 + 400;
+/// The time of a succession: the three calls of the successor, and the polls of the others.
+const SUCCESSION_MS: u64 = 3 * 30 + 50;
+
+/// Guards against followers that wait for the end of their polls, and use what is outdated meanwhile,
+/// because their reader is replaced while it waits for a response of the store.
+#[test]
+fn followers_follow_the_successor_of_their_reader_at_once_whatever_that_waits_for() {
+    let mut settled = Fleet::start_in(1, 20, 7);
+    settled.run_for(10_000);
+    for moment in 0..120 {
+        let reader = settled.readers()[0];
+        let time_ms = settled.clone().time_of_change(BTreeSet::from([reader]));
+        let bound_ms = SILENCE_NOTICED_MS + SUCCESSION_MS;
+        assert!(time_ms <= bound_ms, "{time_ms} ms at moment {moment}");
+        settled.run_for(10);
+    }
+}
+
 #[rstest]
 fn outage_of_the_store_causes_few_calls_and_ends_within_two_seconds_of_it(
     #[values(295, 1_000)] size: usize,
     #[values(1, 2, 3)] seed: u64,
 ) {
     let mut fleet = settled_fleet(size, seed);
-    fleet.turned_away = Box::new(|_| true);
+    fleet.turned_away = Rc::new(|_| true);
     fleet.run_for(8_000);
     assert!(fleet.calls < 2.0 * size as f64, "{} calls to the store", fleet.calls);
-    fleet.turned_away = Box::new(|_| false);
+    fleet.turned_away = Rc::new(|_| false);
     fleet.run_for(2_000);
     assert_eq!(fleet.unconfirmed(USUAL_AGE_MS), 0);
 }
--- a/components/decision/tests/routing/simulated_readers.rs
+++ b/components/decision/tests/routing/simulated_readers.rs
@@ -4,12 +4,14 @@
 use decision::routing::{
     ClaimOutcome, Peer, PeerFault, ReaderElection, ReaderRecord, Source, SourceHealth, Step,
 };
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::mem;
+use std::rc::Rc;
 
 /// Length of a step of virtual time.
 const TICK_MS: u64 = 10;
 /// Time that a call to the store takes, and its time limit if the store does not respond.
-const STORE_MS: u64 = 10;
+const STORE_MS: u64 = 30;
 const STORE_TIMEOUT_MS: u64 = 400;
 /// Age of the data that the store returns when stale data is allowed.
 const STALENESS_MS: u64 = 2_000;
@@ -26,11 +28,13 @@
 const OUTDATED_MS: u64 = 3_000;
 /// Time by which a response of the store is late when followers are told.
 const LATE_MS: u64 = 400;
+/// Number of data centres unless a test says otherwise.
 const DATA_CENTRES: usize = 6;
 /// Length of the start-up of a killed process.
 const RESTART_MS: u64 = 500;
 
 /// One daemon.
+#[derive(Clone)]
 struct Daemon {
     own: Peer,
     data_centre: usize,
@@ -45,11 +49,19 @@
     failing_since: Option<u64>,
     health: SourceHealth,
     polled: Option<(usize, u64)>,
+    /// Whether it watches the store.
+    reads_store: bool,
+    /// Whether it waits for the response to a poll, which a change at the followed daemon ends.
+    is_polling: bool,
+    /// Whether the response to its poll tells of a change.
+    has_news: bool,
 }
 
-/// A fleet in two regions of three data centres each, and its store.
+/// A fleet in two regions, unless it has a single data centre, and its store.
+#[derive(Clone)]
 pub struct Fleet {
     daemons: Vec<Daemon>,
+    data_centres: usize,
     by_name: BTreeMap<String, usize>,
     records: BTreeMap<String, ReaderRecord>,
     history: VecDeque<(u64, BTreeMap<String, ReaderRecord>)>,
@@ -59,29 +71,38 @@
     pub now: u64,
     /// Calls to the store by their price; one that allows stale data costs a tenth.
     pub calls: f64,
+    /// When the last change was acknowledged whose way to the daemons is watched.
+    pub changed_at: Option<u64>,
     /// The daemons that the store does not serve, by index.
-    pub turned_away: Box<dyn Fn(usize) -> bool>,
+    pub turned_away: Rc<dyn Fn(usize) -> bool>,
     /// The oldest confirmation of a live daemon seen since it was last reset, in milliseconds.
     pub oldest_ms: u64,
 }
 
-fn region(data_centre: usize) -> &'static str {
-    if data_centre < 3 { "east" } else { "west" }
+fn region(data_centre: usize, data_centres: usize) -> &'static str {
+    if data_centre * 2 < data_centres { "east" } else { "west" }
 }
 
-fn election(own: &Peer, data_centre: usize, seed: u64) -> ReaderElection {
-    ReaderElection::new(own.clone(), &format!("dc-{data_centre}"), region(data_centre), seed)
+fn election(own: &Peer, data_centre: usize, data_centres: usize, seed: u64) -> ReaderElection {
+    let region = region(data_centre, data_centres);
+    ReaderElection::new(own.clone(), &format!("dc-{data_centre}"), region, seed)
 }
 
 impl Fleet {
-    /// Starts `size` daemons within 300 ms.
+    /// Starts `size` daemons in six data centres within 300 ms.
     pub fn start(size: usize, seed: u64) -> Fleet {
+        Fleet::start_in(DATA_CENTRES, size, seed)
+    }
+
+    /// The same in another number of data centres.
+    pub fn start_in(data_centres: usize, size: usize, seed: u64) -> Fleet {
         let daemon = |index: usize| {
             let name = format!("gateway-{index}");
             let own = Peer { address: format!("10.0.0.1:{index}"), name };
-            let data_centre = index % DATA_CENTRES;
+            let data_centre = index % data_centres;
+            let seed = seed * 100_000 + index as u64;
             Daemon {
-                election: election(&own, data_centre, seed * 100_000 + index as u64),
+                election: election(&own, data_centre, data_centres, seed),
                 own,
                 data_centre,
                 is_alive: true,
@@ -92,12 +113,16 @@
                 failing_since: None,
                 health: SourceHealth::default(),
                 polled: None,
+                reads_store: false,
+                is_polling: false,
+                has_news: false,
             }
         };
         let daemons: Vec<Daemon> = (0..size).map(daemon).collect();
         let by_name = daemons.iter().enumerate().map(|(n, d)| (d.own.name.clone(), n)).collect();
         Fleet {
             daemons,
+            data_centres,
             by_name,
             records: BTreeMap::new(),
             history: VecDeque::new(),
@@ -105,7 +130,8 @@
             seed,
             now: 0,
             calls: 0.0,
-            turned_away: Box::new(|_| false),
+            changed_at: None,
+            turned_away: Rc::new(|_| false),
             oldest_ms: 0,
         }
     }
@@ -116,13 +142,15 @@
             let seed = self.seed * 100_000 + self.now + index as u64;
             let now = self.now;
             let daemon = &mut self.daemons[index];
-            daemon.election = election(&daemon.own, daemon.data_centre, seed);
+            daemon.election = election(&daemon.own, daemon.data_centre, self.data_centres, seed);
             daemon.starts_at = now + RESTART_MS;
             daemon.busy_until = 0;
             daemon.confirmed_at = None;
             daemon.failing_since = None;
             daemon.health = SourceHealth::default();
             daemon.polled = None;
+            daemon.reads_store = false;
+            daemon.is_polling = false;
         }
     }
 
@@ -151,6 +179,23 @@
         served.filter(|(_, d)| d.is_alive && d.confirmed_at.is_none_or(|at| at <= since)).count()
     }
 
+    /// Lets a change be acknowledged as the store begins to turn daemons away, and returns the time until
+    /// all that it serves are confirmed since, in milliseconds.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that takes 20 s.
+    pub fn time_of_change(&mut self, turned_away: BTreeSet<usize>) -> u64 {
+        self.turned_away = Rc::new(move |index| turned_away.contains(&index));
+        let changed_at = self.now;
+        self.changed_at = Some(changed_at);
+        while self.unconfirmed_since(changed_at) > 0 {
+            self.run_for(TICK_MS);
+            assert!(self.now - changed_at < 20_000, "not confirmed after 20 s");
+        }
+        self.now - changed_at
+    }
+
     /// Advances the virtual time.
     pub fn run_for(&mut self, ms: u64) {
         let end = self.now + ms;
@@ -163,7 +208,10 @@
             for index in 0..self.daemons.len() {
                 let daemon = &self.daemons[index];
                 let is_running = daemon.is_alive && daemon.starts_at <= self.now;
-                if is_running && daemon.busy_until <= self.now {
+                if is_running && daemon.reads_store {
+                    self.read_store(index);
+                }
+                if is_running && self.daemons[index].busy_until <= self.now {
                     self.step(index);
                 }
             }
@@ -199,6 +247,10 @@
         let step = daemon.election.next(is_outdated, now);
         let is_served = !(self.turned_away)(index);
         let store_ms = if is_served { STORE_MS } else { STORE_TIMEOUT_MS };
+        self.daemons[index].is_polling = matches!(step, Step::Follow(_));
+        if let Step::Follow(_) | Step::ReadStore = step {
+            self.daemons[index].reads_store = step == Step::ReadStore;
+        }
         self.daemons[index].busy_until = self.now
             + match step {
                 Step::ReadRecords { stale } => {
@@ -213,7 +265,7 @@
                 }
                 Step::Follow(peer) => self.follow(index, self.by_name[&peer.name]),
                 Step::ReadStore => {
-                    self.read_store(index, is_served);
+                    self.read_store(index);
                     200
                 }
                 Step::Wait(until) => until.since(now).0.clamp(TICK_MS, 200),
@@ -241,7 +293,7 @@
             (true, false) => ClaimOutcome::Conflict,
             (true, true) => {
                 self.revision += 1;
-                let region = region(daemon.data_centre).to_owned();
+                let region = region(daemon.data_centre, self.data_centres).to_owned();
                 let reader = daemon.own.clone();
                 self.records.insert(name, ReaderRecord { reader, region, revision: self.revision });
                 ClaimOutcome::Written
@@ -254,6 +306,44 @@
             let index = self.by_name[&replaced.name];
             let data_centre = format!("dc-{}", self.daemons[index].data_centre);
             self.daemons[index].election.observe_reader(&data_centre, &own, &[]);
+            self.end_poll(index);
+            self.end_polls_of_followers(index);
+        }
+    }
+
+    /// Ends the poll of a daemon, if it waits for a response.
+    fn end_poll(&mut self, index: usize) {
+        let daemon = &mut self.daemons[index];
+        if daemon.is_polling {
+            daemon.busy_until = daemon.busy_until.min(self.now + TICK_MS);
+            daemon.has_news = true;
+        }
+    }
+
+    /// Ends the polls of the followers of a daemon, which has news.
+    fn end_polls_of_followers(&mut self, followed: usize) {
+        let follows = |daemon: &Daemon| daemon.polled.is_some_and(|(index, _)| index == followed);
+        let followers: Vec<usize> =
+            (0..self.daemons.len()).filter(|n| follows(&self.daemons[*n])).collect();
+        followers.into_iter().for_each(|follower| self.end_poll(follower));
+    }
+
+    /// Records a confirmation of a daemon's configuration; its followers are told of the change that
+    /// comes with it.
+    fn confirm(&mut self, index: usize, confirmed: u64) {
+        let knows = |at: Option<u64>, change: u64| at.is_some_and(|at| at > change);
+        let before = self.daemons[index].confirmed_at;
+        let after = before.max(Some(confirmed));
+        self.daemons[index].confirmed_at = after;
+        if self.changed_at.is_some_and(|change| !knows(before, change) && knows(after, change)) {
+            self.end_polls_of_followers(index);
+        }
+    }
+
+    /// Records that a source of a daemon fails; its followers are told.
+    fn record_failure(&mut self, index: usize, source: Source, since: Millis) {
+        if self.daemons[index].health.record_failure(source, since) {
+            self.end_polls_of_followers(index);
         }
     }
 
@@ -268,12 +358,12 @@
         let standbys = peer.election.standbys().to_vec();
         let failing_for = peer.health.failing_for(now);
         let report_due = peer.health.report_due(now).map_or(POLL_MS, |due| due.0.max(TICK_MS));
-        let daemon = &mut self.daemons[index];
         let fault = match (is_up, confirmed) {
             (false, _) => Some(PeerFault::Unreachable),
             (true, None) => Some(PeerFault::Unready),
             (true, Some(confirmed)) => {
-                daemon.confirmed_at = daemon.confirmed_at.max(Some(confirmed));
+                self.confirm(index, confirmed);
+                let daemon = &mut self.daemons[index];
                 daemon.health.record_report(failing_for, now);
                 let age = daemon.confirmed_at.map_or(0, |at| self.now - at);
                 let is_outdated = age >= OUTDATED_MS || daemon.health.needs_another(now);
@@ -284,38 +374,44 @@
         if let Some(fault) = fault {
             let is_unreachable = fault == PeerFault::Unreachable;
             let took_ms = if is_unreachable { CONNECT_TIMEOUT_MS } else { TICK_MS };
-            if daemon.election.is_reader() {
-                daemon.health.record_failure(Source::Peer, now);
+            if self.daemons[index].election.is_reader() {
+                self.record_failure(index, Source::Peer, now);
             }
-            daemon.election.observe_fault(&name, fault, now + Millis(took_ms));
+            let election = &mut self.daemons[index].election;
+            election.observe_fault(&name, fault, now + Millis(took_ms));
             return took_ms;
         }
+        let daemon = &mut self.daemons[index];
         daemon.election.observe_followed();
         daemon.polled = Some((followed, self.now));
-        daemon.election.set_rank((index / DATA_CENTRES) as u32);
+        daemon.election.set_rank((index / self.data_centres) as u32);
         if let Some(reader) = reader.filter(|_| !daemon.election.is_reader()) {
             daemon.election.observe_reader(&data_centre, &reader, &standbys);
         }
+        if mem::take(&mut daemon.has_news) {
+            return TICK_MS;
+        }
         POLL_MS.min(report_due)
     }
 
-    fn read_store(&mut self, index: usize, is_served: bool) {
+    fn read_store(&mut self, index: usize) {
+        let is_served = !(self.turned_away)(index);
         let daemon = &mut self.daemons[index];
         if daemon.watch_until > self.now {
             return;
         }
         self.calls += 1.0;
         if is_served {
-            daemon.confirmed_at = Some(self.now);
             daemon.watch_until = self.now + WATCH_MS;
             daemon.failing_since = None;
             daemon.health.record_success(Source::Configurations);
+            self.confirm(index, self.now);
         } else {
+            daemon.watch_until = self.now + STORE_TIMEOUT_MS;
             let due = *daemon.failing_since.get_or_insert(self.now);
             if self.now - due >= LATE_MS {
-                daemon.health.record_failure(Source::Configurations, Millis(due));
+                self.record_failure(index, Source::Configurations, Millis(due));
             }
-            daemon.watch_until = self.now + STORE_TIMEOUT_MS;
         }
     }
 }
--- a/components/gateway/src/peer_server.rs
+++ b/components/gateway/src/peer_server.rs
@@ -73,6 +73,8 @@
         tracing::info!(event = "reader_replaced", by = %sender.name);
         gateway.readers.borrow_mut().observe_reader(&req.data_centre, &sender, &[]);
         gateway.reader_changed.notify_waiters();
+        // The followers leave for the successor now: this daemon may be waiting for the store.
+        gateway.change_added.notify_waiters();
         return encode(gateway, &empty_response(gateway, arrived));
     }
     gateway.relays.borrow_mut().report(sender.clone(), req.reaches_endpoints, arrived);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -39,5 +39,6 @@
 mod stated_limits;
 mod store_changes;
 mod streams;
+mod successions;
 mod support;
 mod takeovers;
