Let a daemon try to replace its reader when its turn comes, not after its poll

Cause: until its turn a daemon polls the reader, which still responds, and a poll waits for 0.4 s whatever the daemon has planned.

Ruled out: a slow store or a busy processor, as all delays end at multiples of the length of a poll.

Change: a poll waits at most until the turn of the daemon. The new test in virtual time failed before with 2,010 ms at the first standby, where the parts add up to 1,790 ms, and passes for all standbys at 120 moments.

--- a/components/decision/src/routing/reader_election.rs
+++ b/components/decision/src/routing/reader_election.rs
@@ -188,6 +188,12 @@
         self.claim
     }
 
+    /// Returns how long a poll of the followed daemon may wait for a change, `longest` at most: it ends when
+    /// this daemon tries to become the reader.
+    pub fn poll_wait(&self, longest: Millis, now: Millis) -> Millis {
+        self.claim.map_or(longest, |(_, at)| longest.min(at.since(now)))
+    }
+
     /// Returns the position of this daemon among the standbys of its reader.
     pub fn standby_position(&self) -> Option<usize> {
         self.standbys.iter().position(|peer| *peer == self.own)
--- a/components/decision/tests/routing/readers.rs
+++ b/components/decision/tests/routing/readers.rs
@@ -124,6 +124,29 @@
     }
 }
 
+/// The time between the successions of standbys.
+const STANDBY_INTERVAL_MS: u64 = 150;
+
+/// Guards against a standby whose turn comes while its poll of the reader waits, and which tries to
+/// succeed it only after that.
+#[test]
+fn standbys_try_when_their_turn_comes_at_any_moment_of_a_poll() {
+    let mut settled = Fleet::start_in(1, 20, 7);
+    settled.run_for(10_000);
+    for moment in 0..120 {
+        let reader = settled.readers()[0];
+        let standbys = settled.standbys(reader);
+        for before in 1..standbys.len() {
+            let turned_away = [reader].into_iter().chain(standbys[..before].iter().copied());
+            let time_ms = settled.clone().time_of_change(turned_away.collect());
+            let turn_ms = STANDBY_INTERVAL_MS * before as u64;
+            let bound_ms = SILENCE_NOTICED_MS + turn_ms + SUCCESSION_MS;
+            assert!(time_ms <= bound_ms, "{time_ms} ms after {before} others, moment {moment}");
+        }
+        settled.run_for(10);
+    }
+}
+
 #[rstest]
 fn outage_of_the_store_causes_few_calls_and_ends_within_two_seconds_of_it(
     #[values(295, 1_000)] size: usize,
--- a/components/decision/tests/routing/simulated_readers.rs
+++ b/components/decision/tests/routing/simulated_readers.rs
@@ -166,6 +166,12 @@
         self.records.values().map(|record| self.by_name[&record.reader.name]).collect()
     }
 
+    /// Returns the standbys of a reader in their order, by index.
+    pub fn standbys(&self, reader: usize) -> Vec<usize> {
+        let standbys = self.daemons[reader].election.standbys().iter();
+        standbys.map(|peer| self.by_name[&peer.name]).collect()
+    }
+
     /// Returns the number of live daemons whose confirmation is older than `limit_ms`.
     pub fn unconfirmed(&self, limit_ms: u64) -> usize {
         let live = self.daemons.iter().filter(|daemon| daemon.is_alive);
@@ -391,7 +397,7 @@
         if mem::take(&mut daemon.has_news) {
             return TICK_MS;
         }
-        POLL_MS.min(report_due)
+        daemon.election.poll_wait(Millis(POLL_MS.min(report_due)), now).0.max(TICK_MS)
     }
 
     fn read_store(&mut self, index: usize) {
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -2,7 +2,7 @@
 use crate::clock::now;
 use crate::gateway::Gateway;
 use crate::metrics::{ClaimLabels, PeerLossLabels};
-use crate::peer_feed::{FollowedPeer, announce_takeover};
+use crate::peer_feed::{FEED_WAIT, FollowedPeer, announce_takeover};
 use crate::reader_records::ReaderRecords;
 use crate::update_source::UpdateSource;
 use decision::Millis;
@@ -80,7 +80,8 @@
     let mut followed =
         followed.filter(|f| f.peer == peer).unwrap_or_else(|| FollowedPeer::new(peer));
     let asked = now();
-    match followed.poll(gateway).await {
+    let wait = gateway.readers.borrow().poll_wait(FEED_WAIT, asked);
+    match followed.poll(gateway, wait).await {
         Ok(()) => {
             gateway.readers.borrow_mut().observe_followed();
             gateway.update_source.set(UpdateSource::Peer);
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -21,7 +21,7 @@
 
 /// How long a followed daemon may delay its response while it waits for a change. Loads are
 /// reported with each request, so about as often.
-const FEED_WAIT: Millis = Millis(400);
+pub(crate) const FEED_WAIT: Millis = Millis(400);
 /// Timeout of a response to its first byte, in addition to the wait.
 const RESPONSE_MARGIN: Millis = Millis(400);
 /// Maximum time without a further byte of a response.
@@ -78,10 +78,12 @@
     }
 
     /// Reports the load of this daemon and its followers, and applies the changes since the last
-    /// poll. Returns the reason if the daemon cannot be followed.
+    /// poll; the peer waits for one for the time `wait`. Returns the reason if the daemon cannot be
+    /// followed.
     pub(crate) async fn poll<A: Adapter>(
         &mut self,
         gateway: &Rc<Gateway<A>>,
+        wait: Millis,
     ) -> Result<(), (PeerFault, String)> {
         let address: SocketAddr = self
             .peer
@@ -90,7 +92,7 @@
             .map_err(|e| (PeerFault::Unreachable, format!("{}: {e}", self.peer.address)))?;
         let was_connected = self.connection.is_some();
         let held = gateway.configurations.borrow().held();
-        let mut result = self.request(gateway, address, FEED_WAIT).await;
+        let mut result = self.request(gateway, address, wait).await;
         if was_connected && let Err((PeerFault::Unreachable, _)) = &result {
             // The connection may be lost while the daemon is not, which then responds at once.
             result = self.request(gateway, address, Millis(0)).await;
