Let all daemons that are not standbys try to replace a reader within a fixed time

Cause: each daemon that is no standby waited 300 ms for each rank before it, and one without a rank for up to 4.4 s, whether the store serves those before it or not. The time had no bound.

Ruled out: a late notice alone (it does not grow), a slow successor.

Change: all others try between 0.4 and 0.7 s after the notice, by the logarithm of their rank, and begin with a stale read. A stale read of the same revision does not undo what a daemon has said of the reader.

A reader that is only slow is replaced as before, by the first standby.

The simulation now applies the response to a poll when it arrives, with what the peer knows then.

--- a/components/decision/src/routing/reader_election.rs
+++ b/components/decision/src/routing/reader_election.rs
@@ -1,6 +1,7 @@
 use super::readers::{ClaimOutcome, Peer, PeerFault, ReaderRecord, Step};
 use super::rendezvous::rendezvous_hash;
 use crate::Millis;
+use messages::feed::Rank;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,12 +28,15 @@
 const OTHERS_DELAY: Millis = Millis(400);
 /// Range of the random addition to [`OTHERS_DELAY`] when neither the reader nor a standby responds.
 const UNREACHABLE_SPREAD: Millis = Millis(1_000);
-/// Delay between the successions of consecutive daemons that are not standbys when the reader
-/// responds but cannot reach the store itself: the store is probably down for all.
-const OTHERS_INTERVAL: Millis = Millis(300);
-/// Range of the random addition to [`OTHERS_DELAY`] in that case, for a daemon without a rank; also
-/// the minimum time between its tries.
-const OUTDATED_SPREAD: Millis = Millis(4_000);
+/// Time in which all daemons that are not standbys try to succeed a reader that responds but cannot
+/// reach the store itself. It does not depend on their number, so that the store may turn away any of
+/// them without a change reaching the others late.
+const OTHERS_SPREAD: Millis = Millis(300);
+/// Number of daemons that a daemon without a rank assumes in its data centre.
+const ASSUMED_DAEMONS: u32 = 64;
+/// Minimum time between the tries of a daemon that is not a standby, and the range of the random
+/// addition to it.
+const OTHERS_RETRY_DELAY: Millis = Millis(4_000);
 /// Time for which a read of the records suffices for a conditional write.
 const RECORDS_VALID_TIME: Millis = Millis(1_000);
 /// Seed of the ranking of data centres and standbys, the same on all daemons.
@@ -54,7 +58,7 @@
     /// The standbys of the data centre's reader, in order.
     standbys: Vec<Peer>,
     /// The position of this daemon among those of its data centre, if known.
-    rank: Option<u32>,
+    rank: Option<Rank>,
     unavailable_until: BTreeMap<String, Millis>,
     /// Whether a poll has succeeded.
     has_followed: bool,
@@ -121,7 +125,8 @@
         if stale {
             for (data_centre, record) in records {
                 let known = self.records.get(&data_centre);
-                if known.is_none_or(|known| known.revision <= record.revision) {
+                // A record of the same revision may have been corrected by what a daemon said.
+                if known.is_none_or(|known| known.revision < record.revision) {
                     self.records.insert(data_centre, record);
                 }
             }
@@ -200,13 +205,13 @@
     }
 
     /// Returns the position of this daemon among those of its data centre, if known.
-    pub fn rank(&self) -> Option<u32> {
-        self.rank
+    pub fn rank(&self) -> Option<&Rank> {
+        self.rank.as_ref()
     }
 
     /// Sets the position of this daemon among those of its data centre.
-    pub fn set_rank(&mut self, position: u32) {
-        self.rank = Some(position);
+    pub fn set_rank(&mut self, rank: Rank) {
+        self.rank = Some(rank);
     }
 
     /// Reads the store for a while in place of following: what the data centre got from the readers
@@ -280,7 +285,7 @@
         };
         self.claim = Some((reason, claim_at));
         if now >= claim_at {
-            return self.claim_or_read(now);
+            return self.claim_or_read(reason, now);
         }
         let next_available = self.unavailable_until.values().min().copied();
         let wait_until = next_available.map_or(claim_at, |until| until.min(claim_at));
@@ -306,11 +311,14 @@
         parent.map_or(Step::ReadStore, |parent| Step::Follow(parent.clone()))
     }
 
-    fn claim_or_read(&self, now: Millis) -> Step {
-        let is_current =
-            self.records_current_at.is_some_and(|at| now.since(at) < RECORDS_VALID_TIME);
-        if !is_current {
-            return Step::ReadRecords { stale: false };
+    fn claim_or_read(&self, reason: ClaimReason, now: Millis) -> Step {
+        let is_recent =
+            |read_at: Option<Millis>| read_at.is_some_and(|at| now.since(at) < RECORDS_VALID_TIME);
+        if !is_recent(self.records_current_at) {
+            // Many daemons may try while the store is down for all: a stale read shows at a tenth of the
+            // price whether it serves this one.
+            let is_probe = reason == ClaimReason::Outdated && self.standby_position().is_none();
+            return Step::ReadRecords { stale: is_probe && !is_recent(self.records_read_at) };
         }
         let replaces = self.records.get(&self.data_centre).map(|record| record.revision);
         Step::Claim { replaces }
@@ -345,13 +353,21 @@
                 OTHERS_DELAY + self.random_delay(UNREACHABLE_SPREAD)
             }
             (ClaimReason::Outdated, Some(rank)) => Millis(STANDBY_INTERVAL.0 * rank as u64),
-            (ClaimReason::Outdated, None) => match self.rank {
-                Some(position) => OTHERS_DELAY + Millis(OTHERS_INTERVAL.0 * u64::from(position)),
-                None => OTHERS_DELAY + self.random_delay(OUTDATED_SPREAD),
-            },
+            (ClaimReason::Outdated, None) => OTHERS_DELAY + self.delay_among_others(),
         }
     }
 
+    /// Returns the delay of this daemon among those that are not standbys. The logarithm leaves a few that
+    /// come first the time to succeed, and has all the others try by the end of [`OTHERS_SPREAD`].
+    fn delay_among_others(&mut self) -> Millis {
+        let Rank { position, daemons } = self.rank.clone().unwrap_or_else(|| Rank {
+            position: self.rng.random_range(0..ASSUMED_DAEMONS),
+            daemons: ASSUMED_DAEMONS,
+        });
+        let share = f64::from(position + 1).ln() / f64::from(daemons.max(2)).ln();
+        Millis((OTHERS_SPREAD.0 as f64 * share.min(1.0)) as u64)
+    }
+
     /// Returns when to try again after the store did not respond: standbys soon, others seldom.
     fn next_claim_retry(&mut self, now: Millis) -> Millis {
         let is_standby = self.standby_position().is_some();
@@ -359,7 +375,7 @@
         let delay = if is_standby || is_alone {
             self.retry_delay()
         } else {
-            OUTDATED_SPREAD + self.random_delay(OUTDATED_SPREAD)
+            OTHERS_RETRY_DELAY + self.random_delay(OTHERS_RETRY_DELAY)
         };
         now + delay
     }
--- a/components/decision/tests/routing/readers.rs
+++ b/components/decision/tests/routing/readers.rs
@@ -147,6 +147,105 @@
     }
 }
 
+/// The smallest bound of the known deployments on a change (`configuration_ms`, `drain_ms`).
+const SMALLEST_BOUND_MS: u64 = 3_000;
+
+/// Which daemons the store turns away first, up to a share of them.
+#[derive(Clone, Copy, Debug)]
+enum TurnedAway {
+    /// The readers, their standbys and the first others of each data centre by rank.
+    FirstByRank,
+    /// The same with the last others.
+    LastByRank,
+    /// The readers and their standbys, then others at random.
+    Random,
+    /// The readers, then others at random.
+    ReadersAndRandom,
+    /// The daemons of one data centre after the other, each beginning with its reader and standbys.
+    DataCentres,
+}
+
+impl TurnedAway {
+    /// Chooses `count` daemons by index.
+    fn choose(self, fleet: &Fleet, count: usize, seed: u64) -> BTreeSet<usize> {
+        let (readers, first) = (fleet.readers(), fleet.readers_and_standbys());
+        let shuffled = |index: usize| (index as u64 + 1).wrapping_mul(seed * 2 + 0x9e37_79b9) % 997;
+        let key = |index: usize| -> (usize, usize, bool, u64) {
+            let others = usize::from(!first.contains(&index));
+            let is_reader = readers.contains(&index);
+            match self {
+                TurnedAway::FirstByRank => (0, others, !is_reader, index as u64),
+                TurnedAway::LastByRank => (0, others, !is_reader, (fleet.size() - index) as u64),
+                TurnedAway::Random => (0, others, !is_reader, shuffled(index)),
+                TurnedAway::ReadersAndRandom => (0, 0, !is_reader, shuffled(index)),
+                TurnedAway::DataCentres => {
+                    let turned = fleet.data_centre(index) + seed as usize;
+                    (turned % fleet.data_centres(), others, !is_reader, index as u64)
+                }
+            }
+        };
+        let mut ranked: Vec<usize> = (0..fleet.size()).collect();
+        ranked.sort_by_key(|index| key(*index));
+        ranked.into_iter().take(count).collect()
+    }
+}
+
+/// Guards against a succession whose time grows with the daemons that fail before the first one that the
+/// store serves: a change is acknowledged at any moment of a reader's watch, as the store begins to turn
+/// away any share of the daemons that leaves most of them served.
+#[rstest]
+#[case::one_data_centre_of_7(1, 7)]
+#[case::three_data_centres_of_7(3, 7)]
+#[case::one_data_centre_of_20(1, 20)]
+#[case::one_data_centre_of_40(1, 40)]
+#[case::three_data_centres_of_60(3, 60)]
+#[case::six_data_centres_of_82(6, 82)]
+#[case::one_data_centre_of_300(1, 300)]
+#[case::six_data_centres_of_300(6, 300)]
+fn changes_reach_all_that_the_store_serves_whichever_others_it_turns_away(
+    #[case] data_centres: usize,
+    #[case] size: usize,
+    #[values(
+        TurnedAway::FirstByRank,
+        TurnedAway::LastByRank,
+        TurnedAway::Random,
+        TurnedAway::ReadersAndRandom,
+        TurnedAway::DataCentres
+    )]
+    turned_away: TurnedAway,
+) {
+    let mut settled = Fleet::start_in(data_centres, size, 7);
+    settled.run_for(10_000);
+    let mut longest_ms = 0;
+    for moment in 0..12 {
+        for share in [0.15, 0.25, 0.35] {
+            let chosen = turned_away.choose(&settled, (size as f64 * share) as usize, moment);
+            longest_ms = longest_ms.max(settled.clone().time_of_change(chosen));
+        }
+        settled.run_for(100);
+    }
+    println!("{longest_ms} ms at most");
+    assert!(longest_ms <= SMALLEST_BOUND_MS, "{longest_ms} ms until all are confirmed");
+}
+
+/// The time within which all daemons that are not standbys try to replace a reader.
+const OTHERS_TRY_WITHIN_MS: u64 = 700;
+
+/// Guards against daemons that wait for a random time of seconds because their reader has not told them
+/// a rank yet.
+#[rstest]
+fn daemon_without_a_rank_tries_to_replace_its_reader_as_soon_as_others(
+    #[values(1, 2, 3, 4, 5)] seed: u64,
+) {
+    let record = ReaderRecord { reader: peer("reader"), region: String::from("west"), revision: 1 };
+    let mut election = ReaderElection::new(peer("follower"), "dc", "west", seed);
+    election.observe_records(BTreeMap::from([(String::from("dc"), record)]), true, Millis(0));
+    election.observe_followed();
+    election.next(true, Millis(1_000));
+    let planned = election.planned_claim().map(|(_, at)| at);
+    assert!(planned.is_some_and(|at| at <= Millis(1_000 + OTHERS_TRY_WITHIN_MS)), "{planned:?}");
+}
+
 #[rstest]
 fn outage_of_the_store_causes_few_calls_and_ends_within_two_seconds_of_it(
     #[values(295, 1_000)] size: usize,
--- a/components/decision/tests/routing/simulated_readers.rs
+++ b/components/decision/tests/routing/simulated_readers.rs
@@ -4,8 +4,8 @@
 use decision::routing::{
     ClaimOutcome, Peer, PeerFault, ReaderElection, ReaderRecord, Source, SourceHealth, Step,
 };
+use messages::feed::Rank;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::mem;
 use std::rc::Rc;
 
 /// Length of a step of virtual time.
@@ -51,10 +51,8 @@
     polled: Option<(usize, u64)>,
     /// Whether it watches the store.
     reads_store: bool,
-    /// Whether it waits for the response to a poll, which a change at the followed daemon ends.
-    is_polling: bool,
-    /// Whether the response to its poll tells of a change.
-    has_news: bool,
+    /// The daemon for whose response to a poll it waits.
+    polling: Option<usize>,
 }
 
 /// A fleet in two regions, unless it has a single data centre, and its store.
@@ -114,8 +112,7 @@
                 health: SourceHealth::default(),
                 polled: None,
                 reads_store: false,
-                is_polling: false,
-                has_news: false,
+                polling: None,
             }
         };
         let daemons: Vec<Daemon> = (0..size).map(daemon).collect();
@@ -150,7 +147,7 @@
             daemon.health = SourceHealth::default();
             daemon.polled = None;
             daemon.reads_store = false;
-            daemon.is_polling = false;
+            daemon.polling = None;
         }
     }
 
@@ -166,12 +163,34 @@
         self.records.values().map(|record| self.by_name[&record.reader.name]).collect()
     }
 
+    /// Returns the number of daemons, those that were removed included.
+    pub fn size(&self) -> usize {
+        self.daemons.len()
+    }
+
+    /// Returns the number of data centres.
+    pub fn data_centres(&self) -> usize {
+        self.data_centres
+    }
+
+    /// Returns the data centre of a daemon.
+    pub fn data_centre(&self, index: usize) -> usize {
+        self.daemons[index].data_centre
+    }
+
     /// Returns the standbys of a reader in their order, by index.
     pub fn standbys(&self, reader: usize) -> Vec<usize> {
         let standbys = self.daemons[reader].election.standbys().iter();
         standbys.map(|peer| self.by_name[&peer.name]).collect()
     }
 
+    /// Returns the readers and their standbys, by index.
+    pub fn readers_and_standbys(&self) -> BTreeSet<usize> {
+        let readers = self.readers();
+        let standbys: Vec<usize> = readers.iter().flat_map(|r| self.standbys(*r)).collect();
+        readers.into_iter().chain(standbys).collect()
+    }
+
     /// Returns the number of live daemons whose confirmation is older than `limit_ms`.
     pub fn unconfirmed(&self, limit_ms: u64) -> usize {
         let live = self.daemons.iter().filter(|daemon| daemon.is_alive);
@@ -247,13 +266,15 @@
 
     fn step(&mut self, index: usize) {
         let now = Millis(self.now);
+        if let Some(followed) = self.daemons[index].polling.take() {
+            self.apply_response(index, followed);
+        }
         let daemon = &mut self.daemons[index];
         let is_outdated = daemon.health.needs_another(now)
             || daemon.confirmed_at.is_none_or(|at| self.now - at >= OUTDATED_MS);
         let step = daemon.election.next(is_outdated, now);
         let is_served = !(self.turned_away)(index);
         let store_ms = if is_served { STORE_MS } else { STORE_TIMEOUT_MS };
-        self.daemons[index].is_polling = matches!(step, Step::Follow(_));
         if let Step::Follow(_) | Step::ReadStore = step {
             self.daemons[index].reads_store = step == Step::ReadStore;
         }
@@ -269,7 +290,7 @@
                     self.claim(index, replaces, is_served, now + Millis(store_ms));
                     store_ms
                 }
-                Step::Follow(peer) => self.follow(index, self.by_name[&peer.name]),
+                Step::Follow(peer) => self.poll(index, self.by_name[&peer.name]),
                 Step::ReadStore => {
                     self.read_store(index);
                     200
@@ -320,9 +341,8 @@
     /// Ends the poll of a daemon, if it waits for a response.
     fn end_poll(&mut self, index: usize) {
         let daemon = &mut self.daemons[index];
-        if daemon.is_polling {
+        if daemon.polling.is_some() {
             daemon.busy_until = daemon.busy_until.min(self.now + TICK_MS);
-            daemon.has_news = true;
         }
     }
 
@@ -353,8 +373,24 @@
         }
     }
 
-    /// Polls a daemon; returns the time that it takes.
-    fn follow(&mut self, index: usize, followed: usize) -> u64 {
+    /// Begins a poll of a daemon; returns the time until its response, which a change there ends.
+    fn poll(&mut self, index: usize, followed: usize) -> u64 {
+        let now = Millis(self.now);
+        self.daemons[index].polling = Some(followed);
+        let (daemon, peer) = (&self.daemons[index], &self.daemons[followed]);
+        if !peer.is_alive || peer.starts_at > self.now {
+            return CONNECT_TIMEOUT_MS;
+        }
+        if daemon.polled.is_none_or(|(polled, _)| polled != followed) {
+            return TICK_MS;
+        }
+        let wait =
+            peer.health.report_due(now).map_or(Millis(POLL_MS), |due| due.min(Millis(POLL_MS)));
+        daemon.election.poll_wait(wait, now).0.max(TICK_MS)
+    }
+
+    /// Applies the response to a poll, which tells what the followed daemon knows now.
+    fn apply_response(&mut self, index: usize, followed: usize) {
         let now = Millis(self.now);
         let peer = &self.daemons[followed];
         let name = peer.own.name.clone();
@@ -363,7 +399,6 @@
         let (confirmed, reader) = (peer.confirmed_at, peer.election.reader().cloned());
         let standbys = peer.election.standbys().to_vec();
         let failing_for = peer.health.failing_for(now);
-        let report_due = peer.health.report_due(now).map_or(POLL_MS, |due| due.0.max(TICK_MS));
         let fault = match (is_up, confirmed) {
             (false, _) => Some(PeerFault::Unreachable),
             (true, None) => Some(PeerFault::Unready),
@@ -378,26 +413,20 @@
             }
         };
         if let Some(fault) = fault {
-            let is_unreachable = fault == PeerFault::Unreachable;
-            let took_ms = if is_unreachable { CONNECT_TIMEOUT_MS } else { TICK_MS };
             if self.daemons[index].election.is_reader() {
                 self.record_failure(index, Source::Peer, now);
             }
-            let election = &mut self.daemons[index].election;
-            election.observe_fault(&name, fault, now + Millis(took_ms));
-            return took_ms;
+            return self.daemons[index].election.observe_fault(&name, fault, now);
         }
+        let daemons = self.size().div_ceil(self.data_centres) as u32;
         let daemon = &mut self.daemons[index];
         daemon.election.observe_followed();
         daemon.polled = Some((followed, self.now));
-        daemon.election.set_rank((index / self.data_centres) as u32);
+        let position = (index / self.data_centres) as u32;
+        daemon.election.set_rank(Rank { position, daemons });
         if let Some(reader) = reader.filter(|_| !daemon.election.is_reader()) {
             daemon.election.observe_reader(&data_centre, &reader, &standbys);
         }
-        if mem::take(&mut daemon.has_news) {
-            return TICK_MS;
-        }
-        daemon.election.poll_wait(Millis(POLL_MS.min(report_due)), now).0.max(TICK_MS)
     }
 
     fn read_store(&mut self, index: usize) {
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -60,7 +60,8 @@
         in_ms = at.since(now).0,
         reader = readers.reader().map(|reader| &*reader.name),
         standby = readers.standby_position(),
-        rank = readers.rank(),
+        rank = readers.rank().map(|rank| rank.position),
+        daemons = readers.rank().map(|rank| rank.daemons),
         failing_ms = gateway.source_health.borrow().failing_for(now).map(|time| time.0),
         proof_age_ms = gateway.freshness.borrow().age(now).map(|age| age.0),
     );
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -324,7 +324,7 @@
         gateway.record_fleet_size(daemons as usize, now());
     }
     if let Some(rank) = feed.rank {
-        gateway.readers.borrow_mut().set_rank(rank.position);
+        gateway.readers.borrow_mut().set_rank(rank.clone());
         gateway.limits.borrow_mut().set_rank(rank);
     }
     let mut readers = gateway.readers.borrow_mut();
--- a/tests/gateway/region.rs
+++ b/tests/gateway/region.rs
@@ -27,9 +27,15 @@
 
     /// Starts the reader of a data centre and five followers.
     pub fn with_one_data_centre() -> Region {
+        Region::with_one_data_centre_of(6)
+    }
+
+    /// Starts the reader of a data centre and its followers, up to 9 gateways, whose ranks are their
+    /// numbers.
+    pub fn with_one_data_centre_of(gateways: usize) -> Region {
         let mut region = Region::start();
-        for name in ["front-1", "front-2", "front-3", "front-4", "front-5", "front-6"] {
-            region.add(name, "a");
+        for number in 1..=gateways {
+            region.add(&format!("front-{number}"), "a");
         }
         region.wait_until_standbys_are_named();
         region
--- a/tests/gateway/stalled_sources.rs
+++ b/tests/gateway/stalled_sources.rs
@@ -103,6 +103,24 @@
     assert!(elapsed < CONFIGURATION_BOUND, "in force {elapsed:?} after the acknowledgement");
 }
 
+/// Guards against a succession that waits for each gateway that comes before in the order to have its
+/// turn: the store turns away the reader, its standbys and all others but the last one.
+#[rstest]
+fn added_route_is_not_denied_while_the_store_serves_only_the_last_gateway_in_the_order(
+    #[values(PathState::Reset, PathState::Hanging)] state: PathState,
+) {
+    let region = Region::with_one_data_centre_of(9);
+    let standbys = region.standbys();
+    let last = (1..9).rfind(|number| !standbys.contains(number)).unwrap();
+    region.confirm_all(2);
+    for number in (0..9).filter(|number| *number != last) {
+        region.paths[number].set(state).unwrap();
+    }
+    let acked = region.add_route(3);
+    let elapsed = region.time_until_in_force(last, 3, acked);
+    assert!(elapsed < CONFIGURATION_BOUND, "in force {elapsed:?} after the acknowledgement");
+}
+
 /// No gateway reaches the store, so none knows the added route.
 #[test]
 fn added_route_is_not_denied_by_a_configuration_older_than_its_bound() {
