Try the store again before the contact bound is over

Callers: none saw it. A daemon that has tried in vain to replace its reader, and that the store serves again while it turns away the others of its data centre, uses what is outdated for up to 6.6 s.

Cause: its next try came after 4 to 8 s. After 4 s without a failure it counts as in touch (`contact_ms`), and changes must be in force there.

Ruled out: the order of the tries, as the time does not grow with the data centre.

Change: the next try comes after 2 to 3 s, so that the sum with a try that the store does not answer and the calls of the succession is 3.7 s.

--- a/components/decision/src/routing/reader_election.rs
+++ b/components/decision/src/routing/reader_election.rs
@@ -34,9 +34,11 @@
 const OTHERS_SPREAD: Millis = Millis(300);
 /// Number of daemons that a daemon without a rank assumes in its data centre.
 const ASSUMED_DAEMONS: u32 = 64;
-/// Minimum time between the tries of a daemon that is not a standby, and the range of the random
-/// addition to it.
-const OTHERS_RETRY_DELAY: Millis = Millis(4_000);
+/// Minimum time between the tries of a daemon that is not a standby. A daemon that the store serves again
+/// must be up to date some seconds later, whatever the store does to the others.
+const OTHERS_RETRY_DELAY: Millis = Millis(2_000);
+/// Range of the random addition to [`OTHERS_RETRY_DELAY`].
+const OTHERS_RETRY_SPREAD: Millis = Millis(1_000);
 /// Time for which a read of the records suffices for a conditional write.
 const RECORDS_VALID_TIME: Millis = Millis(1_000);
 /// Seed of the ranking of data centres and standbys, the same on all daemons.
@@ -375,7 +377,7 @@
         let delay = if is_standby || is_alone {
             self.retry_delay()
         } else {
-            OTHERS_RETRY_DELAY + self.random_delay(OTHERS_RETRY_DELAY)
+            OTHERS_RETRY_DELAY + self.random_delay(OTHERS_RETRY_SPREAD)
         };
         now + delay
     }
--- a/components/decision/tests/routing/readers.rs
+++ b/components/decision/tests/routing/readers.rs
@@ -228,6 +228,32 @@
     assert!(longest_ms <= SMALLEST_BOUND_MS, "{longest_ms} ms until all are confirmed");
 }
 
+/// The time without a failure after which a daemon must not use what is outdated (`contact_ms`).
+const CONTACT_MS: u64 = 4_000;
+
+/// Guards against a daemon that has tried in vain and does not try again while the store serves it: the
+/// store turns away all daemons of a data centre, and serves a single one again after a while.
+#[rstest]
+#[case(7)]
+#[case(20)]
+#[case(60)]
+fn daemon_that_the_store_serves_again_is_confirmed_before_it_counts_as_in_touch(
+    #[case] size: usize,
+) {
+    let mut fleet = Fleet::start_in(1, size, 7);
+    fleet.run_for(10_000);
+    let readers = fleet.readers();
+    fleet.turned_away = Rc::new(|_| true);
+    fleet.run_for(2_000);
+    for moment in 0..40 {
+        fleet.run_for(200);
+        let served = (0..size).filter(|index| !readers.contains(index)).nth(moment % (size - 1));
+        let others = (0..size).filter(|index| Some(*index) != served).collect();
+        let time_ms = fleet.clone().time_of_change(others);
+        assert!(time_ms <= CONTACT_MS, "{time_ms} ms at moment {moment}");
+    }
+}
+
 /// The time within which all daemons that are not standbys try to replace a reader.
 const OTHERS_TRY_WITHIN_MS: u64 = 700;
 
