Have daemons ask the store while their reader does not respond

Cause: only the reader calls the store. Its successor last knew of a response over 2 s ago, takes that for an outage in which entries can expire, and keeps the missing one for 2.2 s.

Ruled out: followers that keep it; a slow succession alone (2.0 s after the freeze, 1.7 s after the removal).

Change: a daemon whose reader does not respond reads the records from the store meanwhile. A response within 2 s of the last known one shows that no entry has expired until then; after a longer gap it has no effect, so that an outage still shows at the read of the registry.

--- a/components/decision/src/routing/freshness.rs
+++ b/components/decision/src/routing/freshness.rs
@@ -45,6 +45,14 @@
         previous.filter(|_| is_gap)
     }
 
+    /// Records that the store responded to a call that reads nothing of the registry. After a gap in which
+    /// entries could expire it has no effect, so that a read of the registry still shows the gap.
+    pub fn observe_availability(&mut self, at: Millis) {
+        if self.response_age(at).is_some_and(|age| age < OUTAGE_THRESHOLD) {
+            self.responded = self.responded.max(Some(at));
+        }
+    }
+
     /// Returns the time since the store last responded; `None` before the first response.
     pub fn response_age(&self, now: Millis) -> Option<Millis> {
         self.responded.map(|responded| now.since(responded))
--- a/components/decision/tests/routing/freshness_and_retry_budget.rs
+++ b/components/decision/tests/routing/freshness_and_retry_budget.rs
@@ -165,3 +165,15 @@
     }
     assert!(retries.len() > requests.len() / 10, "{} retries", retries.len());
 }
+
+/// Guards against an endpoint whose entry expired in an outage and that is removed, since a call about
+/// something else has hidden the outage.
+#[test]
+fn response_to_another_call_continues_the_availability_of_the_store_but_does_not_hide_a_gap() {
+    let mut freshness = Freshness::default();
+    freshness.observe_response(Millis(1_000));
+    freshness.observe_availability(Millis(2_900));
+    assert_eq!(freshness.observe_response(Millis(4_800)), None);
+    freshness.observe_availability(Millis(6_800));
+    assert_eq!(freshness.observe_response(Millis(6_900)), Some(Millis(4_800)));
+}
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -7,6 +7,7 @@
 use crate::notices::receive_notices;
 use crate::object_feed::activate;
 use crate::peer_registry::apply_registry;
+use crate::reader_records::read_records_meanwhile;
 use bytes::Bytes;
 use decision::Millis;
 use decision::routing::{Configuration, NoticeId, NoticeSource, Peer, PeerFault};
@@ -17,13 +18,18 @@
 use messages::{endpoint_loads, load_rows};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
 
 /// How long a followed daemon may delay its response while it waits for a change. Loads are
 /// reported with each request, so about as often.
 pub(crate) const FEED_WAIT: Millis = Millis(400);
 /// Timeout of a response to its first byte, in addition to the wait.
 const RESPONSE_MARGIN: Millis = Millis(400);
+/// Time by which a response may be late before a standby asks the store.
+const LATE_RESPONSE_TIME: Millis = Millis(200);
 /// Maximum time without a further byte of a response.
 const RESPONSE_PAUSE: Millis = Millis(800);
 /// Maximum time from the first byte of a response to its last. A daemon whose link is busy is not
@@ -92,7 +98,7 @@
             .map_err(|e| (PeerFault::Unreachable, format!("{}: {e}", self.peer.address)))?;
         let was_connected = self.connection.is_some();
         let held = gateway.configurations.borrow().held();
-        let mut result = self.request(gateway, address, wait).await;
+        let mut result = self.request_or_notice(gateway, address, wait).await;
         if was_connected && let Err((PeerFault::Unreachable, _)) = &result {
             // The connection may be lost while the daemon is not, which then responds at once.
             result = self.request(gateway, address, Millis(0)).await;
@@ -133,6 +139,33 @@
         Ok(())
     }
 
+    /// Makes a request. If the response is late, a standby asks the store; the others do if there is none.
+    async fn request_or_notice<A: Adapter>(
+        &mut self,
+        gateway: &Rc<Gateway<A>>,
+        address: SocketAddr,
+        wait: Millis,
+    ) -> Result<(FeedResponse, Millis), (PeerFault, String)> {
+        let is_standby = gateway.readers.borrow().standby_position().is_some();
+        let was_connected = self.connection.is_some();
+        let mut response = pin!(self.request(gateway, address, wait));
+        let expected = Duration::from_millis((wait + LATE_RESPONSE_TIME).0);
+        if let Ok(result) = timeout(expected, &mut response).await {
+            return result;
+        }
+        if is_standby {
+            read_records_meanwhile(gateway);
+        }
+        let result = response.await;
+        if !is_standby
+            && was_connected
+            && let Err((PeerFault::Unreachable, _)) = &result
+        {
+            read_records_meanwhile(gateway);
+        }
+        result
+    }
+
     async fn request<A: Adapter>(
         &mut self,
         gateway: &Gateway<A>,
--- a/components/gateway/src/reader_records.rs
+++ b/components/gateway/src/reader_records.rs
@@ -1,4 +1,5 @@
 use crate::adapter::{Adapter, ObjectKind};
+use crate::clock::now;
 use crate::gateway::Gateway;
 use crate::store_connection::StoreConnection;
 use bytes::Bytes;
@@ -6,6 +7,8 @@
 use decision::routing::{ClaimOutcome, Peer, ReaderRecord};
 use http::{Method, StatusCode};
 use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::task::spawn_local;
 
 /// Time limit of a call, twice the response time of a slow store: while it lasts, a follower gets no
 /// updates from its peer.
@@ -50,6 +53,9 @@
                 }
             }
             if !page.has_more || after.is_none() {
+                if !stale {
+                    gateway.freshness.borrow_mut().observe_availability(now());
+                }
                 return Ok(records);
             }
         }
@@ -83,3 +89,16 @@
         outcome
     }
 }
+
+/// Reads the records while the followed daemon does not respond. The response of the store shows, if this
+/// daemon becomes the reader, that no entries of the registry have expired since the last response that the
+/// former reader knew of.
+pub(crate) fn read_records_meanwhile<A: Adapter>(gateway: &Rc<Gateway<A>>) {
+    let gateway = gateway.clone();
+    spawn_local(async move {
+        match ReaderRecords::default().read(&gateway, false).await {
+            Ok(found) => gateway.readers.borrow_mut().observe_records(found, false, now()),
+            Err(text) => tracing::warn!(event = "readers_not_read", text),
+        }
+    });
+}
--- a/tests/gateway/takeovers.rs
+++ b/tests/gateway/takeovers.rs
@@ -1,7 +1,9 @@
 //! What a daemon that becomes the store reader makes of entries that are missing from the registry.
 
 use crate::support::{KEY, Site, configuration, registration};
+use decision::routing::{Peer, ReaderElection};
 use fakes::{GatewayConfig, GatewayProcess, PlatformStore, StoreMode};
+use std::iter;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -13,6 +15,8 @@
 const WITNESS_TIME: Duration = Duration::from_millis(5_000);
 /// Time in which a reader names its standbys to its followers.
 const STANDBYS_NAMED_AFTER: Duration = Duration::from_millis(1_500);
+/// Time after which an endpoint leaves once the reader stands still.
+const LEFT_AFTER: Duration = Duration::from_millis(300);
 /// A daemon looks for another source of updates 2.7 s after its last confirmation, just longer than
 /// its confirmation gets in normal operation.
 const REVOCATION_MS: u64 = 4_500;
@@ -80,6 +84,46 @@
     follower.wait_for_log(&["configuration_in_force", "\"version\":2"]).unwrap();
 }
 
+/// Guards against a daemon that takes the time in which the reader and the first standby stood still for
+/// an outage of the store, and keeps an endpoint that left. There is no other region that could tell.
+#[test]
+fn endpoint_that_left_gets_no_requests_after_the_drain_bound_if_reader_and_standby_stand_still() {
+    let site = Site::with(&GatewayConfig::default(), 1, Duration::ZERO);
+    let names = ["front-2", "front-3", "front-4", "front-5"];
+    let followers = names.map(|name| {
+        let cfg = GatewayConfig { name: name.to_owned(), ..GatewayConfig::default() };
+        GatewayProcess::start(site.store.address, &cfg).unwrap()
+    });
+    for follower in &followers {
+        follower.wait_for_log(&["peer_followed"]).unwrap();
+    }
+    sleep(STANDBYS_NAMED_AFTER);
+    let standby = first_standby(&site.gateway, &followers);
+    site.gateway.signal("STOP").unwrap();
+    followers[standby].signal("STOP").unwrap();
+    sleep(LEFT_AFTER);
+    site.store.delete("servers", "i-2");
+    let deleted = Instant::now();
+    for (_, follower) in followers.iter().enumerate().filter(|(n, _)| *n != standby) {
+        follower.wait_for_log(&["endpoint_left", "i-2"]).unwrap();
+    }
+    let elapsed = deleted.elapsed();
+    assert!(elapsed < DRAIN_BOUND, "left after {elapsed:?}");
+}
+
+/// The index of the follower that a reader names as its first standby.
+fn first_standby(reader: &GatewayProcess, followers: &[GatewayProcess]) -> usize {
+    let peer = |(number, gateway): (usize, &GatewayProcess)| Peer {
+        name: format!("front-{}", number + 1),
+        address: gateway.peers.to_string(),
+    };
+    let peers: Vec<Peer> = iter::once(reader).chain(followers).enumerate().map(peer).collect();
+    let mut election = ReaderElection::new(peers[0].clone(), "a", "r", 0);
+    election.choose_standbys(peers[1..].iter().cloned());
+    let first = &election.standbys()[0];
+    peers[1..].iter().position(|peer| peer == first).unwrap()
+}
+
 /// An endpoint starts to drain while the reader of the data centre is lost. The daemon that takes
 /// over cannot tell whether missing entries expired in an outage, and says so to its followers. A
 /// follower that was suspended meanwhile gets the complete registry from it.
