Start without metrics if the settings use their address for something else

Cause: the address of the metrics comes from a command-line flag, the others from the settings, and a listener that cannot be opened ends the process. Here the process itself has taken the address. Ruled out: a former process, as the error comes after each start.

Change: metrics are not served at an address that the settings give to another role; `metrics_not_served` says so.

--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -120,16 +120,24 @@
     Ok(())
 }
 
-/// Opens the listening sockets of all roles.
+/// Opens the listening sockets of all roles. Metrics, whose address comes from a command-line flag, are not
+/// served at an address that the settings give to another role.
 async fn bind_all(
     settings: &Settings,
     log: Option<&Log>,
 ) -> Result<Vec<(TcpListener, Role)>, RunError> {
-    let monitoring = settings.listen_ready.iter().chain(&settings.listen_metrics);
-    let addresses = [(settings.listen, Role::Clients)]
+    let served = [(settings.listen, Role::Clients)]
         .into_iter()
-        .chain(monitoring.map(|address| (*address, Role::Monitoring)))
+        .chain(settings.listen_ready.map(|address| (address, Role::Monitoring)))
         .chain(settings.listen_peers.map(|address| (address, Role::Peers)));
+    let mut addresses: Vec<(SocketAddr, Role)> = served.collect();
+    if let Some(address) = settings.listen_metrics {
+        if addresses.iter().any(|(other, _)| overlap(*other, address)) {
+            tracing::error!(event = "metrics_not_served", %address);
+        } else {
+            addresses.push((address, Role::Monitoring));
+        }
+    }
     let deadline = now() + settings.stop_timeout + ADDRESS_MARGIN;
     let mut listeners = Vec::new();
     for (address, role) in addresses {
@@ -138,6 +146,11 @@
     Ok(listeners)
 }
 
+/// Whether no two sockets can listen on these addresses.
+fn overlap(a: SocketAddr, b: SocketAddr) -> bool {
+    a.port() == b.port() && (a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified())
+}
+
 /// Opens a listening socket. While its address is in use, as by a former process that is still stopping
 /// or by a connection with that local port, it waits until `deadline`.
 async fn bind_when_free(
--- a/tests/gateway/occupied_addresses.rs
+++ b/tests/gateway/occupied_addresses.rs
@@ -57,6 +57,24 @@
     site.gateway.wait_for(served, "requests are served").unwrap();
 }
 
+/// Guards against a process that does not start because it has to serve metrics at an address that it
+/// needs for something else.
+#[rstest]
+fn process_whose_settings_use_the_address_of_its_metrics_serves_requests_without_them(
+    #[values(address_for_clients, address_for_daemons, address_of_readiness)]
+    address: fn(&GatewayProcess) -> SocketAddr,
+) {
+    let mut site = Site::start();
+    site.gateway.metrics = address(&site.gateway);
+    site.gateway.restart("KILL").unwrap();
+    let has_started = || site.gateway.log_with(&["\"event\":\"started\""]).len() == 2;
+    site.gateway.wait_for(has_started, "the process starts").unwrap();
+    let port = site.gateway.metrics.port().to_string();
+    assert_eq!(site.gateway.log_with(&["metrics_not_served", &port]).len(), 1);
+    let served = || site.send_request("/safe/", "r1").message.status() == 200;
+    site.gateway.wait_for(served, "requests are served").unwrap();
+}
+
 #[test]
 fn process_that_waits_for_an_address_ends_when_it_is_stopped() {
     let mut site = Site::start();
