--- a/components/decision/src/routing/reader_election.rs
+++ b/components/decision/src/routing/reader_election.rs
@@ -59,7 +59,7 @@
     next_read_at: Millis,
     /// The standbys of the data centre's reader, in order.
     standbys: Vec<Peer>,
-    /// The position of this daemon among those of its data centre, if known.
+    /// The position of this daemon among those of its data centre, and their number, if known.
     rank: Option<Rank>,
     unavailable_until: BTreeMap<String, Millis>,
     /// Whether a poll has succeeded.
--- a/components/gateway/src/peer_feed.rs
+++ b/components/gateway/src/peer_feed.rs
@@ -98,7 +98,7 @@
             .map_err(|e| (PeerFault::Unreachable, format!("{}: {e}", self.peer.address)))?;
         let was_connected = self.connection.is_some();
         let held = gateway.configurations.borrow().held();
-        let mut result = self.request_or_notice(gateway, address, wait).await;
+        let mut result = self.request_or_ask_store(gateway, address, wait).await;
         if was_connected && let Err((PeerFault::Unreachable, _)) = &result {
             // The connection may be lost while the daemon is not, which then responds at once.
             result = self.request(gateway, address, Millis(0)).await;
@@ -139,8 +139,9 @@
         Ok(())
     }
 
-    /// Makes a request. If the response is late, a standby asks the store; the others do if there is none.
-    async fn request_or_notice<A: Adapter>(
+    /// Makes a request. A standby asks the store when the response is late, any other daemon when a connection
+    /// that was open before brings none.
+    async fn request_or_ask_store<A: Adapter>(
         &mut self,
         gateway: &Rc<Gateway<A>>,
         address: SocketAddr,
