Leave slow daemons their time before they replace a sound reader

Change: the fixed time holds if the reader says that its sources fail; if only the own confirmation is old, the order by rank is as it was. The new test failed with the fixed time for both, by construction.

--- a/components/decision/src/routing/mod.rs
+++ b/components/decision/src/routing/mod.rs
@@ -67,7 +67,7 @@
 pub use prompt::{Prompt, PromptPart};
 pub use quarantine::{Condemnation, Judgement, Quarantine};
 pub use reachability::Reachability;
-pub use reader_election::{ClaimReason, ReaderElection};
+pub use reader_election::{ClaimReason, Doubt, ReaderElection};
 pub use readers::{ClaimOutcome, Peer, PeerFault, ReaderRecord, Step};
 pub use relays::Relays;
 pub use retry_budget::{RetryBudget, RetryBudgetConfig};
--- a/components/decision/src/routing/reader_election.rs
+++ b/components/decision/src/routing/reader_election.rs
@@ -32,6 +32,11 @@
 /// reach the store itself. It does not depend on their number, so that the store may turn away any of
 /// them without a change reaching the others late.
 const OTHERS_SPREAD: Millis = Millis(300);
+/// Delay between the successions of consecutive daemons whose own confirmation is old while their reader
+/// says nothing of a failure: the reader may be sound, and a daemon that is slow itself catches up.
+const UNCONFIRMED_INTERVAL: Millis = Millis(300);
+/// Range of the random addition to [`OTHERS_DELAY`] in that case, for a daemon without a rank.
+const UNCONFIRMED_SPREAD: Millis = Millis(4_000);
 /// Number of daemons that a daemon without a rank assumes in its data centre.
 const ASSUMED_DAEMONS: u32 = 64;
 /// Minimum time between the tries of a daemon that is not a standby. A daemon that the store serves again
@@ -75,8 +80,20 @@
     NoRecord,
     /// Neither the reader nor a standby before this daemon responds.
     NoneReachable,
-    /// The followed daemon responds, but its configuration is outdated.
+    /// The followed daemon responds, but says that its sources fail.
     Outdated,
+    /// The followed daemon responds and says nothing of a failure, but the own confirmation is old.
+    Unconfirmed,
+}
+
+/// Why a daemon takes its configuration for outdated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Doubt {
+    /// Its source of updates fails.
+    SourceFails,
+    /// Its confirmation is old, though its source does not fail as far as it knows: the daemon itself may
+    /// be slow.
+    ConfirmationOld,
 }
 
 impl ReaderElection {
@@ -162,7 +179,7 @@
                     ReaderRecord { reader: self.own.clone(), region, revision: revision + 1 };
                 self.records.insert(self.data_centre.clone(), record);
                 self.standbys.clear();
-                if let Some((ClaimReason::Outdated, _)) = self.claim {
+                if let Some((ClaimReason::Outdated | ClaimReason::Unconfirmed, _)) = self.claim {
                     self.avoid_region_readers(now);
                 }
                 self.claim = None;
@@ -261,9 +278,8 @@
         self.unavailable_until.insert(peer.to_owned(), now + time);
     }
 
-    /// Returns the next step. `is_outdated` tells whether this daemon's own configuration was last
-    /// confirmed too long ago.
-    pub fn next(&mut self, is_outdated: bool, now: Millis) -> Step {
+    /// Returns the next step. `doubt` tells why this daemon's own configuration may be outdated, if so.
+    pub fn next(&mut self, doubt: Option<Doubt>, now: Millis) -> Step {
         self.unavailable_until.retain(|_, until| now < *until);
         if self.records_read_at.is_none() {
             return self.read_records_or_wait(true, now);
@@ -277,7 +293,7 @@
             // Whether a daemon that did not respond does so now shows only when it is polled.
             return Step::Follow(target.clone());
         }
-        let Some(reason) = self.claim_reason(target.as_ref(), is_outdated) else {
+        let Some(reason) = self.claim_reason(target.as_ref(), doubt) else {
             self.claim = None;
             return target.map_or(Step::Wait(now), Step::Follow);
         };
@@ -294,13 +310,14 @@
         target.map_or(Step::Wait(wait_until), Step::Follow)
     }
 
-    fn claim_reason(&self, target: Option<&Peer>, is_outdated: bool) -> Option<ClaimReason> {
+    fn claim_reason(&self, target: Option<&Peer>, doubt: Option<Doubt>) -> Option<ClaimReason> {
         match (self.reader(), target) {
             (None, _) => Some(ClaimReason::NoRecord),
             (Some(_), None) => Some(ClaimReason::NoneReachable),
-            (Some(_), Some(_)) => {
-                (is_outdated && self.has_followed).then_some(ClaimReason::Outdated)
-            }
+            (Some(_), Some(_)) => doubt.filter(|_| self.has_followed).map(|doubt| match doubt {
+                Doubt::SourceFails => ClaimReason::Outdated,
+                Doubt::ConfirmationOld => ClaimReason::Unconfirmed,
+            }),
         }
     }
 
@@ -319,7 +336,8 @@
         if !is_recent(self.records_current_at) {
             // Many daemons may try while the store is down for all: a stale read shows at a tenth of the
             // price whether it serves this one.
-            let is_probe = reason == ClaimReason::Outdated && self.standby_position().is_none();
+            let is_outdated = matches!(reason, ClaimReason::Outdated | ClaimReason::Unconfirmed);
+            let is_probe = is_outdated && self.standby_position().is_none();
             return Step::ReadRecords { stale: is_probe && !is_recent(self.records_read_at) };
         }
         let replaces = self.records.get(&self.data_centre).map(|record| record.revision);
@@ -354,8 +372,16 @@
             (ClaimReason::NoneReachable, None) => {
                 OTHERS_DELAY + self.random_delay(UNREACHABLE_SPREAD)
             }
-            (ClaimReason::Outdated, Some(rank)) => Millis(STANDBY_INTERVAL.0 * rank as u64),
+            (ClaimReason::Outdated | ClaimReason::Unconfirmed, Some(rank)) => {
+                Millis(STANDBY_INTERVAL.0 * rank as u64)
+            }
             (ClaimReason::Outdated, None) => OTHERS_DELAY + self.delay_among_others(),
+            (ClaimReason::Unconfirmed, None) => match &self.rank {
+                Some(rank) => {
+                    OTHERS_DELAY + Millis(UNCONFIRMED_INTERVAL.0 * u64::from(rank.position))
+                }
+                None => OTHERS_DELAY + self.random_delay(UNCONFIRMED_SPREAD),
+            },
         }
     }
 
--- a/components/decision/tests/routing/readers.rs
+++ b/components/decision/tests/routing/readers.rs
@@ -2,7 +2,8 @@
 
 use super::simulated_readers::Fleet;
 use decision::Millis;
-use decision::routing::{Peer, PeerFault, ReaderElection, ReaderRecord, Step};
+use decision::routing::{Doubt, Peer, PeerFault, ReaderElection, ReaderRecord, Step};
+use messages::feed::Rank;
 use rstest::rstest;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -267,11 +268,27 @@
     let mut election = ReaderElection::new(peer("follower"), "dc", "west", seed);
     election.observe_records(BTreeMap::from([(String::from("dc"), record)]), true, Millis(0));
     election.observe_followed();
-    election.next(true, Millis(1_000));
+    election.next(Some(Doubt::SourceFails), Millis(1_000));
     let planned = election.planned_claim().map(|(_, at)| at);
     assert!(planned.is_some_and(|at| at <= Millis(1_000 + OTHERS_TRY_WITHIN_MS)), "{planned:?}");
 }
 
+/// Guards against a daemon that is slow itself, and that replaces a sound reader and keeps endpoints that
+/// left, because it has not polled for a while.
+#[test]
+fn daemon_that_lacks_confirmations_of_a_sound_reader_waits_for_its_rank() {
+    let record = ReaderRecord { reader: peer("reader"), region: String::from("west"), revision: 1 };
+    let mut election = ReaderElection::new(peer("follower"), "dc", "west", 1);
+    election.observe_records(BTreeMap::from([(String::from("dc"), record)]), true, Millis(0));
+    election.observe_followed();
+    election.set_rank(Rank { position: 10, daemons: 14 });
+    election.next(Some(Doubt::ConfirmationOld), Millis(1_000));
+    let planned = election.planned_claim().map(|(_, at)| at);
+    assert!(planned.is_some_and(|at| at >= Millis(4_000)), "{planned:?}");
+    assert!(matches!(election.next(None, Millis(1_400)), Step::Follow(_)));
+    assert_eq!(election.planned_claim(), None);
+}
+
 #[rstest]
 fn outage_of_the_store_causes_few_calls_and_ends_within_two_seconds_of_it(
     #[values(295, 1_000)] size: usize,
@@ -333,7 +350,7 @@
     election.observe_reader("dc-0", &peer("standby"), &[]);
     election.observe_reader("dc-1", &peer("other"), &[]);
     assert_eq!(election.reader(), Some(&peer("standby")));
-    assert_eq!(election.next(false, Millis(10)), Step::Follow(peer("standby")));
+    assert_eq!(election.next(None, Millis(10)), Step::Follow(peer("standby")));
 }
 
 /// A daemon that has just started gets its copy of the registry after others.
@@ -346,7 +363,7 @@
     election.observe_records(records, true, Millis(0));
     let mut now = Millis(0);
     while now < Millis(10_000) {
-        match election.next(true, now) {
+        match election.next(Some(Doubt::SourceFails), now) {
             Step::Follow(peer) => {
                 now = now + Millis(400);
                 election.observe_fault(&peer.name, PeerFault::Busy, now);
--- a/components/decision/tests/routing/simulated_readers.rs
+++ b/components/decision/tests/routing/simulated_readers.rs
@@ -2,7 +2,7 @@
 
 use decision::Millis;
 use decision::routing::{
-    ClaimOutcome, Peer, PeerFault, ReaderElection, ReaderRecord, Source, SourceHealth, Step,
+    ClaimOutcome, Doubt, Peer, PeerFault, ReaderElection, ReaderRecord, Source, SourceHealth, Step,
 };
 use messages::feed::Rank;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -270,9 +270,12 @@
             self.apply_response(index, followed);
         }
         let daemon = &mut self.daemons[index];
-        let is_outdated = daemon.health.needs_another(now)
-            || daemon.confirmed_at.is_none_or(|at| self.now - at >= OUTDATED_MS);
-        let step = daemon.election.next(is_outdated, now);
+        let is_old = daemon.confirmed_at.is_none_or(|at| self.now - at >= OUTDATED_MS);
+        let doubt = match daemon.health.needs_another(now) {
+            true => Some(Doubt::SourceFails),
+            false => is_old.then_some(Doubt::ConfirmationOld),
+        };
+        let step = daemon.election.next(doubt, now);
         let is_served = !(self.turned_away)(index);
         let store_ms = if is_served { STORE_MS } else { STORE_TIMEOUT_MS };
         if let Step::Follow(_) | Step::ReadStore = step {
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -22,8 +22,8 @@
     let mut planned_claim = None;
     loop {
         let is_new = followed.as_ref().is_some_and(|peer| !peer.is_established());
-        let is_outdated = !is_new && gateway.is_outdated(now());
-        let step = gateway.readers.borrow_mut().next(is_outdated, now());
+        let doubt = gateway.doubt(now()).filter(|_| !is_new);
+        let step = gateway.readers.borrow_mut().next(doubt, now());
         let planned_before = planned_claim;
         planned_claim = gateway.readers.borrow().planned_claim();
         if let Some((reason, at)) = planned_claim.filter(|_| planned_claim != planned_before) {
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 use crate::update_source::CurrentSource;
 use decision::duties::{DemandCounts, DemandReports};
 use decision::routing::{
-    BrittleEndpoints, Catalog, ChangeLog, ConnectionBudget, Directory, DirectoryChange,
+    BrittleEndpoints, Catalog, ChangeLog, ConnectionBudget, Directory, DirectoryChange, Doubt,
     EndpointLimits, FleetSize, Freshness, LoadExchange, LoadTable, NoticeBoard, NoticeId,
     OutcomeExchange, Peer, PlacementConfig, Quarantine, Reachability, ReaderElection, Relays,
     RetryBudget, Service, SetDigest, Source, SourceHealth, StreamRecords, WaitQueues, start_wait,
@@ -319,15 +319,21 @@
         }
     }
 
-    /// Whether another source of updates must be found: the present one fails, or the configuration
-    /// was confirmed so long ago that keys are no longer valid soon.
-    pub(crate) fn is_outdated(&self, now: Millis) -> bool {
+    /// Why another source of updates must be found, if so: the present one fails, or the configuration was
+    /// confirmed so long ago that keys are no longer valid soon.
+    pub(crate) fn doubt(&self, now: Millis) -> Option<Doubt> {
         if self.source_health.borrow().needs_another(now) {
-            return true;
+            return Some(Doubt::SourceFails);
         }
-        let Some(bound) = self.settings().revocation_bound else { return false };
+        let bound = self.settings().revocation_bound?;
         let limit = bound.0 as f64 * MAX_CONFIRMATION_AGE_SHARE;
-        self.freshness.borrow().age(now).is_none_or(|age| age.0 as f64 >= limit)
+        let is_old = self.freshness.borrow().age(now).is_none_or(|age| age.0 as f64 >= limit);
+        is_old.then_some(Doubt::ConfirmationOld)
+    }
+
+    /// Whether another source of updates must be found.
+    pub(crate) fn is_outdated(&self, now: Millis) -> bool {
+        self.doubt(now).is_some()
     }
 
     /// Whether this daemon has received all that it needs to serve clients and followers.
