Repeat a watch of the store whose response is late on another connection

A lost watch showed after 5.4 s to followers and after 7 s to the reader, while the watch of the configuration confirmed the registry.

Ruled out: followers that learn late (no gateway, the reader neither, knew of the change); the confirmation alone (without it, the reader would still have had no other source).

A watch whose response is 0.3 s late is repeated on another connection without a wait, and the first response counts. Until then the watch of the configuration does not confirm the registry. The registry is watched for 2.5 s at a time, in place of 5 s.

--- a/components/gateway/src/object_feed.rs
+++ b/components/gateway/src/object_feed.rs
@@ -160,8 +160,10 @@
 
     const KIND: ObjectKind = ObjectKind::Endpoints;
     const SOURCE: Source = Source::Endpoints;
-    /// Changes are returned at once; the wait only limits how long a lost watch goes undetected.
-    const WATCH_WAIT: Millis = Millis(5_000);
+    /// Changes are returned at once; the wait only limits how long a lost watch goes undetected. With the
+    /// time by which the response may be late, and a call on another connection, it stays within four
+    /// seconds, after which a daemon that lost its connections must know all changes again.
+    const WATCH_WAIT: Millis = Millis(2_500);
 
     fn read_page<A: Adapter>(adapter: &A, body: &[u8]) -> Result<Page<Registration>, String> {
         adapter.read_registrations(body)
--- a/components/gateway/src/store_reader.rs
+++ b/components/gateway/src/store_reader.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use rand::RngExt;
 use snafu::Snafu;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +21,12 @@
 
 /// Read timeout: sixty times the usual response time of the store.
 const READ_TIMEOUT: Millis = Millis(2_000);
+/// Time by which the response to a watch may be late before the store is asked on another connection:
+/// longer than the response time of a slow store, and early enough for the other response to arrive before
+/// followers are told.
+const LATE_WATCH_TIME: Millis = Millis(300);
+/// How long the store may delay the response to a watch that is repeated, so that it responds at once.
+const REPEATED_WATCH_WAIT: Millis = Millis(1);
 /// Time by which the head of a response may be late before followers are told: twice the response time
 /// of a slow store.
 const LATE_RESPONSE_TIME: Millis = Millis(400);
@@ -34,6 +41,21 @@
 /// Maximum retry delay, so that keys are accepted again within a second of the store's recovery.
 const MAX_RETRY_DELAY: Millis = Millis(800);
 
+const _: () = assert!(LATE_WATCH_TIME.0 < LATE_RESPONSE_TIME.0);
+
+/// The head of a response, and the connection on which its body arrives.
+type ResponseHead = (Connection, Response<Incoming>);
+
+/// A read of the store.
+#[derive(Clone, Copy, Debug)]
+struct Read<'a> {
+    target: &'a str,
+    /// Maximum time to the head of the response.
+    limit: Millis,
+    /// What is read on another connection if the response is late; `None` if nothing is.
+    repeated: Option<&'a str>,
+}
+
 /// A failed call to the store.
 #[derive(Debug, Snafu)]
 enum CallError {
@@ -115,7 +137,8 @@
         loop {
             let after = items.last().map(|item: &crate::adapter::Item<F::Value>| &*item.name);
             let target = self.gateway.adapter.list_target(F::KIND, after, false);
-            let body = self.get::<F>(&target, READ_TIMEOUT).await?;
+            let read = Read { target: &target, limit: READ_TIMEOUT, repeated: None };
+            let body = self.get::<F>(read).await?;
             let page = F::read_page(&self.gateway.adapter, &body)
                 .map_err(|text| CallError::Unreadable { target, text })?;
             // Watching from the first page's revision includes changes made while later pages were
@@ -145,16 +168,20 @@
 
     async fn watch<F: ObjectFeed>(&mut self, since: u64) -> Result<(), CallError> {
         let sent = now();
-        let target = self.gateway.adapter.watch_target(F::KIND, since, F::WATCH_WAIT);
-        let body = match self.get::<F>(&target, F::WATCH_WAIT + READ_TIMEOUT).await {
-            Ok(body) => body,
-            Err(CallError::HistoryGone { target }) => {
-                self.forget_position::<F>();
-                tracing::info!(event = "history_gone", kind = F::KIND.as_str(), target);
-                return Ok(());
-            }
-            Err(e) => return Err(e),
-        };
+        let adapter = &self.gateway.adapter;
+        let target = adapter.watch_target(F::KIND, since, F::WATCH_WAIT);
+        let repeated = adapter.watch_target(F::KIND, since, REPEATED_WATCH_WAIT);
+        let limit = F::WATCH_WAIT + READ_TIMEOUT;
+        let body =
+            match self.get::<F>(Read { target: &target, limit, repeated: Some(&repeated) }).await {
+                Ok(body) => body,
+                Err(CallError::HistoryGone { target }) => {
+                    self.forget_position::<F>();
+                    tracing::info!(event = "history_gone", kind = F::KIND.as_str(), target);
+                    return Ok(());
+                }
+                Err(e) => return Err(e),
+            };
         if self.gateway.store_era() != self.era {
             // Revisions are given out again, so that a watch from an earlier era may miss changes.
             self.forget_position::<F>();
@@ -179,20 +206,15 @@
         }
     }
 
-    async fn get<F: ObjectFeed>(
-        &mut self,
-        target: &str,
-        limit: Millis,
-    ) -> Result<Bytes, CallError> {
-        let result = self.call::<F>(target, limit).await;
+    async fn get<F: ObjectFeed>(&mut self, read: Read<'_>) -> Result<Bytes, CallError> {
+        let result = self.call::<F>(read).await;
         let label = match &result {
             Ok((status, _)) if status.is_success() => "ok",
             Ok(_) => "refused",
             Err(_) => "unreachable",
         };
-        let labels = StoreLabels { kind: F::KIND.as_str(), result: label };
-        self.gateway.metrics.store_calls.get_or_create(&labels).inc();
-        let target = target.to_owned();
+        self.count_call::<F>(label);
+        let target = read.target.to_owned();
         match result? {
             (StatusCode::OK, body) => {
                 self.observe_response();
@@ -203,39 +225,78 @@
         }
     }
 
+    fn count_call<F: ObjectFeed>(&self, result: &'static str) {
+        let labels = StoreLabels { kind: F::KIND.as_str(), result };
+        self.gateway.metrics.store_calls.get_or_create(&labels).inc();
+    }
+
     async fn call<F: ObjectFeed>(
         &mut self,
-        target: &str,
-        limit: Millis,
+        read: Read<'_>,
     ) -> Result<(StatusCode, Bytes), ConnectionError> {
         let address = self.gateway.settings().store;
-        let mut connection = match self.connection.take().filter(Connection::is_ready) {
+        let connection = match self.connection.take().filter(Connection::is_ready) {
             Some(connection) => connection,
             None => Connection::open(address, CONNECT_TIMEOUT).await?,
         };
-        let host = address.to_string();
         let limits = ResponseLimits {
-            head: limit,
+            head: read.limit,
             pause: READ_TIMEOUT,
             body: BODY_TIMEOUT,
             max_bytes: MAX_RESPONSE_BYTES,
         };
-        let due = now() + limit - READ_TIMEOUT;
-        let head = self.head_or_notice(connection.send_get(&host, target, limit), F::SOURCE, due);
-        let response = head.await?;
+        let due = now() + read.limit - READ_TIMEOUT;
+        let head = self.first_head::<F>(connection, read, due);
+        let (connection, response) = self.head_or_notice(head, F::SOURCE, due).await?;
         self.gateway.observe_store_response(response.headers());
         let response = connection.read(response, limits, &self.gateway.control_memory).await?;
         self.connection = Some(connection);
         Ok(response)
     }
 
+    /// Waits for the head of a response. If that of a watch is late, its connection may deliver nothing
+    /// any more while others do, so the store is asked on another one as well.
+    async fn first_head<F: ObjectFeed>(
+        &self,
+        connection: Connection,
+        read: Read<'_>,
+        due: Millis,
+    ) -> Result<ResponseHead, ConnectionError> {
+        let address = connection.address();
+        let mut first = pin!(ask(connection, read.target, read.limit));
+        let Some(repeated) = read.repeated else { return first.await };
+        let expected = due + LATE_WATCH_TIME - now();
+        if let Ok(result) = timeout(Duration::from_millis(expected.0), &mut first).await {
+            return result;
+        }
+        self.observe_late_watch::<F>();
+        let mut second = pin!(ask_anew(address, repeated));
+        tokio::select! {
+            result = &mut first => result,
+            result = &mut second => match result {
+                Ok(head) => Ok(head),
+                Err(_) => first.await,
+            },
+        }
+    }
+
+    /// Records that the response to a watch is late: until it is here, no other call shows that nothing
+    /// has changed.
+    fn observe_late_watch<F: ObjectFeed>(&self) {
+        tracing::info!(event = "watch_late", kind = F::KIND.as_str());
+        self.count_call::<F>("late");
+        if F::SOURCE == Source::Endpoints {
+            self.gateway.registry_watched.set(false);
+        }
+    }
+
     /// Waits for the head of a response; tells the followers if it is late.
     async fn head_or_notice(
         &self,
-        head: impl Future<Output = Result<Response<Incoming>, ConnectionError>>,
+        head: impl Future<Output = Result<ResponseHead, ConnectionError>>,
         source: Source,
         due: Millis,
-    ) -> Result<Response<Incoming>, ConnectionError> {
+    ) -> Result<ResponseHead, ConnectionError> {
         let mut head = pin!(head);
         let expected = due + LATE_RESPONSE_TIME - now();
         if let Ok(result) = timeout(Duration::from_millis(expected.0), &mut head).await {
@@ -288,3 +349,18 @@
         self.retry_delay = (self.retry_delay + self.retry_delay).min(MAX_RETRY_DELAY);
     }
 }
+
+async fn ask(
+    mut connection: Connection,
+    target: &str,
+    limit: Millis,
+) -> Result<ResponseHead, ConnectionError> {
+    let host = connection.address().to_string();
+    let response = connection.send_get(&host, target, limit).await?;
+    Ok((connection, response))
+}
+
+async fn ask_anew(address: SocketAddr, target: &str) -> Result<ResponseHead, ConnectionError> {
+    let connection = Connection::open(address, CONNECT_TIMEOUT).await?;
+    ask(connection, target, READ_TIMEOUT).await
+}
--- a/fakes/src/platform/path.rs
+++ b/fakes/src/platform/path.rs
@@ -27,11 +27,19 @@
 /// Connections that fill the queue of a listener that accepts none.
 const QUEUE_FILLERS: usize = 4;
 
+/// A connection through a path.
+#[derive(Debug)]
+struct Forwarded {
+    sides: [TcpStream; 2],
+    /// The bytes that its caller sent last.
+    last_sent: Vec<u8>,
+    is_silent: bool,
+}
+
 #[derive(Debug, Default)]
 struct Sockets {
     listener: Option<TcpListener>,
-    /// Both sides of each connection.
-    connections: BTreeMap<u64, [TcpStream; 2]>,
+    connections: BTreeMap<u64, Forwarded>,
     last_number: u64,
     /// Holds the port while connections are refused.
     held_port: Option<Socket>,
@@ -84,6 +92,15 @@
         }
     }
 
+    /// Holds back the bytes of open connections whose callers sent `request` last, for good, while new
+    /// ones work. Returns how many there are.
+    pub fn silence(&self, request: &str) -> usize {
+        let mut sockets = self.sockets();
+        let is_sent = |sent: &[u8]| sent.windows(request.len()).any(|w| w == request.as_bytes());
+        let connections = sockets.connections.values_mut().filter(|c| is_sent(&c.last_sent));
+        connections.map(|connection| connection.is_silent = true).count()
+    }
+
     fn close_listener(&self) -> io::Result<()> {
         let mut sockets = self.sockets();
         sockets.fillers.clear();
@@ -144,17 +161,26 @@
         let (response_from, response_to) = (upstream.try_clone()?, caller.try_clone()?);
         let responses = self.clone();
         thread::spawn(move || {
-            responses.copy(number, response_from, response_to).unwrap_or_default();
+            responses.copy(number, response_from, response_to, false).unwrap_or_default();
         });
-        self.copy(number, caller, upstream)
+        self.copy(number, caller, upstream, true)
     }
 
     /// Copies one direction of a connection until it ends. A reset on one side is one on the other.
-    fn copy(&self, number: u64, mut from: TcpStream, mut to: TcpStream) -> io::Result<()> {
+    fn copy(
+        &self,
+        number: u64,
+        mut from: TcpStream,
+        mut to: TcpStream,
+        is_request: bool,
+    ) -> io::Result<()> {
         let mut buf = [0; 8_192];
         loop {
             let read = from.read(&mut buf);
-            while self.holds.load(Ordering::SeqCst) {
+            if is_request && let Ok(len) = read {
+                self.sockets().record_sent(number, &buf[..len]);
+            }
+            while self.holds.load(Ordering::SeqCst) || self.sockets().is_silent(number) {
                 thread::sleep(POLL_INTERVAL);
             }
             let copied = match read {
@@ -170,15 +196,26 @@
 }
 
 impl Sockets {
-    fn add(&mut self, connection: [TcpStream; 2]) -> u64 {
+    fn add(&mut self, sides: [TcpStream; 2]) -> u64 {
         self.last_number += 1;
+        let connection = Forwarded { sides, last_sent: Vec::new(), is_silent: false };
         self.connections.insert(self.last_number, connection);
         self.last_number
     }
 
+    fn record_sent(&mut self, number: u64, bytes: &[u8]) {
+        if let Some(connection) = self.connections.get_mut(&number) {
+            connection.last_sent = bytes.to_vec();
+        }
+    }
+
+    fn is_silent(&self, number: u64) -> bool {
+        self.connections.get(&number).is_some_and(|connection| connection.is_silent)
+    }
+
     /// Resets both sides of a connection as soon as the threads that copy it have ended.
     fn reset(&mut self, number: u64) -> io::Result<()> {
-        for stream in self.connections.remove(&number).into_iter().flatten() {
+        for stream in self.connections.remove(&number).into_iter().flat_map(|c| c.sides) {
             set_reset_on_close(&stream)?;
             // It may have ended already.
             let _ = stream.shutdown(Shutdown::Read);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -33,6 +33,7 @@
 mod returning_endpoints;
 mod scripted_site;
 mod shutdown;
+mod silent_connections;
 mod software_versions;
 mod stalled_responses;
 mod stalled_sources;
