Let the test of a store outage wait for the loss before the store returns

Cause, from the log of a failed run: keys are refused 0.56 s after the store falls silent, so the test lets it return then. The watch that was late is repeated on another connection 0.2 s later, and keys are served at once, where the daemon used to wait for the old connection and log store_lost 2 s later. Nothing was lost, so the daemon is right and the test took the loss for granted.

The loss now has to be logged during the outage, before the store returns; everything else is demanded as before.

--- a/tests/gateway/store_changes.rs
+++ b/tests/gateway/store_changes.rs
@@ -98,10 +98,11 @@
     let mut open = site.client();
     open.send_request("/open/", "r2", "", "").unwrap();
     assert_eq!(open.read_response().unwrap().message.status(), 200);
+    // A watch that is repeated on another connection ends a shorter outage before it counts as a loss.
+    site.gateway.wait_for_log(&["store_lost"]).unwrap();
     site.store.set_mode(StoreMode::Up);
     let served = || site.send_request("/safe/", "r").message.status() == 200;
     site.gateway.wait_for(served, "requests with a key are served again").unwrap();
-    site.gateway.wait_for_log(&["store_lost"]).unwrap();
     site.gateway.wait_for_log(&["store_regained"]).unwrap();
 }
 
