Ask other data centres for what the store has lost of the configuration

Cause: what the store returns to a daemon that starts counts as confirmed. It knew from the records who else reads the store, and did not ask.

Ruled out: records without the other readers, and others that pass on the older configuration (they refused the key all the time).

A daemon that lists the configurations for the first time, or for the first time in an era of the store, asks the readers of all other data centres at the same time what they have newer, before it confirms anything. Requests that exchange loads may now state the configuration that the sender holds; older builds do neither.

--- a/components/decision/src/routing/reader_election.rs
+++ b/components/decision/src/routing/reader_election.rs
@@ -454,6 +454,12 @@
         others.filter_map(|region| self.first_reader_of(region)).collect()
     }
 
+    /// Returns the other data centres and their readers.
+    pub fn readers_of_other_data_centres(&self) -> Vec<(String, Peer)> {
+        let others = self.records.iter().filter(|(name, _)| **name != *self.data_centre);
+        others.map(|(name, record)| (name.clone(), record.reader.clone())).collect()
+    }
+
     fn first_reader_of(&self, region: &str) -> Option<(String, Peer)> {
         let readers = self.readers_of(region);
         readers.first().map(|(name, record)| ((*name).to_owned(), record.reader.clone()))
--- a/components/gateway/src/feed_response.rs
+++ b/components/gateway/src/feed_response.rs
@@ -93,6 +93,7 @@
         feed.outcomes = outcome_exchange.data_centre_outcomes(&own_outcomes);
         let notices = gateway.notices.borrow();
         feed.notices = if req.all_notices { notices.all(now()) } else { notices.forwarded(now()) };
+        feed.configuration_update = next_piece(gateway, req);
         return feed;
     }
     feed.daemons = gateway.daemon_count(now()).and_then(count);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod log;
 mod metrics;
 mod monitoring;
+mod newer_configuration;
 mod notices;
 mod object_feed;
 mod packing;
--- a/components/gateway/src/store_reader.rs
+++ b/components/gateway/src/store_reader.rs
@@ -3,6 +3,7 @@
 use crate::connection::{Connection, ConnectionError, ResponseLimits};
 use crate::gateway::Gateway;
 use crate::metrics::StoreLabels;
+use crate::newer_configuration::adopt_newer_configuration;
 use crate::object_feed::ObjectFeed;
 use crate::registry_outage::keep_missing_endpoints;
 use crate::update_source::UpdateSource;
@@ -67,6 +68,8 @@
     HistoryGone { target: String },
     #[snafu(display("{target}: malformed store response: {text}"))]
     Unreadable { target: String, text: String },
+    #[snafu(display("a newer configuration than that of the store was not received: {text}"))]
+    NewerConfiguration { text: String },
 }
 
 impl From<ConnectionError> for CallError {
@@ -83,6 +86,9 @@
     revision: Option<u64>,
     /// The store's era in which that revision was read.
     era: Option<StoreEra>,
+    /// The era in which the objects were last listed, and the configuration compared with those of other
+    /// data centres if necessary.
+    compared_era: Option<StoreEra>,
     failing_since: Option<Millis>,
     retry_delay: Millis,
 }
@@ -94,6 +100,7 @@
         connection: None,
         revision: None,
         era: None,
+        compared_era: None,
         failing_since: None,
         retry_delay: FIRST_RETRY_DELAY,
     };
@@ -161,11 +168,23 @@
         let after_outage = !self.gateway.is_registry_settled(now());
         let items = F::admit(&self.gateway, items, true, now());
         F::replace(&self.gateway, items, after_outage, now());
+        if F::SOURCE == Source::Configurations && self.may_be_older_copy(now()) {
+            let adopted = adopt_newer_configuration(&self.gateway).await;
+            adopted.map_err(|text| CallError::NewerConfiguration { text })?;
+        }
+        self.compared_era = self.era;
         F::confirm(&self.gateway, sent);
         self.revision = revision;
         Ok(())
     }
 
+    /// Whether a configuration that other daemons know may be missing in the store, and unknown here: a
+    /// new era began, or this daemon has just started and knows no former one.
+    fn may_be_older_copy(&self, now: Millis) -> bool {
+        let is_new = self.gateway.freshness.borrow().age(now).is_none();
+        is_new || (self.compared_era.is_some() && self.compared_era != self.era)
+    }
+
     async fn watch<F: ObjectFeed>(&mut self, since: u64) -> Result<(), CallError> {
         let sent = now();
         let adapter = &self.gateway.adapter;
--- a/components/messages/src/feed.rs
+++ b/components/messages/src/feed.rs
@@ -157,7 +157,7 @@
     pub takes_over: bool,
     ///The longest time that the response may be delayed until there is a change, in milliseconds.
     pub wait_ms: u64,
-    ///Whether `loads` covers all daemons of the sender's data centre; the response then holds loads only.
+    ///Whether `loads` covers all daemons of the sender's data centre; the response then holds loads, and what is newer of the configuration if `configuration` is present.
     pub whole_data_centre: bool,
 }
 ///What a daemon has read from the store, and the load of the other daemons.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -30,6 +30,7 @@
 mod repeated_refusals;
 mod responses;
 mod restarts;
+mod restored_stores;
 mod returning_endpoints;
 mod scripted_site;
 mod shutdown;
